Meta: Set up the build, LibCore and LibHTTP

Cause: the repository was empty. Change: the design page, the build with formatter, linter and tests behind one command, the runtime clock, error kinds, log, metrics and settings in LibCore, and the HTTP server and client in LibHTTP.

--- /dev/null
+++ b/Libraries/LibCore/ErrorKind.h
@@ -0,0 +1,112 @@
+#pragma once
+
+#include <chrono>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+
+namespace Core {
+
+/// The closed list of error kinds. Every error of the system is one of these; errorAnswers() maps each to its answer.
+enum class ErrorKind {
+    InvalidRequest,
+    Unauthorized,
+    Forbidden,
+    NotFound,
+    MethodNotAllowed,
+    RequestTimeout,
+    RequestTooLarge,
+    HeadersTooLarge,
+    InvalidConfiguration,
+    InvalidSetting,
+    ApplyConflict,
+    IdempotencyKeyRequired,
+    IdempotencyKeyInvalid,
+    IdempotencyKeyReused,
+    IdempotencyKeyExpired,
+    RequestQuarantined,
+    TeamLimitExceeded,
+    Overloaded,
+    DeadlineTooShort,
+    DeadlineExceeded,
+    NoServerAvailable,
+    BackendUnreachable,
+    BackendFailed,
+    BackendAnswerInvalid,
+    OutcomeUnknown,
+    StoreUnavailable,
+    StoreConflict,
+    StoreVersionExpired,
+    StoreValueTooLarge,
+    PeerUnreachable,
+    StreamNotFound,
+    StreamTakenOver,
+    NotReady,
+    Draining,
+    Cancelled,
+    Internal,
+};
+
+/// Whether the request that failed was executed by a back end.
+/// NotRun is claimed only if no byte of the request can have reached a back end that could act on it.
+enum class RunState {
+    NotRun,
+    Ran,
+    Unknown,
+};
+
+/// How the Retry-After value of an answer is chosen.
+enum class RetryAfterRule {
+    /// No Retry-After header: repeating the same request cannot succeed or needs no delay.
+    None,
+    /// The value of ErrorAnswer::retryAfter.
+    Fixed,
+    /// The delay in LastReason::retryAfter if there is one, else the value of ErrorAnswer::retryAfter.
+    Estimated,
+};
+
+/// One row of the table from error kind to answer.
+struct ErrorAnswer {
+    ErrorKind kind;
+    /// The stable name in the problem details' `kind` field, in log lines and in metrics labels.
+    std::string_view name;
+    unsigned httpStatus;
+    std::string_view title;
+    RetryAfterRule retryAfterRule;
+    std::chrono::seconds retryAfter;
+};
+
+/// Why the last fallible call failed. Fallible functions return an empty optional (or false) and fill one of these.
+/// Not thread safe; each task uses its own.
+struct LastReason {
+    ErrorKind kind { ErrorKind::Internal };
+    RunState runState { RunState::NotRun };
+    std::string message;
+    std::optional<std::chrono::milliseconds> retryAfter;
+
+    bool operator==(LastReason const&) const = default;
+};
+
+/// Returns the whole table, in the order of ErrorKind. Thread safe.
+[[nodiscard]] std::span<ErrorAnswer const> errorAnswers();
+
+/// Returns the answer for one kind. Thread safe.
+[[nodiscard]] ErrorAnswer const& answerFor(ErrorKind);
+
+/// Returns the kind with the given stable name, if there is one. Thread safe.
+[[nodiscard]] std::optional<ErrorKind> errorKindFromName(std::string_view name);
+
+/// Returns "not_run", "ran" or "unknown". Thread safe.
+[[nodiscard]] std::string_view runStateName(RunState);
+
+/// Parses the names that runStateName() returns. Thread safe.
+[[nodiscard]] std::optional<RunState> runStateFromName(std::string_view name);
+
+/// Fills the reason and returns an empty optional, so that `return fail(...)` ends a fallible function.
+std::nullopt_t fail(LastReason&, ErrorKind, std::string message, RunState = RunState::NotRun);
+
+/// Returns the Retry-After value in whole seconds (rounded up, at least 1), or nothing if the kind has none.
+[[nodiscard]] std::optional<std::chrono::seconds> retryAfterFor(LastReason const&);
+
+}
--- /dev/null
+++ b/Libraries/LibHTTP/BeastConversion.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include <LibHTTP/Message.h>
+#include <boost/beast/http/fields.hpp>
+#include <boost/beast/http/message.hpp>
+
+namespace HTTP {
+
+/// Copies Beast's fields in their order. Internal to LibHTTP.
+[[nodiscard]] inline Headers headersFromFields(boost::beast::http::fields const& fields)
+{
+    Headers headers;
+    for (auto const& field : fields) {
+        std::string_view const name { field.name_string().data(), field.name_string().size() };
+        std::string_view const value { field.value().data(), field.value().size() };
+        headers.add(name, std::string(value));
+    }
+    return headers;
+}
+
+/// Adds our headers to a Beast message. Internal to LibHTTP.
+inline void addHeadersToFields(Headers const& headers, boost::beast::http::fields& fields)
+{
+    for (auto const& [name, value] : headers.fields())
+        fields.insert({ name.data(), name.size() }, { value.data(), value.size() });
+}
+
+}
--- /dev/null
+++ b/Libraries/LibHTTP/Client.cpp
@@ -0,0 +1,352 @@
+#include <LibHTTP/Client.h>
+
+#include <LibHTTP/BeastConversion.h>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/buffer_body.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <boost/beast/http/write.hpp>
+#include <deque>
+#include <map>
+#include <vector>
+
+namespace HTTP {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+using asio::ip::tcp;
+using Core::ErrorKind;
+using Core::RunState;
+
+static constexpr auto useTuple = asio::as_tuple(asio::use_awaitable);
+
+namespace {
+
+struct Connection {
+    explicit Connection(asio::io_context& context)
+        : socket(context)
+    {
+    }
+
+    void close()
+    {
+        boost::system::error_code ignored;
+        socket.close(ignored);
+    }
+
+    tcp::socket socket;
+    beast::flat_buffer buffer;
+    Core::MonotonicTime idleSince;
+};
+
+using ConnectionPointer = std::unique_ptr<Connection>;
+using BodyParser = beast::http::response_parser<beast::http::buffer_body>;
+
+enum class ConnectionOrigin {
+    New,
+    Idle,
+};
+
+struct LeasedConnection {
+    ConnectionPointer connection;
+    ConnectionOrigin origin { ConnectionOrigin::New };
+};
+
+}
+
+class Client::Implementation : public std::enable_shared_from_this<Implementation> {
+public:
+    Implementation(Core::Runtime& runtime, ClientLimits limits)
+        : m_runtime(runtime)
+        , m_limits(limits)
+    {
+    }
+
+    [[nodiscard]] Core::Runtime& runtime() { return m_runtime; }
+    [[nodiscard]] ClientLimits const& limits() const { return m_limits; }
+
+    void giveBack(Core::Endpoint const& endpoint, ConnectionPointer connection)
+    {
+        auto& idle = m_idle[endpoint];
+        if (idle.size() >= m_limits.idleConnectionsPerEndpoint)
+            return;
+        connection->idleSince = m_runtime.now();
+        idle.push_back(std::move(connection));
+    }
+
+    void forget(Core::Endpoint const& endpoint) { m_idle.erase(endpoint); }
+
+    Core::Awaitable<std::unique_ptr<ResponseStream>> openStream(Core::Endpoint endpoint, Request request, ConnectionUse use, Core::MonotonicTime deadline, Core::LastReason& reason);
+
+private:
+    ConnectionPointer takeIdle(Core::Endpoint const& endpoint)
+    {
+        auto const found = m_idle.find(endpoint);
+        if (found == m_idle.end())
+            return nullptr;
+        while (!found->second.empty()) {
+            auto connection = std::move(found->second.back());
+            found->second.pop_back();
+            if (isReusable(*connection))
+                return connection;
+        }
+        m_idle.erase(found);
+        return nullptr;
+    }
+
+    // Bytes or an end of file that arrived while the connection was idle belong to no request of ours.
+    bool isReusable(Connection& connection)
+    {
+        if (m_runtime.now() - connection.idleSince > m_limits.idleTimeout || connection.buffer.size() > 0)
+            return false;
+        boost::system::error_code error;
+        char byte = 0;
+        connection.socket.non_blocking(true, error);
+        connection.socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
+        return error == asio::error::would_block;
+    }
+
+    Core::Awaitable<LeasedConnection> acquire(Core::Endpoint const& endpoint, ConnectionUse use, Core::MonotonicTime deadline, Core::LastReason& reason)
+    {
+        if (use == ConnectionUse::Pooled) {
+            if (auto connection = takeIdle(endpoint))
+                co_return LeasedConnection { std::move(connection), ConnectionOrigin::Idle };
+        }
+        auto connection = std::make_unique<Connection>(m_runtime.context());
+        boost::system::error_code addressError;
+        tcp::endpoint const remote { asio::ip::make_address(endpoint.address, addressError), endpoint.port };
+        if (addressError) {
+            Core::fail(reason, ErrorKind::BackendUnreachable, "\"" + endpoint.address + "\" is not an IP number");
+            co_return LeasedConnection {};
+        }
+        auto const limit = std::min(deadline, m_runtime.now() + m_limits.connectTimeout);
+        boost::system::error_code error;
+        {
+            auto timer = m_runtime.callAt(limit, [&] { connection->close(); });
+            auto [connectError] = co_await connection->socket.async_connect(remote, useTuple);
+            error = connectError;
+        }
+        if (error || !connection->socket.is_open()) {
+            auto const kind = m_runtime.now() >= deadline ? ErrorKind::DeadlineExceeded : ErrorKind::BackendUnreachable;
+            Core::fail(reason, kind, "cannot connect to " + endpoint.toString() + ": " + error.message());
+            co_return LeasedConnection {};
+        }
+        boost::system::error_code ignored;
+        connection->socket.set_option(tcp::no_delay(true), ignored);
+        co_return LeasedConnection { std::move(connection), ConnectionOrigin::New };
+    }
+
+    Core::Runtime& m_runtime;
+    ClientLimits m_limits;
+    std::map<Core::Endpoint, std::deque<ConnectionPointer>> m_idle;
+};
+
+namespace {
+
+class BeastResponseStream final : public ResponseStream {
+public:
+    // Called with the connection of a completed exchange that may be reused.
+    using GiveBack = std::function<void(Core::Endpoint const&, ConnectionPointer)>;
+
+    BeastResponseStream(Core::Runtime& runtime, Core::Endpoint endpoint, ConnectionPointer connection, std::unique_ptr<BodyParser> parser, GiveBack giveBack)
+        : m_runtime(runtime)
+        , m_endpoint(std::move(endpoint))
+        , m_connection(std::move(connection))
+        , m_parser(std::move(parser))
+        , m_giveBack(std::move(giveBack))
+        , m_headers(headersFromFields(m_parser->get()))
+    {
+    }
+
+    unsigned status() const override { return m_parser->get().result_int(); }
+    Headers const& headers() const override { return m_headers; }
+
+    Core::Awaitable<std::optional<std::string>> readSome(Core::MonotonicTime deadline, Core::LastReason& reason) override
+    {
+        std::string piece;
+        while (piece.empty() && !m_parser->is_done()) {
+            if (!m_connection)
+                co_return Core::fail(reason, ErrorKind::BackendAnswerInvalid, "the connection to " + m_endpoint.toString() + " is closed", RunState::Unknown);
+            piece.resize(pieceSize);
+            m_parser->get().body().data = piece.data();
+            m_parser->get().body().size = piece.size();
+            boost::system::error_code error;
+            bool timedOut = false;
+            {
+                auto timer = m_runtime.callAt(deadline, [&] {
+                    timedOut = true;
+                    m_connection->close();
+                });
+                auto [readError, length] = co_await beast::http::async_read_some(m_connection->socket, m_connection->buffer, *m_parser, useTuple);
+                error = readError;
+            }
+            piece.resize(piece.size() - m_parser->get().body().size);
+            m_parser->get().body().data = nullptr;
+            m_parser->get().body().size = 0;
+            if (error && error != beast::http::error::need_buffer) {
+                m_connection.reset();
+                if (timedOut)
+                    co_return Core::fail(reason, ErrorKind::DeadlineExceeded, "no answer from " + m_endpoint.toString() + " within the deadline", RunState::Unknown);
+                co_return Core::fail(reason, ErrorKind::BackendAnswerInvalid, "the answer of " + m_endpoint.toString() + " was cut off: " + error.message(), RunState::Unknown);
+            }
+        }
+        if (m_parser->is_done())
+            complete();
+        co_return piece;
+    }
+
+private:
+    static constexpr std::size_t pieceSize = 16 * 1024;
+
+    void complete()
+    {
+        if (!m_connection)
+            return;
+        if (m_parser->get().keep_alive())
+            m_giveBack(m_endpoint, std::move(m_connection));
+        m_connection.reset();
+    }
+
+    Core::Runtime& m_runtime;
+    Core::Endpoint m_endpoint;
+    ConnectionPointer m_connection;
+    std::unique_ptr<BodyParser> m_parser;
+    GiveBack m_giveBack;
+    Headers m_headers;
+};
+
+struct HeaderOutcome {
+    std::unique_ptr<BodyParser> parser;
+    boost::system::error_code error;
+    /// Whether any byte of an answer arrived.
+    bool answerBegan { false };
+};
+
+}
+
+static Core::Awaitable<HeaderOutcome> exchangeHeaders(Connection& connection, beast::http::request<beast::http::string_body>& message, ClientLimits const& limits)
+{
+    HeaderOutcome outcome;
+    auto [writeError, written] = co_await beast::http::async_write(connection.socket, message, useTuple);
+    if (writeError) {
+        outcome.error = writeError;
+        co_return outcome;
+    }
+    auto parser = std::make_unique<BodyParser>();
+    parser->header_limit(static_cast<std::uint32_t>(limits.maximumHeaderBytes));
+    parser->body_limit(limits.maximumBodyBytes);
+    auto [readError, length] = co_await beast::http::async_read_header(connection.socket, connection.buffer, *parser, useTuple);
+    outcome.answerBegan = length > 0 || connection.buffer.size() > 0;
+    if (readError) {
+        outcome.error = readError;
+        co_return outcome;
+    }
+    outcome.parser = std::move(parser);
+    co_return outcome;
+}
+
+static bool hasDelimitedBody(BodyParser const& parser)
+{
+    return parser.chunked() || parser.content_length() || parser.is_done();
+}
+
+static beast::http::request<beast::http::string_body> toBeastRequest(Core::Endpoint const& endpoint, Request& request)
+{
+    static constexpr unsigned http11 = 11;
+    beast::http::request<beast::http::string_body> message;
+    message.version(http11);
+    message.method_string(request.method);
+    message.target(request.target);
+    addHeadersToFields(request.headers, message);
+    message.set(beast::http::field::host, endpoint.toString());
+    message.body() = std::move(request.body);
+    message.prepare_payload();
+    return message;
+}
+
+Core::Awaitable<std::unique_ptr<ResponseStream>> Client::Implementation::openStream(Core::Endpoint endpoint, Request request, ConnectionUse use, Core::MonotonicTime deadline, Core::LastReason& reason)
+{
+    auto self = shared_from_this();
+    auto message = toBeastRequest(endpoint, request);
+    while (true) {
+        if (m_runtime.now() >= deadline) {
+            Core::fail(reason, ErrorKind::DeadlineExceeded, "the deadline passed before the request was sent");
+            co_return nullptr;
+        }
+        auto leased = co_await acquire(endpoint, use, deadline, reason);
+        if (!leased.connection)
+            co_return nullptr;
+        bool timedOut = false;
+        HeaderOutcome outcome;
+        {
+            auto* connection = leased.connection.get();
+            auto timer = m_runtime.callAt(deadline, [&timedOut, connection] {
+                timedOut = true;
+                connection->close();
+            });
+            outcome = co_await exchangeHeaders(*connection, message, m_limits);
+        }
+        if (timedOut) {
+            Core::fail(reason, ErrorKind::DeadlineExceeded, "no answer from " + endpoint.toString() + " within the deadline", RunState::Unknown);
+            co_return nullptr;
+        }
+        if (outcome.error) {
+            if (leased.origin == ConnectionOrigin::Idle && !outcome.answerBegan)
+                continue;
+            auto const kind = outcome.answerBegan ? ErrorKind::BackendAnswerInvalid : ErrorKind::BackendFailed;
+            Core::fail(reason, kind, "the exchange with " + endpoint.toString() + " failed: " + outcome.error.message(), RunState::Unknown);
+            co_return nullptr;
+        }
+        if (!hasDelimitedBody(*outcome.parser)) {
+            Core::fail(reason, ErrorKind::BackendAnswerInvalid, "the answer of " + endpoint.toString() + " has no length", RunState::Unknown);
+            co_return nullptr;
+        }
+        BeastResponseStream::GiveBack giveBack = [weak = weak_from_this()](Core::Endpoint const& target, ConnectionPointer connection) {
+            if (auto implementation = weak.lock())
+                implementation->giveBack(target, std::move(connection));
+        };
+        co_return std::make_unique<BeastResponseStream>(m_runtime, endpoint, std::move(leased.connection), std::move(outcome.parser), std::move(giveBack));
+    }
+}
+
+Client::Client(Core::Runtime& runtime, ClientLimits limits)
+    : m_implementation(std::make_shared<Implementation>(runtime, limits))
+{
+}
+
+Client::~Client() = default;
+
+Core::Awaitable<std::optional<Response>> Client::send(Core::Endpoint endpoint, Request request, ConnectionUse use, Core::MonotonicTime deadline, Core::LastReason& reason)
+{
+    auto implementation = m_implementation;
+    auto stream = co_await implementation->openStream(std::move(endpoint), std::move(request), use, deadline, reason);
+    if (!stream)
+        co_return std::nullopt;
+    Response response;
+    response.status = stream->status();
+    response.headers = stream->headers();
+    while (true) {
+        auto piece = co_await stream->readSome(deadline, reason);
+        if (!piece)
+            co_return std::nullopt;
+        if (piece->empty())
+            co_return response;
+        response.body += *piece;
+    }
+}
+
+Core::Awaitable<std::unique_ptr<ResponseStream>> Client::openStream(Core::Endpoint endpoint, Request request, ConnectionUse use, Core::MonotonicTime deadline, Core::LastReason& reason)
+{
+    return m_implementation->openStream(std::move(endpoint), std::move(request), use, deadline, reason);
+}
+
+void Client::forget(Core::Endpoint const& endpoint)
+{
+    m_implementation->forget(endpoint);
+}
+
+}
--- /dev/null
+++ b/Libraries/LibHTTP/Client.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include <LibCore/Endpoint.h>
+#include <LibCore/ErrorKind.h>
+#include <LibCore/Runtime.h>
+#include <LibHTTP/Message.h>
+#include <cstddef>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace HTTP {
+
+struct ClientLimits {
+    std::size_t maximumHeaderBytes { 32 * 1024 };
+    std::size_t maximumBodyBytes { 16 * 1024 * 1024 };
+    Core::Duration connectTimeout { std::chrono::seconds(1) };
+    std::size_t idleConnectionsPerEndpoint { 64 };
+    Core::Duration idleTimeout { std::chrono::seconds(20) };
+
+    bool operator==(ClientLimits const&) const = default;
+};
+
+/// Whether a request may use an idle connection.
+enum class ConnectionUse {
+    /// An idle connection may be used. If it turns out to have been closed before any byte of an answer arrived, the request
+    /// is sent once more on a new connection; only for requests that may be executed twice.
+    Pooled,
+    /// Always a new connection, and never sent twice.
+    Fresh,
+};
+
+/// An answer whose body is read piece by piece. Destroying it before the end closes the connection. Not thread safe.
+class ResponseStream {
+public:
+    virtual ~ResponseStream() = default;
+
+    [[nodiscard]] virtual unsigned status() const = 0;
+    [[nodiscard]] virtual Headers const& headers() const = 0;
+
+    /// Returns the next bytes of the body, or an empty string after its last byte. A connection that ends before the end of
+    /// the body is BackendAnswerInvalid, a deadline that passes is DeadlineExceeded, both with RunState::Unknown.
+    [[nodiscard]] virtual Core::Awaitable<std::optional<std::string>> readSome(Core::MonotonicTime deadline, Core::LastReason&) = 0;
+};
+
+/// An HTTP/1.1 client with a pool of idle connections per endpoint. A connection whose exchange was not completed, or that
+/// has unread bytes, is closed and never reused, so an answer cannot reach the wrong request. Not thread safe.
+/// Failures are BackendUnreachable with RunState::NotRun if no byte of the request was written, and else BackendFailed,
+/// BackendAnswerInvalid or DeadlineExceeded with RunState::Unknown. A deadline before the first byte is DeadlineExceeded with
+/// RunState::NotRun.
+class Client {
+public:
+    Client(Core::Runtime&, ClientLimits);
+    ~Client();
+
+    /// Sends a request and returns the whole answer, whatever its status. An answer whose end cannot be told (neither
+    /// Content-Length nor chunked) is refused as BackendAnswerInvalid.
+    [[nodiscard]] Core::Awaitable<std::optional<Response>> send(Core::Endpoint, Request, ConnectionUse, Core::MonotonicTime deadline, Core::LastReason&);
+
+    /// Sends a request and returns after the answer's headers.
+    [[nodiscard]] Core::Awaitable<std::unique_ptr<ResponseStream>> openStream(Core::Endpoint, Request, ConnectionUse, Core::MonotonicTime deadline, Core::LastReason&);
+
+    /// Closes the idle connections to an endpoint, for example one that has left.
+    void forget(Core::Endpoint const&);
+
+private:
+    class Implementation;
+    std::shared_ptr<Implementation> m_implementation;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibHTTP/Server.cpp
@@ -0,0 +1,402 @@
+#include <LibHTTP/Server.h>
+
+#include <LibCore/Log.h>
+#include <LibHTTP/BeastConversion.h>
+#include <LibHTTP/Problem.h>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/chunk_encode.hpp>
+#include <boost/beast/http/empty_body.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/serializer.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <boost/beast/http/write.hpp>
+#include <set>
+
+namespace HTTP {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+using asio::ip::tcp;
+
+static constexpr auto useTuple = asio::as_tuple(asio::use_awaitable);
+
+namespace {
+
+enum class ConnectionState {
+    Idle,
+    Busy,
+};
+
+struct Connection {
+    explicit Connection(tcp::socket acceptedSocket)
+        : socket(std::move(acceptedSocket))
+    {
+    }
+
+    void close()
+    {
+        boost::system::error_code ignored;
+        socket.close(ignored);
+    }
+
+    tcp::socket socket;
+    beast::flat_buffer buffer;
+    ConnectionState state { ConnectionState::Idle };
+    Core::Endpoint peer;
+};
+
+class BeastResponseWriter final : public ResponseWriter {
+public:
+    BeastResponseWriter(Connection& connection, unsigned version, std::string method)
+        : m_connection(connection)
+        , m_version(version)
+        , m_method(std::move(method))
+    {
+    }
+
+    Core::Awaitable<bool> send(Response response) override
+    {
+        m_started = true;
+        beast::http::response<beast::http::string_body> message { static_cast<beast::http::status>(response.status), m_version };
+        addHeadersToFields(response.headers, message);
+        message.keep_alive(m_keepAlive);
+        message.body() = std::move(response.body);
+        message.prepare_payload();
+        // RFC 9110, section 9.3.2: an answer to HEAD carries the headers only.
+        if (m_method == "HEAD")
+            message.body().clear();
+        beast::http::response_serializer<beast::http::string_body> serializer { message };
+        auto [error, length] = co_await beast::http::async_write(m_connection.socket, serializer, useTuple);
+        m_complete = !error;
+        co_return m_complete;
+    }
+
+    Core::Awaitable<bool> begin(unsigned status, Headers headers) override
+    {
+        m_started = true;
+        beast::http::response<beast::http::empty_body> message { static_cast<beast::http::status>(status), m_version };
+        addHeadersToFields(headers, message);
+        message.keep_alive(m_keepAlive);
+        message.chunked(true);
+        beast::http::response_serializer<beast::http::empty_body> serializer { message };
+        auto [error, length] = co_await beast::http::async_write_header(m_connection.socket, serializer, useTuple);
+        co_return !error;
+    }
+
+    Core::Awaitable<bool> write(std::string bytes) override
+    {
+        if (bytes.empty())
+            co_return m_connection.socket.is_open();
+        auto const chunk = beast::http::make_chunk(asio::buffer(bytes));
+        auto [error, length] = co_await asio::async_write(m_connection.socket, chunk, useTuple);
+        co_return !error;
+    }
+
+    Core::Awaitable<bool> finish() override
+    {
+        auto const lastChunk = beast::http::make_chunk_last();
+        auto [error, length] = co_await asio::async_write(m_connection.socket, lastChunk, useTuple);
+        m_complete = !error;
+        co_return m_complete;
+    }
+
+    bool started() const override { return m_started; }
+    Core::Endpoint const& peer() const override { return m_connection.peer; }
+
+    void setKeepAlive(bool keepAlive) { m_keepAlive = keepAlive; }
+    [[nodiscard]] bool complete() const { return m_complete; }
+
+private:
+    Connection& m_connection;
+    unsigned m_version;
+    std::string m_method;
+    bool m_keepAlive { true };
+    bool m_started { false };
+    bool m_complete { false };
+};
+
+}
+
+class Server::Implementation : public std::enable_shared_from_this<Implementation> {
+public:
+    Implementation(Core::Runtime& runtime, ServerLimits limits, Handler handler)
+        : m_runtime(runtime)
+        , m_limits(limits)
+        , m_handler(std::move(handler))
+        , m_acceptor(runtime.context())
+        , m_progress(runtime)
+    {
+    }
+
+    std::optional<Core::Endpoint> listen(Core::Endpoint const& endpoint, Core::LastReason& reason)
+    {
+        boost::system::error_code error;
+        tcp::endpoint const local { asio::ip::make_address(endpoint.address, error), endpoint.port };
+        if (!error)
+            m_acceptor.open(local.protocol(), error);
+        if (!error)
+            m_acceptor.set_option(tcp::acceptor::reuse_address(true), error);
+        if (!error)
+            m_acceptor.bind(local, error);
+        if (!error)
+            m_acceptor.listen(asio::socket_base::max_listen_connections, error);
+        if (error)
+            return Core::fail(reason, Core::ErrorKind::InvalidSetting, "cannot listen on " + endpoint.toString() + ": " + error.message());
+        auto const bound = m_acceptor.local_endpoint();
+        m_runtime.spawn(acceptLoop(shared_from_this()));
+        return Core::Endpoint { bound.address().to_string(), bound.port() };
+    }
+
+    void stopAccepting()
+    {
+        m_stopping = true;
+        boost::system::error_code ignored;
+        m_acceptor.close(ignored);
+        for (auto const& connection : m_connections) {
+            if (connection->state == ConnectionState::Idle)
+                connection->close();
+        }
+    }
+
+    Core::Awaitable<bool> drained(Core::MonotonicTime deadline)
+    {
+        while (m_requestsInProgress > 0) {
+            if (!co_await m_progress.waitUntil(deadline))
+                co_return m_requestsInProgress == 0;
+        }
+        co_return true;
+    }
+
+    void closeAll()
+    {
+        stopAccepting();
+        for (auto const& connection : m_connections)
+            connection->close();
+    }
+
+    [[nodiscard]] std::size_t requestsInProgress() const { return m_requestsInProgress; }
+
+private:
+    using Parser = beast::http::request_parser<beast::http::string_body>;
+
+    // The coroutines hold a reference to the implementation, since they may outlive the Server.
+    static Core::Awaitable<void> acceptLoop(std::shared_ptr<Implementation> self)
+    {
+        while (!self->m_stopping) {
+            auto [error, socket] = co_await self->m_acceptor.async_accept(useTuple);
+            if (self->m_stopping)
+                co_return;
+            if (error) {
+                // Out of descriptors, for example; the listen queue holds the callers meanwhile.
+                co_await self->m_runtime.sleepFor(std::chrono::milliseconds(20));
+                continue;
+            }
+            if (self->m_connections.size() >= self->m_limits.maximumConnections)
+                continue;
+            boost::system::error_code ignored;
+            socket.set_option(tcp::no_delay(true), ignored);
+            auto connection = std::make_shared<Connection>(std::move(socket));
+            auto const remote = connection->socket.remote_endpoint(ignored);
+            connection->peer = { remote.address().to_string(), remote.port() };
+            self->m_connections.insert(connection);
+            self->m_runtime.spawn(serve(self, connection));
+        }
+    }
+
+    static Core::Awaitable<void> serve(std::shared_ptr<Implementation> self, std::shared_ptr<Connection> connection)
+    {
+        while (!self->m_stopping) {
+            bool const again = co_await self->serveOne(*connection);
+            if (!again)
+                break;
+        }
+        connection->close();
+        self->m_connections.erase(connection);
+    }
+
+    Core::Awaitable<bool> serveOne(Connection& connection)
+    {
+        connection.state = ConnectionState::Idle;
+        Parser parser;
+        parser.header_limit(static_cast<std::uint32_t>(m_limits.maximumHeaderBytes));
+        parser.body_limit(m_limits.maximumBodyBytes);
+
+        if (connection.buffer.size() == 0 && !co_await waitForRequest(connection))
+            co_return false;
+        connection.state = ConnectionState::Busy;
+        bool timedOut = false;
+        boost::system::error_code error;
+        {
+            auto timer = m_runtime.callAt(m_runtime.now() + m_limits.requestTimeout, [&] {
+                timedOut = true;
+                boost::system::error_code ignored;
+                connection.socket.cancel(ignored);
+            });
+            error = co_await readRequest(connection, parser);
+        }
+        if (error) {
+            co_await refuse(connection, error, timedOut);
+            co_return false;
+        }
+        co_return co_await handle(connection, parser.release());
+    }
+
+    Core::Awaitable<bool> waitForRequest(Connection& connection)
+    {
+        auto timer = m_runtime.callAt(m_runtime.now() + m_limits.idleTimeout, [&] { connection.close(); });
+        auto [error] = co_await connection.socket.async_wait(tcp::socket::wait_read, useTuple);
+        co_return !error && !m_stopping;
+    }
+
+    static Core::Awaitable<boost::system::error_code> readRequest(Connection& connection, Parser& parser)
+    {
+        auto [headerError, headerLength] = co_await beast::http::async_read_header(connection.socket, connection.buffer, parser, useTuple);
+        if (headerError)
+            co_return headerError;
+        // RFC 9110, section 10.1.1: the caller waits for this before it sends the body.
+        if (beast::iequals(parser.get()[beast::http::field::expect], "100-continue")) {
+            static constexpr std::string_view interimResponse = "HTTP/1.1 100 Continue\r\n\r\n";
+            auto [writeError, writeLength] = co_await asio::async_write(connection.socket, asio::buffer(interimResponse), useTuple);
+            if (writeError)
+                co_return writeError;
+        }
+        auto [bodyError, bodyLength] = co_await beast::http::async_read(connection.socket, connection.buffer, parser, useTuple);
+        co_return bodyError;
+    }
+
+    // A connection that ends in the middle of a request has nobody left to answer.
+    static bool isSyntaxError(boost::system::error_code error)
+    {
+        if (error == beast::http::error::end_of_stream || error == beast::http::error::partial_message)
+            return false;
+        return error.category() == make_error_code(beast::http::error::bad_method).category();
+    }
+
+    static std::optional<Core::LastReason> reasonFor(boost::system::error_code error, bool timedOut)
+    {
+        Core::LastReason reason;
+        if (timedOut)
+            Core::fail(reason, Core::ErrorKind::RequestTimeout, "the request did not arrive in time");
+        else if (error == beast::http::error::body_limit)
+            Core::fail(reason, Core::ErrorKind::RequestTooLarge, "the request body is over the limit");
+        else if (error == beast::http::error::header_limit || error == beast::http::error::buffer_overflow)
+            Core::fail(reason, Core::ErrorKind::HeadersTooLarge, "the request headers are over the limit");
+        else if (isSyntaxError(error))
+            Core::fail(reason, Core::ErrorKind::InvalidRequest, "malformed HTTP: " + error.message());
+        else
+            return std::nullopt;
+        return reason;
+    }
+
+    Core::Awaitable<void> refuse(Connection& connection, boost::system::error_code error, bool timedOut)
+    {
+        auto const reason = reasonFor(error, timedOut);
+        if (!reason)
+            co_return;
+        Core::logEvent(Core::LogLevel::Info, "request_refused", { { "peer", connection.peer.toString() }, { "kind", Core::answerFor(reason->kind).name }, { "detail", reason->message } });
+        BeastResponseWriter writer(connection, 11, "GET");
+        writer.setKeepAlive(false);
+        auto response = problemResponse(*reason);
+        if (!co_await writer.send(std::move(response)))
+            co_return;
+        co_await lingeringClose(connection);
+    }
+
+    // Closing with unread bytes resets the connection, and the caller may then lose the answer (RFC 9112, section 9.6).
+    Core::Awaitable<void> lingeringClose(Connection& connection)
+    {
+        static constexpr std::size_t maximumDiscardedBytes = 16 * 1024 * 1024;
+        boost::system::error_code ignored;
+        connection.socket.shutdown(tcp::socket::shutdown_send, ignored);
+        auto timer = m_runtime.callAt(m_runtime.now() + std::chrono::seconds(2), [&] { connection.close(); });
+        std::vector<char> discarded(16 * 1024);
+        std::size_t total = 0;
+        while (total < maximumDiscardedBytes) {
+            auto [error, length] = co_await connection.socket.async_read_some(asio::buffer(discarded), useTuple);
+            if (error)
+                co_return;
+            total += length;
+        }
+    }
+
+    Core::Awaitable<bool> handle(Connection& connection, beast::http::request<beast::http::string_body> message)
+    {
+        Request request;
+        request.method = std::string(message.method_string().data(), message.method_string().size());
+        request.target = std::string(message.target().data(), message.target().size());
+        request.headers = headersFromFields(message);
+        request.body = std::move(message.body());
+
+        BeastResponseWriter writer(connection, message.version(), request.method);
+        writer.setKeepAlive(message.keep_alive() && !m_stopping);
+        ++m_requestsInProgress;
+        bool failed = false;
+        try {
+            co_await m_handler(request, writer);
+        } catch (std::exception const& error) {
+            Core::logEvent(Core::LogLevel::Error, "handler_failed", { { "target", request.target }, { "error", error.what() } });
+            failed = true;
+        }
+        if (!writer.started()) {
+            Core::LastReason reason;
+            // The handler may have passed the request on before it failed.
+            Core::fail(reason, Core::ErrorKind::Internal, "the request was not answered", failed ? Core::RunState::Unknown : Core::RunState::NotRun);
+            auto response = problemResponse(reason);
+            (void)co_await writer.send(std::move(response));
+        }
+        --m_requestsInProgress;
+        m_progress.notifyAll();
+        co_return writer.complete() && message.keep_alive() && !m_stopping;
+    }
+
+    Core::Runtime& m_runtime;
+    ServerLimits m_limits;
+    Handler m_handler;
+    tcp::acceptor m_acceptor;
+    Core::AsyncEvent m_progress;
+    std::set<std::shared_ptr<Connection>> m_connections;
+    std::size_t m_requestsInProgress { 0 };
+    bool m_stopping { false };
+};
+
+Server::Server(Core::Runtime& runtime, ServerLimits limits, Handler handler)
+    : m_implementation(std::make_shared<Implementation>(runtime, limits, std::move(handler)))
+{
+}
+
+Server::~Server()
+{
+    m_implementation->closeAll();
+}
+
+std::optional<Core::Endpoint> Server::listen(Core::Endpoint const& endpoint, Core::LastReason& reason)
+{
+    return m_implementation->listen(endpoint, reason);
+}
+
+void Server::stopAccepting()
+{
+    m_implementation->stopAccepting();
+}
+
+Core::Awaitable<bool> Server::drained(Core::MonotonicTime deadline)
+{
+    return m_implementation->drained(deadline);
+}
+
+void Server::closeAll()
+{
+    m_implementation->closeAll();
+}
+
+std::size_t Server::requestsInProgress() const
+{
+    return m_implementation->requestsInProgress();
+}
+
+}
--- /dev/null
+++ b/Tests/LibCore/ErrorKindTest.cpp
@@ -0,0 +1,59 @@
+#include <LibCore/Endpoint.h>
+#include <LibCore/ErrorKind.h>
+#include <LibCore/Log.h>
+#include <LibCore/Metrics.h>
+#include <gtest/gtest.h>
+#include <set>
+
+using namespace std::chrono_literals;
+
+// Guards against two kinds that clients could not tell apart.
+TEST(ErrorKindTest, NamesAreUniqueAndParse)
+{
+    std::set<std::string_view> names;
+    for (auto const& answer : Core::errorAnswers()) {
+        EXPECT_TRUE(names.insert(answer.name).second) << answer.name;
+        EXPECT_EQ(Core::errorKindFromName(answer.name), answer.kind);
+    }
+    EXPECT_FALSE(Core::errorKindFromName("no_such_kind"));
+}
+
+// Guards against a Retry-After of zero, which clients take as an invitation to repeat at once.
+TEST(ErrorKindTest, RetryAfterIsRoundedUp)
+{
+    Core::LastReason reason;
+    Core::fail(reason, Core::ErrorKind::TeamLimitExceeded, "");
+    reason.retryAfter = 10ms;
+    EXPECT_EQ(Core::retryAfterFor(reason), 1s);
+    reason.retryAfter = 2100ms;
+    EXPECT_EQ(Core::retryAfterFor(reason), 3s);
+    Core::fail(reason, Core::ErrorKind::InvalidRequest, "");
+    EXPECT_FALSE(Core::retryAfterFor(reason));
+}
+
+// Guards against log lines that input could split or forge.
+TEST(LogTest, ValuesAreQuoted)
+{
+    auto const line = Core::formatLogLine("request", { { "id", "abc" }, { "text", "a b=\"c\"\nlevel=INFO" }, { "empty", "" } });
+    EXPECT_EQ(line, "event=request id=abc text=\"a b=\\\"c\\\"\\x0alevel=INFO\" empty=\"\"");
+}
+
+TEST(EndpointTest, ParsesNumbersOnly)
+{
+    Core::LastReason reason;
+    EXPECT_EQ(Core::parseEndpoint("127.0.0.1:80", reason), (Core::Endpoint { "127.0.0.1", 80 }));
+    EXPECT_EQ(Core::parseEndpoint("[::1]:80", reason)->toString(), "[::1]:80");
+    for (auto const* text : { "localhost:80", "127.0.0.1", "127.0.0.1:", "127.0.0.1:65536", "127.0.0.1:8x", "" })
+        EXPECT_FALSE(Core::parseEndpoint(text, reason)) << text;
+}
+
+// Guards against label values that break the text format.
+TEST(MetricsTest, RendersPrometheusText)
+{
+    Core::Metrics metrics;
+    metrics.counter("requests_total", { { "team", "a\"b" } }).add(3);
+    metrics.summary("latency_seconds").observe(0.5);
+    auto const text = metrics.renderText();
+    EXPECT_NE(text.find("# TYPE requests_total counter\nrequests_total{team=\"a\\\"b\"} 3\n"), std::string::npos);
+    EXPECT_NE(text.find("latency_seconds_count 1\n"), std::string::npos);
+}
--- /dev/null
+++ b/Tests/LibHTTP/ClientServerTest.cpp
@@ -0,0 +1,180 @@
+#include <LibHTTP/Client.h>
+#include <LibHTTP/Problem.h>
+#include <LibHTTP/Server.h>
+#include <LibHTTP/ServerSentEvents.h>
+#include <boost/asio/connect.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <gtest/gtest.h>
+#include <set>
+#include <thread>
+
+using namespace std::chrono_literals;
+using Core::Awaitable;
+
+namespace {
+
+class ClientServerTest : public testing::Test {
+protected:
+    void startServer(HTTP::Handler handler, HTTP::ServerLimits limits = {})
+    {
+        m_server = std::make_unique<HTTP::Server>(m_runtime, limits, std::move(handler));
+        Core::LastReason reason;
+        auto const bound = m_server->listen({ "127.0.0.1", 0 }, reason);
+        ASSERT_TRUE(bound) << reason.message;
+        m_endpoint = *bound;
+    }
+
+    // Runs the event loop until the task has ended.
+    void run(Awaitable<void> task)
+    {
+        auto wrapper = [this](Awaitable<void> inner) -> Awaitable<void> {
+            co_await std::move(inner);
+            m_context.stop();
+        };
+        m_runtime.spawn(wrapper(std::move(task)));
+        m_context.restart();
+        m_context.run();
+    }
+
+    Core::MonotonicTime deadline() { return m_runtime.now() + 10s; }
+
+    // Sends raw bytes and returns everything the server answers until it closes the connection.
+    std::string exchangeRaw(std::string const& bytes)
+    {
+        std::string answer;
+        std::thread thread([&] {
+            boost::asio::io_context context;
+            boost::asio::ip::tcp::socket socket(context);
+            socket.connect({ boost::asio::ip::make_address(m_endpoint.address), m_endpoint.port });
+            boost::system::error_code error;
+            boost::asio::write(socket, boost::asio::buffer(bytes), error);
+            boost::asio::read(socket, boost::asio::dynamic_buffer(answer), error);
+            m_context.stop();
+        });
+        m_context.restart();
+        m_context.run();
+        thread.join();
+        return answer;
+    }
+
+    boost::asio::io_context m_context;
+    Core::Runtime m_runtime { m_context };
+    HTTP::Client m_client { m_runtime, {} };
+    std::unique_ptr<HTTP::Server> m_server;
+    Core::Endpoint m_endpoint;
+    Core::LastReason m_reason;
+};
+
+Awaitable<void> echo(HTTP::Request const& request, HTTP::ResponseWriter& writer)
+{
+    HTTP::Response response;
+    response.body = request.method + " " + request.target + " " + request.body;
+    (void)co_await writer.send(std::move(response));
+}
+
+}
+
+TEST_F(ClientServerTest, SendsAndReusesConnection)
+{
+    std::set<Core::Endpoint> peers;
+    startServer([&](HTTP::Request const& request, HTTP::ResponseWriter& writer) -> Awaitable<void> {
+        peers.insert(writer.peer());
+        co_await echo(request, writer);
+    });
+    run([](Core::MonotonicTime deadline, Core::Endpoint endpoint, HTTP::Client& client, Core::LastReason& reason) -> Awaitable<void> {
+        for (int round = 0; round < 3; ++round) {
+            HTTP::Request request { "POST", "/a?b=c", {}, "body" };
+            auto response = co_await client.send(endpoint, request, HTTP::ConnectionUse::Pooled, deadline, reason);
+            EXPECT_TRUE(response) << reason.message;
+            EXPECT_EQ(response.value_or(HTTP::Response {}).body, "POST /a?b=c body");
+        }
+    }(deadline(), m_endpoint, m_client, m_reason));
+    EXPECT_EQ(peers.size(), 1u);
+}
+
+// Guards against an answer that arrives after its deadline and is then read by the next request.
+TEST_F(ClientServerTest, LateAnswerNeverReachesTheNextRequest)
+{
+    startServer([&](HTTP::Request const& request, HTTP::ResponseWriter& writer) -> Awaitable<void> {
+        if (request.body == "slow")
+            co_await m_runtime.sleepFor(100ms);
+        co_await echo(request, writer);
+    });
+    run([](Core::Runtime& runtime, Core::Endpoint endpoint, HTTP::Client& client, Core::LastReason& reason) -> Awaitable<void> {
+        HTTP::Request slow { "POST", "/", {}, "slow" };
+        auto late = co_await client.send(endpoint, slow, HTTP::ConnectionUse::Pooled, runtime.now() + 20ms, reason);
+        EXPECT_FALSE(late);
+        EXPECT_EQ(reason.kind, Core::ErrorKind::DeadlineExceeded);
+        EXPECT_EQ(reason.runState, Core::RunState::Unknown);
+        co_await runtime.sleepFor(150ms);
+        HTTP::Request quick { "POST", "/", {}, "quick" };
+        auto answer = co_await client.send(endpoint, quick, HTTP::ConnectionUse::Pooled, runtime.now() + 5s, reason);
+        EXPECT_EQ(answer.value_or(HTTP::Response {}).body, "POST / quick");
+    }(m_runtime, m_endpoint, m_client, m_reason));
+}
+
+// Guards against reporting "unknown" for a request that was never written, and "not run" for one that was.
+TEST_F(ClientServerTest, RunStateFollowsBytesWritten)
+{
+    startServer([](HTTP::Request const&, HTTP::ResponseWriter& writer) -> Awaitable<void> {
+        (void)co_await writer.begin(200, {});
+        (void)co_await writer.write("partial");
+    });
+    run([](Core::MonotonicTime deadline, Core::Endpoint endpoint, HTTP::Client& client, Core::LastReason& reason) -> Awaitable<void> {
+        HTTP::Request request { "GET", "/", {}, "" };
+        Core::Endpoint const nobody { "127.0.0.1", 1 };
+        EXPECT_FALSE(co_await client.send(nobody, request, HTTP::ConnectionUse::Fresh, deadline, reason));
+        EXPECT_EQ(reason.runState, Core::RunState::NotRun);
+        EXPECT_EQ(reason.kind, Core::ErrorKind::BackendUnreachable);
+        // The server's handler ends without finish(), so the answer is truncated.
+        EXPECT_FALSE(co_await client.send(endpoint, request, HTTP::ConnectionUse::Fresh, deadline, reason));
+        EXPECT_EQ(reason.runState, Core::RunState::Unknown);
+        EXPECT_EQ(reason.kind, Core::ErrorKind::BackendAnswerInvalid);
+    }(deadline(), m_endpoint, m_client, m_reason));
+}
+
+// Guards against bad input that stops the process or gets no clear answer.
+TEST_F(ClientServerTest, BadInputGetsProblemDetails)
+{
+    HTTP::ServerLimits limits;
+    limits.maximumBodyBytes = 100;
+    limits.maximumHeaderBytes = 1000;
+    limits.requestTimeout = 50ms;
+    startServer(echo, limits);
+    auto const malformed = exchangeRaw("NOT HTTP\r\n\r\n");
+    EXPECT_NE(malformed.find("400 Bad Request"), std::string::npos);
+    EXPECT_NE(malformed.find("\"invalid_request\""), std::string::npos);
+    auto const longBody = exchangeRaw("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1000\r\n\r\n" + std::string(1000, 'x'));
+    EXPECT_NE(longBody.find("413 Payload Too Large"), std::string::npos);
+    auto const longHeader = exchangeRaw("GET / HTTP/1.1\r\nHost: " + std::string(5000, 'x') + "\r\n\r\n");
+    EXPECT_NE(longHeader.find("431 Request Header Fields Too Large"), std::string::npos);
+    auto const slow = exchangeRaw("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 10\r\n\r\n");
+    EXPECT_NE(slow.find("408 Request Timeout"), std::string::npos);
+    auto const good = exchangeRaw("GET /x HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+    EXPECT_NE(good.find("GET /x "), std::string::npos);
+}
+
+// Guards against a truncated event being taken for a whole one.
+TEST(ServerSentEventsTest, EventsEndAtBlankLine)
+{
+    HTTP::ServerSentEventParser parser;
+    auto const text = HTTP::formatEvent({ "7", "one\ntwo" }) + HTTP::formatEvent({ "", "three" });
+    std::vector<HTTP::ServerSentEvent> events;
+    for (char const c : text.substr(0, text.size() - 1)) {
+        for (auto& event : parser.feed({ &c, 1 }))
+            events.push_back(std::move(event));
+    }
+    EXPECT_EQ(events, (std::vector<HTTP::ServerSentEvent> { { "7", "one\ntwo" } }));
+    EXPECT_EQ(parser.feed("\n"), (std::vector<HTTP::ServerSentEvent> { { "", "three" } }));
+}
+
+TEST(ProblemTest, RoundTrip)
+{
+    Core::LastReason reason;
+    Core::fail(reason, Core::ErrorKind::OutcomeUnknown, "lost", Core::RunState::Unknown);
+    auto const response = HTTP::problemResponse(reason, "r1");
+    EXPECT_EQ(response.status, 502u);
+    EXPECT_EQ(HTTP::parseProblem(response), reason);
+}
