--- /dev/null
+++ b/Libraries/LibPlatform/ObjectStore.h
@@ -0,0 +1,84 @@
+#pragma once
+
+#include <LibCore/ErrorKind.h>
+#include <LibCore/Runtime.h>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace Platform {
+
+/// The largest value the object API accepts, in bytes.
+inline constexpr std::size_t maximumValueBytes = 1024 * 1024;
+
+/// Names an object: a kind in lower-case plural, such as "intents", and a name of [a-z0-9.-], at most 253 characters.
+struct ObjectKey {
+    std::string kind;
+    std::string name;
+
+    auto operator<=>(ObjectKey const&) const = default;
+};
+
+/// One version of an object. The value is JSON text.
+struct StoredObject {
+    ObjectKey key;
+    /// Grows with each change of any object; equal versions of one key are the same value.
+    std::uint64_t resourceVersion { 0 };
+    std::string value;
+
+    bool operator==(StoredObject const&) const = default;
+};
+
+struct ObjectList {
+    std::vector<StoredObject> objects;
+    /// The version of the store that the list shows; a watch continues from it.
+    std::uint64_t resourceVersion { 0 };
+
+    bool operator==(ObjectList const&) const = default;
+};
+
+enum class ObjectEventKind {
+    Put,
+    Removed,
+};
+
+struct ObjectEvent {
+    ObjectEventKind kind { ObjectEventKind::Put };
+    StoredObject object;
+
+    bool operator==(ObjectEvent const&) const = default;
+};
+
+/// The platform's object API. Decisions that must last or be agreed on go through conditional updates of it.
+/// Implementations: ObjectClient (over HTTP), and in-memory fakes in tests. Called on the runtime's thread only.
+///
+/// Failures common to all calls: StoreUnavailable (outage, rate limit, deadline). For a write its run state says whether the
+/// write may have taken effect: NotRun if not, Unknown if it may have; the caller then reads the object back.
+class ObjectStore {
+public:
+    virtual ~ObjectStore() = default;
+
+    /// Reads one object. NotFound if it does not exist.
+    [[nodiscard]] virtual Core::Awaitable<std::optional<StoredObject>> read(ObjectKey, Core::MonotonicTime deadline, Core::LastReason&) = 0;
+
+    /// Lists the objects of a kind, in the order of their names.
+    [[nodiscard]] virtual Core::Awaitable<std::optional<ObjectList>> list(std::string kind, Core::MonotonicTime deadline, Core::LastReason&) = 0;
+
+    /// Creates an object and returns its version. StoreConflict if it exists, StoreValueTooLarge if the value is over
+    /// maximumValueBytes.
+    [[nodiscard]] virtual Core::Awaitable<std::optional<std::uint64_t>> create(ObjectKey, std::string value, Core::MonotonicTime deadline, Core::LastReason&) = 0;
+
+    /// Replaces an object if its version is still the expected one, and returns the new version. StoreConflict if it changed
+    /// or no longer exists, StoreValueTooLarge if the value is over maximumValueBytes.
+    [[nodiscard]] virtual Core::Awaitable<std::optional<std::uint64_t>> update(ObjectKey, std::string value, std::uint64_t expectedVersion, Core::MonotonicTime deadline, Core::LastReason&) = 0;
+
+    /// Removes an object if its version is still the expected one. StoreConflict if it changed, NotFound if it is gone.
+    [[nodiscard]] virtual Core::Awaitable<bool> remove(ObjectKey, std::uint64_t expectedVersion, Core::MonotonicTime deadline, Core::LastReason&) = 0;
+
+    /// Waits for the changes of a kind after a version and returns those that came, or an empty vector at the deadline.
+    /// StoreVersionExpired if the version is too old to continue from; the caller then lists again.
+    [[nodiscard]] virtual Core::Awaitable<std::optional<std::vector<ObjectEvent>>> waitForChanges(std::string kind, std::uint64_t afterVersion, Core::MonotonicTime deadline, Core::LastReason&) = 0;
+};
+
+}
--- /dev/null
+++ b/Utilities/Hyssopstep/main.cpp
@@ -0,0 +1,34 @@
+#include <Hyssopstep/Command.h>
+#include <Load/LoadCommand.h>
+#include <Node/NodeCommand.h>
+#include <array>
+#include <cstdio>
+
+namespace {
+
+constexpr std::array commands {
+    Hyssopstep::Command { "node", "run the process of an entry host", Node::runNodeCommand },
+    Hyssopstep::Command { "load", "generate load and measure latencies", Load::runLoadCommand },
+};
+
+void printUsage(FILE* output)
+{
+    std::fputs("usage: hyssopstep COMMAND [FLAG...]\n\ncommands:\n", output);
+    for (auto const& command : commands)
+        std::fprintf(output, "  %-10.*s %.*s\n", static_cast<int>(command.name.size()), command.name.data(), static_cast<int>(command.summary.size()), command.summary.data());
+    std::fputs("\n`hyssopstep COMMAND --help` describes a command.\n", output);
+}
+
+}
+
+int main(int argc, char** argv)
+{
+    std::string_view const name = argc >= 2 ? argv[1] : "";
+    for (auto const& command : commands) {
+        if (command.name == name)
+            return command.run(argc - 1, argv + 1);
+    }
+    bool const wantsHelp = name == "--help" || name == "help";
+    printUsage(wantsHelp ? stdout : stderr);
+    return wantsHelp ? Hyssopstep::Success : Hyssopstep::Usage;
+}
