LibRouting, LibLimits: Add routing, team limits and quarantine

Cause: the gateway needs a choice of server and admission that ask no other node. Change: server table with one-way leaving marks, choice by predicted time among two random candidates and the best prefix match, straggler detection by comparison with peers, length estimates; node shares of team limits, retry budget and the quarantine of requests that crash servers. Ruled out: quarantining when crashes with a request merely outnumber those without it; with two requests that alternate between crashing servers, the first with three crashes was quarantined although it was innocent (5 crashes, 3 against 2).

--- /dev/null
+++ b/Libraries/LibLimits/QuarantineTable.cpp
@@ -0,0 +1,77 @@
+#include <LibLimits/QuarantineTable.h>
+
+#include <algorithm>
+
+namespace Limits {
+
+using namespace std::chrono_literals;
+
+static constexpr std::ptrdiff_t crashesToQuarantine = 3;
+// In a wave an innocent request can be part of half of the crashes by chance.
+static constexpr std::ptrdiff_t crashesWithoutWeight = 2;
+static constexpr auto quarantineDuration = 1h;
+static constexpr auto waveWindow = 30s;
+// Bounds the memory in a long outage; the newest crashes matter most.
+static constexpr std::size_t maximumCrashes = 256;
+
+static bool contains(ServerCrash const& crash, RequestFingerprint fingerprint)
+{
+    return std::find(crash.batch.begin(), crash.batch.end(), fingerprint) != crash.batch.end();
+}
+
+static bool evidenceIsAgainst(QuarantineTable const& table, RequestFingerprint fingerprint, Core::MonotonicTime now)
+{
+    auto const with = std::count_if(table.crashes.begin(), table.crashes.end(), [&](auto const& crash) { return contains(crash, fingerprint); });
+    auto const without = std::count_if(table.crashes.begin(), table.crashes.end(), [&](auto const& crash) {
+        return !contains(crash, fingerprint) && now - crash.at <= waveWindow;
+    });
+    return with >= crashesToQuarantine && with > crashesWithoutWeight * without;
+}
+
+std::vector<RequestFingerprint> recordCrash(QuarantineTable& table, ServerCrash crash)
+{
+    auto const now = crash.at;
+    auto const batch = crash.batch;
+    table.crashes.push_back(std::move(crash));
+    if (table.crashes.size() > maximumCrashes)
+        table.crashes.erase(table.crashes.begin());
+    std::vector<RequestFingerprint> added;
+    for (auto const fingerprint : batch) {
+        if (isQuarantined(table, fingerprint, now) || !evidenceIsAgainst(table, fingerprint, now))
+            continue;
+        table.quarantined[fingerprint] = now + quarantineDuration;
+        added.push_back(fingerprint);
+    }
+    return added;
+}
+
+void recordFinished(QuarantineTable& table, RequestFingerprint fingerprint)
+{
+    for (auto& crash : table.crashes)
+        std::erase(crash.batch, fingerprint);
+}
+
+void mergeQuarantined(QuarantineTable& table, RequestFingerprint fingerprint, Core::MonotonicTime until)
+{
+    auto& current = table.quarantined[fingerprint];
+    current = std::max(current, until);
+}
+
+bool isQuarantined(QuarantineTable const& table, RequestFingerprint fingerprint, Core::MonotonicTime now)
+{
+    auto const found = table.quarantined.find(fingerprint);
+    return found != table.quarantined.end() && found->second > now;
+}
+
+bool isSuspect(QuarantineTable const& table, RequestFingerprint fingerprint)
+{
+    return std::any_of(table.crashes.begin(), table.crashes.end(), [&](auto const& crash) { return contains(crash, fingerprint); });
+}
+
+void expire(QuarantineTable& table, Core::MonotonicTime now)
+{
+    std::erase_if(table.crashes, [&](auto const& crash) { return now - crash.at > quarantineDuration; });
+    std::erase_if(table.quarantined, [&](auto const& entry) { return entry.second <= now; });
+}
+
+}
--- /dev/null
+++ b/Libraries/LibLimits/RetryBudget.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include <LibCore/Runtime.h>
+
+namespace Limits {
+
+/// Bounds the retries (and hedges) of a service to a share of its recent requests, so that an outage is not multiplied by
+/// retries. Not thread safe.
+class RetryBudget {
+public:
+    /// The share is in retries per request, for example 0.1. A small constant rate lets a quiet service retry too.
+    RetryBudget(double share, double retriesPerSecond);
+
+    void recordRequest(Core::MonotonicTime now);
+
+    /// Takes one retry from the budget. Returns false if none is left.
+    [[nodiscard]] bool tryTake(Core::MonotonicTime now);
+
+private:
+    void refill(Core::MonotonicTime now);
+
+    double m_share;
+    double m_retriesPerSecond;
+    double m_level;
+    Core::MonotonicTime m_refilledAt {};
+};
+
+}
--- /dev/null
+++ b/Libraries/LibLimits/TeamLimitTable.cpp
@@ -0,0 +1,102 @@
+#include <LibLimits/TeamLimitTable.h>
+
+#include <algorithm>
+#include <cmath>
+#include <numeric>
+
+namespace Limits {
+
+static constexpr double equalPart = 0.2;
+static constexpr double demandHalfLifeSeconds = 2.0;
+static constexpr double burstSeconds = 1.0;
+
+double nodeShare(DemandView const& view)
+{
+    double const nodes = std::max(view.nodesInDataCentre, 1U);
+    double const dataCentreShare = nodes / std::max<double>(view.nodesInDeployment, nodes);
+    double const total = view.ownDemand + std::accumulate(view.otherDemands.begin(), view.otherDemands.end(), 0.0);
+    double const byDemand = total > 0 ? view.ownDemand / total : 1 / nodes;
+    return dataCentreShare * (equalPart / nodes + (1 - equalPart) * byDemand);
+}
+
+std::optional<Core::Duration> takeFromBucket(TokenBucket& bucket, double amount, double rate, Core::MonotonicTime now)
+{
+    double const capacity = std::max(rate * burstSeconds, 1.0);
+    double const elapsed = std::chrono::duration<double>(now - bucket.filledAt).count();
+    bucket.level = bucket.started ? std::min(capacity, bucket.level + std::max(elapsed, 0.0) * rate) : capacity;
+    bucket.filledAt = now;
+    bucket.started = true;
+    // An amount over the capacity is let in when the bucket is full and leaves a debt, since it could never pass otherwise.
+    double const needed = std::min(amount, capacity);
+    if (bucket.level >= needed) {
+        bucket.level -= amount;
+        return std::nullopt;
+    }
+    std::chrono::duration<double> const wait((needed - bucket.level) / rate);
+    return std::chrono::duration_cast<Core::Duration>(wait);
+}
+
+static double decayedDemand(TeamLimitTable::Row const& row, Core::MonotonicTime now)
+{
+    double const elapsed = std::chrono::duration<double>(now - row.demandAt).count();
+    return row.demand * std::exp2(-elapsed / demandHalfLifeSeconds);
+}
+
+void recordDemand(TeamLimitTable& table, std::string_view team, Core::MonotonicTime now)
+{
+    // One arrival adds the rate whose decaying sum converges to the arrival rate.
+    static double const arrivalWeight = std::log(2.0) / demandHalfLifeSeconds;
+    auto& row = table.rows[std::string(team)];
+    row.demand = decayedDemand(row, now) + arrivalWeight;
+    row.demandAt = now;
+}
+
+double demandOf(TeamLimitTable const& table, std::string_view team, Core::MonotonicTime now)
+{
+    auto const found = table.rows.find(team);
+    return found == table.rows.end() ? 0 : decayedDemand(found->second, now);
+}
+
+static void failOverLimit(Core::LastReason& reason, std::string message, Core::Duration wait)
+{
+    Core::fail(reason, Core::ErrorKind::TeamLimitExceeded, std::move(message));
+    reason.retryAfter = std::chrono::ceil<std::chrono::milliseconds>(wait);
+}
+
+bool admit(TeamLimitTable& table, std::string_view team, TeamLimit const& limit, double share, std::uint32_t expectedTokens, Core::MonotonicTime now, Core::LastReason& reason)
+{
+    auto& row = table.rows[std::string(team)];
+    if (limit.concurrentRequests > 0 && row.inProgress >= std::max(std::ceil(limit.concurrentRequests * share), 1.0)) {
+        failOverLimit(reason, "team " + std::string(team) + " has too many requests in progress", std::chrono::seconds(1));
+        return false;
+    }
+    if (limit.tokensPerSecond > 0) {
+        // Taken first and given back below, so that a request refused for one limit does not use up the other.
+        if (auto const wait = takeFromBucket(row.tokens, expectedTokens, limit.tokensPerSecond * share, now)) {
+            failOverLimit(reason, "team " + std::string(team) + " is over its tokens a second", *wait);
+            return false;
+        }
+    }
+    if (limit.requestsPerSecond > 0) {
+        if (auto const wait = takeFromBucket(row.requests, 1, limit.requestsPerSecond * share, now)) {
+            row.tokens.level += limit.tokensPerSecond > 0 ? expectedTokens : 0;
+            failOverLimit(reason, "team " + std::string(team) + " is over its requests a second", *wait);
+            return false;
+        }
+    }
+    ++row.inProgress;
+    return true;
+}
+
+void release(TeamLimitTable& table, std::string_view team, std::uint32_t expectedTokens, std::uint32_t usedTokens)
+{
+    auto const found = table.rows.find(team);
+    if (found == table.rows.end())
+        return;
+    auto& row = found->second;
+    if (row.inProgress > 0)
+        --row.inProgress;
+    row.tokens.level += static_cast<double>(expectedTokens) - static_cast<double>(usedTokens);
+}
+
+}
--- /dev/null
+++ b/Libraries/LibRouting/LengthEstimator.cpp
@@ -0,0 +1,77 @@
+#include <LibRouting/LengthEstimator.h>
+
+#include <algorithm>
+#include <array>
+#include <bit>
+#include <cmath>
+
+namespace Routing {
+
+static constexpr std::size_t maximumHistories = 4096;
+static constexpr double historyWeight = 0.1;
+// Without history, answers are taken to be this share of max_tokens; most end well before the bound.
+static constexpr double shareWithoutHistory = 0.5;
+static constexpr std::uint32_t assumedMaximumTokens = 1024;
+
+static std::uint32_t boundedMaximum(std::uint32_t maximumTokens)
+{
+    return maximumTokens == 0 ? assumedMaximumTokens : maximumTokens;
+}
+
+LengthEstimator::Key LengthEstimator::keyFor(LengthHint const& hint)
+{
+    auto const sizeClass = static_cast<std::uint32_t>(std::bit_width(hint.promptTokens) * 64 + std::bit_width(hint.maximumTokens));
+    return { hint.team + '\n' + hint.service, sizeClass };
+}
+
+std::uint32_t LengthEstimator::estimate(LengthHint const& hint) const
+{
+    auto const maximum = boundedMaximum(hint.maximumTokens);
+    auto const found = m_histories.find(keyFor(hint));
+    double expected = shareWithoutHistory * maximum;
+    if (found != m_histories.end())
+        expected = found->second.mean + found->second.deviation;
+    return static_cast<std::uint32_t>(std::clamp(std::ceil(expected), 1.0, static_cast<double>(maximum)));
+}
+
+void LengthEstimator::recordFinished(LengthHint const& hint, std::uint32_t tokens)
+{
+    if (m_histories.size() >= maximumHistories && !m_histories.contains(keyFor(hint)))
+        m_histories.erase(m_histories.begin());
+    auto& history = m_histories[keyFor(hint)];
+    // The first samples count fully, so that the estimate does not start from zero.
+    double const weight = std::max(historyWeight, 1.0 / (history.samples + 1));
+    double const error = tokens - history.mean;
+    history.mean += weight * error;
+    history.deviation += weight * (std::abs(error) * (history.samples == 0 ? 0 : 1) - history.deviation);
+    ++history.samples;
+}
+
+std::uint32_t correctedEstimate(std::uint32_t estimate, std::uint32_t generated, std::uint32_t maximumTokens)
+{
+    if (generated < estimate)
+        return estimate;
+    return std::min(std::max(generated * 2, 1U), boundedMaximum(maximumTokens));
+}
+
+std::uint32_t priorityForRemaining(std::uint32_t remainingTokens)
+{
+    struct PriorityClass {
+        std::uint32_t tokensBelow;
+        std::uint32_t priority;
+    };
+    static constexpr std::array priorityClasses {
+        PriorityClass { 32, 0 },
+        PriorityClass { 128, 2 },
+        PriorityClass { 512, 4 },
+        PriorityClass { 2048, 6 },
+    };
+    static constexpr std::uint32_t lowestPriority = 8;
+    for (auto const& priorityClass : priorityClasses) {
+        if (remainingTokens < priorityClass.tokensBelow)
+            return priorityClass.priority;
+    }
+    return lowestPriority;
+}
+
+}
--- /dev/null
+++ b/Libraries/LibRouting/ServerChoice.cpp
@@ -0,0 +1,182 @@
+#include <LibRouting/ServerChoice.h>
+
+#include <algorithm>
+#include <cstdio>
+
+namespace Routing {
+
+using namespace std::chrono_literals;
+
+static constexpr std::uint32_t assumedSlots = 16;
+static constexpr double assumedSecondsPerUnit = 0.02;
+static constexpr double prefillSecondsPerToken = 0.0004;
+// A server in another data centre is used only if the own ones are clearly worse.
+static constexpr double otherDataCentrePenaltySeconds = 0.25;
+static constexpr auto probeInterval = 1s;
+static constexpr auto reportLifetime = 5s;
+
+static std::uint32_t estimatedLoad(ServerRow const& row, Core::MonotonicTime now)
+{
+    if (!row.report || now - row.report->receivedAt > reportLifetime)
+        return row.outstanding;
+    auto const reported = row.report->running + row.report->waiting;
+    // The report does not yet show what this node has sent since.
+    auto const since = static_cast<std::int64_t>(row.outstanding) - row.report->ownOutstandingAtReport;
+    return static_cast<std::uint32_t>(std::max<std::int64_t>(reported + since, row.outstanding));
+}
+
+static std::uint32_t slotsOf(ServerRow const& row)
+{
+    if (!row.report)
+        return assumedSlots;
+    return std::max(row.report->running + row.report->freeSlots, 1U);
+}
+
+static double secondsPerUnit(ServerRow const& row)
+{
+    return row.observation.samples > 0 ? row.observation.secondsPerUnit : assumedSecondsPerUnit;
+}
+
+static double predictedWait(ServerRow const& row, RoutingRequest const& request, std::size_t cachedTokens, Core::MonotonicTime now)
+{
+    double const load = estimatedLoad(row, now);
+    double const slots = slotsOf(row);
+    double const secondsPerRequest = secondsPerUnit(row) * std::max(request.expectedTokens, 1U);
+    // Below the number of slots a larger batch still slows each of its members down.
+    double const queue = std::max(0.0, load + 1 - slots) * secondsPerRequest / slots;
+    double const uncached = static_cast<double>(request.promptTokens + request.generatedTokens) - static_cast<double>(cachedTokens);
+    return queue + std::max(uncached, 0.0) * prefillSecondsPerToken;
+}
+
+static double predictedTotal(ServerRow const& row, RoutingRequest const& request, double wait, Core::MonotonicTime now)
+{
+    double const occupancy = std::min(1.0, estimatedLoad(row, now) / static_cast<double>(slotsOf(row)));
+    double const decode = secondsPerUnit(row) * request.expectedTokens * (1 + occupancy);
+    double const distance = row.dataCentre == request.dataCentre ? 0 : otherDataCentrePenaltySeconds;
+    return wait + decode + distance;
+}
+
+static bool isUsable(ServerRow const& row, RoutingRequest const& request, Core::MonotonicTime now)
+{
+    if (row.service != request.service || row.lifecycle == Lifecycle::Leaving || row.avoidUntil > now)
+        return false;
+    if (!request.version.empty() && !row.version.empty() && row.version != request.version)
+        return false;
+    return std::find(request.excludedServers.begin(), request.excludedServers.end(), row.id) == request.excludedServers.end();
+}
+
+static bool isDueProbe(ServerRow const& row, Core::MonotonicTime now)
+{
+    return row.pace == Pace::Straggler && now >= row.nextProbeAt && row.outstanding == 0;
+}
+
+struct Candidate {
+    ServerRow* row;
+    std::size_t cachedTokens;
+    double wait;
+    double score;
+};
+
+static std::vector<ServerRow*> usableRows(ServerTable& table, RoutingRequest const& request, Core::MonotonicTime now)
+{
+    std::vector<ServerRow*> normal;
+    std::vector<ServerRow*> stragglers;
+    for (auto& row : table.rows) {
+        if (!isUsable(row, request, now))
+            continue;
+        (row.pace == Pace::Straggler ? stragglers : normal).push_back(&row);
+    }
+    return normal.empty() ? stragglers : normal;
+}
+
+static ServerRow* findProbe(ServerTable& table, RoutingRequest const& request, Core::MonotonicTime now)
+{
+    // A probe must not make a long request slow.
+    static constexpr std::uint32_t longestProbeTokens = 64;
+    if (request.policy == RoutingPolicy::LeastOutstanding || request.expectedTokens > longestProbeTokens)
+        return nullptr;
+    for (auto& row : table.rows) {
+        if (isUsable(row, request, now) && isDueProbe(row, now))
+            return &row;
+    }
+    return nullptr;
+}
+
+static Candidate rate(ServerRow* row, PrefixIndex const& prefixes, RoutingRequest const& request, Core::MonotonicTime now)
+{
+    Candidate candidate { row, prefixes.cachedTokens(row->id, request.prefixHashes), 0, 0 };
+    candidate.wait = predictedWait(*row, request, candidate.cachedTokens, now);
+    candidate.score = predictedTotal(*row, request, candidate.wait, now);
+    return candidate;
+}
+
+static std::vector<Candidate> sampleCandidates(std::vector<ServerRow*> rows, PrefixIndex const& prefixes, RoutingRequest const& request, Core::MonotonicTime now, Core::Random& random)
+{
+    static constexpr std::size_t randomChoices = 2;
+    std::vector<Candidate> candidates;
+    std::shuffle(rows.begin(), rows.end(), random.engine());
+    // Servers of the own data centre come first, so that one of them is sampled as long as there is one.
+    std::stable_partition(rows.begin(), rows.end(), [&](auto const* row) { return row->dataCentre == request.dataCentre; });
+    for (std::size_t index = 0; index < std::min(randomChoices, rows.size()); ++index)
+        candidates.push_back(rate(rows[index], prefixes, request, now));
+    auto const best = std::max_element(rows.begin(), rows.end(), [&](auto const* left, auto const* right) {
+        return prefixes.cachedTokens(left->id, request.prefixHashes) < prefixes.cachedTokens(right->id, request.prefixHashes);
+    });
+    if (prefixes.cachedTokens((*best)->id, request.prefixHashes) > 0)
+        candidates.push_back(rate(*best, prefixes, request, now));
+    return candidates;
+}
+
+static Candidate chooseLeastOutstanding(std::vector<ServerRow*> const& rows, PrefixIndex const& prefixes, RoutingRequest const& request, Core::MonotonicTime now)
+{
+    auto const least = std::min_element(rows.begin(), rows.end(), [](auto const* left, auto const* right) { return left->outstanding < right->outstanding; });
+    return rate(*least, prefixes, request, now);
+}
+
+static std::string explain(std::vector<Candidate> const& candidates)
+{
+    std::string text;
+    for (auto const& candidate : candidates) {
+        char buffer[96];
+        std::snprintf(buffer, sizeof(buffer), " score=%.3fs wait=%.3fs cached=%zu outstanding=%u", candidate.score, candidate.wait, candidate.cachedTokens, candidate.row->outstanding);
+        text += (text.empty() ? "" : "; ") + candidate.row->id + buffer;
+    }
+    return text;
+}
+
+static ServerChoice choiceFrom(Candidate const& candidate, std::string explanation)
+{
+    return { candidate.row->id, candidate.row->incarnation, candidate.row->endpoint, candidate.wait, candidate.cachedTokens, std::move(explanation) };
+}
+
+std::optional<ServerChoice> chooseServer(ServerTable& table, PrefixIndex const& prefixes, RoutingRequest const& request, Core::MonotonicTime now, Core::Random& random, Core::LastReason& reason)
+{
+    if (auto* probe = findProbe(table, request, now)) {
+        probe->nextProbeAt = now + probeInterval;
+        return choiceFrom(rate(probe, prefixes, request, now), probe->id + " probe of a straggler");
+    }
+    auto const rows = usableRows(table, request, now);
+    if (rows.empty())
+        return Core::fail(reason, Core::ErrorKind::NoServerAvailable, "no backend server of service " + request.service + " takes new work");
+    if (request.policy == RoutingPolicy::LeastOutstanding) {
+        auto const least = chooseLeastOutstanding(rows, prefixes, request, now);
+        return choiceFrom(least, explain({ least }));
+    }
+    auto const candidates = sampleCandidates(rows, prefixes, request, now, random);
+    auto const best = std::min_element(candidates.begin(), candidates.end(), [](auto const& left, auto const& right) { return left.score < right.score; });
+    return choiceFrom(*best, explain(candidates));
+}
+
+std::optional<double> shortestPredictedWait(ServerTable const& table, RoutingRequest const& request, Core::MonotonicTime now)
+{
+    std::optional<double> shortest;
+    for (auto const& row : table.rows) {
+        if (!isUsable(row, request, now))
+            continue;
+        auto const wait = predictedWait(row, request, 0, now);
+        shortest = std::min(shortest.value_or(wait), wait);
+    }
+    return shortest;
+}
+
+}
--- /dev/null
+++ b/Libraries/LibRouting/ServerTable.cpp
@@ -0,0 +1,157 @@
+#include <LibRouting/ServerTable.h>
+
+#include <algorithm>
+#include <map>
+
+namespace Routing {
+
+using namespace std::chrono_literals;
+
+static constexpr double observationWeight = 0.2;
+static constexpr double stragglerRatio = 2.0;
+// Below the ratio that makes a straggler, so that a server near the bound does not change back and forth.
+static constexpr double recoveryRatio = 1.5;
+static constexpr std::size_t minimumPeers = 3;
+static constexpr std::uint32_t minimumSamples = 5;
+static constexpr auto observationLifetime = 10s;
+static constexpr auto probeInterval = 1s;
+static constexpr auto firstAvoidance = 100ms;
+static constexpr auto longestAvoidance = 5s;
+
+template <typename Table>
+static auto* findRow(Table& table, std::string_view id)
+{
+    auto const found = std::find_if(table.rows.begin(), table.rows.end(), [&](auto const& row) { return row.id == id; });
+    return found == table.rows.end() ? nullptr : &*found;
+}
+
+ServerRow* findServer(ServerTable& table, std::string_view id)
+{
+    return findRow(table, id);
+}
+
+ServerRow const* findServer(ServerTable const& table, std::string_view id)
+{
+    return findRow(table, id);
+}
+
+static ServerRow rowFromListed(ListedServer const& listed)
+{
+    ServerRow row;
+    row.id = listed.id;
+    row.endpoint = listed.endpoint;
+    row.service = listed.service;
+    row.version = listed.version;
+    row.dataCentre = listed.dataCentre;
+    row.zone = listed.zone;
+    row.incarnation = listed.incarnation;
+    row.lifecycle = listed.lifecycle;
+    return row;
+}
+
+void mergeHostList(ServerTable& table, std::vector<ListedServer> const& list, Core::MonotonicTime now)
+{
+    for (auto const& listed : list) {
+        auto* row = findServer(table, listed.id);
+        if (!row) {
+            row = &table.rows.emplace_back(rowFromListed(listed));
+        } else if (listed.incarnation > row->incarnation) {
+            auto const outstanding = row->outstanding;
+            *row = rowFromListed(listed);
+            row->outstanding = outstanding;
+        } else if (listed.incarnation == row->incarnation && listed.lifecycle == Lifecycle::Leaving) {
+            row->lifecycle = Lifecycle::Leaving;
+        }
+        row->listedAt = now;
+    }
+    for (auto& row : table.rows) {
+        if (row.listedAt != now)
+            row.lifecycle = Lifecycle::Leaving;
+    }
+    std::erase_if(table.rows, [&](auto const& row) { return row.listedAt != now && row.outstanding == 0; });
+}
+
+bool markLeaving(ServerTable& table, std::string_view id, std::uint64_t incarnation)
+{
+    auto* row = findServer(table, id);
+    if (!row || row->incarnation != incarnation || row->lifecycle == Lifecycle::Leaving)
+        return false;
+    row->lifecycle = Lifecycle::Leaving;
+    return true;
+}
+
+void recordReport(ServerRow& row, LoadReport report)
+{
+    report.ownOutstandingAtReport = row.outstanding;
+    row.report = report;
+}
+
+void recordObservation(ServerRow& row, double seconds, Core::MonotonicTime now)
+{
+    auto& observation = row.observation;
+    bool const stale = observation.samples == 0 || now - observation.lastAt > observationLifetime;
+    observation.secondsPerUnit = stale ? seconds : observation.secondsPerUnit + observationWeight * (seconds - observation.secondsPerUnit);
+    observation.samples = stale ? 1 : observation.samples + 1;
+    observation.lastAt = now;
+}
+
+void recordFailure(ServerRow& row, Core::MonotonicTime now)
+{
+    static constexpr std::uint32_t maximumDoublings = 8;
+    auto const doublings = std::min(row.consecutiveFailures, maximumDoublings);
+    auto const avoidance = std::min<Core::Duration>(firstAvoidance * (1U << doublings), longestAvoidance);
+    row.avoidUntil = now + avoidance;
+    ++row.consecutiveFailures;
+}
+
+void recordSuccess(ServerRow& row)
+{
+    row.consecutiveFailures = 0;
+    row.avoidUntil = {};
+}
+
+static bool isRecent(Observation const& observation, Core::MonotonicTime now)
+{
+    return observation.samples > 0 && now - observation.lastAt <= observationLifetime;
+}
+
+static std::map<std::string_view, std::vector<double>> recentObservationsByService(ServerTable const& table, Core::MonotonicTime now)
+{
+    std::map<std::string_view, std::vector<double>> observations;
+    for (auto const& row : table.rows) {
+        if (isRecent(row.observation, now))
+            observations[row.service].push_back(row.observation.secondsPerUnit);
+    }
+    return observations;
+}
+
+static double medianOf(std::vector<double>& values)
+{
+    auto const middle = values.begin() + static_cast<std::ptrdiff_t>(values.size() / 2);
+    std::nth_element(values.begin(), middle, values.end());
+    return *middle;
+}
+
+void updatePaces(ServerTable& table, Core::MonotonicTime now)
+{
+    auto observations = recentObservationsByService(table, now);
+    std::map<std::string_view, double> medians;
+    for (auto& [service, values] : observations) {
+        if (values.size() > minimumPeers)
+            medians[service] = medianOf(values);
+    }
+    for (auto& row : table.rows) {
+        auto const median = medians.find(row.service);
+        if (median == medians.end() || !isRecent(row.observation, now))
+            continue;
+        auto const ratio = row.observation.secondsPerUnit / std::max(median->second, 1e-9);
+        if (row.pace == Pace::Normal && ratio > stragglerRatio && row.observation.samples >= minimumSamples) {
+            row.pace = Pace::Straggler;
+            row.nextProbeAt = now + probeInterval;
+        } else if (row.pace == Pace::Straggler && ratio < recoveryRatio) {
+            row.pace = Pace::Normal;
+        }
+    }
+}
+
+}
--- /dev/null
+++ b/Libraries/LibRouting/ServerTable.h
@@ -0,0 +1,117 @@
+#pragma once
+
+#include <LibCore/Endpoint.h>
+#include <LibCore/Runtime.h>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace Routing {
+
+/// What a backend server last said about its load. Reports lag behind.
+struct LoadReport {
+    std::uint32_t running { 0 };
+    std::uint32_t waiting { 0 };
+    std::uint32_t freeSlots { 0 };
+    Core::MonotonicTime receivedAt;
+    /// This node's requests in progress at the server when the report was received.
+    std::uint32_t ownOutstandingAtReport { 0 };
+
+    bool operator==(LoadReport const&) const = default;
+};
+
+/// What this node itself measured at a backend server, as exponentially weighted means.
+struct Observation {
+    /// Seconds between two tokens of a model, or seconds a call of a non-model service takes.
+    double secondsPerUnit { 0 };
+    std::uint32_t samples { 0 };
+    Core::MonotonicTime lastAt;
+
+    bool operator==(Observation const&) const = default;
+};
+
+enum class Pace {
+    Normal,
+    /// Much slower than its peers; gets only probes.
+    Straggler,
+};
+
+/// Whether a server accepts new work. Leaving never goes back to Live within an incarnation.
+enum class Lifecycle {
+    Live,
+    Leaving,
+};
+
+/// A backend server as this node sees it.
+struct ServerRow {
+    std::string id;
+    Core::Endpoint endpoint;
+    std::string service;
+    std::string version;
+    std::string dataCentre;
+    std::string zone;
+    std::uint64_t incarnation { 0 };
+    Lifecycle lifecycle { Lifecycle::Live };
+    /// This node's requests in progress at the server.
+    std::uint32_t outstanding { 0 };
+    std::optional<LoadReport> report;
+    Observation observation;
+    Pace pace { Pace::Normal };
+    Core::MonotonicTime nextProbeAt;
+    std::uint32_t consecutiveFailures { 0 };
+    /// No new work before this time, after connection failures.
+    Core::MonotonicTime avoidUntil;
+    /// When the platform's host list last held the server.
+    Core::MonotonicTime listedAt;
+
+    bool operator==(ServerRow const&) const = default;
+};
+
+/// The backend servers of one node, found by id. Not thread safe.
+struct ServerTable {
+    std::vector<ServerRow> rows;
+
+    bool operator==(ServerTable const&) const = default;
+};
+
+/// Finds a server; null if there is none. The pointer is valid until rows are added or removed.
+[[nodiscard]] ServerRow* findServer(ServerTable&, std::string_view id);
+[[nodiscard]] ServerRow const* findServer(ServerTable const&, std::string_view id);
+
+/// A server as the platform's host list names it.
+struct ListedServer {
+    std::string id;
+    Core::Endpoint endpoint;
+    std::string service;
+    std::string version;
+    std::string dataCentre;
+    std::string zone;
+    std::uint64_t incarnation { 0 };
+    Lifecycle lifecycle { Lifecycle::Live };
+
+    bool operator==(ListedServer const&) const = default;
+};
+
+/// Merges a host list that may lag: adds new servers, starts a new incarnation as a new row, keeps leaving marks, and
+/// removes servers that are no longer listed and have no request of this node in progress.
+void mergeHostList(ServerTable&, std::vector<ListedServer> const&, Core::MonotonicTime now);
+
+/// Marks a server as leaving. Has no effect on another incarnation. Returns whether the mark is new.
+bool markLeaving(ServerTable&, std::string_view id, std::uint64_t incarnation);
+
+void recordReport(ServerRow&, LoadReport report);
+
+/// Adds a measured time per token, or per call of a non-model service.
+void recordObservation(ServerRow&, double seconds, Core::MonotonicTime now);
+
+/// After a connection failure or crash: the server gets no work for a time that doubles up to 5 s.
+void recordFailure(ServerRow&, Core::MonotonicTime now);
+void recordSuccess(ServerRow&);
+
+/// Compares each server with the median of its peers (same service, recent observations) and updates its pace. A server
+/// without three peers is never a straggler.
+void updatePaces(ServerTable&, Core::MonotonicTime now);
+
+}
--- /dev/null
+++ b/Tests/LibRouting/RoutingTest.cpp
@@ -0,0 +1,140 @@
+#include <LibRouting/LengthEstimator.h>
+#include <LibRouting/ServerChoice.h>
+#include <gtest/gtest.h>
+#include <map>
+
+using namespace std::chrono_literals;
+
+namespace {
+
+class RoutingTest : public testing::Test {
+protected:
+    void addServers(int count)
+    {
+        std::vector<Routing::ListedServer> listed;
+        listed.reserve(static_cast<std::size_t>(count));
+        for (int index = 0; index < count; ++index)
+            listed.push_back({ "s" + std::to_string(index), { "127.0.0.1", 1 }, "advisor", "v1", "dc1", "zone-a", 1, Routing::Lifecycle::Live });
+        Routing::mergeHostList(m_table, listed, m_now);
+    }
+
+    std::string choose(Routing::RoutingRequest const& request)
+    {
+        auto const choice = Routing::chooseServer(m_table, m_prefixes, request, m_now, m_random, m_reason);
+        return choice ? choice->serverId : "";
+    }
+
+    Routing::RoutingRequest request() const
+    {
+        Routing::RoutingRequest request;
+        request.service = "advisor";
+        request.dataCentre = "dc1";
+        request.promptTokens = 64;
+        request.expectedTokens = 100;
+        return request;
+    }
+
+    Routing::ServerTable m_table;
+    Routing::PrefixIndex m_prefixes { 1000 };
+    Core::MonotonicTime m_now { 100s };
+    Core::Random m_random { 7 };
+    Core::LastReason m_reason;
+};
+
+}
+
+// Guards against new work for a server that leaves while the host list still shows it as live.
+TEST_F(RoutingTest, LeavingIsOneWayWithinAnIncarnation)
+{
+    addServers(1);
+    EXPECT_TRUE(Routing::markLeaving(m_table, "s0", 1));
+    m_now += 1s;
+    addServers(1);
+    EXPECT_EQ(choose(request()), "");
+    EXPECT_EQ(m_reason.kind, Core::ErrorKind::NoServerAvailable);
+    EXPECT_EQ(m_reason.runState, Core::RunState::NotRun);
+    std::vector<Routing::ListedServer> const restarted { { "s0", { "127.0.0.1", 1 }, "advisor", "v1", "dc1", "zone-a", 2, Routing::Lifecycle::Live } };
+    Routing::mergeHostList(m_table, restarted, m_now);
+    EXPECT_EQ(choose(request()), "s0");
+}
+
+// Guards against all nodes choosing the same idle server at once.
+TEST_F(RoutingTest, EqualServersShareTheWork)
+{
+    addServers(10);
+    std::map<std::string, int> counts;
+    for (int round = 0; round < 1000; ++round)
+        ++counts[choose(request())];
+    ASSERT_EQ(counts.size(), 10u);
+    for (auto const& [id, count] : counts)
+        EXPECT_LT(count, 200) << id;
+}
+
+// Guards against recomputing a prompt that a server has cached, and against overloading that server for it.
+TEST_F(RoutingTest, CachedPrefixIsPreferredUntilTheServerIsFull)
+{
+    addServers(10);
+    auto prefixed = request();
+    prefixed.promptTokens = 640;
+    std::vector<std::string> const tokens(640, "t");
+    prefixed.prefixHashes = Routing::prefixHashes(tokens);
+    for (auto const hash : prefixed.prefixHashes)
+        m_prefixes.recordStored("s3", hash);
+    EXPECT_EQ(choose(prefixed), "s3");
+    Routing::findServer(m_table, "s3")->outstanding = 64;
+    EXPECT_NE(choose(prefixed), "s3");
+}
+
+// Guards against steady work for a straggler whose own load report still looks good, and against never using it again.
+TEST_F(RoutingTest, StragglerGetsProbesUntilItRecovers)
+{
+    addServers(6);
+    auto observe = [&](double straggler) {
+        for (auto& row : m_table.rows) {
+            for (int sample = 0; sample < 30; ++sample)
+                Routing::recordObservation(row, row.id == "s0" ? straggler : 0.02, m_now);
+        }
+        Routing::updatePaces(m_table, m_now);
+    };
+    observe(0.2);
+    auto probe = request();
+    probe.expectedTokens = 10;
+    for (int round = 0; round < 100; ++round)
+        EXPECT_NE(choose(probe), "s0");
+    m_now += 1100ms;
+    EXPECT_EQ(choose(probe), "s0");
+    EXPECT_NE(choose(probe), "s0");
+    observe(0.02);
+    EXPECT_EQ(Routing::findServer(m_table, "s0")->pace, Routing::Pace::Normal);
+}
+
+// Guards against a request that looks short but runs long keeping its urgent priority.
+TEST(LengthEstimatorTest, EstimatesLearnAndAreCorrected)
+{
+    Routing::LengthEstimator estimator;
+    Routing::LengthHint const tag { "classroom", "advisor", 40, 16 };
+    Routing::LengthHint const report { "classroom", "advisor", 900, 4000 };
+    for (int round = 0; round < 50; ++round) {
+        estimator.recordFinished(tag, 4);
+        estimator.recordFinished(report, 1800);
+    }
+    EXPECT_LE(estimator.estimate(tag), 6u);
+    EXPECT_GE(estimator.estimate(report), 1700u);
+    EXPECT_LT(Routing::priorityForRemaining(estimator.estimate(tag)), Routing::priorityForRemaining(estimator.estimate(report)));
+    EXPECT_EQ(Routing::correctedEstimate(10, 10, 100), 20u);
+    EXPECT_EQ(Routing::correctedEstimate(10, 80, 100), 100u);
+}
+
+// Guards against an index that grows without bound.
+TEST(PrefixIndexTest, IsBoundedAndForgets)
+{
+    Routing::PrefixIndex index(10);
+    for (std::uint64_t hash = 0; hash < 100; ++hash)
+        index.recordStored("a", hash);
+    EXPECT_EQ(index.size(), 10u);
+    EXPECT_EQ(index.cachedTokens("a", { 95, 96, 1 }), 32u);
+    index.recordEvicted("a", 96);
+    EXPECT_EQ(index.cachedTokens("a", { 95, 96 }), 16u);
+    index.forgetServer("a");
+    EXPECT_EQ(index.size(), 0u);
+}
