--- /dev/null
+++ b/Libraries/LibMembership/MembershipService.h
@@ -0,0 +1,142 @@
+#pragma once
+
+#include <LibCore/Random.h>
+#include <LibCore/Runtime.h>
+#include <LibMembership/ConfigurationHolder.h>
+#include <LibMembership/NodeTable.h>
+#include <LibMembership/SpreadState.h>
+#include <LibPeer/PeerClient.h>
+#include <LibPlatform/ObjectStore.h>
+
+namespace Membership {
+
+/// The peer calls that membership makes. PeerClientCalls makes them over the network; tests replace it.
+class PeerCalls {
+public:
+    virtual ~PeerCalls() = default;
+
+    [[nodiscard]] virtual Core::Awaitable<std::optional<Peer::ExchangeReply>> exchange(Core::Endpoint, Peer::ExchangeRequest, Core::MonotonicTime deadline, Core::LastReason&) = 0;
+    [[nodiscard]] virtual Core::Awaitable<std::optional<Peer::FetchConfigurationReply>> fetchConfiguration(Core::Endpoint, Peer::FetchConfigurationRequest, Core::MonotonicTime deadline, Core::LastReason&) = 0;
+};
+
+class PeerClientCalls final : public PeerCalls {
+public:
+    /// Precondition: the client outlives this object.
+    explicit PeerClientCalls(Peer::PeerClient& client)
+        : m_client(client)
+    {
+    }
+
+    [[nodiscard]] Core::Awaitable<std::optional<Peer::ExchangeReply>> exchange(Core::Endpoint, Peer::ExchangeRequest, Core::MonotonicTime deadline, Core::LastReason&) override;
+    [[nodiscard]] Core::Awaitable<std::optional<Peer::FetchConfigurationReply>> fetchConfiguration(Core::Endpoint, Peer::FetchConfigurationRequest, Core::MonotonicTime deadline, Core::LastReason&) override;
+
+private:
+    Peer::PeerClient& m_client;
+};
+
+struct MembershipSettings {
+    /// The own row: id, endpoints, data centre, region and incarnation. The rest is filled in.
+    NodeRow self;
+    /// Peer endpoints to contact while no other node is known.
+    std::vector<Core::Endpoint> seeds;
+    Core::Duration tick { std::chrono::milliseconds(100) };
+    Core::Duration exchangeInterval { std::chrono::milliseconds(500) };
+    Core::Duration remoteExchangeInterval { std::chrono::seconds(2) };
+    Core::Duration callTimeout { std::chrono::seconds(1) };
+    /// Length of one wait for changes of the configuration object on a relay.
+    Core::Duration watchTimeout { std::chrono::seconds(30) };
+    Core::Duration storeRetryInterval { std::chrono::seconds(1) };
+    Core::Duration markLifetime { std::chrono::minutes(10) };
+    ExpirySettings expiry;
+    SpreadLimits limits;
+    /// Full rows that may be sent, in bytes a second, and the reserve for a start of the whole fleet.
+    std::size_t rowBytesPerSecond { 2000 };
+    std::size_t rowBytesReserve { 256 * 1024 };
+};
+
+/// Keeps the node table, spreads state between nodes and keeps the configuration current. Used from the runtime's thread.
+class MembershipService {
+public:
+    /// Preconditions: all arguments outlive the service, and the service outlives every task it started, so it is destroyed
+    /// after the io_context has stopped or 2 * callTimeout + watchTimeout after stop().
+    MembershipService(Core::Runtime&, Platform::ObjectStore&, PeerCalls&, Core::Random&, MembershipSettings);
+    MembershipService(MembershipService const&) = delete;
+    MembershipService& operator=(MembershipService const&) = delete;
+
+    /// Starts the periodic tasks. Called once.
+    void start();
+    /// Ends the periodic tasks at their next step.
+    void stop();
+
+    [[nodiscard]] NodeTable const& nodes() const { return m_nodes; }
+    [[nodiscard]] ConfigurationHolder& configuration() { return m_configuration; }
+    [[nodiscard]] bool isRelay() const { return Membership::isRelay(m_nodes); }
+
+    /// Announces that this node is leaving. One-way.
+    void setLeaving();
+
+    /// Marks an incarnation of a backend server as leaving on all nodes of the data centre. One-way; kept for markLifetime.
+    void markServerLeaving(std::string const& serverId, std::uint64_t incarnation);
+    [[nodiscard]] bool isServerLeaving(std::string const& serverId, std::uint64_t incarnation) const;
+    /// Calls the function for each mark that becomes known.
+    void onServerLeaving(std::function<void(std::string const& serverId, std::uint64_t incarnation)> listener);
+
+    /// Sets what this node admitted for a team, per second.
+    void setOwnUsage(std::string_view team, double requestsPerSecond, double tokensPerSecond);
+    struct TeamUsage {
+        double requestsPerSecond { 0 };
+        double tokensPerSecond { 0 };
+        /// Nodes whose recent usage is part of the sums.
+        unsigned nodes { 0 };
+
+        bool operator==(TeamUsage const&) const = default;
+    };
+    /// The usage of the other nodes of the data centre, as far as it is known and recent.
+    [[nodiscard]] TeamUsage usageOfOthers(std::string_view team) const;
+
+    /// Quarantines a request fingerprint on all nodes for a duration, at most one hour.
+    void quarantine(std::string const& fingerprint, Core::Duration);
+    [[nodiscard]] bool isQuarantined(std::string_view fingerprint) const;
+
+    /// The answers to calls of peers; PeerHandler implementations forward to them.
+    [[nodiscard]] Peer::ExchangeReply handle(Peer::ExchangeRequest const&);
+    [[nodiscard]] Peer::FetchConfigurationReply handle(Peer::FetchConfigurationRequest const&) const;
+
+    /// Encoded bytes of exchange messages sent and received so far, without envelopes.
+    [[nodiscard]] std::uint64_t exchangedBytes() const { return m_exchangedBytes; }
+
+private:
+    [[nodiscard]] Core::Awaitable<void> runTicks();
+    [[nodiscard]] Core::Awaitable<void> runConfigurationWatch();
+    [[nodiscard]] Core::Awaitable<bool> watchConfiguration();
+    [[nodiscard]] Core::Awaitable<void> exchangeWith(Core::Endpoint, Peer::ExchangeMessage);
+    [[nodiscard]] Core::Awaitable<void> fetchFrom(Core::Endpoint);
+    void step();
+    void startExchanges(ExchangeRound);
+    void startUrgentExchanges();
+    [[nodiscard]] MergeResult merge(Peer::ExchangeMessage const&);
+    [[nodiscard]] Peer::ExchangeMessage withSender(Peer::ExchangeMessage) const;
+    [[nodiscard]] std::size_t takeRowBytes(Peer::ExchangeMessage const&);
+    [[nodiscard]] std::int64_t wallMilliseconds() const;
+
+    Core::Runtime& m_runtime;
+    Platform::ObjectStore& m_store;
+    PeerCalls& m_calls;
+    Core::Random& m_random;
+    MembershipSettings m_settings;
+    NodeTable m_nodes;
+    SpreadState m_spread;
+    ConfigurationHolder m_configuration;
+    std::vector<std::function<void(std::string const&, std::uint64_t)>> m_leavingListeners;
+    Core::MonotonicTime m_lastStep {};
+    Core::MonotonicTime m_nextExchange {};
+    Core::MonotonicTime m_nextRemoteExchange {};
+    std::size_t m_rowBytes { 0 };
+    unsigned m_urgentRounds { 0 };
+    unsigned m_fetches { 0 };
+    std::uint64_t m_exchangedBytes { 0 };
+    std::uint64_t m_configurationVersion { 0 };
+    bool m_running { false };
+};
+
+}
--- /dev/null
+++ b/Libraries/LibPeer/Peer.capnp
@@ -0,0 +1,137 @@
+@0xd4f1a6c29be0735d;
+
+using Cxx = import "/capnp/c++.capnp";
+$Cxx.namespace("Peer::Wire");
+
+struct NodeEntry {
+  id @0 :Text;
+  peerEndpoint @1 :Text;
+  clientEndpoint @2 :Text;
+  dataCentre @3 :Text;
+  region @4 :Text;
+  incarnation @5 :UInt64;
+  heartbeat @6 :UInt64;
+  configurationGeneration @7 :UInt64;
+  leaving @8 :Bool;
+}
+
+struct DataCentreDigest {
+  nameHash @0 :UInt64;
+  keysHash @1 :UInt64;
+}
+
+struct LeavingMark {
+  serverId @0 :Text;
+  incarnation @1 :UInt64;
+  expiresAtMilliseconds @2 :Int64;
+}
+
+struct UsageEntry {
+  nodeKey @0 :UInt64;
+  teamHash @1 :UInt32;
+  heartbeat @2 :UInt32;
+  requestsPerSecond @3 :Float32;
+  tokensPerSecond @4 :Float32;
+}
+
+struct QuarantineEntry {
+  fingerprint @0 :Text;
+  expiresAtMilliseconds @1 :Int64;
+}
+
+struct ExchangeMessage {
+  sender @0 :NodeEntry;
+  digestComplete @1 :Bool;
+  heartbeats @2 :List(UInt64);
+  leavingNodes @3 :List(UInt64);
+  dataCentres @4 :List(DataCentreDigest);
+  rows @5 :List(NodeEntry);
+  wantedRows @6 :List(UInt64);
+  marksHash @7 :UInt64;
+  quarantineHash @8 :UInt64;
+  leavingMarks @9 :List(LeavingMark);
+  quarantine @10 :List(QuarantineEntry);
+  usage @11 :List(UsageEntry);
+}
+
+struct FetchConfigurationRequest {
+  aboveGeneration @0 :UInt64;
+}
+
+struct FetchConfigurationReply {
+  generation @0 :UInt64;
+  json @1 :Text;
+}
+
+struct StreamRecord {
+  requestId @0 :Text;
+  epoch @1 :UInt64;
+  originNodeId @2 :Text;
+  team @3 :Text;
+  service @4 :Text;
+  requestJson @5 :Text;
+  firstIndex @6 :UInt64;
+  tokens @7 :List(Text);
+  finished @8 :Bool;
+  finishReason @9 :Text;
+}
+
+struct StreamResult {
+  requestId @0 :Text;
+  decision @1 :UInt16;
+  epoch @2 :UInt64;
+  firstMissingIndex @3 :UInt64;
+}
+
+struct StreamRecords {
+  senderNodeId @0 :Text;
+  records @1 :List(StreamRecord);
+}
+
+struct StreamResults {
+  results @0 :List(StreamResult);
+}
+
+struct FindStreamRequest {
+  requestId @0 :Text;
+}
+
+struct FindStreamReply {
+  record @0 :StreamRecord;
+}
+
+struct RecordedAnswer {
+  status @0 :UInt16;
+  contentType @1 :Text;
+  body @2 :Data;
+}
+
+struct BeginIntentRequest {
+  key @0 :Text;
+  fingerprint @1 :Text;
+  attemptId @2 :Text;
+  nodeId @3 :Text;
+}
+
+struct IntentReply {
+  code @0 :UInt16;
+  answer @1 :RecordedAnswer;
+  message @2 :Text;
+}
+
+struct FinishIntentRequest {
+  key @0 :Text;
+  fingerprint @1 :Text;
+  attemptId @2 :Text;
+  answer @3 :RecordedAnswer;
+}
+
+interface Node {
+  exchange @0 (request :ExchangeMessage) -> (reply :ExchangeMessage);
+  fetchConfiguration @1 (request :FetchConfigurationRequest) -> (reply :FetchConfigurationReply);
+  replicate @2 (request :StreamRecords) -> (reply :StreamResults);
+  handOver @3 (request :StreamRecords) -> (reply :StreamResults);
+  findStream @4 (request :FindStreamRequest) -> (reply :FindStreamReply);
+  beginIntent @5 (request :BeginIntentRequest) -> (reply :IntentReply);
+  finishIntent @6 (request :FinishIntentRequest) -> (reply :IntentReply);
+}
--- /dev/null
+++ b/Libraries/LibPeer/PeerClient.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <LibCore/Endpoint.h>
+#include <LibCore/ErrorKind.h>
+#include <LibCore/Runtime.h>
+#include <LibPeer/PeerMessages.h>
+#include <memory>
+
+namespace Peer {
+
+/// Calls other nodes, over one connection for each peer that is opened by the first call and again after a failure.
+/// Used from the runtime's thread only. The destructor closes all connections and joins KJ's thread. It may run while
+/// calls are pending: these fail with Cancelled if the io_context runs on.
+///
+/// Every call fails with PeerUnreachable (NotRun if the connection could not be established, else Unknown), or with
+/// DeadlineExceeded (Unknown) once the runtime's clock reaches the deadline.
+class PeerClient {
+public:
+    /// Precondition: the runtime outlives the client.
+    explicit PeerClient(Core::Runtime&);
+    PeerClient(PeerClient const&) = delete;
+    PeerClient& operator=(PeerClient const&) = delete;
+    ~PeerClient();
+
+    [[nodiscard]] Core::Awaitable<std::optional<ExchangeReply>> exchange(Core::Endpoint, ExchangeRequest, Core::MonotonicTime deadline, Core::LastReason&);
+    [[nodiscard]] Core::Awaitable<std::optional<FetchConfigurationReply>> fetchConfiguration(Core::Endpoint, FetchConfigurationRequest, Core::MonotonicTime deadline, Core::LastReason&);
+    [[nodiscard]] Core::Awaitable<std::optional<ReplicateReply>> replicate(Core::Endpoint, ReplicateRequest, Core::MonotonicTime deadline, Core::LastReason&);
+    [[nodiscard]] Core::Awaitable<std::optional<HandOverReply>> handOver(Core::Endpoint, HandOverRequest, Core::MonotonicTime deadline, Core::LastReason&);
+    [[nodiscard]] Core::Awaitable<std::optional<FindStreamReply>> findStream(Core::Endpoint, FindStreamRequest, Core::MonotonicTime deadline, Core::LastReason&);
+    [[nodiscard]] Core::Awaitable<std::optional<BeginIntentReply>> beginIntent(Core::Endpoint, BeginIntentRequest, Core::MonotonicTime deadline, Core::LastReason&);
+    [[nodiscard]] Core::Awaitable<std::optional<FinishIntentReply>> finishIntent(Core::Endpoint, FinishIntentRequest, Core::MonotonicTime deadline, Core::LastReason&);
+
+private:
+    class Implementation;
+    std::shared_ptr<Implementation> m_implementation;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibPeer/PeerMessages.h
@@ -0,0 +1,264 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace Peer {
+
+/// The largest message a node accepts from a peer, in bytes: a configuration of 1 MB with room for its envelope.
+inline constexpr std::size_t maximumMessageBytes = 4 * 1024 * 1024;
+
+/// A member of the node table with all its attributes.
+struct NodeEntry {
+    std::string id;
+    std::string peerEndpoint;
+    std::string clientEndpoint;
+    std::string dataCentre;
+    std::string region;
+    std::uint64_t incarnation { 0 };
+    std::uint64_t heartbeat { 0 };
+    std::uint64_t configurationGeneration { 0 };
+    bool leaving { false };
+
+    bool operator==(NodeEntry const&) const = default;
+};
+
+/// The keys of the live rows of one data centre, combined into one value to detect differences.
+struct DataCentreDigest {
+    std::uint64_t nameHash { 0 };
+    std::uint64_t keysHash { 0 };
+
+    bool operator==(DataCentreDigest const&) const = default;
+};
+
+/// A backend server that is leaving. One-way for each incarnation of the server.
+struct LeavingMark {
+    std::string serverId;
+    std::uint64_t incarnation { 0 };
+    /// Milliseconds since the Unix epoch.
+    std::int64_t expiresAtMilliseconds { 0 };
+
+    bool operator==(LeavingMark const&) const = default;
+};
+
+/// What one node admitted for one team.
+struct UsageEntry {
+    /// The row key of the node.
+    std::uint64_t nodeKey { 0 };
+    /// The lower half of XXH3 of the team's name.
+    std::uint32_t teamHash { 0 };
+    /// The node's heartbeat counter at the measurement; a higher one replaces a lower one.
+    std::uint32_t heartbeat { 0 };
+    float requestsPerSecond { 0 };
+    float tokensPerSecond { 0 };
+
+    bool operator==(UsageEntry const&) const = default;
+};
+
+/// The fingerprint of a request that crashes backend servers.
+struct QuarantineEntry {
+    std::string fingerprint;
+    /// Milliseconds since the Unix epoch.
+    std::int64_t expiresAtMilliseconds { 0 };
+
+    bool operator==(QuarantineEntry const&) const = default;
+};
+
+/// The state of one side of an exchange. Request and reply have the same form.
+struct ExchangeMessage {
+    NodeEntry sender;
+    /// Whether `heartbeats` has every live row of the sender's data centre, so that missing rows are new to the sender.
+    bool digestComplete { false };
+    /// Row key and heartbeat counter packed into one word; see Membership::packHeartbeat().
+    std::vector<std::uint64_t> heartbeats;
+    /// Row keys of the nodes among `heartbeats` that are leaving.
+    std::vector<std::uint64_t> leavingNodes;
+    std::vector<DataCentreDigest> dataCentres;
+    /// Rows that are new to the receiver.
+    std::vector<NodeEntry> rows;
+    /// Keys of rows that the sender does not have.
+    std::vector<std::uint64_t> wantedRows;
+    /// Combined hash of the sender's leaving marks and quarantine entries, to detect differences.
+    std::uint64_t marksHash { 0 };
+    std::uint64_t quarantineHash { 0 };
+    std::vector<LeavingMark> leavingMarks;
+    std::vector<QuarantineEntry> quarantine;
+    std::vector<UsageEntry> usage;
+
+    bool operator==(ExchangeMessage const&) const = default;
+};
+
+struct ExchangeRequest {
+    ExchangeMessage message;
+
+    bool operator==(ExchangeRequest const&) const = default;
+};
+
+struct ExchangeReply {
+    ExchangeMessage message;
+
+    bool operator==(ExchangeReply const&) const = default;
+};
+
+struct FetchConfigurationRequest {
+    /// The generation the caller has; the answer is empty unless the peer has a higher one.
+    std::uint64_t aboveGeneration { 0 };
+
+    bool operator==(FetchConfigurationRequest const&) const = default;
+};
+
+struct FetchConfigurationReply {
+    std::uint64_t generation { 0 };
+    /// The applied state as JSON text; empty if the peer has no higher generation.
+    std::string json;
+
+    bool operator==(FetchConfigurationReply const&) const = default;
+};
+
+/// A part of the record of an accepted request. Tokens before firstIndex were sent earlier.
+struct StreamRecord {
+    std::string requestId;
+    std::uint64_t epoch { 0 };
+    std::string originNodeId;
+    std::string team;
+    std::string service;
+    /// The request's JSON text; empty in records that only add tokens.
+    std::string requestJson;
+    std::uint64_t firstIndex { 0 };
+    std::vector<std::string> tokens;
+    bool finished { false };
+    std::string finishReason;
+
+    bool operator==(StreamRecord const&) const = default;
+};
+
+/// What the receiver did with one record.
+enum class StreamDecision {
+    Accepted,
+    /// The receiver has a higher epoch: the stream was taken over.
+    EpochTooOld,
+    /// Tokens before firstIndex are missing at the receiver; the sender sends the record again from firstMissingIndex.
+    Gap,
+    /// The receiver accepts no stream records, because it is draining or full.
+    Refused,
+};
+
+struct StreamResult {
+    std::string requestId;
+    StreamDecision decision { StreamDecision::Refused };
+    /// The receiver's epoch of the stream.
+    std::uint64_t epoch { 0 };
+    std::uint64_t firstMissingIndex { 0 };
+
+    bool operator==(StreamResult const&) const = default;
+};
+
+struct ReplicateRequest {
+    std::string senderNodeId;
+    std::vector<StreamRecord> records;
+
+    bool operator==(ReplicateRequest const&) const = default;
+};
+
+/// One result for each record, in their order.
+struct ReplicateReply {
+    std::vector<StreamResult> results;
+
+    bool operator==(ReplicateReply const&) const = default;
+};
+
+/// Complete records of streams that the receiver is asked to continue.
+struct HandOverRequest {
+    std::string senderNodeId;
+    std::vector<StreamRecord> records;
+
+    bool operator==(HandOverRequest const&) const = default;
+};
+
+struct HandOverReply {
+    std::vector<StreamResult> results;
+
+    bool operator==(HandOverReply const&) const = default;
+};
+
+struct FindStreamRequest {
+    std::string requestId;
+
+    bool operator==(FindStreamRequest const&) const = default;
+};
+
+struct FindStreamReply {
+    /// The record with all tokens, if the node has it.
+    std::optional<StreamRecord> record;
+
+    bool operator==(FindStreamReply const&) const = default;
+};
+
+struct RecordedAnswer {
+    std::uint16_t status { 0 };
+    std::string contentType;
+    std::string body;
+
+    bool operator==(RecordedAnswer const&) const = default;
+};
+
+/// The answer of the node that writes the intent for another one.
+enum class IntentCode {
+    /// The intent was written; the caller may call the back end.
+    Run,
+    /// The key has a recorded answer.
+    Replay,
+    /// Another attempt with this key is running.
+    InProgress,
+    /// The outcome of an earlier attempt cannot be determined.
+    Unknown,
+    /// The key was used with a different fingerprint.
+    KeyReused,
+    /// The key is older than the retention.
+    KeyExpired,
+    /// The key is not a UUIDv7.
+    KeyInvalid,
+    /// The platform could not be reached and nothing was written.
+    StoreUnavailable,
+    /// The answer was recorded, or the intent released.
+    Recorded,
+};
+
+struct BeginIntentRequest {
+    std::string key;
+    std::string fingerprint;
+    std::string attemptId;
+    std::string nodeId;
+
+    bool operator==(BeginIntentRequest const&) const = default;
+};
+
+struct BeginIntentReply {
+    IntentCode code { IntentCode::Unknown };
+    /// With Replay.
+    std::optional<RecordedAnswer> answer;
+    std::string message;
+
+    bool operator==(BeginIntentReply const&) const = default;
+};
+
+struct FinishIntentRequest {
+    std::string key;
+    std::string fingerprint;
+    std::string attemptId;
+    /// Empty to release the intent; allowed only if no byte of the call can have reached the back end.
+    std::optional<RecordedAnswer> answer;
+
+    bool operator==(FinishIntentRequest const&) const = default;
+};
+
+struct FinishIntentReply {
+    IntentCode code { IntentCode::Unknown };
+    std::string message;
+
+    bool operator==(FinishIntentReply const&) const = default;
+};
+
+}
