--- /dev/null
+++ b/Libraries/LibIntent/IntentJournal.h
@@ -0,0 +1,80 @@
+#pragma once
+
+#include <LibCore/Metrics.h>
+#include <LibCore/Random.h>
+#include <LibIntent/IntentDecision.h>
+#include <LibPlatform/ObjectStore.h>
+#include <map>
+#include <memory>
+#include <set>
+
+namespace Intent {
+
+class IntentShard;
+
+/// At-most-once execution of calls that must not be repeated, recorded in the object API; see docs/at-most-once.md.
+/// Must outlive the tasks it starts on the runtime. Called on the runtime's thread only.
+class IntentJournal {
+public:
+    /// Precondition: no other journal, on any node, has the same node id and a random source with the same seed.
+    IntentJournal(Core::Runtime&, Platform::ObjectStore&, Core::Random&, Core::Metrics&, std::string nodeId, IntentSettings);
+    ~IntentJournal();
+    IntentJournal(IntentJournal const&) = delete;
+    IntentJournal& operator=(IntentJournal const&) = delete;
+
+    /// Records the intent to run a call, or decides why it must not run. Waits until the deadline for another attempt in
+    /// progress. Empty with StoreUnavailable or DeadlineExceeded (NotRun) if the intent could not be recorded in time; its
+    /// attempt is then withdrawn and never gives a ticket, even if its write takes effect later.
+    [[nodiscard]] Core::Awaitable<std::optional<IntentDecision>> begin(std::string team, std::string service, std::string key, std::string fingerprint, Core::MonotonicTime deadline, Core::LastReason&);
+
+    /// Records the answer. Returns false if the ticket is not open or the answer was not recorded within
+    /// completionRetryPeriod; a repeated key then gets OutcomeUnknown.
+    [[nodiscard]] Core::Awaitable<bool> finish(IntentTicket, RecordedAnswer, Core::LastReason&);
+
+    /// Removes the record so that the key may run again. Precondition: no byte of the call can have reached the back end,
+    /// and none will. Returns false if the ticket is not open or the record may remain; a repeated key then gets
+    /// OutcomeUnknown. The caller may be told NotRun in both cases.
+    [[nodiscard]] Core::Awaitable<bool> release(IntentTicket, Core::LastReason&);
+
+    /// Records that the outcome is unknown, so that repeated keys learn it without waiting. Fails like finish.
+    [[nodiscard]] Core::Awaitable<bool> abandon(IntentTicket, Core::LastReason&);
+
+    /// Removes objects of buckets whose keys every node refuses as expired, at most maximumBuckets of them per call, and
+    /// returns the number of buckets it passed. Several nodes may run it at once; one at a time is cheaper.
+    /// Fails with the store's reasons.
+    [[nodiscard]] Core::Awaitable<std::optional<std::size_t>> collectGarbage(std::size_t maximumBuckets, Core::LastReason&);
+
+    /// Number of tickets that are open.
+    [[nodiscard]] std::size_t openTickets() const { return m_openAttempts.size(); }
+
+private:
+    enum class Completion {
+        Finish,
+        Release,
+        Abandon,
+    };
+
+    IntentShard& shardFor(IntentPlace);
+    void dropIdleShards();
+    [[nodiscard]] std::string newAttemptId();
+    [[nodiscard]] WriterState writerState(IntentRecord const&) const;
+    [[nodiscard]] bool closeTicket(IntentTicket const&, Core::LastReason&);
+    [[nodiscard]] IntentDecision counted(IntentDecision);
+    [[nodiscard]] Core::Awaitable<bool> complete(IntentTicket, Completion, IntentRecord outcome, Core::LastReason&);
+    [[nodiscard]] Core::Awaitable<bool> storeAnswer(std::string name, std::string value, Core::MonotonicTime deadline, Core::LastReason&);
+    [[nodiscard]] Core::Awaitable<std::optional<IntentDecision>> resolveReplay(IntentDecision, IntentRecord, Core::MonotonicTime deadline, Core::LastReason&);
+    [[nodiscard]] Core::Awaitable<bool> removeBucket(std::uint64_t bucket, Core::LastReason&);
+    [[nodiscard]] Core::Awaitable<bool> removeObject(Platform::ObjectKey, std::uint64_t version, Core::LastReason&);
+
+    Core::Runtime& m_runtime;
+    Platform::ObjectStore& m_store;
+    Core::Random& m_random;
+    Core::Metrics& m_metrics;
+    std::string m_nodeId;
+    IntentSettings m_settings;
+    std::map<IntentPlace, std::unique_ptr<IntentShard>> m_shards;
+    std::set<std::string> m_openAttempts;
+    Core::MonotonicTime m_nextIdleCheck;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibIntent/IntentKey.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include <LibCore/ErrorKind.h>
+#include <LibCore/Runtime.h>
+#include <LibIntent/IntentSettings.h>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace Intent {
+
+/// An idempotency key: a UUIDv7 (RFC 9562, section 5.7).
+struct IntentKey {
+    /// The UUID in lower case.
+    std::string text;
+    /// The time embedded in the UUID, in milliseconds since the Unix epoch.
+    std::uint64_t unixMilliseconds { 0 };
+
+    auto operator<=>(IntentKey const&) const = default;
+};
+
+enum class KeyAge {
+    Valid,
+    Expired,
+    /// Later than now by more than the clock skew bound.
+    InFuture,
+};
+
+/// Where the record of a key is stored.
+struct IntentPlace {
+    std::uint64_t bucket { 0 };
+    std::uint32_t shard { 0 };
+
+    auto operator<=>(IntentPlace const&) const = default;
+};
+
+/// Parses a UUIDv7. IdempotencyKeyInvalid (NotRun) for anything else. Thread safe.
+[[nodiscard]] std::optional<IntentKey> parseIntentKey(std::string_view text, Core::LastReason&);
+
+/// Thread safe.
+[[nodiscard]] KeyAge keyAge(IntentKey const&, Core::WallTime now, IntentSettings const&);
+
+/// The bucket follows from the key's time, the shard from XXH3 of team, service and key. Thread safe.
+[[nodiscard]] IntentPlace placeOf(std::string_view team, std::string_view service, IntentKey const&, IntentSettings const&);
+
+/// Returns 128 bits of SHA-256 of team, service and key in hexadecimal. A cryptographic digest, because a collision would
+/// hand one team the answer of another. Thread safe.
+[[nodiscard]] std::string keyDigest(std::string_view team, std::string_view service, IntentKey const&);
+
+/// Returns 128 bits of SHA-256 of method, path and body in hexadecimal. Thread safe.
+[[nodiscard]] std::string requestFingerprint(std::string_view method, std::string_view path, std::string_view body);
+
+/// The name of an object of kind `intents`: <bucket>-<shard>, and <bucket>-<shard>-<continuation> from continuation 1.
+/// Thread safe.
+[[nodiscard]] std::string shardObjectName(IntentPlace, std::size_t continuation);
+
+/// Milliseconds since the Unix epoch; 0 for earlier times. Thread safe.
+[[nodiscard]] std::uint64_t unixMilliseconds(Core::WallTime);
+
+}
