LibStream: Keep accepted requests on two nodes

Cause: an accepted request must survive the loss of its node, and a client that continues elsewhere must get the rest of the same answer. Change: a table of streams with epochs, batched replication to a second node, tokens shown only once the replica has them, and event positions that bind the tokens before them.

--- a/Libraries/LibCore/ErrorKind.cpp
+++ b/Libraries/LibCore/ErrorKind.cpp
@@ -41,6 +41,7 @@
     ErrorAnswer { ErrorKind::PeerUnreachable, "peer_unreachable", 503, "Another node cannot be reached", RetryAfterRule::Fixed, 1s },
     ErrorAnswer { ErrorKind::StreamNotFound, "stream_not_found", 404, "There is no such request", RetryAfterRule::None, 0s },
     ErrorAnswer { ErrorKind::StreamTakenOver, "stream_taken_over", 503, "The request continues at another node", RetryAfterRule::Fixed, 1s },
+    ErrorAnswer { ErrorKind::StreamDiverged, "stream_diverged", 409, "The rest of this answer is lost", RetryAfterRule::None, 0s },
     ErrorAnswer { ErrorKind::NotReady, "not_ready", 503, "The node has no configuration yet", RetryAfterRule::Fixed, 1s },
     ErrorAnswer { ErrorKind::Draining, "draining", 503, "The node is shutting down", RetryAfterRule::Fixed, 1s },
     ErrorAnswer { ErrorKind::Cancelled, "cancelled", 499, "The caller cancelled the request", RetryAfterRule::None, 0s },
--- a/Libraries/LibCore/ErrorKind.h
+++ b/Libraries/LibCore/ErrorKind.h
@@ -42,6 +42,7 @@
     PeerUnreachable,
     StreamNotFound,
     StreamTakenOver,
+    StreamDiverged,
     NotReady,
     Draining,
     Cancelled,
--- /dev/null
+++ b/Libraries/LibStream/StreamReplicator.h
@@ -0,0 +1,84 @@
+#pragma once
+
+#include <LibCore/Metrics.h>
+#include <LibCore/Runtime.h>
+#include <LibStream/StreamTable.h>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace Stream {
+
+/// The nodes that can hold copies, and the call that sends them. Called on the runtime's thread only.
+class ReplicaPeers {
+public:
+    virtual ~ReplicaPeers() = default;
+
+    /// The node to hold the copy of a stream, or nothing if no other node can.
+    [[nodiscard]] virtual std::optional<std::string> chooseReplica(std::string_view requestId, std::set<std::string> const& excludedNodes) const = 0;
+
+    [[nodiscard]] virtual Core::Awaitable<std::optional<Peer::ReplicateReply>> replicate(std::string nodeId, Peer::ReplicateRequest, Core::MonotonicTime deadline, Core::LastReason&) = 0;
+};
+
+struct ReplicationSettings {
+    std::string ownNodeId;
+    Core::Duration callTimeout { std::chrono::milliseconds(500) };
+    /// Between the starts of two calls to one replica; all changes meanwhile travel together.
+    Core::Duration minimumInterval { std::chrono::milliseconds(5) };
+    /// How long a node that failed is not chosen again.
+    Core::Duration avoidFailedNode { std::chrono::seconds(3) };
+    std::size_t maximumRecordsPerCall { 256 };
+};
+
+/// Copies the streams that this node serves to other nodes. Changes of all streams with the same replica travel in one call
+/// at a time, so the number of calls does not grow with the number of tokens. Not thread safe.
+class StreamReplicator {
+public:
+    /// Precondition: the arguments outlive the replicator, which outlives its tasks on the runtime.
+    StreamReplicator(Core::Runtime&, StreamTable&, ReplicaPeers&, Core::Metrics&, ReplicationSettings);
+
+    /// Chooses a replica for a stream that this node began to serve, and sends the record.
+    void start(Stream&);
+
+    /// Sends the part of a stream that the replica lacks.
+    void streamChanged(Stream&);
+
+    /// Waits until the replica has the record, or it is known that no node can hold it. StreamTakenOver if another node
+    /// serves the stream, DeadlineExceeded (NotRun) at the deadline.
+    [[nodiscard]] Core::Awaitable<bool> waitUntilRecorded(std::string requestId, Core::MonotonicTime deadline, Core::LastReason&);
+
+    /// Chooses new replicas for all streams whose replica is one of the nodes, for example before they are reclaimed.
+    void moveReplicasFrom(std::set<std::string> const& nodeIds);
+
+private:
+    struct Target {
+        std::set<std::string> dirtyStreams;
+        bool sending { false };
+        Core::MonotonicTime lastSentAt;
+    };
+
+    void assignReplica(Stream&);
+    void markDirty(Stream&);
+    [[nodiscard]] std::set<std::string> avoidedNodes() const;
+    [[nodiscard]] Core::Awaitable<void> sendAll(std::string nodeId);
+    [[nodiscard]] Peer::ReplicateRequest takeBatch(Target&, std::string const& nodeId);
+    void applyReply(std::string const& nodeId, Peer::ReplicateRequest const&, Peer::ReplicateReply const&);
+    void applyResult(Stream&, Peer::StreamRecord const&, Peer::StreamResult const&);
+    void handleFailure(std::string const& nodeId, Peer::ReplicateRequest const&);
+    [[nodiscard]] Stream* findServedWith(std::string const& requestId, std::string const& nodeId);
+
+    Core::Runtime& m_runtime;
+    StreamTable& m_streams;
+    ReplicaPeers& m_peers;
+    ReplicationSettings m_settings;
+    Core::Counter& m_calls;
+    Core::Counter& m_records;
+    std::map<std::string, Target> m_targets;
+    std::map<std::string, Core::MonotonicTime> m_avoidUntil;
+    std::set<std::string> m_excludedNodes;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibStream/StreamTable.cpp
@@ -0,0 +1,308 @@
+#include <LibStream/StreamTable.h>
+
+#include <algorithm>
+#include <charconv>
+#include <cstdio>
+#include <xxhash.h>
+
+namespace Stream {
+
+using Core::ErrorKind;
+
+static constexpr std::string_view failedFinishPrefix = "error:";
+
+std::uint64_t visibleTokens(Stream const& stream)
+{
+    if (stream.replicaNodeId.empty())
+        return stream.tokens.size();
+    return std::min<std::uint64_t>(stream.replicatedTokens, stream.tokens.size());
+}
+
+bool endIsVisible(Stream const& stream)
+{
+    if (stream.phase == StreamPhase::Running)
+        return false;
+    return stream.replicaNodeId.empty() || stream.replicatedPhase == stream.phase;
+}
+
+static std::uint64_t hashOf(std::vector<std::string> const& tokens, std::uint64_t count)
+{
+    std::uint64_t hash = 0;
+    for (std::uint64_t index = 0; index < count; ++index)
+        hash = XXH3_64bits_withSeed(tokens[index].data(), tokens[index].size(), hash + 1);
+    return hash;
+}
+
+std::string positionAfter(std::vector<std::string> const& tokens, std::uint64_t count)
+{
+    char buffer[48];
+    std::snprintf(buffer, sizeof(buffer), "%llu-%016llx", static_cast<unsigned long long>(count), static_cast<unsigned long long>(hashOf(tokens, count)));
+    return buffer;
+}
+
+std::optional<std::uint64_t> countAtPosition(std::vector<std::string> const& tokens, std::string_view position, Core::LastReason& reason)
+{
+    std::uint64_t count = 0;
+    auto const* const end = position.data() + position.size();
+    auto const parsed = std::from_chars(position.data(), end, count);
+    if (parsed.ec != std::errc {} || parsed.ptr == end || *parsed.ptr != '-')
+        return Core::fail(reason, ErrorKind::InvalidRequest, "\"" + std::string(position) + "\" is not the id of an event");
+    if (count > tokens.size())
+        return Core::fail(reason, ErrorKind::StreamNotFound, "the answer is not known up to event " + std::to_string(count), Core::RunState::Unknown);
+    if (positionAfter(tokens, count) != position)
+        return Core::fail(reason, ErrorKind::StreamDiverged, "the answer known here differs from the one received so far", Core::RunState::Unknown);
+    return count;
+}
+
+static std::string finishReasonOnWire(Stream const& stream)
+{
+    if (stream.phase != StreamPhase::Failed)
+        return stream.finishReason;
+    std::string text(failedFinishPrefix);
+    text += Core::answerFor(stream.failure.kind).name;
+    text += ':';
+    text += Core::runStateName(stream.failure.runState);
+    return text + ':' + stream.failure.message;
+}
+
+static void readFinishReason(Stream& stream, std::string_view text)
+{
+    stream.phase = StreamPhase::Finished;
+    stream.finishReason = text;
+    if (!text.starts_with(failedFinishPrefix))
+        return;
+    text.remove_prefix(failedFinishPrefix.size());
+    auto const kindEnd = text.find(':');
+    auto const stateEnd = text.find(':', kindEnd == std::string_view::npos ? kindEnd : kindEnd + 1);
+    if (stateEnd == std::string_view::npos)
+        return;
+    stream.phase = StreamPhase::Failed;
+    stream.failure.kind = Core::errorKindFromName(text.substr(0, kindEnd)).value_or(ErrorKind::Internal);
+    stream.failure.runState = Core::runStateFromName(text.substr(kindEnd + 1, stateEnd - kindEnd - 1)).value_or(Core::RunState::Unknown);
+    stream.failure.message = text.substr(stateEnd + 1);
+}
+
+static Peer::StreamRecord recordFrom(Stream const& stream, std::uint64_t firstIndex)
+{
+    Peer::StreamRecord record;
+    record.requestId = stream.requestId;
+    record.epoch = stream.epoch;
+    record.originNodeId = stream.originNodeId;
+    record.team = stream.team;
+    record.service = stream.service;
+    record.firstIndex = firstIndex;
+    record.tokens.assign(stream.tokens.begin() + static_cast<std::ptrdiff_t>(firstIndex), stream.tokens.end());
+    record.finished = stream.phase != StreamPhase::Running;
+    if (record.finished)
+        record.finishReason = finishReasonOnWire(stream);
+    return record;
+}
+
+Peer::StreamRecord unreplicatedPart(Stream const& stream)
+{
+    auto record = recordFrom(stream, std::min<std::uint64_t>(stream.replicatedTokens, stream.tokens.size()));
+    if (!stream.replicatedRecord)
+        record.requestJson = stream.requestJson;
+    return record;
+}
+
+Peer::StreamRecord wholeRecord(Stream const& stream)
+{
+    auto record = recordFrom(stream, 0);
+    record.requestJson = stream.requestJson;
+    return record;
+}
+
+StreamTable::StreamTable(Core::Runtime& runtime, std::size_t maximumStreams, Core::Duration retention)
+    : m_runtime(runtime)
+    , m_maximumStreams(maximumStreams)
+    , m_retention(retention)
+{
+}
+
+Stream* StreamTable::find(std::string_view requestId)
+{
+    auto const found = m_streams.find(requestId);
+    return found == m_streams.end() ? nullptr : found->second.get();
+}
+
+Stream& StreamTable::insert(Stream stream)
+{
+    stream.changed = std::make_shared<Core::AsyncEvent>(m_runtime);
+    stream.changedAt = m_runtime.now();
+    auto& slot = m_streams[stream.requestId];
+    slot = std::make_unique<Stream>(std::move(stream));
+    return *slot;
+}
+
+bool StreamTable::makeRoom()
+{
+    if (m_streams.size() < m_maximumStreams)
+        return true;
+    auto oldest = m_streams.end();
+    for (auto entry = m_streams.begin(); entry != m_streams.end(); ++entry) {
+        auto const& stream = *entry->second;
+        bool const droppable = stream.role == StreamRole::TakenOver || stream.phase != StreamPhase::Running;
+        if (droppable && (oldest == m_streams.end() || stream.changedAt < oldest->second->changedAt))
+            oldest = entry;
+    }
+    // Readers of the newest finished streams may still be writing to their clients.
+    static constexpr auto minimumAge = std::chrono::seconds(5);
+    if (oldest == m_streams.end() || m_runtime.now() - oldest->second->changedAt < minimumAge)
+        return false;
+    m_streams.erase(oldest);
+    return true;
+}
+
+Stream* StreamTable::add(Stream stream, Core::LastReason& reason)
+{
+    if (!makeRoom()) {
+        Core::fail(reason, ErrorKind::Overloaded, "too many requests in progress");
+        return nullptr;
+    }
+    return &insert(std::move(stream));
+}
+
+// A record of a stream unknown here can be applied only from its beginning and with its request.
+static bool isWholeRecord(Peer::StreamRecord const& record)
+{
+    return record.firstIndex == 0 && !record.requestJson.empty();
+}
+
+static void mergeTokens(Stream& stream, Peer::StreamRecord const& record)
+{
+    auto const recordEnd = record.firstIndex + record.tokens.size();
+    auto const first = static_cast<std::ptrdiff_t>(record.firstIndex);
+    // An empty record only announces the epoch; the tokens held here stay.
+    if (record.tokens.empty())
+        return;
+    auto const overlap = std::min<std::uint64_t>(stream.tokens.size(), recordEnd) - record.firstIndex;
+    bool const agrees = std::equal(record.tokens.begin(), record.tokens.begin() + static_cast<std::ptrdiff_t>(overlap), stream.tokens.begin() + first);
+    if (agrees && recordEnd <= stream.tokens.size())
+        return;
+    stream.tokens.resize(record.firstIndex);
+    stream.tokens.insert(stream.tokens.end(), record.tokens.begin(), record.tokens.end());
+}
+
+Peer::StreamResult StreamTable::apply(Peer::StreamRecord const& record)
+{
+    Peer::StreamResult result { record.requestId, Peer::StreamDecision::Accepted, record.epoch, 0 };
+    auto* stream = find(record.requestId);
+    if (!stream) {
+        if (!isWholeRecord(record)) {
+            result.decision = Peer::StreamDecision::Gap;
+            return result;
+        }
+        if (!makeRoom()) {
+            result.decision = Peer::StreamDecision::Refused;
+            return result;
+        }
+        Stream added;
+        added.requestId = record.requestId;
+        added.epoch = record.epoch;
+        added.originNodeId = record.originNodeId;
+        added.role = StreamRole::Replica;
+        stream = &insert(std::move(added));
+    }
+    bool const sameOrigin = record.epoch == stream->epoch && record.originNodeId == stream->originNodeId && stream->role == StreamRole::Replica;
+    if (record.epoch <= stream->epoch && !sameOrigin) {
+        result.decision = Peer::StreamDecision::EpochTooOld;
+        result.epoch = stream->epoch;
+        return result;
+    }
+    if (record.firstIndex > stream->tokens.size() || (stream->requestJson.empty() && record.requestJson.empty())) {
+        result.decision = Peer::StreamDecision::Gap;
+        result.firstMissingIndex = stream->requestJson.empty() ? 0 : stream->tokens.size();
+        return result;
+    }
+    stream->epoch = record.epoch;
+    stream->originNodeId = record.originNodeId;
+    stream->role = StreamRole::Replica;
+    stream->replicaNodeId.clear();
+    if (!record.requestJson.empty()) {
+        stream->requestJson = record.requestJson;
+        stream->team = record.team;
+        stream->service = record.service;
+    }
+    mergeTokens(*stream, record);
+    if (record.finished)
+        readFinishReason(*stream, record.finishReason);
+    result.firstMissingIndex = stream->tokens.size();
+    notifyChanged(*stream);
+    return result;
+}
+
+void StreamTable::startServing(Stream& stream, std::uint64_t epoch, std::string ownNodeId)
+{
+    stream.epoch = epoch;
+    stream.originNodeId = std::move(ownNodeId);
+    stream.role = StreamRole::Serving;
+    stream.replicaNodeId.clear();
+    stream.replicatedTokens = 0;
+    stream.replicatedPhase = StreamPhase::Running;
+    stream.replicatedRecord = false;
+    notifyChanged(stream);
+}
+
+void StreamTable::appendToken(Stream& stream, std::string token)
+{
+    stream.tokens.push_back(std::move(token));
+    notifyChanged(stream);
+}
+
+void StreamTable::finish(Stream& stream, std::string finishReason)
+{
+    stream.phase = StreamPhase::Finished;
+    stream.finishReason = std::move(finishReason);
+    notifyChanged(stream);
+}
+
+void StreamTable::fail(Stream& stream, Core::LastReason const& reason)
+{
+    stream.phase = StreamPhase::Failed;
+    stream.failure = reason;
+    notifyChanged(stream);
+}
+
+void StreamTable::markTakenOver(Stream& stream, std::uint64_t epoch, std::string originNodeId)
+{
+    stream.role = StreamRole::TakenOver;
+    stream.epoch = std::max(stream.epoch, epoch);
+    stream.originNodeId = std::move(originNodeId);
+    notifyChanged(stream);
+}
+
+void StreamTable::notifyChanged(Stream& stream)
+{
+    stream.changedAt = m_runtime.now();
+    stream.changed->notifyAll();
+}
+
+void StreamTable::expire()
+{
+    auto const oldestKept = m_runtime.now() - m_retention;
+    std::erase_if(m_streams, [&](auto const& entry) {
+        auto const& stream = *entry.second;
+        bool const running = stream.role == StreamRole::Serving && stream.phase == StreamPhase::Running;
+        return !running && stream.changedAt < oldestKept;
+    });
+}
+
+std::vector<std::string> StreamTable::idsWithRole(StreamRole role) const
+{
+    std::vector<std::string> ids;
+    for (auto const& [id, stream] : m_streams) {
+        if (stream->role == role)
+            ids.push_back(id);
+    }
+    return ids;
+}
+
+AdoptionDecision decideAdoption(Stream const& stream, OriginLiveness origin)
+{
+    if (stream.role != StreamRole::Replica || stream.phase != StreamPhase::Running || origin != OriginLiveness::Dead)
+        return AdoptionDecision::Leave;
+    return AdoptionDecision::TakeOver;
+}
+
+}
--- /dev/null
+++ b/Tests/LibStream/StreamTest.cpp
@@ -0,0 +1,216 @@
+#include <LibStream/StreamReplicator.h>
+#include <gtest/gtest.h>
+
+using namespace std::chrono_literals;
+using Peer::StreamDecision;
+using Stream::StreamPhase;
+using Stream::StreamRole;
+
+namespace {
+
+// Holds replicas in tables of its own and can lose calls.
+class FakePeers final : public Stream::ReplicaPeers {
+public:
+    explicit FakePeers(Core::Runtime& runtime)
+        : m_runtime(runtime)
+    {
+        for (auto const* name : { "b", "c" })
+            tables.emplace(name, std::make_unique<Stream::StreamTable>(runtime, 100, 600s));
+    }
+
+    std::optional<std::string> chooseReplica(std::string_view, std::set<std::string> const& excluded) const override
+    {
+        for (auto const& [name, table] : tables) {
+            if (!excluded.contains(name))
+                return name;
+        }
+        return std::nullopt;
+    }
+
+    Core::Awaitable<std::optional<Peer::ReplicateReply>> replicate(std::string nodeId, Peer::ReplicateRequest request, Core::MonotonicTime deadline, Core::LastReason& reason) override
+    {
+        ++calls;
+        if (unreachable.contains(nodeId)) {
+            co_await m_runtime.sleepUntil(deadline);
+            co_return Core::fail(reason, Core::ErrorKind::PeerUnreachable, "unreachable");
+        }
+        co_await m_runtime.sleepFor(1ms);
+        Peer::ReplicateReply reply;
+        for (auto const& record : request.records)
+            reply.results.push_back(tables.at(nodeId)->apply(record));
+        co_return reply;
+    }
+
+    std::map<std::string, std::unique_ptr<Stream::StreamTable>> tables;
+    std::set<std::string> unreachable;
+    int calls { 0 };
+
+private:
+    Core::Runtime& m_runtime;
+};
+
+class StreamTest : public testing::Test {
+protected:
+    StreamTest() { m_runtime.pause(); }
+
+    void advance(Core::Duration duration)
+    {
+        for (auto passed = Core::Duration {}; passed <= duration; passed += 1ms) {
+            m_runtime.advance(passed == Core::Duration {} ? 0ms : 1ms);
+            m_context.restart();
+            m_context.poll();
+        }
+    }
+
+    Stream::Stream& addServed()
+    {
+        Stream::Stream stream;
+        stream.requestId = "r";
+        stream.originNodeId = "a";
+        stream.requestJson = "{}";
+        auto* added = m_table.add(std::move(stream), m_reason);
+        m_replicator.start(*added);
+        return *added;
+    }
+
+    void appendTokens(Stream::Stream& stream, int count)
+    {
+        for (int index = 0; index < count; ++index) {
+            m_table.appendToken(stream, "t" + std::to_string(stream.tokens.size()));
+            m_replicator.streamChanged(stream);
+        }
+    }
+
+    boost::asio::io_context m_context;
+    Core::Runtime m_runtime { m_context };
+    Core::Metrics m_metrics;
+    Core::LastReason m_reason;
+    Stream::StreamTable m_table { m_runtime, 100, 600s };
+    FakePeers m_peers { m_runtime };
+    Stream::StreamReplicator m_replicator { m_runtime, m_table, m_peers, m_metrics, { "a" } };
+};
+
+}
+
+// Guards against showing a client tokens that nobody else has when the node dies.
+TEST_F(StreamTest, TokensAreShownAfterTheReplicaHasThem)
+{
+    auto& stream = addServed();
+    appendTokens(stream, 50);
+    EXPECT_EQ(Stream::visibleTokens(stream), 0u);
+    advance(20ms);
+    EXPECT_EQ(Stream::visibleTokens(stream), 50u);
+    EXPECT_EQ(m_peers.tables.at("b")->find("r")->tokens, stream.tokens);
+    // One call for the record, and one for all tokens that came meanwhile.
+    EXPECT_LE(m_peers.calls, 2);
+    m_table.finish(stream, "stop");
+    EXPECT_FALSE(Stream::endIsVisible(stream));
+    m_replicator.streamChanged(stream);
+    advance(20ms);
+    EXPECT_TRUE(Stream::endIsVisible(stream));
+    EXPECT_EQ(m_peers.tables.at("b")->find("r")->phase, StreamPhase::Finished);
+}
+
+// Guards against a stream that stalls for ever, or loses its copy, because its replica died.
+TEST_F(StreamTest, AnotherReplicaIsChosenAfterAFailure)
+{
+    auto& stream = addServed();
+    appendTokens(stream, 5);
+    advance(20ms);
+    m_peers.unreachable = { "b" };
+    appendTokens(stream, 5);
+    advance(600ms);
+    EXPECT_EQ(stream.replicaNodeId, "c");
+    EXPECT_EQ(Stream::visibleTokens(stream), 10u);
+    EXPECT_EQ(m_peers.tables.at("c")->find("r")->tokens, stream.tokens);
+    m_peers.unreachable = { "b", "c" };
+    appendTokens(stream, 5);
+    advance(600ms);
+    EXPECT_EQ(stream.replicaNodeId, "");
+    EXPECT_EQ(Stream::visibleTokens(stream), 15u);
+}
+
+// Guards against two nodes answering with different continuations: a node that was paused while its replica took the stream
+// over shows nothing more to its client.
+TEST_F(StreamTest, PausedOriginIsFencedByTheHigherEpoch)
+{
+    auto& stream = addServed();
+    appendTokens(stream, 5);
+    advance(20ms);
+    auto& replica = *m_peers.tables.at("b")->find("r");
+    EXPECT_EQ(Stream::decideAdoption(replica, Stream::OriginLiveness::Suspected), Stream::AdoptionDecision::Leave);
+    EXPECT_EQ(Stream::decideAdoption(replica, Stream::OriginLiveness::Dead), Stream::AdoptionDecision::TakeOver);
+    m_peers.tables.at("b")->startServing(replica, 2, "b");
+    appendTokens(stream, 5);
+    advance(20ms);
+    EXPECT_EQ(stream.role, StreamRole::TakenOver);
+    EXPECT_EQ(Stream::visibleTokens(stream), 5u);
+    EXPECT_EQ(replica.tokens.size(), 5u);
+}
+
+// Guards against a fencing record that shortens the answer, and against two nodes that take over in the same epoch.
+TEST_F(StreamTest, FenceKeepsTokensAndOneTakerWins)
+{
+    auto& table = *m_peers.tables.at("b");
+    Peer::StreamRecord record { "r", 1, "a", "team", "advisor", "{}", 0, { "x", "y" }, false, "" };
+    EXPECT_EQ(table.apply(record).decision, StreamDecision::Accepted);
+    Peer::StreamRecord const fence { "r", 2, "c", "team", "advisor", "{}", 0, {}, false, "" };
+    EXPECT_EQ(table.apply(fence).decision, StreamDecision::Accepted);
+    EXPECT_EQ(table.find("r")->tokens.size(), 2u);
+    auto rival = fence;
+    rival.originNodeId = "d";
+    EXPECT_EQ(table.apply(rival).decision, StreamDecision::EpochTooOld);
+    record.firstIndex = 2;
+    EXPECT_EQ(table.apply(record).decision, StreamDecision::EpochTooOld);
+    Peer::StreamRecord const gap { "r", 2, "c", "team", "advisor", "", 3, { "z" }, false, "" };
+    auto const result = table.apply(gap);
+    EXPECT_EQ(result.decision, StreamDecision::Gap);
+    EXPECT_EQ(result.firstMissingIndex, 2u);
+}
+
+// Guards against giving a client the rest of a different answer.
+TEST_F(StreamTest, PositionBindsTheTokensBeforeIt)
+{
+    std::vector<std::string> const tokens { "a", "b", "c" };
+    std::vector<std::string> const other { "a", "x", "c" };
+    auto const position = Stream::positionAfter(tokens, 2);
+    EXPECT_EQ(Stream::countAtPosition(tokens, position, m_reason), 2u);
+    EXPECT_FALSE(Stream::countAtPosition(other, position, m_reason));
+    EXPECT_EQ(m_reason.kind, Core::ErrorKind::StreamDiverged);
+    EXPECT_FALSE(Stream::countAtPosition({ "a" }, position, m_reason));
+    EXPECT_EQ(m_reason.kind, Core::ErrorKind::StreamNotFound);
+    for (auto const* text : { "", "2", "x-1", "-", "2-zz" })
+        EXPECT_FALSE(Stream::countAtPosition(tokens, text, m_reason)) << text;
+}
+
+// Guards against losing the reason of a failure at the replica.
+TEST_F(StreamTest, FailureTravelsWithTheRecord)
+{
+    auto& stream = addServed();
+    Core::LastReason failure;
+    Core::fail(failure, Core::ErrorKind::NoServerAvailable, "none: left", Core::RunState::Unknown);
+    m_table.fail(stream, failure);
+    m_replicator.streamChanged(stream);
+    advance(20ms);
+    EXPECT_EQ(m_peers.tables.at("b")->find("r")->failure, failure);
+    EXPECT_EQ(m_peers.tables.at("b")->find("r")->phase, StreamPhase::Failed);
+}
+
+// Guards against a table that grows without bound or drops running streams.
+TEST_F(StreamTest, TableIsBounded)
+{
+    Stream::StreamTable table(m_runtime, 2, 600s);
+    for (auto const* id : { "1", "2" }) {
+        Stream::Stream stream;
+        stream.requestId = id;
+        EXPECT_TRUE(table.add(std::move(stream), m_reason));
+    }
+    Stream::Stream third;
+    third.requestId = "3";
+    EXPECT_FALSE(table.add(third, m_reason));
+    EXPECT_EQ(m_reason.kind, Core::ErrorKind::Overloaded);
+    table.finish(*table.find("1"), "stop");
+    advance(6s);
+    EXPECT_TRUE(table.add(third, m_reason));
+    EXPECT_FALSE(table.find("1"));
+}
