--- a/Libraries/LibStream/StreamReplicator.cpp
+++ b/Libraries/LibStream/StreamReplicator.cpp
@@ -18,7 +18,7 @@
 
 std::set<std::string> StreamReplicator::avoidedNodes() const
 {
-    auto nodes = m_excludedNodes;
+    std::set<std::string> nodes;
     for (auto const& [nodeId, until] : m_avoidUntil) {
         if (until > m_runtime.now())
             nodes.insert(nodeId);
@@ -79,7 +79,8 @@
 
 void StreamReplicator::moveReplicasFrom(std::set<std::string> const& nodeIds)
 {
-    m_excludedNodes.insert(nodeIds.begin(), nodeIds.end());
+    for (auto const& nodeId : nodeIds)
+        m_avoidUntil[nodeId] = m_runtime.now() + m_settings.avoidFailedNode;
     for (auto const& id : m_streams.idsWithRole(StreamRole::Serving)) {
         auto* stream = m_streams.find(id);
         if (stream && nodeIds.contains(stream->replicaNodeId))
--- a/Libraries/LibStream/StreamReplicator.h
+++ b/Libraries/LibStream/StreamReplicator.h
@@ -78,7 +78,6 @@
     Core::Counter& m_records;
     std::map<std::string, Target> m_targets;
     std::map<std::string, Core::MonotonicTime> m_avoidUntil;
-    std::set<std::string> m_excludedNodes;
 };
 
 }
--- /dev/null
+++ b/Services/Node/ModelRequest.cpp
@@ -0,0 +1,292 @@
+#include <Node/ModelRequest.h>
+
+#include <algorithm>
+#include <array>
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+
+namespace Node {
+
+namespace json = boost::json;
+using Core::ErrorKind;
+
+static constexpr std::uint32_t defaultMaximumTokens = 1024;
+static constexpr std::int64_t largestMaximumTokens = 32768;
+static constexpr std::size_t longestPromptTokens = 131072;
+
+static std::nullopt_t failAt(Core::LastReason& reason, std::string_view pointer, std::string_view problem)
+{
+    return Core::fail(reason, ErrorKind::InvalidRequest, std::string(pointer) + ": " + std::string(problem));
+}
+
+static void appendTokens(std::vector<std::string>& tokens, std::string_view text)
+{
+    static constexpr std::string_view separators = " \t\r\n";
+    while (true) {
+        auto const start = text.find_first_not_of(separators);
+        if (start == std::string_view::npos)
+            return;
+        text.remove_prefix(start);
+        auto const end = std::min(text.find_first_of(separators), text.size());
+        tokens.emplace_back(text.substr(0, end));
+        text.remove_prefix(end);
+    }
+}
+
+static bool hasOnlyFields(json::object const& object, std::initializer_list<std::string_view> allowed, std::string_view pointer, Core::LastReason& reason)
+{
+    for (auto const& field : object) {
+        std::string_view const name { field.key().data(), field.key().size() };
+        if (std::find(allowed.begin(), allowed.end(), name) == allowed.end()) {
+            failAt(reason, std::string(pointer) + "/" + std::string(name), "unknown or unsupported field");
+            return false;
+        }
+    }
+    return true;
+}
+
+static std::optional<std::string_view> stringAt(json::object const& object, std::string_view name, std::string_view pointer, Core::LastReason& reason)
+{
+    auto const* value = object.if_contains(name);
+    if (!value || !value->is_string())
+        return failAt(reason, std::string(pointer) + "/" + std::string(name), "a string is required");
+    return std::string_view(value->get_string());
+}
+
+static std::optional<std::int64_t> integerAt(json::object const& object, std::string_view name, std::int64_t fallback, std::int64_t minimum, std::int64_t maximum, Core::LastReason& reason)
+{
+    auto const* value = object.if_contains(name);
+    if (!value)
+        return fallback;
+    json::error_code error;
+    auto const number = value->is_number() ? value->to_number<std::int64_t>(error) : 0;
+    if (!value->is_number() || error || number < minimum || number > maximum)
+        return failAt(reason, "/" + std::string(name), "an integer from " + std::to_string(minimum) + " to " + std::to_string(maximum) + " is required");
+    return number;
+}
+
+static bool readMessages(json::object const& object, ModelRequest& request, Core::LastReason& reason)
+{
+    auto const* messages = object.if_contains("messages");
+    if (!messages || !messages->is_array() || messages->get_array().empty()) {
+        failAt(reason, "/messages", "a list with at least one message is required");
+        return false;
+    }
+    std::size_t index = 0;
+    for (auto const& message : messages->get_array()) {
+        auto const pointer = "/messages/" + std::to_string(index++);
+        if (!message.is_object()) {
+            failAt(reason, pointer, "an object is required");
+            return false;
+        }
+        auto const& fields = message.get_object();
+        if (!hasOnlyFields(fields, { "role", "content" }, pointer, reason))
+            return false;
+        auto const role = stringAt(fields, "role", pointer, reason);
+        if (!role)
+            return false;
+        static constexpr std::array<std::string_view, 3> roles { "system", "user", "assistant" };
+        if (std::find(roles.begin(), roles.end(), *role) == roles.end()) {
+            failAt(reason, pointer + "/role", "system, user or assistant is required");
+            return false;
+        }
+        auto const content = stringAt(fields, "content", pointer, reason);
+        if (!content)
+            return false;
+        request.promptTokens.push_back("<" + std::string(*role) + ">");
+        appendTokens(request.promptTokens, *content);
+    }
+    return true;
+}
+
+static bool readPrompt(json::object const& object, ModelRequest& request, Core::LastReason& reason)
+{
+    auto const prompt = stringAt(object, "prompt", "", reason);
+    if (!prompt)
+        return false;
+    appendTokens(request.promptTokens, *prompt);
+    if (request.promptTokens.empty()) {
+        failAt(reason, "/prompt", "must not be empty");
+        return false;
+    }
+    return true;
+}
+
+static bool readForm(json::object const& object, ModelRequest& request, Core::LastReason& reason)
+{
+    auto const* stream = object.if_contains("stream");
+    if (!stream)
+        return true;
+    if (!stream->is_bool()) {
+        failAt(reason, "/stream", "true or false is required");
+        return false;
+    }
+    request.form = stream->get_bool() ? ResponseForm::Streamed : ResponseForm::Whole;
+    return true;
+}
+
+static bool readModel(json::object const& object, ModelRequest& request, Core::LastReason& reason)
+{
+    auto const model = stringAt(object, "model", "", reason);
+    if (!model)
+        return false;
+    auto const colon = model->find(':');
+    request.service = model->substr(0, colon);
+    if (colon != std::string_view::npos)
+        request.adapter = model->substr(colon + 1);
+    if (request.service.empty()) {
+        failAt(reason, "/model", "must not be empty");
+        return false;
+    }
+    return true;
+}
+
+std::optional<ModelRequest> parseModelRequest(ModelInterface interface, std::string_view body, Core::LastReason& reason)
+{
+    json::error_code error;
+    json::parse_options options;
+    options.max_depth = 16;
+    json::stream_parser parser({}, options);
+    parser.write(body.data(), body.size(), error);
+    if (!error)
+        parser.finish(error);
+    if (error)
+        return failAt(reason, "", "the body is not valid JSON: " + error.message());
+    auto const value = parser.release();
+    if (!value.is_object())
+        return failAt(reason, "", "a JSON object is required");
+    auto const& object = value.get_object();
+
+    ModelRequest request;
+    request.interface = interface;
+    bool const isChat = interface == ModelInterface::Chat;
+    if (!hasOnlyFields(object, { "model", isChat ? "messages" : "prompt", "max_tokens", "stream", "seed", "user" }, "", reason))
+        return std::nullopt;
+    if (!readModel(object, request, reason) || !readForm(object, request, reason))
+        return std::nullopt;
+    if (isChat ? !readMessages(object, request, reason) : !readPrompt(object, request, reason))
+        return std::nullopt;
+    if (request.promptTokens.size() > longestPromptTokens)
+        return failAt(reason, isChat ? "/messages" : "/prompt", "longer than " + std::to_string(longestPromptTokens) + " tokens");
+    auto const maximumTokens = integerAt(object, "max_tokens", defaultMaximumTokens, 1, largestMaximumTokens, reason);
+    if (!maximumTokens)
+        return std::nullopt;
+    request.maximumTokens = static_cast<std::uint32_t>(*maximumTokens);
+    auto const seed = integerAt(object, "seed", 0, 0, std::numeric_limits<std::int64_t>::max(), reason);
+    if (!seed)
+        return std::nullopt;
+    request.seed = static_cast<std::uint64_t>(*seed);
+    return request;
+}
+
+std::string encodeModelRequest(ModelRequest const& request)
+{
+    json::object object;
+    object["interface"] = request.interface == ModelInterface::Chat ? "chat" : "completion";
+    object["form"] = request.form == ResponseForm::Streamed ? "streamed" : "whole";
+    object["service"] = request.service;
+    object["adapter"] = request.adapter;
+    object["maximumTokens"] = request.maximumTokens;
+    object["seed"] = request.seed;
+    object["deadlineMilliseconds"] = request.deadlineMilliseconds;
+    json::array tokens;
+    for (auto const& token : request.promptTokens)
+        tokens.emplace_back(token);
+    object["promptTokens"] = std::move(tokens);
+    return json::serialize(object);
+}
+
+std::optional<ModelRequest> decodeModelRequest(std::string_view text)
+{
+    json::error_code error;
+    auto const value = json::parse(text, error);
+    if (error || !value.is_object())
+        return std::nullopt;
+    // A peer wrote the text with encodeModelRequest(), so any deviation makes the whole of it invalid.
+    try {
+        auto const& object = value.as_object();
+        ModelRequest request;
+        request.interface = object.at("interface").as_string() == "chat" ? ModelInterface::Chat : ModelInterface::Completion;
+        request.form = object.at("form").as_string() == "streamed" ? ResponseForm::Streamed : ResponseForm::Whole;
+        request.service = std::string(object.at("service").as_string());
+        request.adapter = std::string(object.at("adapter").as_string());
+        request.maximumTokens = object.at("maximumTokens").to_number<std::uint32_t>();
+        request.seed = object.at("seed").to_number<std::uint64_t>();
+        request.deadlineMilliseconds = object.at("deadlineMilliseconds").to_number<std::int64_t>();
+        for (auto const& token : object.at("promptTokens").as_array())
+            request.promptTokens.emplace_back(token.as_string());
+        return request;
+    } catch (std::exception const&) {
+        return std::nullopt;
+    }
+}
+
+static std::string modelName(ModelRequest const& request)
+{
+    return request.adapter.empty() ? request.service : request.service + ":" + request.adapter;
+}
+
+static json::object responseFrame(ModelRequest const& request, std::string_view requestId, std::string_view chatObject)
+{
+    json::object object;
+    object["id"] = std::string(requestId);
+    object["object"] = std::string(request.interface == ModelInterface::Chat ? chatObject : "text_completion");
+    object["model"] = modelName(request);
+    return object;
+}
+
+static std::string eventData(ModelRequest const& request, std::string_view requestId, std::string_view text, json::value finishReason)
+{
+    auto object = responseFrame(request, requestId, "chat.completion.chunk");
+    json::object choice;
+    choice["index"] = 0;
+    if (request.interface == ModelInterface::Chat) {
+        json::object delta;
+        if (!text.empty())
+            delta["content"] = std::string(text);
+        choice["delta"] = std::move(delta);
+    } else {
+        choice["text"] = std::string(text);
+    }
+    choice["finish_reason"] = std::move(finishReason);
+    object["choices"] = json::array { std::move(choice) };
+    return json::serialize(object);
+}
+
+std::string tokenEventData(ModelRequest const& request, std::string_view requestId, std::string_view token)
+{
+    return eventData(request, requestId, std::string(token) + " ", nullptr);
+}
+
+std::string finishEventData(ModelRequest const& request, std::string_view requestId, std::string_view finishReason)
+{
+    return eventData(request, requestId, "", json::value(json::string(finishReason)));
+}
+
+std::string wholeResponseBody(ModelRequest const& request, std::string_view requestId, std::vector<std::string> const& tokens, std::string_view finishReason)
+{
+    std::string text;
+    for (auto const& token : tokens)
+        text += token + " ";
+    auto object = responseFrame(request, requestId, "chat.completion");
+    json::object choice;
+    choice["index"] = 0;
+    if (request.interface == ModelInterface::Chat) {
+        json::object message;
+        message["role"] = "assistant";
+        message["content"] = text;
+        choice["message"] = std::move(message);
+    } else {
+        choice["text"] = text;
+    }
+    choice["finish_reason"] = std::string(finishReason);
+    object["choices"] = json::array { std::move(choice) };
+    json::object usage;
+    usage["prompt_tokens"] = request.promptTokens.size();
+    usage["completion_tokens"] = tokens.size();
+    usage["total_tokens"] = request.promptTokens.size() + tokens.size();
+    object["usage"] = std::move(usage);
+    return json::serialize(object);
+}
+
+}
--- /dev/null
+++ b/Services/Node/ModelRequest.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include <LibCore/ErrorKind.h>
+#include <LibCore/Runtime.h>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace Node {
+
+/// Which of the two client interfaces a request came through; decides the form of the response.
+enum class ModelInterface {
+    Chat,
+    Completion,
+};
+
+enum class ResponseForm {
+    /// One JSON object.
+    Whole,
+    /// Server-sent events.
+    Streamed,
+};
+
+/// A validated model request. Its JSON text is what is replicated, so that any node can continue it.
+struct ModelRequest {
+    ModelInterface interface {
+        ModelInterface::Chat
+    };
+    ResponseForm form { ResponseForm::Whole };
+    std::string service;
+    /// Empty for none.
+    std::string adapter;
+    std::vector<std::string> promptTokens;
+    std::uint32_t maximumTokens { 0 };
+    std::uint64_t seed { 0 };
+    /// Milliseconds since the Unix epoch.
+    std::int64_t deadlineMilliseconds { 0 };
+
+    bool operator==(ModelRequest const&) const = default;
+};
+
+/// Parses and validates a client's body. InvalidRequest with the JSON pointer of the fault. The deadline is left at 0.
+/// Thread safe.
+[[nodiscard]] std::optional<ModelRequest> parseModelRequest(ModelInterface, std::string_view body, Core::LastReason&);
+
+/// The replicated form and back. Thread safe.
+[[nodiscard]] std::string encodeModelRequest(ModelRequest const&);
+[[nodiscard]] std::optional<ModelRequest> decodeModelRequest(std::string_view json);
+
+/// The data of the event for one generated token. Thread safe.
+[[nodiscard]] std::string tokenEventData(ModelRequest const&, std::string_view requestId, std::string_view token);
+
+/// The data of the event that carries the finish reason. Thread safe.
+[[nodiscard]] std::string finishEventData(ModelRequest const&, std::string_view requestId, std::string_view finishReason);
+
+/// The whole response. Thread safe.
+[[nodiscard]] std::string wholeResponseBody(ModelRequest const&, std::string_view requestId, std::vector<std::string> const& tokens, std::string_view finishReason);
+
+}
