LibHTTP: Avoid a miscompiled wait in Server::drained

GCC 12 destroyed an awaitable that was never created when no request was in progress, so a process that drained its server ended with SIGSEGV. The awaited result now has a name. Integration.PlatformTest.HostsAndGracefulStop saw exit code -11 before and 0 after.

--- a/Libraries/LibHTTP/Server.cpp
+++ b/Libraries/LibHTTP/Server.cpp
@@ -166,10 +166,12 @@
     Core::Awaitable<bool> drained(Core::MonotonicTime deadline)
     {
         while (m_requestsInProgress > 0) {
-            if (!co_await m_progress.waitUntil(deadline))
-                co_return m_requestsInProgress == 0;
+            // GCC 12 destroys an awaitable that was never created if this co_await is part of the condition.
+            bool const hasProgressed = co_await m_progress.waitUntil(deadline);
+            if (!hasProgressed)
+                break;
         }
-        co_return true;
+        co_return m_requestsInProgress == 0;
     }
 
     void closeAll()
