StandIns: Add the platform stand-in and the test support library

The platform stand-in serves objects with conditional updates and watches, the host list, reclaim notices, host starts and a weight store, with fault switches and a record of calls and writes. TestSupport starts processes, reads their endpoints from the log, and has typed switches and blocking calls.

--- /dev/null
+++ b/Tests/StandIns/HostTable.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <LibCore/Runtime.h>
+#include <LibPlatform/Cloud.h>
+#include <deque>
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace StandIns {
+
+/// The true hosts of the platform stand-in, with earlier host lists so that the listed one can lag. Not thread safe.
+class HostTable {
+public:
+    explicit HostTable(Core::Runtime&);
+
+    /// Adds hosts, or replaces those with the same id.
+    void addOrReplace(std::vector<Platform::Host> const&);
+
+    /// Ignores ids that do not exist.
+    void remove(std::vector<std::string> const& ids);
+
+    /// Marks live hosts as leaving and returns their ids.
+    std::vector<std::string> markLeaving(std::function<bool(Platform::Host const&)> const& matches);
+
+    [[nodiscard]] bool contains(std::string const& id) const { return m_hosts.contains(id); }
+
+    /// The list as it was the given time ago, in the order of ids.
+    [[nodiscard]] std::vector<Platform::Host> listed(Core::Duration lag) const;
+
+private:
+    struct Snapshot {
+        Core::MonotonicTime from;
+        std::vector<Platform::Host> hosts;
+    };
+
+    void addSnapshot();
+
+    Core::Runtime& m_runtime;
+    std::map<std::string, Platform::Host> m_hosts;
+    std::deque<Snapshot> m_snapshots;
+};
+
+}
--- /dev/null
+++ b/Tests/StandIns/ObjectTable.cpp
@@ -0,0 +1,68 @@
+#include <StandIns/ObjectTable.h>
+
+namespace StandIns {
+
+using Platform::ObjectEvent;
+using Platform::ObjectEventKind;
+using Platform::ObjectKey;
+using Platform::StoredObject;
+
+StoredObject const* ObjectTable::find(ObjectKey const& key) const
+{
+    auto const found = m_objects.find(key);
+    return found == m_objects.end() ? nullptr : &found->second;
+}
+
+std::vector<StoredObject> ObjectTable::list(std::string const& kind) const
+{
+    std::vector<StoredObject> objects;
+    for (auto row = m_objects.lower_bound({ kind, "" }); row != m_objects.end() && row->first.kind == kind; ++row)
+        objects.push_back(row->second);
+    return objects;
+}
+
+std::uint64_t ObjectTable::put(ObjectKey const& key, std::string value)
+{
+    StoredObject object { key, ++m_version, std::move(value) };
+    m_objects[key] = object;
+    addEvent(ObjectEventKind::Put, std::move(object));
+    return m_version;
+}
+
+std::uint64_t ObjectTable::remove(ObjectKey const& key)
+{
+    auto node = m_objects.extract(key);
+    node.mapped().resourceVersion = ++m_version;
+    addEvent(ObjectEventKind::Removed, std::move(node.mapped()));
+    return m_version;
+}
+
+std::optional<std::vector<ObjectEvent>> ObjectTable::changesAfter(std::string const& kind, std::uint64_t version) const
+{
+    // A version from before a restart of the stand-in is unknown to it.
+    if (version > m_version)
+        return std::nullopt;
+    std::vector<ObjectEvent> changes;
+    auto const history = m_histories.find(kind);
+    if (history == m_histories.end())
+        return changes;
+    if (version < history->second.lastDroppedVersion)
+        return std::nullopt;
+    for (auto const& event : history->second.events) {
+        if (event.object.resourceVersion > version)
+            changes.push_back(event);
+    }
+    return changes;
+}
+
+void ObjectTable::addEvent(ObjectEventKind kind, StoredObject object)
+{
+    auto& history = m_histories[object.key.kind];
+    history.events.push_back({ kind, std::move(object) });
+    if (history.events.size() <= m_history)
+        return;
+    history.lastDroppedVersion = history.events.front().object.resourceVersion;
+    history.events.pop_front();
+}
+
+}
--- /dev/null
+++ b/Tests/StandIns/StandInProcess.cpp
@@ -0,0 +1,107 @@
+#include <StandIns/StandInProcess.h>
+
+#include <LibCore/Log.h>
+#include <boost/asio/signal_set.hpp>
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+#include <charconv>
+#include <csignal>
+#include <cstdio>
+#include <gflags/gflags.h>
+
+DEFINE_string(listen, "127.0.0.1:0", "IP number and port to listen on; port 0 lets the kernel choose");
+
+namespace StandIns {
+
+bool prepareStandIn(int argc, char** argv, std::function<void(Core::SettingChecker&)> const& checkSettings)
+{
+    std::string const name = argv[0];
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    auto faults = Core::applyEnvironmentToFlags();
+    Core::SettingChecker checker;
+    if (checkSettings)
+        checkSettings(checker);
+    faults.insert(faults.end(), checker.faults().begin(), checker.faults().end());
+    if (argc > 1)
+        faults.push_back("unexpected argument \"" + std::string(argv[1]) + "\"");
+    for (auto const& fault : faults)
+        std::fprintf(stderr, "%s\n", fault.c_str());
+    Core::configureLog(Core::LogLevel::Info, name);
+    return faults.empty();
+}
+
+void logListening(std::string_view interface, Core::Endpoint const& endpoint)
+{
+    Core::logEvent(Core::LogLevel::Info, "listening", { { "interface", interface }, { "endpoint", endpoint.toString() } });
+}
+
+void runUntilTerminated(Core::Runtime& runtime, std::function<void()> onStop)
+{
+    boost::asio::signal_set signals(runtime.context(), SIGTERM, SIGINT);
+    signals.async_wait([&onStop](boost::system::error_code error, int signal) {
+        if (error)
+            return;
+        Core::logEvent(Core::LogLevel::Info, "stopping", { { "signal", signal } });
+        onStop();
+    });
+    runtime.context().run();
+    Core::logEvent(Core::LogLevel::Info, "stopped");
+}
+
+// Watches and long polls do not end by themselves, so tests would wait for the whole drain time.
+static constexpr auto drainTime = std::chrono::milliseconds(500);
+
+static Core::Awaitable<void> drainAndStop(Core::Runtime& runtime, HTTP::Server& server)
+{
+    server.stopAccepting();
+    auto const deadline = runtime.now() + drainTime;
+    (void)co_await server.drained(deadline);
+    server.closeAll();
+    runtime.context().stop();
+}
+
+int serveUntilTerminated(Core::Runtime& runtime, std::string_view interface, HTTP::Handler handler)
+{
+    HTTP::Server server(runtime, {}, std::move(handler));
+    Core::LastReason reason;
+    auto const requested = Core::parseEndpoint(FLAGS_listen, reason);
+    auto const bound = requested ? server.listen(*requested, reason) : std::nullopt;
+    if (!bound) {
+        std::fprintf(stderr, "--listen=\"%s\": %s\n", FLAGS_listen.c_str(), reason.message.c_str());
+        return CannotListen;
+    }
+    logListening(interface, *bound);
+    runUntilTerminated(runtime, [&] { runtime.spawn(drainAndStop(runtime, server)); });
+    return Stopped;
+}
+
+HTTP::Response jsonResponse(unsigned status, boost::json::value const& value)
+{
+    return { status, { { "Content-Type", "application/json" } }, boost::json::serialize(value) };
+}
+
+HTTP::Response errorResponse(unsigned status, std::string_view message)
+{
+    return jsonResponse(status, boost::json::object { { "error", message } });
+}
+
+std::optional<boost::json::value> parseBody(HTTP::Request const& request)
+{
+    boost::json::error_code error;
+    auto value = boost::json::parse(request.body, error);
+    if (error)
+        return std::nullopt;
+    return value;
+}
+
+std::uint64_t queryNumber(HTTP::Request const& request, std::string_view name, std::uint64_t defaultValue)
+{
+    auto const text = request.queryParameter(name);
+    if (!text)
+        return defaultValue;
+    std::uint64_t number = 0;
+    auto const [end, error] = std::from_chars(text->data(), text->data() + text->size(), number);
+    return error == std::errc() && end == text->data() + text->size() ? number : defaultValue;
+}
+
+}
--- /dev/null
+++ b/Tests/Support/BlockingCall.cpp
@@ -0,0 +1,12 @@
+#include <Support/BlockingCall.h>
+
+namespace TestSupport {
+
+std::optional<HTTP::Response> blockingCall(Core::Endpoint const& endpoint, HTTP::Request request, Core::LastReason& reason, std::chrono::milliseconds bound)
+{
+    EventLoop loop;
+    HTTP::Client client(loop.runtime(), {});
+    return loop.run(client.send(endpoint, std::move(request), HTTP::ConnectionUse::Fresh, loop.runtime().now() + bound, reason));
+}
+
+}
--- /dev/null
+++ b/Tests/Support/BlockingCall.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <LibCore/Endpoint.h>
+#include <LibCore/ErrorKind.h>
+#include <LibCore/Runtime.h>
+#include <LibHTTP/Client.h>
+#include <LibHTTP/Message.h>
+#include <Support/ChildProcess.h>
+#include <functional>
+#include <optional>
+
+namespace TestSupport {
+
+/// Sends a request on a new connection and returns the whole answer, or nothing and why. Thread safe.
+[[nodiscard]] std::optional<HTTP::Response> blockingCall(Core::Endpoint const&, HTTP::Request, Core::LastReason&, std::chrono::milliseconds bound = generousBound);
+
+/// An event loop for tests that call asynchronous interfaces. Not thread safe.
+class EventLoop {
+public:
+    [[nodiscard]] Core::Runtime& runtime() { return m_runtime; }
+
+    /// The generous bound, from now.
+    [[nodiscard]] Core::MonotonicTime deadline() const { return m_runtime.now() + generousBound; }
+
+    /// Runs the loop until the task has ended, and returns its result.
+    template <typename T>
+    T run(Core::Awaitable<T> task)
+    {
+        std::optional<T> result;
+        m_runtime.spawn(store(std::move(task), result));
+        m_context.restart();
+        while (!result)
+            m_context.run_one();
+        return std::move(*result);
+    }
+
+private:
+    template <typename T>
+    static Core::Awaitable<void> store(Core::Awaitable<T> task, std::optional<T>& result)
+    {
+        result = co_await std::move(task);
+    }
+
+    boost::asio::io_context m_context;
+    Core::Runtime m_runtime { m_context };
+};
+
+}
--- /dev/null
+++ b/Tests/Support/StandInSwitches.cpp
@@ -0,0 +1,93 @@
+#include <Support/StandInSwitches.h>
+
+#include <Support/BlockingCall.h>
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+#include <boost/json/value_from.hpp>
+#include <boost/json/value_to.hpp>
+#include <stdexcept>
+
+namespace TestSupport {
+
+boost::json::value callStandIn(Core::Endpoint const& endpoint, std::string method, std::string target, boost::json::value const& body)
+{
+    auto const call = method + " " + target + " at " + endpoint.toString();
+    HTTP::Request request { std::move(method), std::move(target), {}, body.is_null() ? "" : boost::json::serialize(body) };
+    Core::LastReason reason;
+    auto const response = blockingCall(endpoint, std::move(request), reason);
+    if (!response)
+        throw std::runtime_error(call + ": " + reason.message);
+    if (response->status >= 300)
+        throw std::runtime_error(call + ": " + std::to_string(response->status) + " " + response->body);
+    return response->body.empty() ? boost::json::value() : boost::json::parse(response->body);
+}
+
+void PlatformSwitches::setFaults(PlatformFaults const& faults) const
+{
+    boost::json::object body {
+        { "slowMs", faults.slowMs },
+        { "down", faults.down },
+        { "dropWriteAnswers", faults.dropWriteAnswers },
+        { "hostListLagMs", faults.hostListLagMs },
+        { "refuseHostStarts", faults.refuseHostStarts },
+    };
+    if (faults.writesPerSecond)
+        body["writesPerSecond"] = *faults.writesPerSecond;
+    if (faults.readsPerSecond)
+        body["readsPerSecond"] = *faults.readsPerSecond;
+    if (faults.weightsBytesPerSecond)
+        body["weightsBytesPerSecond"] = *faults.weightsBytesPerSecond;
+    callStandIn(m_endpoint, "PUT", "/stand-in/faults", body);
+}
+
+void PlatformSwitches::registerHosts(std::vector<Platform::Host> const& hosts) const
+{
+    boost::json::array array;
+    for (auto const& host : hosts)
+        array.push_back(Platform::toJson(host));
+    boost::json::object const body { { "hosts", std::move(array) } };
+    callStandIn(m_endpoint, "PUT", "/stand-in/hosts", body);
+}
+
+void PlatformSwitches::removeHosts(std::vector<std::string> const& ids) const
+{
+    boost::json::object const body { { "hosts", boost::json::array {} }, { "removed", boost::json::value_from(ids) } };
+    callStandIn(m_endpoint, "PUT", "/stand-in/hosts", body);
+}
+
+std::vector<std::string> PlatformSwitches::reclaim(Reclaim const& reclaim) const
+{
+    boost::json::object const body {
+        { "hostIds", boost::json::value_from(reclaim.hostIds) },
+        { "zone", reclaim.zone },
+        { "dataCentre", reclaim.dataCentre },
+        { "noticeMs", reclaim.notice.count() },
+    };
+    auto const answer = callStandIn(m_endpoint, "POST", "/stand-in/notices", body);
+    return boost::json::value_to<std::vector<std::string>>(answer.at("hostIds"));
+}
+
+boost::json::value PlatformSwitches::record() const
+{
+    return callStandIn(m_endpoint, "GET", "/stand-in/record");
+}
+
+std::uint64_t PlatformSwitches::callCount(std::string_view kind) const
+{
+    auto const whole = record();
+    auto const* count = whole.at("calls").as_object().if_contains(kind);
+    return count ? boost::json::value_to<std::uint64_t>(*count) : 0;
+}
+
+std::vector<AcceptedWrite> PlatformSwitches::acceptedWrites() const
+{
+    auto const whole = record();
+    std::vector<AcceptedWrite> writes;
+    for (auto const& write : whole.at("writes").as_array()) {
+        writes.push_back({ boost::json::value_to<std::string>(write.at("kind")), boost::json::value_to<std::string>(write.at("name")),
+            boost::json::value_to<std::uint64_t>(write.at("version")), boost::json::value_to<std::string>(write.at("operation")) });
+    }
+    return writes;
+}
+
+}
--- /dev/null
+++ b/Tests/Support/StandInSwitches.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include <LibCore/Endpoint.h>
+#include <LibPlatform/Cloud.h>
+#include <Support/ChildProcess.h>
+#include <boost/json/value.hpp>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace TestSupport {
+
+/// Sends a JSON call to a stand-in. Throws std::runtime_error unless the answer has a status below 300.
+boost::json::value callStandIn(Core::Endpoint const&, std::string method, std::string target, boost::json::value const& body = {});
+
+/// The fault switches of the platform stand-in. A switch without a value has the default of the stand-in's flags.
+struct PlatformFaults {
+    std::uint64_t slowMs { 0 };
+    bool down { false };
+    std::uint64_t dropWriteAnswers { 0 };
+    std::uint64_t hostListLagMs { 0 };
+    bool refuseHostStarts { false };
+    std::optional<std::uint64_t> writesPerSecond;
+    std::optional<std::uint64_t> readsPerSecond;
+    std::optional<std::uint64_t> weightsBytesPerSecond;
+};
+
+/// Which hosts a reclaim takes: named ones, and all reclaimable ones of a zone or data centre.
+struct Reclaim {
+    std::vector<std::string> hostIds;
+    std::string zone;
+    std::string dataCentre;
+    std::chrono::milliseconds notice { 0 };
+};
+
+/// One write that the platform accepted.
+struct AcceptedWrite {
+    std::string kind;
+    std::string name;
+    std::uint64_t version { 0 };
+    /// "create", "update" or "remove".
+    std::string operation;
+
+    bool operator==(AcceptedWrite const&) const = default;
+};
+
+/// The switches of a running platform stand-in; calls go to it directly, not through a proxy. Each throws as callStandIn().
+class PlatformSwitches {
+public:
+    explicit PlatformSwitches(Core::Endpoint endpoint)
+        : m_endpoint(std::move(endpoint))
+    {
+    }
+
+    void setFaults(PlatformFaults const&) const;
+    void registerHosts(std::vector<Platform::Host> const&) const;
+    void removeHosts(std::vector<std::string> const& ids) const;
+
+    /// Posts notices and returns the ids of the hosts they name.
+    std::vector<std::string> reclaim(Reclaim const&) const;
+
+    /// The whole record; docs/stand-ins.md describes it.
+    [[nodiscard]] boost::json::value record() const;
+
+    /// How often a kind of call arrived, for example "update".
+    [[nodiscard]] std::uint64_t callCount(std::string_view kind) const;
+
+    [[nodiscard]] std::vector<AcceptedWrite> acceptedWrites() const;
+
+private:
+    Core::Endpoint m_endpoint;
+};
+
+}
--- /dev/null
+++ b/Tests/Support/WaitUntil.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <Support/ChildProcess.h>
+#include <chrono>
+#include <thread>
+
+namespace TestSupport {
+
+/// Polls a condition until it holds. Returns false if the bound passes first.
+template <typename Condition>
+[[nodiscard]] bool waitUntil(Condition condition, std::chrono::milliseconds bound = generousBound)
+{
+    static constexpr std::chrono::milliseconds pollInterval { 10 };
+    auto const deadline = std::chrono::steady_clock::now() + bound;
+    while (!condition()) {
+        if (std::chrono::steady_clock::now() >= deadline)
+            return false;
+        std::this_thread::sleep_for(pollInterval);
+    }
+    return true;
+}
+
+}
