LibHTTP: Fix the crash in Server::drained()

GCC 12 generated an illegal instruction for the loop of drained(), whose body was an if statement with a co_await in its condition; a stand-in died of SIGILL on SIGTERM. The result of the wait is now a variable. With the change the stand-ins exit with 0, and a test covers drained() without and with a request in progress.

--- a/Libraries/LibHTTP/Server.cpp
+++ b/Libraries/LibHTTP/Server.cpp
@@ -165,11 +165,11 @@
 
     Core::Awaitable<bool> drained(Core::MonotonicTime deadline)
     {
-        while (m_requestsInProgress > 0) {
-            if (!co_await m_progress.waitUntil(deadline))
-                co_return m_requestsInProgress == 0;
-        }
-        co_return true;
+        // GCC 12 generates an illegal instruction for this loop if its body is an if statement with the co_await as condition.
+        bool inTime = true;
+        while (m_requestsInProgress > 0 && inTime)
+            inTime = co_await m_progress.waitUntil(deadline);
+        co_return m_requestsInProgress == 0;
     }
 
     void closeAll()
--- a/Tests/LibHTTP/ClientServerTest.cpp
+++ b/Tests/LibHTTP/ClientServerTest.cpp
@@ -178,3 +178,31 @@
     EXPECT_EQ(response.status, 502u);
     EXPECT_EQ(HTTP::parseProblem(response), reason);
 }
+
+// Guards against a graceful shutdown that cuts off a request in progress, or that crashes when there is none.
+TEST_F(ClientServerTest, DrainedWaitsForRequestsInProgress)
+{
+    startServer([&](HTTP::Request const& request, HTTP::ResponseWriter& writer) -> Awaitable<void> {
+        co_await m_runtime.sleepFor(50ms);
+        co_await echo(request, writer);
+    });
+    run([](Core::Runtime& runtime, Core::Endpoint endpoint, HTTP::Client& client, HTTP::Server& server) -> Awaitable<void> {
+        bool const idle = co_await server.drained(runtime.now());
+        EXPECT_TRUE(idle);
+        std::optional<HTTP::Response> answer;
+        auto const ask = [](Core::Runtime& runtime, Core::Endpoint endpoint, HTTP::Client& client, std::optional<HTTP::Response>& answer) -> Awaitable<void> {
+            Core::LastReason reason;
+            HTTP::Request request { "POST", "/", {}, "body" };
+            answer = co_await client.send(endpoint, request, HTTP::ConnectionUse::Fresh, runtime.now() + 5s, reason);
+        };
+        runtime.spawn(ask(runtime, endpoint, client, answer));
+        while (server.requestsInProgress() == 0)
+            co_await runtime.sleepFor(1ms);
+        bool const early = co_await server.drained(runtime.now() + 5ms);
+        EXPECT_FALSE(early);
+        bool const drained = co_await server.drained(runtime.now() + 5s);
+        EXPECT_TRUE(drained);
+        co_await runtime.sleepFor(5ms);
+        EXPECT_TRUE(answer);
+    }(m_runtime, m_endpoint, m_client, *m_server));
+}
