--- /dev/null
+++ b/Tests/StandIns/EngineTokens.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include <charconv>
+#include <cstdint>
+#include <cstdio>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+#include <xxhash.h>
+
+namespace StandIns {
+
+/// The token as 16 hex digits of a hash.
+[[nodiscard]] inline std::string tokenFromHash(std::uint64_t hash)
+{
+    std::string text(16, '0');
+    std::snprintf(text.data(), text.size() + 1, "%016llx", static_cast<unsigned long long>(hash));
+    return text;
+}
+
+[[nodiscard]] inline std::string joinTokens(std::span<std::string const> tokens)
+{
+    std::string joined;
+    for (auto const& token : tokens)
+        joined.append(joined.empty() ? "" : " ").append(token);
+    return joined;
+}
+
+/// The first token of an answer: it depends on prompt, seed and attempt, as sampling does.
+[[nodiscard]] inline std::string firstToken(std::span<std::string const> prompt, std::uint64_t seed, std::string_view attemptId)
+{
+    auto const text = joinTokens(prompt) + '\n' + std::string(attemptId);
+    return tokenFromHash(XXH3_64bits_withSeed(text.data(), text.size(), seed));
+}
+
+/// The token at index > 0 follows from the token before it, and so from every token before it.
+[[nodiscard]] inline std::string followingToken(std::string_view previous, std::size_t index)
+{
+    return tokenFromHash(XXH3_64bits_withSeed(previous.data(), previous.size(), index));
+}
+
+/// Whether the tokens come from one chain, complete from the first token: no mixture of two attempts, no token missing,
+/// repeated or out of order.
+[[nodiscard]] inline bool isConsistentAnswer(std::span<std::string const> tokens)
+{
+    for (std::size_t index = 1; index < tokens.size(); ++index) {
+        if (tokens[index] != followingToken(tokens[index - 1], index))
+            return false;
+    }
+    return true;
+}
+
+/// The length of the answer to a prompt: the number in its last token of the form "length=200", else 8 to 39 tokens by the
+/// prompt's hash.
+[[nodiscard]] inline std::size_t answerLength(std::span<std::string const> prompt)
+{
+    static constexpr std::string_view marker = "length=";
+    for (auto token = prompt.rbegin(); token != prompt.rend(); ++token) {
+        std::size_t length = 0;
+        if (token->starts_with(marker) && std::from_chars(token->data() + marker.size(), token->data() + token->size(), length).ec == std::errc {})
+            return length;
+    }
+    auto const text = joinTokens(prompt);
+    return 8 + XXH3_64bits(text.data(), text.size()) % 32;
+}
+
+}
--- /dev/null
+++ b/Tests/StandIns/ListenFlags.h
@@ -0,0 +1,7 @@
+#pragma once
+
+#include <gflags/gflags_declare.h>
+
+// Flags that several stand-ins of the binary share.
+DECLARE_string(listen);
+DECLARE_int32(count);
