LibConfiguration: Add loading, validation, diff, codec and conditional apply

Nodes and operator commands need one definition of a valid desired state. The fields and their ranges are described once and drive the YAML loader, the strict JSON decoder and the encoder. decideApply() is pure; ConfigurationStore writes its result by one conditional update and resolves lost answers by the apply id.

--- /dev/null
+++ b/Libraries/LibConfiguration/ConfigurationStore.cpp
@@ -0,0 +1,119 @@
+#include <LibConfiguration/ConfigurationStore.h>
+
+#include <LibConfiguration/Codec.h>
+#include <LibConfiguration/Validate.h>
+#include <LibCore/Log.h>
+#include <algorithm>
+#include <boost/json/serialize.hpp>
+
+namespace Configuration {
+
+using namespace std::chrono_literals;
+
+// Between two attempts, doubled each time. The object API answers in milliseconds, so a first repetition soon after a lost
+// answer or a conflict is cheap; the limit keeps the load low in an outage.
+static constexpr Core::Duration firstRetryDelay = 20ms;
+static constexpr Core::Duration longestRetryDelay = 1s;
+
+Platform::ObjectKey currentStateKey()
+{
+    return { "desiredstates", "current" };
+}
+
+ConfigurationStore::ConfigurationStore(Core::Runtime& runtime, Platform::ObjectStore& store)
+    : m_runtime(runtime)
+    , m_store(store)
+{
+}
+
+Core::Awaitable<std::optional<StoredState>> ConfigurationStore::read(Core::MonotonicTime deadline, Core::LastReason& reason)
+{
+    auto const object = co_await m_store.read(currentStateKey(), deadline, reason);
+    if (!object) {
+        if (reason.kind == Core::ErrorKind::NotFound)
+            co_return StoredState {};
+        co_return std::nullopt;
+    }
+    auto state = appliedStateFromJsonText(object->value, reason);
+    if (!state) {
+        reason.message = "object desiredstates/current: " + reason.message;
+        co_return std::nullopt;
+    }
+    co_return StoredState { std::move(*state), object->resourceVersion };
+}
+
+Core::Awaitable<std::optional<ApplyDecision>> ConfigurationStore::apply(ApplyRequest request, Core::MonotonicTime deadline, Core::LastReason& reason)
+{
+    if (auto const faults = validate(request.desired); !faults.empty())
+        co_return Core::fail(reason, Core::ErrorKind::InvalidConfiguration, joinFaults(faults));
+
+    // A write whose answer was lost can still take effect until the object's version is seen to have moved on.
+    auto runState = Core::RunState::NotRun;
+    std::uint64_t pendingVersion = 0;
+    for (unsigned attempt = 1; attempt <= maximumAttempts; ++attempt) {
+        auto const current = co_await read(deadline, reason);
+        if (!current && reason.kind == Core::ErrorKind::InvalidConfiguration)
+            co_return std::nullopt;
+        if (current) {
+            auto decision = decideApply(current->state, request, std::chrono::duration_cast<std::chrono::milliseconds>(m_runtime.wallNow().time_since_epoch()).count());
+            // With the version moved on and the apply id absent, a pending write was refused or will be.
+            if (runState == Core::RunState::Unknown && current->resourceVersion != pendingVersion)
+                runState = Core::RunState::NotRun;
+            if (decision.outcome != ApplyOutcome::Accepted)
+                co_return decision;
+            bool const archived = co_await archive(decision.entriesToArchive, deadline, reason);
+            if (archived && co_await write(decision.state, current->resourceVersion, deadline, reason))
+                co_return decision;
+            if (reason.kind == Core::ErrorKind::StoreValueTooLarge)
+                co_return std::nullopt;
+            if (archived && reason.kind != Core::ErrorKind::StoreConflict && reason.runState != Core::RunState::NotRun) {
+                runState = Core::RunState::Unknown;
+                pendingVersion = current->resourceVersion;
+            }
+        }
+        if (attempt == maximumAttempts || !co_await waitBeforeRetry(attempt, deadline))
+            break;
+    }
+    co_return Core::fail(reason, Core::ErrorKind::StoreUnavailable, "the desired state could not be written in time: " + reason.message, runState);
+}
+
+Core::Awaitable<bool> ConfigurationStore::archive(std::vector<AuditEntry> entries, Core::MonotonicTime deadline, Core::LastReason& reason)
+{
+    if (entries.empty())
+        co_return true;
+    boost::json::array list;
+    for (auto const& entry : entries)
+        list.push_back(toJson(entry));
+    Platform::ObjectKey key { std::string(auditArchiveKind), archiveName(entries) };
+    auto const version = co_await m_store.create(std::move(key), boost::json::serialize(list), deadline, reason);
+    // Entries of a generation never change, so an object that exists holds the same entries: from an earlier attempt, or from
+    // another operator's apply of the same moment.
+    co_return version || reason.kind == Core::ErrorKind::StoreConflict;
+}
+
+Core::Awaitable<bool> ConfigurationStore::write(AppliedState const& state, std::uint64_t expectedVersion, Core::MonotonicTime deadline, Core::LastReason& reason)
+{
+    auto text = toJsonText(state);
+    std::optional<std::uint64_t> version;
+    if (expectedVersion == 0)
+        version = co_await m_store.create(currentStateKey(), std::move(text), deadline, reason);
+    else
+        version = co_await m_store.update(currentStateKey(), std::move(text), expectedVersion, deadline, reason);
+    if (!version) {
+        Core::logEvent(Core::LogLevel::Warning, "configuration_write_failed", { { "generation", state.generation }, { "kind", Core::answerFor(reason.kind).name }, { "run_state", Core::runStateName(reason.runState) }, { "detail", reason.message } });
+        co_return false;
+    }
+    Core::logEvent(Core::LogLevel::Info, "configuration_applied", { { "generation", state.generation }, { "by", state.audit.back().appliedBy }, { "apply_id", state.audit.back().applyId }, { "changes", static_cast<std::uint64_t>(state.audit.back().changes.size()) } });
+    co_return true;
+}
+
+Core::Awaitable<bool> ConfigurationStore::waitBeforeRetry(unsigned attempt, Core::MonotonicTime deadline)
+{
+    auto const delay = std::min<Core::Duration>(firstRetryDelay * (1U << (attempt - 1)), longestRetryDelay);
+    if (m_runtime.now() + delay >= deadline)
+        co_return false;
+    co_await m_runtime.sleepFor(delay);
+    co_return true;
+}
+
+}
--- /dev/null
+++ b/Libraries/LibConfiguration/ConfigurationStore.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include <LibConfiguration/Apply.h>
+#include <LibConfiguration/DesiredState.h>
+#include <LibCore/ErrorKind.h>
+#include <LibCore/Runtime.h>
+#include <LibPlatform/ObjectStore.h>
+#include <optional>
+
+namespace Configuration {
+
+/// The object that holds the applied state.
+[[nodiscard]] Platform::ObjectKey currentStateKey();
+
+/// The kind of the objects that hold archived audit entries, each a JSON list.
+inline constexpr std::string_view auditArchiveKind = "auditentries";
+
+/// The applied state with the version of the object that holds it.
+struct StoredState {
+    AppliedState state;
+    /// 0 if the object does not exist yet; the state then has generation 0.
+    std::uint64_t resourceVersion { 0 };
+
+    bool operator==(StoredState const&) const = default;
+};
+
+/// Reads and replaces the desired state in the object API. Used on the runtime's thread only. Runtime and store must outlive it
+/// and its calls.
+class ConfigurationStore {
+public:
+    ConfigurationStore(Core::Runtime&, Platform::ObjectStore&);
+
+    /// Reads the applied state; generation 0 if none was applied yet. StoreUnavailable, or InvalidConfiguration if the object
+    /// cannot be decoded.
+    [[nodiscard]] Core::Awaitable<std::optional<StoredState>> read(Core::MonotonicTime deadline, Core::LastReason&);
+
+    /// Replaces the desired state by one conditional update. A lost answer is resolved by reading back and looking for the apply
+    /// id; calls that fail are repeated within the deadline, at most maximumAttempts times. InvalidConfiguration if the desired
+    /// state is not valid. StoreUnavailable has RunState::NotRun if the apply cannot have taken effect, else
+    /// RunState::Unknown; the same apply (with its apply id) may then be sent again.
+    [[nodiscard]] Core::Awaitable<std::optional<ApplyDecision>> apply(ApplyRequest, Core::MonotonicTime deadline, Core::LastReason&);
+
+    /// The largest number of reads that one call makes.
+    static constexpr unsigned maximumAttempts = 8;
+
+private:
+    [[nodiscard]] Core::Awaitable<bool> archive(std::vector<AuditEntry>, Core::MonotonicTime deadline, Core::LastReason&);
+    [[nodiscard]] Core::Awaitable<bool> write(AppliedState const&, std::uint64_t expectedVersion, Core::MonotonicTime deadline, Core::LastReason&);
+    [[nodiscard]] Core::Awaitable<bool> waitBeforeRetry(unsigned attempt, Core::MonotonicTime deadline);
+
+    Core::Runtime& m_runtime;
+    Platform::ObjectStore& m_store;
+};
+
+}
--- /dev/null
+++ b/Tests/LibConfiguration/Fixtures.h
@@ -0,0 +1,129 @@
+#pragma once
+
+#include <LibConfiguration/DesiredState.h>
+#include <LibCore/Random.h>
+#include <LibPlatform/ObjectStore.h>
+#include <map>
+
+namespace ConfigurationTests {
+
+/// A valid state with one entity of each kind, sorted by name.
+inline Configuration::DesiredState exampleState()
+{
+    Configuration::DesiredState state;
+    state.services.push_back({ "advisor", Configuration::ServiceKind::Model, { { "v1", "advisor-v1", 90 }, { "v2", "advisor-v2", 10 } }, { { "orders", "advisor-orders" } }, { 440, 76 }, {}, 50, 2, 12 });
+    state.services.push_back({ "storefront", Configuration::ServiceKind::Plain, {}, {}, {}, { { "refund", "POST", "/refunds", Configuration::Idempotency::NonIdempotent }, { "lookup", "GET", "/", Configuration::Idempotency::Idempotent } }, 80, 2, 4 });
+    state.teams.push_back({ "classroom", { std::string(64, 'a') }, { "advisor", "storefront" }, { 10, 4000, 0 }, 2 });
+    state.places.push_back({ "south-1", "us-south", { { "large", "zone-a", 900000, 2400000, 1500, 8 }, { "large", "zone-b", 850000, 2400000, 1500, 8 } } });
+    return state;
+}
+
+/// How the fake store treats a call.
+enum class StoreFault {
+    None,
+    /// The call fails without effect.
+    NotExecuted,
+    /// The call takes effect and its answer is lost.
+    AnswerLost,
+    /// The answer is lost, and the call takes effect only before the next call on the store.
+    ExecutedLate,
+};
+
+/// An object store in memory with seeded faults.
+class FakeObjectStore final : public Platform::ObjectStore {
+public:
+    FakeObjectStore(Core::Runtime& runtime, std::uint64_t seed, unsigned faultPercent)
+        : m_runtime(runtime)
+        , m_random(seed)
+        , m_faultPercent(faultPercent)
+    {
+    }
+
+    Core::Awaitable<std::optional<Platform::StoredObject>> read(Platform::ObjectKey key, Core::MonotonicTime, Core::LastReason& reason) override
+    {
+        if (co_await enter() != StoreFault::None)
+            co_return Core::fail(reason, Core::ErrorKind::StoreUnavailable, "read failed");
+        auto const found = objects.find(key);
+        if (found == objects.end())
+            co_return Core::fail(reason, Core::ErrorKind::NotFound, "no such object");
+        co_return found->second;
+    }
+
+    Core::Awaitable<std::optional<std::uint64_t>> create(Platform::ObjectKey key, std::string value, Core::MonotonicTime, Core::LastReason& reason) override
+    {
+        auto const fault = co_await enter();
+        co_return write({ key, 0, std::move(value) }, fault, reason);
+    }
+
+    Core::Awaitable<std::optional<std::uint64_t>> update(Platform::ObjectKey key, std::string value, std::uint64_t expectedVersion, Core::MonotonicTime, Core::LastReason& reason) override
+    {
+        auto const fault = co_await enter();
+        co_return write({ key, expectedVersion, std::move(value) }, fault, reason);
+    }
+
+    Core::Awaitable<std::optional<Platform::ObjectList>> list(std::string, Core::MonotonicTime, Core::LastReason& reason) override { co_return Core::fail(reason, Core::ErrorKind::Internal, "not used"); }
+    Core::Awaitable<bool> remove(Platform::ObjectKey, std::uint64_t, Core::MonotonicTime, Core::LastReason&) override { co_return false; }
+    Core::Awaitable<std::optional<std::vector<Platform::ObjectEvent>>> waitForChanges(std::string, std::uint64_t, Core::MonotonicTime, Core::LastReason& reason) override { co_return Core::fail(reason, Core::ErrorKind::Internal, "not used"); }
+
+    std::map<Platform::ObjectKey, Platform::StoredObject> objects;
+    /// Faults of the next calls, before the seeded ones.
+    std::vector<StoreFault> nextFaults;
+    /// Every value that desiredstates/current had, in order.
+    std::vector<std::string> history;
+    std::size_t calls { 0 };
+
+private:
+    Core::Awaitable<StoreFault> enter()
+    {
+        ++calls;
+        // Lets other tasks run between any two calls, so that operators interleave.
+        co_await m_runtime.sleepFor(std::chrono::microseconds(m_random.below(1000)));
+        if (m_lateWrite)
+            (void)execute(*m_lateWrite);
+        m_lateWrite.reset();
+        if (!nextFaults.empty()) {
+            auto const fault = nextFaults.front();
+            nextFaults.erase(nextFaults.begin());
+            co_return fault;
+        }
+        if (m_random.below(100) >= m_faultPercent)
+            co_return StoreFault::None;
+        co_return static_cast<StoreFault>(1 + m_random.below(3));
+    }
+
+    std::optional<std::uint64_t> execute(Platform::StoredObject object)
+    {
+        auto const found = objects.find(object.key);
+        auto const version = found == objects.end() ? 0 : found->second.resourceVersion;
+        if (version != object.resourceVersion)
+            return std::nullopt;
+        object.resourceVersion = ++m_version;
+        if (object.key.kind == "desiredstates")
+            history.push_back(object.value);
+        objects[object.key] = object;
+        return m_version;
+    }
+
+    std::optional<std::uint64_t> write(Platform::StoredObject const& object, StoreFault fault, Core::LastReason& reason)
+    {
+        if (object.value.size() > Platform::maximumValueBytes)
+            return Core::fail(reason, Core::ErrorKind::StoreValueTooLarge, "too large");
+        if (fault == StoreFault::NotExecuted)
+            return Core::fail(reason, Core::ErrorKind::StoreUnavailable, "outage");
+        if (fault == StoreFault::ExecutedLate)
+            m_lateWrite = object;
+        else if (auto const version = execute(object); !version)
+            return Core::fail(reason, Core::ErrorKind::StoreConflict, "the object changed");
+        else if (fault == StoreFault::None)
+            return version;
+        return Core::fail(reason, Core::ErrorKind::StoreUnavailable, "the answer was lost", Core::RunState::Unknown);
+    }
+
+    Core::Runtime& m_runtime;
+    Core::Random m_random;
+    unsigned m_faultPercent;
+    std::uint64_t m_version { 0 };
+    std::optional<Platform::StoredObject> m_lateWrite;
+};
+
+}
