--- a/Libraries/LibHTTP/Server.cpp
+++ b/Libraries/LibHTTP/Server.cpp
@@ -228,8 +228,11 @@
         parser.header_limit(static_cast<std::uint32_t>(m_limits.maximumHeaderBytes));
         parser.body_limit(m_limits.maximumBodyBytes);
 
-        if (connection.buffer.size() == 0 && !co_await waitForRequest(connection))
-            co_return false;
+        if (connection.buffer.size() == 0) {
+            bool const requestBegan = co_await waitForRequest(connection);
+            if (!requestBegan)
+                co_return false;
+        }
         connection.state = ConnectionState::Busy;
         bool timedOut = false;
         boost::system::error_code error;
@@ -304,7 +307,8 @@
         BeastResponseWriter writer(connection, 11, "GET");
         writer.setKeepAlive(false);
         auto response = problemResponse(*reason);
-        if (!co_await writer.send(std::move(response)))
+        bool const sent = co_await writer.send(std::move(response));
+        if (!sent)
             co_return;
         co_await lingeringClose(connection);
     }
--- a/Libraries/LibStream/StreamReplicator.cpp
+++ b/Libraries/LibStream/StreamReplicator.cpp
@@ -70,7 +70,8 @@
         if (stream->replicatedRecord || stream->replicaNodeId.empty())
             co_return true;
         auto const changed = stream->changed;
-        if (!co_await changed->waitUntil(deadline)) {
+        bool const changedInTime = co_await changed->waitUntil(deadline);
+        if (!changedInTime) {
             Core::fail(reason, ErrorKind::DeadlineExceeded, "the request was not recorded before its deadline");
             co_return false;
         }
--- a/Libraries/LibStream/StreamTable.cpp
+++ b/Libraries/LibStream/StreamTable.cpp
@@ -126,6 +126,12 @@
     return found == m_streams.end() ? nullptr : found->second.get();
 }
 
+Stream const* StreamTable::find(std::string_view requestId) const
+{
+    auto const found = m_streams.find(requestId);
+    return found == m_streams.end() ? nullptr : found->second.get();
+}
+
 Stream& StreamTable::insert(Stream stream)
 {
     stream.changed = std::make_shared<Core::AsyncEvent>(m_runtime);
--- a/Libraries/LibStream/StreamTable.h
+++ b/Libraries/LibStream/StreamTable.h
@@ -86,6 +86,7 @@
 
     /// Null if the node does not know the stream. The pointer is valid until the stream is dropped by expire().
     [[nodiscard]] Stream* find(std::string_view requestId);
+    [[nodiscard]] Stream const* find(std::string_view requestId) const;
 
     /// Adds a stream that this node serves. Overloaded if the table is full. Precondition: the id is not in the table.
     [[nodiscard]] Stream* add(Stream, Core::LastReason&);
--- /dev/null
+++ b/Services/Node/EngineClient.h
@@ -0,0 +1,83 @@
+#pragma once
+
+#include <LibCore/Runtime.h>
+#include <LibHTTP/Client.h>
+#include <LibHTTP/ServerSentEvents.h>
+#include <Node/ModelRequest.h>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace Node {
+
+/// One attempt to generate (the rest of) an answer at a model engine.
+struct CompletionCall {
+    std::string requestId;
+    std::string attemptId;
+    std::vector<std::string> generatedTokens;
+    std::uint32_t priority { 0 };
+    /// From an import of exported state; empty for none.
+    std::string stateHandle;
+
+    bool operator==(CompletionCall const&) const = default;
+};
+
+/// The last event of a completion.
+struct CompletionEnd {
+    std::string finishReason;
+    std::uint32_t cachedTokens { 0 };
+    std::uint32_t prefilledTokens { 0 };
+
+    bool operator==(CompletionEnd const&) const = default;
+};
+
+/// What one read of a completion brought.
+struct CompletionProgress {
+    std::vector<std::string> tokens;
+    std::optional<CompletionEnd> end;
+
+    bool operator==(CompletionProgress const&) const = default;
+};
+
+/// The events of one completion, checked: those of another attempt, out of order or malformed end it with
+/// BackendAnswerInvalid, repeated ones are skipped. Destroying it cancels the completion at the engine. Not thread safe.
+class CompletionStream {
+public:
+    CompletionStream(std::unique_ptr<HTTP::ResponseStream>, std::string attemptId, std::uint64_t firstIndex);
+
+    /// Waits for the next tokens or the end.
+    [[nodiscard]] Core::Awaitable<std::optional<CompletionProgress>> read(Core::MonotonicTime deadline, Core::LastReason&);
+
+private:
+    [[nodiscard]] bool addEvent(std::string const& data, CompletionProgress&, Core::LastReason&);
+
+    std::unique_ptr<HTTP::ResponseStream> m_response;
+    HTTP::ServerSentEventParser m_parser;
+    std::string m_attemptId;
+    std::uint64_t m_nextIndex;
+};
+
+/// Calls of the model engines' interface (docs/protocols.md). Used from the runtime's thread only.
+class EngineClient {
+public:
+    /// Precondition: the client outlives this object.
+    explicit EngineClient(HTTP::Client&);
+
+    /// Starts a completion. Overloaded (NotRun) if the engine takes no new work; else as HTTP::Client.
+    [[nodiscard]] Core::Awaitable<std::unique_ptr<CompletionStream>> complete(Core::Endpoint, ModelRequest, CompletionCall, Core::MonotonicTime deadline, Core::LastReason&);
+
+    /// Exports the attention state of a running attempt.
+    [[nodiscard]] Core::Awaitable<std::optional<std::string>> exportState(Core::Endpoint, std::string attemptId, Core::MonotonicTime deadline, Core::LastReason&);
+
+    /// Imports exported state and returns its handle for CompletionCall.
+    [[nodiscard]] Core::Awaitable<std::optional<std::string>> importState(Core::Endpoint, std::string state, Core::MonotonicTime deadline, Core::LastReason&);
+
+    [[nodiscard]] Core::Awaitable<bool> setPriority(Core::Endpoint, std::string attemptId, std::uint32_t priority, Core::MonotonicTime deadline, Core::LastReason&);
+
+private:
+    HTTP::Client& m_client;
+};
+
+}
--- /dev/null
+++ b/Services/Node/Gateway.cpp
@@ -0,0 +1,444 @@
+#include <Node/Gateway.h>
+
+#include <LibCore/Log.h>
+#include <LibHTTP/Problem.h>
+#include <LibHTTP/ServerSentEvents.h>
+#include <LibRouting/ServerChoice.h>
+#include <boost/json/parse.hpp>
+#include <charconv>
+#include <cstdio>
+#include <xxhash.h>
+
+namespace Node {
+
+using Core::ErrorKind;
+using Core::RunState;
+using namespace std::chrono_literals;
+
+static constexpr std::string_view servicesPrefix = "/services/";
+static constexpr std::string_view requestsPrefix = "/v1/requests/";
+static constexpr auto defaultTimeout = 300s;
+static constexpr std::int64_t longestTimeoutMilliseconds = 3'600'000;
+
+Gateway::Gateway(Dependencies node)
+    : m_node(std::move(node))
+{
+}
+
+Core::Awaitable<void> Gateway::refuse(HTTP::ResponseWriter& writer, Core::LastReason reason, std::string requestId)
+{
+    m_node.metrics.counter("hyssopstep_refused_total", { { "kind", std::string(Core::answerFor(reason.kind).name) }, { "run_state", std::string(Core::runStateName(reason.runState)) } }).add();
+    Core::logEvent(Core::LogLevel::Info, "request_refused", { { "request_id", requestId }, { "kind", Core::answerFor(reason.kind).name }, { "run_state", Core::runStateName(reason.runState) }, { "detail", reason.message } });
+    auto response = HTTP::problemResponse(reason, requestId);
+    auto const sent = co_await writer.send(std::move(response));
+    if (!sent)
+        Core::logEvent(Core::LogLevel::Debug, "client_gone", { { "request_id", requestId } });
+}
+
+Core::Awaitable<void> Gateway::handle(HTTP::Request const& request, HTTP::ResponseWriter& writer)
+{
+    auto const path = request.path();
+    if (path.starts_with(servicesPrefix)) {
+        co_await serveService(request, writer);
+        co_return;
+    }
+    Core::LastReason reason;
+    bool const isContinuation = path.starts_with(requestsPrefix);
+    bool const isChat = path == "/v1/chat/completions";
+    if (!isContinuation && !isChat && path != "/v1/completions") {
+        Core::fail(reason, ErrorKind::NotFound, "there is no " + std::string(path));
+        co_await refuse(writer, reason, "");
+        co_return;
+    }
+    if (request.method != (isContinuation ? "GET" : "POST")) {
+        Core::fail(reason, ErrorKind::MethodNotAllowed, request.method + " is not allowed on " + std::string(path));
+        co_await refuse(writer, reason, "");
+        co_return;
+    }
+    if (isContinuation)
+        co_await continueRequest(request, writer);
+    else
+        co_await serveModel(isChat ? ModelInterface::Chat : ModelInterface::Completion, request, writer);
+}
+
+bool Gateway::checkReady(Core::LastReason& reason) const
+{
+    if (m_node.tables.phase == NodePhase::Serving)
+        return true;
+    if (m_node.tables.phase == NodePhase::Starting)
+        Core::fail(reason, ErrorKind::NotReady, "the node has no configuration yet");
+    else
+        Core::fail(reason, ErrorKind::Draining, "the node is shutting down");
+    return false;
+}
+
+static std::optional<std::string_view> bearerKey(HTTP::Request const& request)
+{
+    static constexpr std::string_view scheme = "Bearer ";
+    auto const header = request.headers.find("Authorization");
+    if (!header || !header->starts_with(scheme))
+        return std::nullopt;
+    return header->substr(scheme.size());
+}
+
+static std::optional<std::chrono::milliseconds> timeoutOf(HTTP::Request const& request, Core::LastReason& reason)
+{
+    auto const header = request.headers.find("Hyssopstep-Deadline-Ms");
+    if (!header)
+        return defaultTimeout;
+    std::int64_t value = 0;
+    auto const parsed = std::from_chars(header->data(), header->data() + header->size(), value);
+    if (parsed.ec != std::errc {} || parsed.ptr != header->data() + header->size() || value < 1 || value > longestTimeoutMilliseconds)
+        return Core::fail(reason, ErrorKind::InvalidRequest, "Hyssopstep-Deadline-Ms must be 1 to " + std::to_string(longestTimeoutMilliseconds) + " milliseconds");
+    return std::chrono::milliseconds(value);
+}
+
+std::optional<Gateway::Admission> Gateway::authenticate(HTTP::Request const& request, std::string_view service, Core::LastReason& reason) const
+{
+    auto const key = bearerKey(request);
+    if (!key)
+        return Core::fail(reason, ErrorKind::Unauthorized, "an Authorization header with a bearer key is required");
+    Admission admission;
+    admission.team = Configuration::findTeamByKey(m_node.tables.configuration.desired, *key);
+    if (!admission.team)
+        return Core::fail(reason, ErrorKind::Unauthorized, "the key belongs to no team");
+    auto const& services = admission.team->services;
+    if (!service.empty() && std::find(services.begin(), services.end(), service) == services.end())
+        return Core::fail(reason, ErrorKind::Forbidden, "team " + admission.team->name + " may not use service " + std::string(service));
+    auto const timeout = timeoutOf(request, reason);
+    if (!timeout)
+        return std::nullopt;
+    admission.timeout = *timeout;
+    admission.deadline = m_node.runtime.now() + *timeout;
+    return admission;
+}
+
+// A client that repeats a request with the same Idempotency-Key gets the same request, on any node.
+std::string Gateway::requestIdFor(HTTP::Request const& request, std::string const& team)
+{
+    auto const key = request.headers.find("Idempotency-Key");
+    char buffer[40];
+    if (key) {
+        auto const text = team + '\n' + std::string(*key);
+        auto const hash = XXH3_128bits(text.data(), text.size());
+        std::snprintf(buffer, sizeof(buffer), "k%016llx%016llx", static_cast<unsigned long long>(hash.high64), static_cast<unsigned long long>(hash.low64));
+    } else {
+        std::snprintf(buffer, sizeof(buffer), "r%016llx%016llx", static_cast<unsigned long long>(m_node.random.bits()), static_cast<unsigned long long>(m_node.random.bits()));
+    }
+    return buffer;
+}
+
+static Limits::TeamLimit limitOf(Configuration::Team const& team)
+{
+    return { static_cast<double>(team.limits.requestsPerSecond), static_cast<double>(team.limits.tokensPerSecond), team.limits.concurrentRequests };
+}
+
+bool Gateway::checkDeadline(ModelRequest const& model, Admission const& admission, std::uint32_t expectedTokens, Core::LastReason& reason) const
+{
+    Routing::RoutingRequest routing;
+    routing.service = model.service;
+    routing.dataCentre = m_node.dataCentre;
+    routing.promptTokens = static_cast<std::uint32_t>(model.promptTokens.size());
+    routing.expectedTokens = expectedTokens;
+    auto const wait = Routing::shortestPredictedWait(m_node.tables.servers, routing, m_node.runtime.now());
+    if (!wait) {
+        Core::fail(reason, ErrorKind::NoServerAvailable, "no backend server of service " + model.service + " takes new work");
+        return false;
+    }
+    auto const waitMilliseconds = std::chrono::milliseconds(static_cast<std::int64_t>(*wait * 1000));
+    if (waitMilliseconds < admission.timeout)
+        return true;
+    Core::fail(reason, ErrorKind::DeadlineTooShort, "the request would wait " + std::to_string(waitMilliseconds.count()) + " ms");
+    reason.retryAfter = waitMilliseconds - admission.timeout;
+    return false;
+}
+
+Core::Awaitable<void> Gateway::serveModel(ModelInterface interface, HTTP::Request const& request, HTTP::ResponseWriter& writer)
+{
+    Core::LastReason reason;
+    if (!checkReady(reason)) {
+        co_await refuse(writer, reason, "");
+        co_return;
+    }
+    auto model = parseModelRequest(interface, request.body, reason);
+    if (!model) {
+        co_await refuse(writer, reason, "");
+        co_return;
+    }
+    auto admission = authenticate(request, model->service, reason);
+    if (!admission) {
+        co_await refuse(writer, reason, "");
+        co_return;
+    }
+    auto const requestId = requestIdFor(request, admission->team->name);
+    admission->requestId = requestId;
+    auto const* service = Configuration::findService(m_node.tables.configuration.desired, model->service);
+    if (!service || service->kind != Configuration::ServiceKind::Model) {
+        Core::fail(reason, ErrorKind::NotFound, "there is no model " + model->service);
+        co_await refuse(writer, reason, requestId);
+        co_return;
+    }
+    auto const deadlineWall = m_node.runtime.wallNow() + admission->timeout;
+    model->deadlineMilliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(deadlineWall.time_since_epoch()).count();
+    bool const accepted = co_await acceptModel(*model, *admission, reason);
+    if (!accepted) {
+        co_await refuse(writer, reason, requestId);
+        co_return;
+    }
+    co_await respond(requestId, model->form, 0, writer);
+}
+
+Core::Awaitable<bool> Gateway::acceptModel(ModelRequest const& model, Admission const& admission, Core::LastReason& reason)
+{
+    auto const now = m_node.runtime.now();
+    auto const team = admission.team->name;
+    auto const limit = limitOf(*admission.team);
+    bool const isRepeatable = admission.requestId.starts_with('k');
+    if (isRepeatable) {
+        // A request with a key may be known here or elsewhere; it is then continued instead of run again.
+        Core::LastReason findReason;
+        bool const known = co_await m_node.takeOver.bringHere(admission.requestId, SearchScope::Probable, admission.deadline, findReason);
+        if (known)
+            co_return true;
+    }
+    auto const fingerprint = ModelRunner::fingerprintOf(model);
+    if (Limits::isQuarantined(m_node.tables.quarantine, fingerprint, now) || m_node.isQuarantinedByPeers(fingerprint)) {
+        Core::fail(reason, ErrorKind::RequestQuarantined, "the request crashed several backend servers");
+        co_return false;
+    }
+    Routing::LengthHint const hint { team, model.service, static_cast<std::uint32_t>(model.promptTokens.size()), model.maximumTokens };
+    auto const expectedTokens = m_node.tables.lengths.estimate(hint);
+    if (!checkDeadline(model, admission, expectedTokens, reason))
+        co_return false;
+    Limits::recordDemand(m_node.tables.teamLimits, team, now);
+    if (!Limits::admit(m_node.tables.teamLimits, team, limit, m_node.share(team), expectedTokens, now, reason))
+        co_return false;
+
+    Stream::Stream stream;
+    stream.requestId = admission.requestId;
+    stream.originNodeId = m_node.nodeId;
+    stream.team = team;
+    stream.service = model.service;
+    stream.requestJson = encodeModelRequest(model);
+    auto* added = m_node.streams.add(std::move(stream), reason);
+    if (!added) {
+        Limits::release(m_node.tables.teamLimits, team, expectedTokens, 0);
+        co_return false;
+    }
+    m_node.replicator.start(*added);
+    auto const release = [](Gateway& gateway, std::string id, std::string teamName, std::uint32_t expected) -> Core::Awaitable<void> {
+        while (auto const* current = gateway.m_node.streams.find(id)) {
+            if (current->phase != Stream::StreamPhase::Running || current->role != Stream::StreamRole::Serving) {
+                Limits::release(gateway.m_node.tables.teamLimits, teamName, expected, static_cast<std::uint32_t>(current->tokens.size()));
+                co_return;
+            }
+            auto const changed = current->changed;
+            (void)co_await changed->waitUntil(gateway.m_node.runtime.now() + 60s);
+        }
+        Limits::release(gateway.m_node.tables.teamLimits, teamName, expected, 0);
+    };
+    m_node.runtime.spawn(release(*this, admission.requestId, team, expectedTokens));
+    bool const recorded = co_await m_node.replicator.waitUntilRecorded(admission.requestId, admission.deadline, reason);
+    if (!recorded) {
+        if (auto* current = m_node.streams.find(admission.requestId))
+            m_node.streams.fail(*current, reason);
+        co_return false;
+    }
+    m_node.metrics.counter("hyssopstep_accepted_total", { { "service", model.service }, { "team", team } }).add();
+    Core::logEvent(Core::LogLevel::Info, "request_accepted", { { "request_id", admission.requestId }, { "team", team }, { "service", model.service }, { "prompt_tokens", model.promptTokens.size() }, { "expected_tokens", expectedTokens } });
+    m_node.runner.start(admission.requestId);
+    co_return true;
+}
+
+Core::Awaitable<void> Gateway::continueRequest(HTTP::Request const& request, HTTP::ResponseWriter& writer)
+{
+    Core::LastReason reason;
+    auto const requestId = std::string(request.path().substr(requestsPrefix.size()));
+    auto const admission = authenticate(request, "", reason);
+    if (m_node.tables.phase == NodePhase::Starting) {
+        (void)checkReady(reason);
+        co_await refuse(writer, reason, requestId);
+        co_return;
+    }
+    if (!admission) {
+        co_await refuse(writer, reason, requestId);
+        co_return;
+    }
+    auto const team = admission->team->name;
+    bool const here = co_await m_node.takeOver.bringHere(requestId, SearchScope::All, admission->deadline, reason);
+    auto const* stream = m_node.streams.find(requestId);
+    if (!here || !stream) {
+        co_await refuse(writer, reason, requestId);
+        co_return;
+    }
+    if (stream->team != team) {
+        // Says the same as for an unknown request, so that ids cannot be probed.
+        Core::fail(reason, ErrorKind::StreamNotFound, "no node knows request " + requestId, RunState::Unknown);
+        co_await refuse(writer, reason, requestId);
+        co_return;
+    }
+    std::uint64_t from = 0;
+    if (auto const position = request.queryParameter("from"); position && !position->empty()) {
+        auto const count = Stream::countAtPosition(stream->tokens, *position, reason);
+        if (!count) {
+            co_await refuse(writer, reason, requestId);
+            co_return;
+        }
+        from = *count;
+    }
+    auto const model = decodeModelRequest(stream->requestJson);
+    auto const form = model ? model->form : ResponseForm::Whole;
+    co_await respond(requestId, form, from, writer);
+}
+
+Core::Awaitable<void> Gateway::respond(std::string requestId, ResponseForm form, std::uint64_t from, HTTP::ResponseWriter& writer)
+{
+    auto const* stream = m_node.streams.find(requestId);
+    auto model = stream ? decodeModelRequest(stream->requestJson) : std::nullopt;
+    if (!model) {
+        Core::LastReason reason;
+        Core::fail(reason, ErrorKind::Internal, "the recorded request cannot be read", RunState::Unknown);
+        co_await refuse(writer, reason, requestId);
+        co_return;
+    }
+    if (form == ResponseForm::Streamed)
+        co_await streamResponse(requestId, std::move(*model), from, writer);
+    else
+        co_await wholeResponse(requestId, std::move(*model), writer);
+}
+
+static bool isServedOrComplete(Stream::Stream const& stream)
+{
+    if (stream.role == Stream::StreamRole::Serving)
+        return true;
+    return stream.role == Stream::StreamRole::Replica && stream.phase != Stream::StreamPhase::Running;
+}
+
+// Returning without finish() closes the connection; the client then continues at another node.
+Core::Awaitable<void> Gateway::streamResponse(std::string requestId, ModelRequest model, std::uint64_t from, HTTP::ResponseWriter& writer)
+{
+    HTTP::Headers const headers { { "Content-Type", "text/event-stream" }, { "Cache-Control", "no-cache" }, { "Hyssopstep-Request-Id", requestId } };
+    static constexpr unsigned ok = 200;
+    bool open = co_await writer.begin(ok, headers);
+    auto sent = from;
+    while (open) {
+        auto const* stream = m_node.streams.find(requestId);
+        if (!stream || !isServedOrComplete(*stream))
+            co_return;
+        std::string events;
+        for (auto const visible = Stream::visibleTokens(*stream); sent < visible; ++sent)
+            events += HTTP::formatEvent({ Stream::positionAfter(stream->tokens, sent + 1), tokenEventData(model, requestId, stream->tokens[sent]) });
+        bool const atEnd = sent == stream->tokens.size() && Stream::endIsVisible(*stream);
+        if (atEnd && stream->phase == Stream::StreamPhase::Failed) {
+            events += HTTP::formatEvent({ "", HTTP::problemResponse(stream->failure, requestId).body });
+        } else if (atEnd) {
+            events += HTTP::formatEvent({ "", finishEventData(model, requestId, stream->finishReason) });
+            events += HTTP::formatEvent({ "", "[DONE]" });
+        }
+        auto const changed = stream->changed;
+        if (!events.empty()) {
+            open = co_await writer.write(std::move(events));
+            if (atEnd && open)
+                (void)co_await writer.finish();
+            if (atEnd)
+                co_return;
+            // The stream may have changed while the events were written.
+            continue;
+        }
+        (void)co_await changed->waitUntil(m_node.runtime.now() + 60s);
+    }
+}
+
+Core::Awaitable<void> Gateway::wholeResponse(std::string requestId, ModelRequest model, HTTP::ResponseWriter& writer)
+{
+    while (true) {
+        auto const* stream = m_node.streams.find(requestId);
+        if (!stream || !isServedOrComplete(*stream)) {
+            Core::LastReason reason;
+            Core::fail(reason, ErrorKind::StreamTakenOver, "GET " + std::string(requestsPrefix) + requestId + " gives the response", RunState::Unknown);
+            co_await refuse(writer, reason, requestId);
+            co_return;
+        }
+        if (Stream::endIsVisible(*stream)) {
+            if (stream->phase == Stream::StreamPhase::Failed) {
+                co_await refuse(writer, stream->failure, requestId);
+                co_return;
+            }
+            HTTP::Response response;
+            response.headers.add("Content-Type", "application/json");
+            response.headers.add("Hyssopstep-Request-Id", requestId);
+            response.body = wholeResponseBody(model, requestId, stream->tokens, stream->finishReason);
+            (void)co_await writer.send(std::move(response));
+            co_return;
+        }
+        auto const changed = stream->changed;
+        (void)co_await changed->waitUntil(m_node.runtime.now() + 60s);
+    }
+}
+
+// The headers that a back end needs and that do not belong to the connection or to this system.
+static HTTP::Headers forwardedHeaders(HTTP::Headers const& headers)
+{
+    HTTP::Headers forwarded;
+    for (auto const* name : { "Content-Type", "Accept", "Accept-Language", "User-Agent" }) {
+        if (auto const value = headers.find(name))
+            forwarded.add(name, std::string(*value));
+    }
+    return forwarded;
+}
+
+Core::Awaitable<void> Gateway::serveService(HTTP::Request const& request, HTTP::ResponseWriter& writer)
+{
+    Core::LastReason reason;
+    auto const rest = request.target.substr(servicesPrefix.size());
+    auto const serviceName = rest.substr(0, rest.find_first_of("/?"));
+    auto admission = checkReady(reason) ? authenticate(request, serviceName, reason) : std::nullopt;
+    if (!admission) {
+        co_await refuse(writer, reason, "");
+        co_return;
+    }
+    ServiceCall call;
+    call.requestId = requestIdFor(request, admission->team->name);
+    call.team = admission->team->name;
+    call.service = serviceName;
+    call.deadline = admission->deadline;
+    call.request.method = request.method;
+    call.request.target = rest.size() > serviceName.size() && rest[serviceName.size()] == '/' ? rest.substr(serviceName.size()) : "/" + rest.substr(serviceName.size());
+    call.request.headers = forwardedHeaders(request.headers);
+    call.request.body = request.body;
+    call.idempotencyKey = std::string(request.headers.find("Idempotency-Key").value_or(""));
+    auto const requestId = call.requestId;
+
+    auto const* service = Configuration::findService(m_node.tables.configuration.desired, serviceName);
+    auto const* operation = service ? Configuration::findOperation(*service, request.method, call.request.path()) : nullptr;
+    if (!operation) {
+        Core::fail(reason, ErrorKind::NotFound, "service " + serviceName + " has no operation " + request.method + " " + std::string(call.request.path()));
+        co_await refuse(writer, reason, requestId);
+        co_return;
+    }
+    call.idempotency = operation->idempotency;
+    auto const now = m_node.runtime.now();
+    auto const team = call.team;
+    Limits::recordDemand(m_node.tables.teamLimits, team, now);
+    if (!Limits::admit(m_node.tables.teamLimits, team, limitOf(*admission->team), m_node.share(team), 0, now, reason)) {
+        co_await refuse(writer, reason, requestId);
+        co_return;
+    }
+    auto response = co_await m_node.services.call(std::move(call), reason);
+    Limits::release(m_node.tables.teamLimits, team, 0, 0);
+    if (!response) {
+        co_await refuse(writer, reason, requestId);
+        co_return;
+    }
+    m_node.metrics.counter("hyssopstep_service_calls_total", { { "service", serviceName }, { "team", team } }).add();
+    HTTP::Response answer;
+    answer.status = response->status;
+    answer.headers.add("Content-Type", std::string(response->headers.find("Content-Type").value_or("application/octet-stream")));
+    answer.headers.add("Hyssopstep-Request-Id", requestId);
+    if (auto const replayed = response->headers.find("Hyssopstep-Replayed"))
+        answer.headers.add("Hyssopstep-Replayed", std::string(*replayed));
+    answer.body = std::move(response->body);
+    (void)co_await writer.send(std::move(answer));
+}
+
+}
--- /dev/null
+++ b/Services/Node/Gateway.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include <LibCore/Metrics.h>
+#include <LibCore/Random.h>
+#include <LibHTTP/Server.h>
+#include <LibStream/StreamReplicator.h>
+#include <Node/ModelRunner.h>
+#include <Node/NodeTables.h>
+#include <Node/ServiceProxy.h>
+#include <Node/StreamTakeOver.h>
+#include <functional>
+
+namespace Node {
+
+/// This node's share of a team's limit; from the node table and the peers' usage.
+using ShareSource = std::function<double(std::string const& team)>;
+
+/// The HTTP handler of the client port: authentication, admission, and the responses to clients (docs/clients.md). Used from
+/// the runtime's thread only.
+class Gateway {
+public:
+    struct Dependencies {
+        Core::Runtime& runtime;
+        NodeTables& tables;
+        Stream::StreamTable& streams;
+        Stream::StreamReplicator& replicator;
+        StreamTakeOver& takeOver;
+        ModelRunner& runner;
+        ServiceProxy& services;
+        DecisionLog& decisions;
+        Core::Random& random;
+        Core::Metrics& metrics;
+        ShareSource share;
+        std::function<bool(Limits::RequestFingerprint)> isQuarantinedByPeers;
+        std::string nodeId;
+        std::string dataCentre;
+    };
+
+    /// Precondition: all references outlive the gateway, which outlives the server that calls it.
+    explicit Gateway(Dependencies);
+
+    [[nodiscard]] Core::Awaitable<void> handle(HTTP::Request const&, HTTP::ResponseWriter&);
+
+private:
+    /// A request that passed the checks common to all client calls.
+    struct Admission {
+        std::string requestId;
+        Configuration::Team const* team { nullptr };
+        Core::MonotonicTime deadline;
+        std::chrono::milliseconds timeout {};
+    };
+
+    [[nodiscard]] Core::Awaitable<void> serveModel(ModelInterface, HTTP::Request const&, HTTP::ResponseWriter&);
+    [[nodiscard]] Core::Awaitable<void> serveService(HTTP::Request const&, HTTP::ResponseWriter&);
+    [[nodiscard]] Core::Awaitable<void> continueRequest(HTTP::Request const&, HTTP::ResponseWriter&);
+    [[nodiscard]] Core::Awaitable<bool> acceptModel(ModelRequest const&, Admission const&, Core::LastReason&);
+    [[nodiscard]] Core::Awaitable<void> respond(std::string requestId, ResponseForm, std::uint64_t from, HTTP::ResponseWriter&);
+    [[nodiscard]] Core::Awaitable<void> streamResponse(std::string requestId, ModelRequest, std::uint64_t from, HTTP::ResponseWriter&);
+    [[nodiscard]] Core::Awaitable<void> wholeResponse(std::string requestId, ModelRequest, HTTP::ResponseWriter&);
+    [[nodiscard]] Core::Awaitable<void> refuse(HTTP::ResponseWriter&, Core::LastReason, std::string requestId);
+    [[nodiscard]] std::optional<Admission> authenticate(HTTP::Request const&, std::string_view service, Core::LastReason&) const;
+    [[nodiscard]] bool checkReady(Core::LastReason&) const;
+    [[nodiscard]] bool checkDeadline(ModelRequest const&, Admission const&, std::uint32_t expectedTokens, Core::LastReason&) const;
+    [[nodiscard]] std::string requestIdFor(HTTP::Request const&, std::string const& team);
+
+    Dependencies m_node;
+};
+
+}
--- a/Services/Node/ModelRequest.cpp
+++ b/Services/Node/ModelRequest.cpp
@@ -4,6 +4,8 @@
 #include <array>
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
+#include <boost/json/stream_parser.hpp>
+#include <limits>
 
 namespace Node {
 
--- /dev/null
+++ b/Services/Node/ModelRunner.h
@@ -0,0 +1,83 @@
+#pragma once
+
+#include <LibCore/Metrics.h>
+#include <LibCore/Random.h>
+#include <LibCore/Runtime.h>
+#include <LibRouting/ServerChoice.h>
+#include <LibStream/StreamReplicator.h>
+#include <Node/DecisionLog.h>
+#include <Node/EngineClient.h>
+#include <Node/NodeTables.h>
+#include <functional>
+
+namespace Node {
+
+struct ModelRunnerSettings {
+    std::string nodeId;
+    std::string dataCentre;
+    Routing::RoutingPolicy policy { Routing::RoutingPolicy::PredictedTime };
+    /// An engine that sends nothing for this long is given up for this request.
+    Core::Duration stallTimeout { std::chrono::seconds(5) };
+    /// Between two tries when no server takes the request.
+    Core::Duration retryDelay { std::chrono::milliseconds(100) };
+    /// Of one export or import of attention state.
+    Core::Duration stateCallTimeout { std::chrono::milliseconds(500) };
+};
+
+/// Generates the answers of the streams that this node serves, at as many engines in turn as it takes. Used from the runtime's
+/// thread only.
+class ModelRunner {
+public:
+    /// Precondition: all references outlive the runner, which outlives its tasks on the runtime.
+    ModelRunner(Core::Runtime&, EngineClient&, NodeTables&, Stream::StreamTable&, Stream::StreamReplicator&, DecisionLog&, Core::Random&, Core::Metrics&, ModelRunnerSettings);
+
+    /// Starts to generate (the rest of) the answer of a stream that this node serves.
+    void start(std::string requestId);
+
+    /// Called for each request that was found to crash backend servers.
+    void onQuarantined(std::function<void(Limits::RequestFingerprint)> listener) { m_onQuarantined = std::move(listener); }
+
+    /// The fingerprint by which a request is quarantined. Thread safe.
+    [[nodiscard]] static Limits::RequestFingerprint fingerprintOf(ModelRequest const&);
+
+private:
+    enum class AttemptOutcome {
+        /// The stream finished, failed or continues at another node.
+        Ended,
+        /// The server is leaving or slow; the rest is generated elsewhere.
+        Moved,
+        /// The server took no new work.
+        Refused,
+        Broken,
+    };
+    struct Attempt;
+
+    [[nodiscard]] Core::Awaitable<void> run(std::string requestId);
+    [[nodiscard]] Core::Awaitable<AttemptOutcome> runAttempt(Attempt&);
+    [[nodiscard]] Core::Awaitable<AttemptOutcome> readCompletion(Attempt&, CompletionStream&);
+    [[nodiscard]] Core::Awaitable<void> moveState(Attempt&);
+    [[nodiscard]] Core::Awaitable<void> demoteIfOverdue(Attempt&);
+    [[nodiscard]] Stream::Stream* servedStream(Attempt const&);
+    [[nodiscard]] std::optional<Routing::ServerChoice> choose(Attempt const&, Core::LastReason&);
+    [[nodiscard]] bool mayRetry(Attempt&, AttemptOutcome);
+    [[nodiscard]] bool shouldMove(Attempt const&) const;
+    void recordTokens(Attempt&, CompletionProgress const&);
+    void recordEnd(Attempt&, CompletionEnd const&);
+    void recordBroken(Attempt&, Core::LastReason const&);
+    void failStream(Attempt const&, Core::LastReason const&);
+    [[nodiscard]] std::vector<std::string> serversWithOtherSuspects(Attempt const&) const;
+    [[nodiscard]] std::string newAttemptId();
+
+    Core::Runtime& m_runtime;
+    EngineClient& m_engines;
+    NodeTables& m_tables;
+    Stream::StreamTable& m_streams;
+    Stream::StreamReplicator& m_replicator;
+    DecisionLog& m_decisions;
+    Core::Random& m_random;
+    Core::Metrics& m_metrics;
+    ModelRunnerSettings m_settings;
+    std::function<void(Limits::RequestFingerprint)> m_onQuarantined;
+};
+
+}
--- /dev/null
+++ b/Services/Node/NodeService.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include <LibConfiguration/ConfigurationStore.h>
+#include <LibHTTP/Server.h>
+#include <LibIntent/IntentJournal.h>
+#include <LibMembership/MembershipService.h>
+#include <LibPeer/PeerHandler.h>
+#include <LibPeer/PeerServer.h>
+#include <LibPlatform/CloudClient.h>
+#include <LibPlatform/ObjectClient.h>
+#include <Node/BackendWatcher.h>
+#include <Node/Gateway.h>
+#include <Node/NodeSettings.h>
+#include <Node/OperatorEndpoint.h>
+#include <memory>
+
+namespace Node {
+
+/// The process of an entry host: builds all parts, connects them, and runs the systems over the tables each tick. Used from
+/// the runtime's thread only.
+class NodeService final : public Peer::PeerHandler {
+public:
+    /// Precondition: the runtime outlives the service, which is destroyed only after the io_context has stopped.
+    NodeService(Core::Runtime&, NodeSettings);
+    ~NodeService() override;
+
+    /// Binds the ports and starts all tasks. InvalidSetting if a port cannot be bound.
+    [[nodiscard]] bool start(Core::LastReason&);
+
+    /// Begins the graceful stop; the io_context is stopped at its end. Requests in progress are finished until the deadline,
+    /// then handed over. A second call with an earlier deadline shortens the first.
+    void drain(Core::MonotonicTime deadline);
+
+    /// What the operator endpoint shows.
+    [[nodiscard]] boost::json::value status();
+
+    Core::Awaitable<Peer::ExchangeReply> exchange(Peer::ExchangeRequest) override;
+    Core::Awaitable<Peer::FetchConfigurationReply> fetchConfiguration(Peer::FetchConfigurationRequest) override;
+    Core::Awaitable<Peer::ReplicateReply> replicate(Peer::ReplicateRequest) override;
+    Core::Awaitable<Peer::HandOverReply> handOver(Peer::HandOverRequest) override;
+    Core::Awaitable<Peer::FindStreamReply> findStream(Peer::FindStreamRequest) override;
+    Core::Awaitable<Peer::BeginIntentReply> beginIntent(Peer::BeginIntentRequest) override;
+    Core::Awaitable<Peer::FinishIntentReply> finishIntent(Peer::FinishIntentRequest) override;
+
+private:
+    struct Parts;
+
+    void connectParts();
+    void adoptConfiguration();
+    void handleReclaim(std::set<std::string> const& hostIds, Core::MonotonicTime reclaimAt);
+    [[nodiscard]] Core::Awaitable<void> runTicks();
+    [[nodiscard]] Core::Awaitable<void> runDrain();
+    [[nodiscard]] Core::Awaitable<void> runGarbageCollection();
+    void tick();
+    void moveReplicasFromLostNodes();
+    void publishUsage();
+    [[nodiscard]] double shareOf(std::string const& team) const;
+    [[nodiscard]] bool isIdle() const;
+    [[nodiscard]] OperatorDependencies operatorDependencies();
+
+    Core::Runtime& m_runtime;
+    NodeSettings m_settings;
+    std::unique_ptr<Parts> m_parts;
+    Core::MonotonicTime m_drainDeadline;
+    bool m_draining { false };
+};
+
+}
--- /dev/null
+++ b/Services/Node/ServiceProxy.cpp
@@ -0,0 +1,203 @@
+#include <Node/ServiceProxy.h>
+
+#include <LibCore/Log.h>
+#include <LibRouting/ServerChoice.h>
+#include <cstdio>
+#include <xxhash.h>
+
+namespace Node {
+
+using Core::ErrorKind;
+using Core::RunState;
+using namespace std::chrono_literals;
+
+static constexpr std::string_view attemptHeader = "Hyssopstep-Attempt-Id";
+
+ServiceProxy::ServiceProxy(Core::Runtime& runtime, HTTP::Client& client, Intent::IntentJournal& journal, NodeTables& tables, DecisionLog& decisions, Core::Random& random, Core::Metrics& metrics, std::string nodeId, std::string dataCentre)
+    : m_runtime(runtime)
+    , m_client(client)
+    , m_journal(journal)
+    , m_tables(tables)
+    , m_decisions(decisions)
+    , m_random(random)
+    , m_metrics(metrics)
+    , m_nodeId(std::move(nodeId))
+    , m_dataCentre(std::move(dataCentre))
+{
+}
+
+Core::Awaitable<std::optional<HTTP::Response>> ServiceProxy::call(ServiceCall call, Core::LastReason& reason)
+{
+    retryBudgetFor(m_tables, call.service).recordRequest(m_runtime.now());
+    if (call.idempotency == Configuration::Idempotency::Idempotent)
+        return callWithRetries(std::move(call), reason);
+    return callOnce(std::move(call), reason);
+}
+
+// Equal for a repeated call, different for another call with the same key.
+static std::string fingerprintOf(ServiceCall const& call)
+{
+    auto const text = call.request.method + '\n' + call.request.target + '\n' + call.request.body;
+    auto const hash = XXH3_128bits(text.data(), text.size());
+    char buffer[40];
+    std::snprintf(buffer, sizeof(buffer), "%016llx%016llx", static_cast<unsigned long long>(hash.high64), static_cast<unsigned long long>(hash.low64));
+    return buffer;
+}
+
+static Intent::RecordedAnswer answerFrom(HTTP::Response const& response)
+{
+    return { response.status, response.headers.fields(), response.body };
+}
+
+static HTTP::Response responseFrom(Intent::RecordedAnswer const& answer)
+{
+    HTTP::Response response;
+    response.status = answer.status;
+    for (auto const& [name, value] : answer.headers)
+        response.headers.add(name, value);
+    response.headers.set("Hyssopstep-Replayed", "true");
+    response.body = answer.body;
+    return response;
+}
+
+Core::Awaitable<std::optional<HTTP::Response>> ServiceProxy::callOnce(ServiceCall call, Core::LastReason& reason)
+{
+    if (call.idempotencyKey.empty())
+        co_return Core::fail(reason, ErrorKind::IdempotencyKeyRequired, "the call is not idempotent and has no Idempotency-Key");
+    auto decision = co_await m_journal.begin(call.team, call.service, call.idempotencyKey, fingerprintOf(call), call.deadline, reason);
+    if (!decision)
+        co_return std::nullopt;
+    m_decisions.add(call.requestId, "intent: " + std::string(Intent::decisionName(decision->kind)));
+    if (decision->kind == Intent::IntentDecisionKind::Run && decision->ticket)
+        co_return co_await runTicket(call, *decision->ticket, reason);
+    if (decision->kind == Intent::IntentDecisionKind::Replay && decision->answer)
+        co_return responseFrom(*decision->answer);
+    reason = decision->reason;
+    co_return std::nullopt;
+}
+
+Core::Awaitable<std::optional<HTTP::Response>> ServiceProxy::runTicket(ServiceCall const& call, Intent::IntentTicket ticket, Core::LastReason& reason)
+{
+    std::vector<std::string> failedServers;
+    while (true) {
+        auto response = co_await attempt(call, failedServers, HTTP::ConnectionUse::Fresh, reason);
+        if (response) {
+            co_await record(ticket, *response);
+            co_return response;
+        }
+        if (reason.runState != RunState::NotRun) {
+            // Journal writes may take long in an outage; the client learns the state now.
+            m_runtime.spawn(abandon(ticket));
+            reason.kind = ErrorKind::OutcomeUnknown;
+            reason.runState = RunState::Unknown;
+            co_return std::nullopt;
+        }
+        bool const triedAll = reason.kind == ErrorKind::NoServerAvailable || m_runtime.now() >= call.deadline;
+        if (!triedAll)
+            continue;
+        // Nothing was sent, so the key may run again later.
+        m_runtime.spawn(release(ticket));
+        co_return std::nullopt;
+    }
+}
+
+// The answer is recorded before the client has it, so that a repeated key can get it, but a slow store must not delay the client
+// for long: the record then stays open and a repeated key waits or learns that the outcome is unknown.
+Core::Awaitable<void> ServiceProxy::record(Intent::IntentTicket ticket, HTTP::Response response)
+{
+    static constexpr auto longestDelay = 500ms;
+    auto recorded = std::make_shared<Core::AsyncEvent>(m_runtime);
+    auto finish = [](ServiceProxy& proxy, Intent::IntentTicket openTicket, HTTP::Response answer, std::shared_ptr<Core::AsyncEvent> done) -> Core::Awaitable<void> {
+        Core::LastReason reason;
+        bool const kept = co_await proxy.m_journal.finish(openTicket, answerFrom(answer), reason);
+        if (!kept)
+            Core::logEvent(Core::LogLevel::Warning, "answer_not_recorded", { { "attempt_id", openTicket.attemptId }, { "reason", reason.message } });
+        done->notifyAll();
+    };
+    m_runtime.spawn(finish(*this, std::move(ticket), std::move(response), recorded));
+    auto const inTime = co_await recorded->waitUntil(m_runtime.now() + longestDelay);
+    if (!inTime)
+        m_metrics.counter("hyssopstep_answers_sent_before_recorded_total").add();
+}
+
+Core::Awaitable<void> ServiceProxy::release(Intent::IntentTicket ticket)
+{
+    Core::LastReason reason;
+    bool const released = co_await m_journal.release(ticket, reason);
+    if (!released)
+        Core::logEvent(Core::LogLevel::Warning, "intent_not_released", { { "attempt_id", ticket.attemptId }, { "reason", reason.message } });
+}
+
+Core::Awaitable<void> ServiceProxy::abandon(Intent::IntentTicket ticket)
+{
+    Core::LastReason reason;
+    bool const abandoned = co_await m_journal.abandon(ticket, reason);
+    if (!abandoned)
+        Core::logEvent(Core::LogLevel::Warning, "intent_not_abandoned", { { "attempt_id", ticket.attemptId }, { "reason", reason.message } });
+}
+
+Core::Awaitable<std::optional<HTTP::Response>> ServiceProxy::callWithRetries(ServiceCall call, Core::LastReason& reason)
+{
+    std::vector<std::string> failedServers;
+    RunState worst = RunState::NotRun;
+    while (true) {
+        auto response = co_await attempt(call, failedServers, HTTP::ConnectionUse::Pooled, reason);
+        if (response)
+            co_return response;
+        if (reason.runState != RunState::NotRun)
+            worst = RunState::Unknown;
+        bool const lastTry = reason.kind == ErrorKind::NoServerAvailable || m_runtime.now() >= call.deadline;
+        if (lastTry || !retryBudgetFor(m_tables, call.service).tryTake(m_runtime.now())) {
+            // An earlier attempt may have run even if the last one did not.
+            reason.runState = worst;
+            co_return std::nullopt;
+        }
+        m_metrics.counter("hyssopstep_retries_total", { { "service", call.service } }).add();
+    }
+}
+
+Core::Awaitable<std::optional<HTTP::Response>> ServiceProxy::attempt(ServiceCall const& call, std::vector<std::string>& failedServers, HTTP::ConnectionUse use, Core::LastReason& reason)
+{
+    Routing::RoutingRequest routing;
+    routing.service = call.service;
+    routing.dataCentre = m_dataCentre;
+    routing.excludedServers = failedServers;
+    auto const choice = Routing::chooseServer(m_tables.servers, m_tables.prefixes, routing, m_runtime.now(), m_random, reason);
+    if (!choice)
+        co_return std::nullopt;
+    m_decisions.add(call.requestId, "call at " + choice->serverId + ": " + choice->explanation);
+    char attemptId[20];
+    std::snprintf(attemptId, sizeof(attemptId), "%016llx", static_cast<unsigned long long>(m_random.bits()));
+    auto request = call.request;
+    request.headers.set("Hyssopstep-Request-Id", call.requestId);
+    request.headers.set(attemptHeader, attemptId);
+    auto const remaining = std::chrono::duration_cast<std::chrono::milliseconds>(call.deadline - m_runtime.now());
+    request.headers.set("Hyssopstep-Deadline-Ms", std::to_string(std::max<std::int64_t>(remaining.count(), 0)));
+    if (!call.idempotencyKey.empty())
+        request.headers.set("Idempotency-Key", call.idempotencyKey);
+
+    auto const startedAt = m_runtime.now();
+    ++Routing::findServer(m_tables.servers, choice->serverId)->outstanding;
+    auto response = co_await m_client.send(choice->endpoint, std::move(request), use, call.deadline, reason);
+    auto* row = Routing::findServer(m_tables.servers, choice->serverId);
+    if (row && row->outstanding > 0)
+        --row->outstanding;
+    if (response && response->headers.find(attemptHeader) != std::string_view(attemptId)) {
+        Core::fail(reason, ErrorKind::BackendAnswerInvalid, "the answer of " + choice->serverId + " belongs to another attempt", RunState::Unknown);
+        response.reset();
+    }
+    if (!response) {
+        failedServers.push_back(choice->serverId);
+        if (row)
+            Routing::recordFailure(*row, m_runtime.now());
+        m_decisions.add(call.requestId, "call at " + choice->serverId + " failed: " + reason.message);
+        co_return std::nullopt;
+    }
+    if (row) {
+        Routing::recordSuccess(*row);
+        Routing::recordObservation(*row, std::chrono::duration<double>(m_runtime.now() - startedAt).count(), m_runtime.now());
+    }
+    co_return response;
+}
+
+}
--- /dev/null
+++ b/Services/Node/ServiceProxy.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include <LibConfiguration/DesiredState.h>
+#include <LibCore/Metrics.h>
+#include <LibCore/Random.h>
+#include <LibHTTP/Client.h>
+#include <LibHTTP/Server.h>
+#include <LibIntent/IntentJournal.h>
+#include <Node/DecisionLog.h>
+#include <Node/NodeTables.h>
+
+namespace Node {
+
+/// One call of a non-model service.
+struct ServiceCall {
+    std::string requestId;
+    std::string team;
+    std::string service;
+    Configuration::Idempotency idempotency { Configuration::Idempotency::NonIdempotent };
+    /// Empty if the client gave none.
+    std::string idempotencyKey;
+    /// Method, path below the service, client headers and body.
+    HTTP::Request request;
+    Core::MonotonicTime deadline;
+
+    bool operator==(ServiceCall const&) const = default;
+};
+
+/// Forwards calls to non-model services: idempotent ones are retried under the budget, the others run at most once by means
+/// of the intent journal. Used from the runtime's thread only.
+class ServiceProxy {
+public:
+    /// Precondition: all references outlive the proxy, which outlives its tasks.
+    ServiceProxy(Core::Runtime&, HTTP::Client&, Intent::IntentJournal&, NodeTables&, DecisionLog&, Core::Random&, Core::Metrics&, std::string nodeId, std::string dataCentre);
+
+    /// Returns the back end's answer, or why there is none with its true run state.
+    [[nodiscard]] Core::Awaitable<std::optional<HTTP::Response>> call(ServiceCall, Core::LastReason&);
+
+private:
+    [[nodiscard]] Core::Awaitable<std::optional<HTTP::Response>> callOnce(ServiceCall, Core::LastReason&);
+    [[nodiscard]] Core::Awaitable<std::optional<HTTP::Response>> callWithRetries(ServiceCall, Core::LastReason&);
+    [[nodiscard]] Core::Awaitable<std::optional<HTTP::Response>> runTicket(ServiceCall const&, Intent::IntentTicket, Core::LastReason&);
+    [[nodiscard]] Core::Awaitable<std::optional<HTTP::Response>> attempt(ServiceCall const&, std::vector<std::string>& failedServers, HTTP::ConnectionUse, Core::LastReason&);
+    [[nodiscard]] Core::Awaitable<void> record(Intent::IntentTicket, HTTP::Response);
+    [[nodiscard]] Core::Awaitable<void> release(Intent::IntentTicket);
+    [[nodiscard]] Core::Awaitable<void> abandon(Intent::IntentTicket);
+
+    Core::Runtime& m_runtime;
+    HTTP::Client& m_client;
+    Intent::IntentJournal& m_journal;
+    NodeTables& m_tables;
+    DecisionLog& m_decisions;
+    Core::Random& m_random;
+    Core::Metrics& m_metrics;
+    std::string m_nodeId;
+    std::string m_dataCentre;
+};
+
+}
--- /dev/null
+++ b/Services/Node/StreamPeers.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <LibMembership/MembershipService.h>
+#include <LibPeer/PeerClient.h>
+#include <LibStream/StreamReplicator.h>
+#include <set>
+
+namespace Node {
+
+/// Chooses the nodes that hold copies of streams, and calls them. Used from the runtime's thread only.
+class StreamPeers final : public Stream::ReplicaPeers {
+public:
+    /// Precondition: the references outlive this object.
+    StreamPeers(Membership::MembershipService const&, Peer::PeerClient&);
+
+    /// The first node by rendezvous rank of the request id: of the own data centre if one is live there, else of any.
+    [[nodiscard]] std::optional<std::string> chooseReplica(std::string_view requestId, std::set<std::string> const& excludedNodes) const override;
+
+    [[nodiscard]] Core::Awaitable<std::optional<Peer::ReplicateReply>> replicate(std::string nodeId, Peer::ReplicateRequest, Core::MonotonicTime deadline, Core::LastReason&) override;
+
+    [[nodiscard]] Core::Awaitable<std::optional<Peer::HandOverReply>> handOver(std::string nodeId, Peer::HandOverRequest, Core::MonotonicTime deadline, Core::LastReason&);
+
+    [[nodiscard]] Core::Awaitable<std::optional<Peer::FindStreamReply>> findStream(std::string nodeId, std::string requestId, Core::MonotonicTime deadline, Core::LastReason&);
+
+    /// Nodes that may hold the stream, the most probable first. At most `count`.
+    [[nodiscard]] std::vector<std::string> probableHolders(std::string_view requestId, std::size_t count) const;
+
+    /// A node that can take streams over from this one: outside the nodes that are leaving or excluded.
+    [[nodiscard]] std::optional<std::string> chooseSuccessor(std::string_view requestId, std::set<std::string> const& excludedNodes) const { return chooseReplica(requestId, excludedNodes); }
+
+    /// Nodes that will be reclaimed; they are not chosen any more.
+    void excludeReclaimed(std::set<std::string> const& nodeIds) { m_reclaimedNodes.insert(nodeIds.begin(), nodeIds.end()); }
+
+    [[nodiscard]] Stream::OriginLiveness livenessOf(std::string_view nodeId) const;
+
+private:
+    [[nodiscard]] std::optional<Core::Endpoint> endpointOf(std::string_view nodeId, Core::LastReason&) const;
+    [[nodiscard]] std::vector<Membership::NodeRow const*> otherLiveNodes(std::set<std::string> const& excludedNodes) const;
+
+    Membership::MembershipService const& m_membership;
+    Peer::PeerClient& m_peers;
+    std::set<std::string> m_reclaimedNodes;
+};
+
+}
--- /dev/null
+++ b/Tests/Integration/Cluster.cpp
@@ -0,0 +1,310 @@
+#include <Integration/Cluster.h>
+
+#include <LibConfiguration/Codec.h>
+#include <LibCore/Random.h>
+#include <LibCore/Uuid.h>
+#include <algorithm>
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+#include <random>
+#include <stdexcept>
+
+namespace Integration {
+
+namespace json = boost::json;
+using namespace std::chrono_literals;
+using TestSupport::ChildProcess;
+
+static std::string const anyPort = "127.0.0.1:0";
+
+std::string dataCentreName(unsigned number)
+{
+    return "dc" + std::to_string(number + 1);
+}
+
+Configuration::DesiredState testState()
+{
+    Configuration::Service advisor;
+    advisor.name = "advisor";
+    advisor.kind = Configuration::ServiceKind::Model;
+    advisor.versions = { { "v1", "advisor-v1", 1 } };
+    advisor.maximumServers = 20;
+    Configuration::Service storefront;
+    storefront.name = "storefront";
+    storefront.operations = {
+        { "refund", "POST", "/refunds", Configuration::Idempotency::NonIdempotent },
+        { "stock", "GET", "/stock", Configuration::Idempotency::Idempotent },
+    };
+    storefront.maximumServers = 20;
+    Configuration::Team classroom;
+    classroom.name = "classroom";
+    // SHA-256 of classroomKey.
+    classroom.keyDigests = { "6132003c1a767bba2634eefebf8113308fd23927f98bb4d757cb93ee4f488a3a" };
+    classroom.services = { "advisor", "storefront" };
+    Configuration::DesiredState state;
+    state.services = { advisor, storefront };
+    state.teams = { classroom };
+    return state;
+}
+
+// Waits until the process has printed `count` endpoints of an interface.
+static std::vector<Core::Endpoint> endpointsOf(ChildProcess& process, std::string const& interface, std::size_t count)
+{
+    std::vector<Core::Endpoint> endpoints;
+    auto const collect = [&] {
+        endpoints.clear();
+        auto const log = process.log();
+        auto const marker = "event=listening interface=" + interface + " ";
+        static constexpr std::string_view field = "endpoint=";
+        for (auto at = log.find(marker); at != std::string::npos; at = log.find(marker, at + 1)) {
+            auto const lineEnd = log.find('\n', at);
+            auto const start = log.find(field, at);
+            if (lineEnd == std::string::npos || start == std::string::npos || start > lineEnd)
+                continue;
+            auto const end = log.find_first_of(" \n", start);
+            Core::LastReason reason;
+            if (auto const endpoint = Core::parseEndpoint(log.substr(start + field.size(), end - start - field.size()), reason))
+                endpoints.push_back(*endpoint);
+        }
+        return endpoints.size() >= count;
+    };
+    if (!TestSupport::waitUntil(collect))
+        throw std::runtime_error("no " + std::to_string(count) + " endpoints of " + interface + ":\n" + process.log());
+    return endpoints;
+}
+
+Cluster::Cluster(ClusterOptions options)
+    : m_options(std::move(options))
+{
+    m_platform = std::make_unique<ChildProcess>(std::vector<std::string> { STAND_IN_BINARY, "platform", "--listen=" + anyPort });
+    auto const platform = m_platform->endpoint("platform");
+    m_platformSwitches = std::make_unique<TestSupport::PlatformSwitches>(platform);
+    std::string listens;
+    std::string targets;
+    for (unsigned number = 0; number < m_options.dataCentres; ++number) {
+        listens += (number > 0 ? "," : "") + anyPort;
+        targets += (number > 0 ? "," : "") + platform.toString();
+    }
+    m_proxy = std::make_unique<ChildProcess>(std::vector<std::string> { STAND_IN_BINARY, "proxy", "--listen=" + listens, "--target=" + targets });
+    m_proxySwitches = std::make_unique<TestSupport::ProxySwitches>(m_proxy->endpoint("control"));
+    for (unsigned number = 0; number < m_options.dataCentres; ++number)
+        startBackends(number);
+    registerHosts();
+    for (unsigned number = 0; number < m_options.dataCentres; ++number) {
+        for (unsigned index = 0; index < m_options.nodesPerDataCentre; ++index)
+            addNode("node" + std::to_string(number + 1) + std::string(1, static_cast<char>('a' + index)), dataCentreName(number));
+    }
+}
+
+void Cluster::startBackends(unsigned number)
+{
+    auto const dataCentre = dataCentreName(number);
+    auto const startKind = [&](std::string const& kind, unsigned count, std::vector<std::string> const& flags, std::vector<ClusterServer>& servers) {
+        if (count == 0)
+            return;
+        std::vector<std::string> arguments { STAND_IN_BINARY, kind, "--listen=" + anyPort, "--count=" + std::to_string(count) };
+        arguments.insert(arguments.end(), flags.begin(), flags.end());
+        auto& process = *m_backends.emplace_back(std::make_unique<ChildProcess>(arguments));
+        for (auto const& endpoint : endpointsOf(process, kind, count))
+            servers.push_back({ kind + std::to_string(servers.size()), endpoint, dataCentre });
+    };
+    startKind("engine", m_options.enginesPerDataCentre, m_options.engineFlags, m_engines);
+    startKind("service", m_options.servicesPerDataCentre, {}, m_services);
+}
+
+void Cluster::registerHosts()
+{
+    std::vector<Platform::Host> hosts;
+    auto const add = [&](std::vector<ClusterServer> const& servers, std::string const& service, std::string const& version) {
+        for (auto const& server : servers)
+            hosts.push_back({ server.id, Platform::HostRole::Backend, server.endpoint, service, version, server.dataCentre, server.dataCentre + "-zone", "small", true, Platform::HostState::Live, 1 });
+    };
+    add(m_engines, "advisor", "v1");
+    add(m_services, "storefront", "");
+    m_platformSwitches->registerHosts(hosts);
+}
+
+ClusterNode& Cluster::addNode(std::string id, std::string dataCentre)
+{
+    auto const number = static_cast<unsigned>(dataCentre.back() - '1');
+    std::vector<std::string> arguments {
+        HYSSOPSTEP_BINARY, "node", "--node_id=" + id, "--data_centre=" + dataCentre, "--region=us-south",
+        "--client_listen=" + anyPort, "--operator_listen=" + anyPort, "--peer_listen=" + anyPort,
+        "--platform=" + m_proxy->endpoint("proxy" + std::to_string(number)).toString()
+    };
+    std::string seeds;
+    for (auto const& node : m_nodes)
+        seeds += (seeds.empty() ? "" : ",") + node->peer.toString();
+    arguments.push_back("--seeds=" + seeds);
+    arguments.insert(arguments.end(), m_options.nodeFlags.begin(), m_options.nodeFlags.end());
+    auto node = std::make_unique<ClusterNode>();
+    node->id = std::move(id);
+    node->dataCentre = std::move(dataCentre);
+    node->process = std::make_unique<ChildProcess>(std::move(arguments));
+    node->client = node->process->endpoint("client");
+    node->operators = node->process->endpoint("operator");
+    node->peer = node->process->endpoint("peer");
+    return *m_nodes.emplace_back(std::move(node));
+}
+
+HTTP::Response Cluster::apply(ClusterNode const& node, Configuration::DesiredState const& state, std::uint64_t basedOnGeneration, std::string applyId)
+{
+    json::object body {
+        { "basedOnGeneration", basedOnGeneration },
+        { "applyId", applyId },
+        { "appliedBy", "tester" },
+        { "comment", "test" },
+        { "desired", Configuration::toJson(state) },
+    };
+    HTTP::Request request { "PUT", "/operator/desired-state", { { "Content-Type", "application/json" } }, json::serialize(body) };
+    Core::LastReason reason;
+    auto response = TestSupport::blockingCall(node.operators, std::move(request), reason);
+    if (!response)
+        throw std::runtime_error("apply: " + reason.message);
+    return *response;
+}
+
+json::value Cluster::status(ClusterNode const& node)
+{
+    Core::LastReason reason;
+    HTTP::Request request { "GET", "/operator/status", {}, "" };
+    auto const response = TestSupport::blockingCall(node.operators, std::move(request), reason, 2s);
+    return response ? json::parse(response->body) : json::value {};
+}
+
+void Cluster::start()
+{
+    auto const response = apply(node(0), testState(), 0, "first");
+    if (response.status != 200)
+        throw std::runtime_error("apply: " + response.body);
+    auto const isReady = [&](ClusterNode const& node) {
+        auto const value = status(node);
+        if (!value.is_object())
+            return false;
+        auto const& object = value.get_object();
+        return object.at("phase") == "serving" && object.at("servers").as_array().size() == m_engines.size() + m_services.size()
+            && object.at("nodes").as_array().size() == m_nodes.size();
+    };
+    bool const ready = TestSupport::waitUntil([&] { return std::all_of(m_nodes.begin(), m_nodes.end(), [&](auto const& entry) { return isReady(*entry); }); });
+    if (!ready)
+        throw std::runtime_error("the cluster did not become ready\n" + nodeLogs());
+}
+
+std::size_t Cluster::executionsOf(std::string const& idempotencyKey) const
+{
+    std::size_t executions = 0;
+    for (auto const& service : m_services) {
+        auto const record = TestSupport::callStandIn(service.endpoint, "GET", "/stand-in/record");
+        for (auto const& execution : record.at("executions").as_array())
+            executions += execution.at("idempotencyKey") == json::string(idempotencyKey) ? 1 : 0;
+    }
+    return executions;
+}
+
+std::string Cluster::nodeLogs() const
+{
+    std::string logs;
+    for (auto const& node : m_nodes)
+        logs += "--- " + node->id + "\n" + node->process->log();
+    return logs;
+}
+
+HTTP::Request chatRequest(std::string const& prompt, bool streamed)
+{
+    json::object body {
+        { "model", "advisor" },
+        { "messages", json::array { json::object { { "role", "user" }, { "content", prompt } } } },
+        { "max_tokens", 4000 },
+        { "stream", streamed },
+    };
+    return { "POST", "/v1/chat/completions", { { "Authorization", "Bearer " + std::string(classroomKey) }, { "Content-Type", "application/json" } }, json::serialize(body) };
+}
+
+HTTP::Request refundRequest(std::string const& key, std::string const& body)
+{
+    HTTP::Headers headers { { "Authorization", "Bearer " + std::string(classroomKey) }, { "Content-Type", "application/json" }, { "Idempotency-Key", key }, { "Hyssopstep-Deadline-Ms", "10000" } };
+    return { "POST", "/services/storefront/refunds", headers, body };
+}
+
+std::string newKey()
+{
+    static Core::Random random(std::random_device {}());
+    return Core::generateUuidV7(random, std::chrono::system_clock::now());
+}
+
+AnswerReader::AnswerReader(Core::Endpoint const& endpoint, HTTP::Request request)
+{
+    open(endpoint, std::move(request));
+}
+
+bool AnswerReader::open(Core::Endpoint const& endpoint, HTTP::Request request)
+{
+    m_parser = {};
+    m_error.clear();
+    Core::LastReason reason;
+    m_stream = m_loop.run(m_client.openStream(endpoint, std::move(request), HTTP::ConnectionUse::Fresh, m_loop.deadline(), reason));
+    if (!m_stream) {
+        m_error = reason.message;
+        return false;
+    }
+    if (auto const id = m_stream->headers().find("Hyssopstep-Request-Id"))
+        m_requestId = *id;
+    if (m_stream->status() == 200)
+        return true;
+    auto const body = m_loop.run(m_stream->readSome(m_loop.deadline(), reason));
+    m_error = body.value_or(reason.message);
+    m_stream.reset();
+    return false;
+}
+
+void AnswerReader::takeEvent(HTTP::ServerSentEvent const& event)
+{
+    if (event.data == "[DONE]") {
+        m_complete = true;
+        return;
+    }
+    auto const value = json::parse(event.data);
+    if (value.as_object().contains("kind")) {
+        m_error = event.data;
+        return;
+    }
+    if (event.id.empty())
+        return;
+    auto const content = std::string(value.at("choices").at(0).at("delta").at("content").as_string());
+    m_tokens.push_back(content.substr(0, content.size() - 1));
+    m_position = event.id;
+}
+
+void AnswerReader::readTokens(std::size_t count)
+{
+    Core::LastReason reason;
+    while (m_stream && !m_complete && m_tokens.size() < count) {
+        auto const bytes = m_loop.run(m_stream->readSome(m_loop.deadline(), reason));
+        if (!bytes || bytes->empty()) {
+            m_stream.reset();
+            return;
+        }
+        for (auto const& event : m_parser.feed(*bytes))
+            takeEvent(event);
+    }
+}
+
+bool AnswerReader::continueAt(Core::Endpoint const& endpoint)
+{
+    HTTP::Request request { "GET", "/v1/requests/" + m_requestId + "?from=" + m_position, { { "Authorization", "Bearer " + std::string(classroomKey) } }, "" };
+    return open(endpoint, std::move(request));
+}
+
+void AnswerReader::completeAt(std::vector<Core::Endpoint> const& endpoints)
+{
+    std::size_t next = 0;
+    auto const advance = [&] {
+        if (!m_stream)
+            continueAt(endpoints[next++ % endpoints.size()]);
+        readAll();
+        return m_complete;
+    };
+    (void)TestSupport::waitUntil(advance);
+}
+
+}
