--- /dev/null
+++ b/Tests/LibPlatform/ObjectClientTest.cpp
@@ -0,0 +1,155 @@
+#include <LibPlatform/ObjectClient.h>
+#include <LibPlatform/PlatformServer.h>
+#include <algorithm>
+
+using namespace std::chrono_literals;
+using Core::ErrorKind;
+using Core::RunState;
+using Platform::ObjectKey;
+
+namespace {
+
+ObjectKey const key { "intents", "b.1" };
+
+class ObjectClientTest : public PlatformServer {
+protected:
+    std::optional<std::uint64_t> update(std::chrono::milliseconds time = 10s)
+    {
+        return m_loop.run(m_store.update(key, R"({"a":1})", 3, after(time), m_reason));
+    }
+
+    std::optional<std::vector<Platform::ObjectEvent>> waitForChanges(std::chrono::milliseconds time = 10s)
+    {
+        return m_loop.run(m_store.waitForChanges("intents", 4, after(time), m_reason));
+    }
+
+    Platform::ObjectClient m_store { m_loop.runtime(), m_client, m_endpoint };
+};
+
+}
+
+TEST_F(ObjectClientTest, SpeaksTheProtocol)
+{
+    answerWith(200, R"({"kind":"intents","name":"b.1","resourceVersion":7,"value":{"a":[1,"x"]}})");
+    auto const object = m_loop.run(m_store.read(key, after(10s), m_reason));
+    EXPECT_EQ(object, (Platform::StoredObject { key, 7, R"({"a":[1,"x"]})" }));
+    answerWith(200, R"({"resourceVersion":9,"items":[{"kind":"intents","name":"b.1","resourceVersion":7,"value":null}]})");
+    auto const list = m_loop.run(m_store.list("intents", after(10s), m_reason));
+    EXPECT_EQ(list, (Platform::ObjectList { { { key, 7, "null" } }, 9 }));
+    answerWith(201, R"({"resourceVersion":10})");
+    EXPECT_EQ(m_loop.run(m_store.create(key, "[1]", after(10s), m_reason)), 10u);
+    EXPECT_EQ(update(), 10u);
+    EXPECT_TRUE(m_loop.run(m_store.remove(key, 10, after(10s), m_reason)));
+    std::vector<std::string> calls;
+    for (auto const& request : m_requests)
+        calls.push_back(request.method + " " + request.target + " " + request.body);
+    EXPECT_EQ(calls, (std::vector<std::string> { "GET /objects/intents/b.1 ", "GET /objects/intents ", R"(POST /objects/intents/b.1 {"value":[1]})", R"(PUT /objects/intents/b.1 {"resourceVersion":3,"value":{"a":1}})", "DELETE /objects/intents/b.1?resourceVersion=10 " }));
+}
+
+// Guards against a write that took effect being reported as not run, which leads to a second execution.
+TEST_F(ObjectClientTest, RunStateOfFailedWrites)
+{
+    struct Case {
+        unsigned status;
+        std::string body;
+        Ending ending;
+        ErrorKind kind;
+        RunState runState;
+    };
+    std::vector<Case> const cases {
+        { 404, "{}", Ending::Whole, ErrorKind::StoreConflict, RunState::NotRun },
+        { 409, "{}", Ending::Whole, ErrorKind::StoreConflict, RunState::NotRun },
+        { 413, "{}", Ending::Whole, ErrorKind::StoreValueTooLarge, RunState::NotRun },
+        { 429, "{}", Ending::Whole, ErrorKind::StoreUnavailable, RunState::NotRun },
+        { 503, "{}", Ending::Whole, ErrorKind::StoreUnavailable, RunState::NotRun },
+        { 500, "{}", Ending::Whole, ErrorKind::StoreUnavailable, RunState::Unknown },
+        { 504, "{}", Ending::Whole, ErrorKind::StoreUnavailable, RunState::Unknown },
+        { 200, "{", Ending::Whole, ErrorKind::StoreUnavailable, RunState::Unknown },
+        { 200, "{}", Ending::Whole, ErrorKind::StoreUnavailable, RunState::Unknown },
+        { 200, R"({"resourceVersion":10})", Ending::Dropped, ErrorKind::StoreUnavailable, RunState::Unknown },
+        { 503, "{}", Ending::Dropped, ErrorKind::StoreUnavailable, RunState::Unknown },
+    };
+    for (auto const& expected : cases) {
+        answerWith(expected.status, expected.body, expected.ending);
+        EXPECT_FALSE(update());
+        EXPECT_EQ(m_reason.kind, expected.kind) << expected.status << expected.body;
+        EXPECT_EQ(m_reason.runState, expected.runState) << expected.status << expected.body;
+    }
+    answerWith(200, {}, Ending::Silent);
+    EXPECT_FALSE(update(50ms));
+    EXPECT_EQ(m_reason.runState, RunState::Unknown);
+    auto const sent = m_requests.size();
+    EXPECT_FALSE(update(-1ms));
+    EXPECT_EQ(m_reason.runState, RunState::NotRun);
+    EXPECT_EQ(m_requests.size(), sent);
+    m_server.closeAll();
+    EXPECT_FALSE(update());
+    EXPECT_EQ(m_reason.kind, ErrorKind::StoreUnavailable);
+    EXPECT_EQ(m_reason.runState, RunState::NotRun);
+}
+
+// Guards against a write on a pooled connection, which the HTTP client may send twice; the second one would conflict with the
+// first and be reported as not run.
+TEST_F(ObjectClientTest, WritesUseTheirOwnConnection)
+{
+    answerWith(200, R"({"resourceVersion":9,"items":[]})");
+    for (int round = 0; round < 2; ++round) {
+        EXPECT_TRUE(m_loop.run(m_store.list("intents", after(10s), m_reason)));
+        EXPECT_TRUE(update());
+    }
+    ASSERT_EQ(m_peers.size(), 4u);
+    for (std::size_t const write : { 1, 3 })
+        EXPECT_EQ(std::count(m_peers.begin(), m_peers.begin() + write, m_peers[write]), 0);
+    // The second list reuses a connection.
+    EXPECT_EQ((std::set<Core::Endpoint> { m_peers.begin(), m_peers.end() }).size(), 3u);
+}
+
+TEST_F(ObjectClientTest, RefusesLargeValuesBeforeSending)
+{
+    std::string const value(Platform::maximumValueBytes + 1, '1');
+    EXPECT_FALSE(m_loop.run(m_store.create(key, value, after(10s), m_reason)));
+    EXPECT_EQ(m_reason.kind, ErrorKind::StoreValueTooLarge);
+    EXPECT_EQ(m_reason.runState, RunState::NotRun);
+    EXPECT_TRUE(m_requests.empty());
+}
+
+// Guards against an answer for another object being returned as the one asked for.
+TEST_F(ObjectClientTest, RefusesWrongOrMalformedObjects)
+{
+    for (std::string const body : { R"({"kind":"intents","name":"b.2","resourceVersion":7,"value":1})", R"({"kind":"intents","name":"b.1","value":1})", "[]", "" }) {
+        answerWith(200, body);
+        EXPECT_FALSE(m_loop.run(m_store.read(key, after(10s), m_reason))) << body;
+        EXPECT_EQ(m_reason.kind, ErrorKind::StoreUnavailable);
+    }
+    answerWith(404, "{}");
+    EXPECT_FALSE(m_loop.run(m_store.read(key, after(10s), m_reason)));
+    EXPECT_EQ(m_reason.kind, ErrorKind::NotFound);
+}
+
+TEST_F(ObjectClientTest, WatchReturnsChanges)
+{
+    std::string const put = R"({"type":"PUT","object":{"kind":"intents","name":"b.1","resourceVersion":5,"value":1}})";
+    std::string const removed = R"({"type":"REMOVED","object":{"kind":"intents","name":"b.1","resourceVersion":6,"value":1}})";
+    answerWith(200, put + "\n" + removed + "\n");
+    std::vector<Platform::ObjectEvent> const expected { { Platform::ObjectEventKind::Put, { key, 5, "1" } }, { Platform::ObjectEventKind::Removed, { key, 6, "1" } } };
+    EXPECT_EQ(waitForChanges(), expected);
+    EXPECT_EQ(m_requests.back().path(), "/watch/intents");
+    EXPECT_EQ(m_requests.back().queryParameter("resourceVersion"), "4");
+    answerWith(200, "");
+    EXPECT_EQ(waitForChanges(), std::vector<Platform::ObjectEvent> {});
+    // An event cut off in its middle is not an event.
+    answerWith(200, put.substr(0, 40), Ending::Dropped);
+    EXPECT_FALSE(waitForChanges());
+    EXPECT_EQ(m_reason.kind, ErrorKind::StoreUnavailable);
+    answerWith(410, "{}");
+    EXPECT_FALSE(waitForChanges());
+    EXPECT_EQ(m_reason.kind, ErrorKind::StoreVersionExpired);
+}
+
+// Guards against an unreachable platform being taken for one without changes.
+TEST_F(ObjectClientTest, WatchWithoutEndIsAFailure)
+{
+    answerWith(200, {}, Ending::Silent);
+    EXPECT_FALSE(waitForChanges(50ms));
+    EXPECT_EQ(m_reason.kind, ErrorKind::StoreUnavailable);
+}
