--- a/Tests/StandIns/FaultProxy.cpp
+++ b/Tests/StandIns/FaultProxy.cpp
@@ -1,11 +1,138 @@
+#include <LibCore/Log.h>
+#include <LibPlatform/JsonFields.h>
+#include <StandIns/ListenFlags.h>
+#include <StandIns/ProxyPair.h>
+#include <StandIns/StandInProcess.h>
 #include <StandIns/StandIns.h>
+#include <boost/json/array.hpp>
+#include <cstdio>
+#include <gflags/gflags.h>
+
+DEFINE_string(target, "", "comma-separated endpoints to forward to, one for each of --listen");
+DEFINE_string(control, "127.0.0.1:0", "IP number and port of the control endpoint");
 
 namespace StandIns {
 
-// FIXME: Not written yet.
-int runFaultProxy(int, char**)
+static std::optional<ProxyFaults> faultsFromJson(boost::json::value const& value)
+{
+    Platform::JsonFields fields(value);
+    ProxyFaults faults;
+    std::size_t known = 0;
+    auto const readNumber = [&](std::string_view name, std::uint64_t& number) {
+        if (!fields.has(name))
+            return;
+        number = fields.number(name);
+        ++known;
+    };
+    auto const readFlag = [&](std::string_view name, bool& flag) {
+        if (!fields.has(name))
+            return;
+        flag = fields.flag(name);
+        ++known;
+    };
+    readFlag("cut", faults.cut);
+    readNumber("delayMs", faults.delayMs);
+    readFlag("freezeToTarget", faults.freezeToTarget);
+    readFlag("freezeFromTarget", faults.freezeFromTarget);
+    readNumber("truncateAfterBytes", faults.truncateAfterBytes);
+    readNumber("dropAnswers", faults.dropAnswers);
+    if (!fields.areValid() || known != value.get_object().size())
+        return std::nullopt;
+    return faults;
+}
+
+namespace {
+
+class Control {
+public:
+    explicit Control(std::vector<std::unique_ptr<ProxyPair>>& pairs)
+        : m_pairs(pairs)
+    {
+    }
+
+    // PUT /stand-in/faults changes all pairs, PUT /stand-in/faults?pair=<index> one of them.
+    HTTP::Response answer(HTTP::Request const& request)
+    {
+        if (request.path() == "/stand-in/faults" && request.method == "PUT")
+            return replaceFaults(request);
+        if (request.path() == "/stand-in/record" && request.method == "GET")
+            return record();
+        return errorResponse(404, "no such switch");
+    }
+
+private:
+    HTTP::Response replaceFaults(HTTP::Request const& request)
+    {
+        auto const body = parseBody(request);
+        auto const faults = body ? faultsFromJson(*body) : std::nullopt;
+        if (!faults)
+            return errorResponse(400, "an unknown switch or a value of the wrong type");
+        auto const only = request.queryParameter("pair");
+        auto const index = queryNumber(request, "pair", m_pairs.size());
+        if (only && index >= m_pairs.size())
+            return errorResponse(404, "no such pair");
+        for (std::size_t pair = 0; pair < m_pairs.size(); ++pair) {
+            if (!only || pair == index)
+                m_pairs[pair]->setFaults(*faults);
+        }
+        return jsonResponse(200, boost::json::object {});
+    }
+
+    [[nodiscard]] HTTP::Response record() const
+    {
+        boost::json::array pairs;
+        for (auto const& pair : m_pairs) {
+            pairs.push_back(boost::json::object {
+                { "connections", pair->record().connections },
+                { "bytesToTarget", pair->record().bytesToTarget },
+                { "bytesFromTarget", pair->record().bytesFromTarget },
+            });
+        }
+        return jsonResponse(200, boost::json::object { { "pairs", std::move(pairs) } });
+    }
+
+    std::vector<std::unique_ptr<ProxyPair>>& m_pairs;
+};
+
+}
+
+static void checkSettings(Core::SettingChecker& checker)
+{
+    auto const listens = splitList(FLAGS_listen);
+    auto const targets = splitList(FLAGS_target);
+    for (auto const& endpoint : targets)
+        checker.checkEndpoint("target", endpoint);
+    checker.checkEndpoint("control", FLAGS_control);
+    if (targets.empty() || listens.size() != targets.size())
+        checker.addFault("target", FLAGS_target, "as many endpoints as in --listen, and at least one");
+}
+
+int runFaultProxy(int argc, char** argv)
 {
-    return 1;
+    if (!prepareStandIn(argc, argv, checkSettings))
+        return InvalidFlags;
+    boost::asio::io_context context;
+    Core::Runtime runtime(context);
+    Core::LastReason reason;
+    std::vector<std::unique_ptr<ProxyPair>> pairs;
+    auto const listens = splitList(FLAGS_listen);
+    auto const targets = splitList(FLAGS_target);
+    for (std::size_t index = 0; index < targets.size(); ++index) {
+        auto const pair = pairs.emplace_back(std::make_unique<ProxyPair>(runtime, *Core::parseEndpoint(targets[index], reason))).get();
+        auto const bound = pair->listen(*Core::parseEndpoint(listens[index], reason), reason);
+        if (!bound) {
+            std::fprintf(stderr, "%s\n", reason.message.c_str());
+            return CannotListen;
+        }
+        logListening("proxy" + std::to_string(index), *bound);
+    }
+    Control control(pairs);
+    // The control endpoint is the process's HTTP server.
+    FLAGS_listen = FLAGS_control;
+    return serveUntilTerminated(runtime, "control", [&control](HTTP::Request const& request, HTTP::ResponseWriter& writer) -> Core::Awaitable<void> {
+        auto response = control.answer(request);
+        (void)co_await writer.send(std::move(response));
+    });
 }
 
 }
--- /dev/null
+++ b/Tests/StandIns/ProxyPair.cpp
@@ -0,0 +1,233 @@
+#include <StandIns/ProxyPair.h>
+
+#include <algorithm>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <deque>
+#include <string>
+
+namespace StandIns {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+static constexpr auto useTuple = asio::as_tuple(asio::use_awaitable);
+
+enum class Flow {
+    ToTarget,
+    FromTarget,
+};
+
+struct ProxyPair::Direction {
+    struct Chunk {
+        Core::MonotonicTime due;
+        /// Empty at the end of the stream.
+        std::string bytes;
+    };
+
+    Flow flow;
+    tcp::socket& source;
+    tcp::socket& sink;
+    std::deque<Chunk> queue {};
+    std::size_t queuedBytes { 0 };
+    std::uint64_t forwardedSinceSwitch { 0 };
+    bool hasEnded { false };
+};
+
+struct ProxyPair::Connection {
+    Connection(Core::Runtime& runtime, tcp::socket accepted)
+        : client(std::move(accepted))
+        , target(runtime.context())
+        , changed(runtime)
+    {
+    }
+
+    void close()
+    {
+        isOpen = false;
+        boost::system::error_code ignored;
+        client.close(ignored);
+        target.close(ignored);
+        changed.notifyAll();
+    }
+
+    tcp::socket client;
+    tcp::socket target;
+    /// Notified when a queue, a switch or the state of the connection changed.
+    Core::AsyncEvent changed;
+    Direction toTarget { Flow::ToTarget, client, target };
+    Direction fromTarget { Flow::FromTarget, target, client };
+    bool isOpen { true };
+};
+
+ProxyPair::ProxyPair(Core::Runtime& runtime, Core::Endpoint target)
+    : m_runtime(runtime)
+    , m_target(std::move(target))
+    , m_reservation(runtime.context())
+    , m_acceptor(runtime.context())
+{
+}
+
+ProxyPair::~ProxyPair() = default;
+
+std::optional<Core::Endpoint> ProxyPair::listen(Core::Endpoint const& endpoint, Core::LastReason& reason)
+{
+    boost::system::error_code error;
+    m_local = { asio::ip::make_address(endpoint.address, error), endpoint.port };
+    if (!error)
+        m_reservation.open(m_local.protocol(), error);
+    if (!error)
+        m_reservation.set_option(tcp::socket::reuse_address(true), error);
+    if (!error)
+        m_reservation.bind(m_local, error);
+    if (!error)
+        m_local = m_reservation.local_endpoint(error);
+    if (error || !openAcceptor(error))
+        return Core::fail(reason, Core::ErrorKind::InvalidSetting, "cannot listen on " + endpoint.toString() + ": " + error.message());
+    return Core::Endpoint { m_local.address().to_string(), m_local.port() };
+}
+
+bool ProxyPair::openAcceptor(boost::system::error_code& error)
+{
+    m_acceptor.open(m_local.protocol(), error);
+    if (!error)
+        m_acceptor.set_option(tcp::acceptor::reuse_address(true), error);
+    if (!error)
+        m_acceptor.bind(m_local, error);
+    if (!error)
+        m_acceptor.listen(asio::socket_base::max_listen_connections, error);
+    if (error)
+        return false;
+    m_runtime.spawn(acceptLoop());
+    return true;
+}
+
+void ProxyPair::setFaults(ProxyFaults const& faults)
+{
+    bool const wasCut = m_faults.cut;
+    m_faults = faults;
+    boost::system::error_code ignored;
+    if (faults.cut)
+        m_acceptor.close(ignored);
+    else if (wasCut)
+        (void)openAcceptor(ignored);
+    for (auto const& connection : m_connections) {
+        if (faults.cut)
+            connection->close();
+        connection->toTarget.forwardedSinceSwitch = 0;
+        connection->fromTarget.forwardedSinceSwitch = 0;
+        connection->changed.notifyAll();
+    }
+}
+
+Core::Awaitable<void> ProxyPair::acceptLoop()
+{
+    while (true) {
+        auto [error, socket] = co_await m_acceptor.async_accept(useTuple);
+        // When a pair is no longer cut, setFaults() starts a new loop with a new acceptor.
+        if (m_faults.cut || error == asio::error::operation_aborted)
+            co_return;
+        if (error) {
+            co_await m_runtime.sleepFor(std::chrono::milliseconds(20));
+            continue;
+        }
+        ++m_record.connections;
+        auto connection = std::make_shared<Connection>(m_runtime, std::move(socket));
+        m_connections.insert(connection);
+        m_runtime.spawn(serve(connection));
+    }
+}
+
+Core::Awaitable<void> ProxyPair::serve(std::shared_ptr<Connection> connection)
+{
+    tcp::endpoint const remote { asio::ip::make_address(m_target.address), m_target.port };
+    auto [error] = co_await connection->target.async_connect(remote, useTuple);
+    if (error || !connection->isOpen) {
+        connection->close();
+        m_connections.erase(connection);
+        co_return;
+    }
+    boost::system::error_code ignored;
+    connection->client.set_option(tcp::no_delay(true), ignored);
+    connection->target.set_option(tcp::no_delay(true), ignored);
+    m_runtime.spawn(readSide(connection, connection->toTarget));
+    m_runtime.spawn(readSide(connection, connection->fromTarget));
+    m_runtime.spawn(writeSide(connection, connection->toTarget));
+    co_await writeSide(connection, connection->fromTarget);
+}
+
+Core::Awaitable<void> ProxyPair::readSide(std::shared_ptr<Connection> connection, Direction& direction)
+{
+    static constexpr std::size_t pieceSize = 64 * 1024;
+    // A frozen or slow direction stops reading here, and the source's sends then block as they do on a real network.
+    static constexpr std::size_t maximumQueuedBytes = 1024 * 1024;
+    bool hasEnded = false;
+    while (connection->isOpen && !hasEnded) {
+        std::string piece(pieceSize, '\0');
+        auto [error, length] = co_await direction.source.async_read_some(asio::buffer(piece), useTuple);
+        if (!connection->isOpen)
+            co_return;
+        hasEnded = static_cast<bool>(error);
+        piece.resize(hasEnded ? 0 : length);
+        if (!hasEnded && direction.flow == Flow::FromTarget && m_faults.dropAnswers > 0) {
+            --m_faults.dropAnswers;
+            connection->close();
+            m_connections.erase(connection);
+            co_return;
+        }
+        direction.queuedBytes += piece.size();
+        direction.queue.push_back({ m_runtime.now() + std::chrono::milliseconds(m_faults.delayMs), std::move(piece) });
+        connection->changed.notifyAll();
+        while (connection->isOpen && direction.queuedBytes > maximumQueuedBytes) {
+            auto const soon = m_runtime.now() + std::chrono::seconds(1);
+            (void)co_await connection->changed.waitUntil(soon);
+        }
+    }
+}
+
+bool ProxyPair::isFrozen(Direction const& direction) const
+{
+    return direction.flow == Flow::ToTarget ? m_faults.freezeToTarget : m_faults.freezeFromTarget;
+}
+
+Core::Awaitable<void> ProxyPair::writeSide(std::shared_ptr<Connection> connection, Direction& direction)
+{
+    while (connection->isOpen) {
+        auto const now = m_runtime.now();
+        if (direction.queue.empty() || isFrozen(direction) || direction.queue.front().due > now) {
+            bool const hasChunk = !direction.queue.empty() && !isFrozen(direction);
+            auto const next = hasChunk ? direction.queue.front().due : now + std::chrono::hours(1);
+            (void)co_await connection->changed.waitUntil(next);
+            continue;
+        }
+        auto piece = std::move(direction.queue.front().bytes);
+        direction.queue.pop_front();
+        direction.queuedBytes -= piece.size();
+        connection->changed.notifyAll();
+        boost::system::error_code ignored;
+        if (piece.empty()) {
+            direction.hasEnded = true;
+            direction.sink.shutdown(tcp::socket::shutdown_send, ignored);
+            if (connection->toTarget.hasEnded && connection->fromTarget.hasEnded)
+                connection->close();
+            break;
+        }
+        bool isTruncated = false;
+        if (direction.flow == Flow::FromTarget && m_faults.truncateAfterBytes > 0) {
+            auto const remaining = m_faults.truncateAfterBytes - std::min(m_faults.truncateAfterBytes, direction.forwardedSinceSwitch);
+            isTruncated = piece.size() >= remaining;
+            piece.resize(std::min<std::size_t>(piece.size(), remaining));
+        }
+        direction.forwardedSinceSwitch += piece.size();
+        (direction.flow == Flow::ToTarget ? m_record.bytesToTarget : m_record.bytesFromTarget) += piece.size();
+        auto const bytes = asio::buffer(piece);
+        auto [error, length] = co_await asio::async_write(direction.sink, bytes, useTuple);
+        if (error || isTruncated)
+            connection->close();
+    }
+    if (!connection->isOpen)
+        m_connections.erase(connection);
+}
+
+}
--- a/Tests/StandIns/StandInProcess.cpp
+++ b/Tests/StandIns/StandInProcess.cpp
@@ -1,6 +1,7 @@
 #include <StandIns/StandInProcess.h>
 
 #include <LibCore/Log.h>
+#include <StandIns/ListenFlags.h>
 #include <boost/asio/signal_set.hpp>
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
@@ -8,17 +9,28 @@
 #include <csignal>
 #include <cstdio>
 #include <gflags/gflags.h>
-
-DEFINE_string(listen, "127.0.0.1:0", "IP number and port to listen on; port 0 lets the kernel choose");
+#include <sstream>
 
 namespace StandIns {
 
+std::vector<std::string> splitList(std::string const& list)
+{
+    std::vector<std::string> elements;
+    std::istringstream stream(list);
+    for (std::string element; std::getline(stream, element, ',');)
+        elements.push_back(element);
+    return elements;
+}
+
 bool prepareStandIn(int argc, char** argv, std::function<void(Core::SettingChecker&)> const& checkSettings)
 {
     std::string const name = argv[0];
     gflags::ParseCommandLineFlags(&argc, &argv, true);
     auto faults = Core::applyEnvironmentToFlags();
     Core::SettingChecker checker;
+    checker.checkNotEmpty("listen", FLAGS_listen, "an IP number and a port");
+    for (auto const& endpoint : splitList(FLAGS_listen))
+        checker.checkEndpoint("listen", endpoint);
     if (checkSettings)
         checkSettings(checker);
     faults.insert(faults.end(), checker.faults().begin(), checker.faults().end());
--- a/Tests/StandIns/StandInProcess.h
+++ b/Tests/StandIns/StandInProcess.h
@@ -6,11 +6,10 @@
 #include <LibHTTP/Server.h>
 #include <boost/json/value.hpp>
 #include <functional>
-#include <gflags/gflags_declare.h>
 #include <optional>
+#include <string>
 #include <string_view>
-
-DECLARE_string(listen);
+#include <vector>
 
 namespace StandIns {
 
@@ -20,8 +19,11 @@
     InvalidFlags = 2,
 };
 
-/// Parses the flags, applies the environment, checks the settings (--listen among them) and starts the log. Prints each fault
-/// and returns false if there is any.
+/// The elements of a comma-separated list.
+[[nodiscard]] std::vector<std::string> splitList(std::string const&);
+
+/// Parses the flags, applies the environment, checks the settings (--listen among them, as a list) and starts the log. Prints
+/// each fault and returns false if there is any.
 [[nodiscard]] bool prepareStandIn(int argc, char** argv, std::function<void(Core::SettingChecker&)> const& checkSettings = {});
 
 /// Writes the line `event=listening interface=... endpoint=...` that Tests/Support reads.
--- a/Tests/Support/ChildProcess.cpp
+++ b/Tests/Support/ChildProcess.cpp
@@ -78,30 +78,33 @@
     std::filesystem::remove(m_logPath, ignored);
 }
 
-static std::optional<Core::Endpoint> findEndpoint(std::string const& log, std::string_view interface)
+static std::optional<Core::Endpoint> findEndpoint(std::string const& log, std::string_view interface, std::size_t index)
 {
     static constexpr std::string_view key = " endpoint=";
-    auto const marker = "event=listening interface=" + std::string(interface) + std::string(key);
-    auto const found = log.find(marker);
-    if (found == std::string::npos)
-        return std::nullopt;
-    auto const begin = found + marker.size();
-    auto const end = log.find_first_of(" \n", begin);
-    if (end == std::string::npos)
-        return std::nullopt;
-    Core::LastReason ignored;
-    return Core::parseEndpoint(log.substr(begin, end - begin), ignored);
+    auto const marker = "event=listening interface=" + std::string(interface) + " ";
+    std::istringstream lines(log);
+    for (std::string line; std::getline(lines, line);) {
+        // The last line may not be complete yet.
+        if (lines.eof() || line.find(marker) == std::string::npos || index-- > 0)
+            continue;
+        auto const begin = line.find(key) + key.size();
+        Core::LastReason ignored;
+        return Core::parseEndpoint(line.substr(begin, line.find(' ', begin) - begin), ignored);
+    }
+    return std::nullopt;
 }
 
-Core::Endpoint ChildProcess::endpoint(std::string_view interface, std::chrono::milliseconds bound)
+Core::Endpoint ChildProcess::endpoint(std::string_view interface, std::size_t index)
 {
     std::optional<Core::Endpoint> found;
     bool isAlive = true;
-    (void)waitUntil([&] {
+    auto const isDecided = [&] {
         // In this order, so that a line written just before the end is seen.
         isAlive = isRunning();
-        found = findEndpoint(log(), interface);
-        return found || !isAlive; }, bound);
+        found = findEndpoint(log(), interface, index);
+        return found || !isAlive;
+    };
+    (void)waitUntil(isDecided);
     if (!found)
         throw std::runtime_error(std::string(isAlive ? "the process does not listen on " : "the process ended before it listened on ") + std::string(interface) + ":\n" + log());
     return *found;
--- a/Tests/Support/ChildProcess.h
+++ b/Tests/Support/ChildProcess.h
@@ -27,9 +27,10 @@
 
     [[nodiscard]] pid_t id() const { return m_id; }
 
-    /// Waits for the log line `event=listening interface=<interface> endpoint=<ip:port>` and returns its endpoint. Throws
-    /// std::runtime_error with the log if the process ends or the bound passes first.
-    [[nodiscard]] Core::Endpoint endpoint(std::string_view interface, std::chrono::milliseconds bound = generousBound);
+    /// Waits for a log line `event=listening interface=<interface> ... endpoint=<ip:port>` and returns its endpoint; with an
+    /// index, that of the line that follows so many others of the interface. Throws std::runtime_error with the log if the
+    /// process ends or the generous bound passes first.
+    [[nodiscard]] Core::Endpoint endpoint(std::string_view interface, std::size_t index = 0);
 
     /// Sends a signal. Returns false if the process has ended.
     bool sendSignal(int signal);
--- a/Tests/Support/StandInSwitches.cpp
+++ b/Tests/Support/StandInSwitches.cpp
@@ -90,4 +90,17 @@
     return writes;
 }
 
+void ProxySwitches::setFaults(ProxyFaults const& faults, std::optional<std::size_t> pair) const
+{
+    boost::json::object const body {
+        { "cut", faults.cut },
+        { "delayMs", faults.delayMs },
+        { "freezeToTarget", faults.freezeToTarget },
+        { "freezeFromTarget", faults.freezeFromTarget },
+        { "truncateAfterBytes", faults.truncateAfterBytes },
+        { "dropAnswers", faults.dropAnswers },
+    };
+    callStandIn(m_control, "PUT", "/stand-in/faults" + (pair ? "?pair=" + std::to_string(*pair) : ""), body);
+}
+
 }
--- a/Tests/Support/StandInSwitches.h
+++ b/Tests/Support/StandInSwitches.h
@@ -71,4 +71,36 @@
     Core::Endpoint m_endpoint;
 };
 
+/// The fault switches of a pair of the fault proxy.
+struct ProxyFaults {
+    /// Closes all connections and refuses new ones.
+    bool cut { false };
+    std::uint64_t delayMs { 0 };
+    bool freezeToTarget { false };
+    bool freezeFromTarget { false };
+    /// Closes a connection after this many bytes of answers; 0 does not.
+    std::uint64_t truncateAfterBytes { 0 };
+    /// The number of connections that are closed when their next answer arrives.
+    std::uint64_t dropAnswers { 0 };
+};
+
+/// The switches of a running fault proxy. Each throws as callStandIn().
+class ProxySwitches {
+public:
+    /// The endpoint of the proxy's interface "control".
+    explicit ProxySwitches(Core::Endpoint control)
+        : m_control(std::move(control))
+    {
+    }
+
+    /// Changes one pair, counted from 0 in the order of --listen, or all.
+    void setFaults(ProxyFaults const&, std::optional<std::size_t> pair = {}) const;
+
+    /// Forwards everything again.
+    void pass(std::optional<std::size_t> pair = {}) const { setFaults({}, pair); }
+
+private:
+    Core::Endpoint m_control;
+};
+
 }
