Load: Add the open-loop load generator

hyssopstep load sends a mix of requests at the times of a Poisson process with bursts, counts latency from the intended arrival, and puts each request in exactly one of succeeded, failed and open. Two mixes describe the two deployments.

--- /dev/null
+++ b/Tests/LibLoad/MixTest.cpp
@@ -0,0 +1,149 @@
+#include <LibCore/Uuid.h>
+#include <Load/Answer.h>
+#include <Load/Arrivals.h>
+#include <Load/Mix.h>
+#include <Load/RequestFactory.h>
+#include <algorithm>
+#include <gtest/gtest.h>
+#include <limits>
+#include <map>
+
+static constexpr auto* sampleMix = R"(
+name: sample
+teams: [{ name: a, key: a-key, weight: 3 }, { name: b }]
+bursts: { everySeconds: 10, lengthSeconds: 2, factor: 4 }
+classes:
+  - { name: short, kind: chat, service: model, ratePerSecond: 50, promptTokens: [5, 9], answerTokens: [2, 4], prefixGroups: 2, prefixTokens: 16, stream: true, deadlineMs: 900 }
+  - { name: refund, kind: service, service: shop, ratePerSecond: 1, path: /refunds, bodyBytes: [10, 20], idempotencyKey: true }
+)";
+
+static Load::Mix sample()
+{
+    Core::LastReason reason;
+    auto mix = Load::parseMix(sampleMix, reason);
+    EXPECT_TRUE(mix) << reason.message;
+    return mix.value_or(Load::Mix {});
+}
+
+TEST(MixTest, ReadsAllFields)
+{
+    auto const mix = sample();
+    ASSERT_EQ(mix.classes.size(), 2u);
+    EXPECT_EQ(mix.teams[1], (Load::Team { "b", "", 1 }));
+    EXPECT_EQ(mix.bursts, (Load::Bursts { 10, 2, 4 }));
+    EXPECT_EQ(mix.classes[0].answerMode, Load::AnswerMode::Streamed);
+    EXPECT_EQ(mix.classes[0].promptTokens, (Load::Range { 5, 9 }));
+    EXPECT_EQ(mix.classes[1].idempotencyKey, Load::IdempotencyKeyUse::Send);
+}
+
+// Guards against a misspelt or faulty field that silently gives an experiment other than the one described.
+TEST(MixTest, NamesTheFaultyField)
+{
+    std::pair<std::string, std::string> const faults[] {
+        { "everySeconds: 10", "everySecond: 10" },
+        { "[5, 9]", "[9, 5]" },
+        { "ratePerSecond: 50", "ratePerSecond: -1" },
+        { "kind: chat", "kind: talk" },
+        { "stream: true", "stream: perhaps" },
+        { "path: /refunds", "path: refunds" },
+        { "weight: 3", "weight: .nan" },
+    };
+    for (auto const& [right, wrong] : faults) {
+        std::string text = sampleMix;
+        text.replace(text.find(right), right.size(), wrong);
+        Core::LastReason reason;
+        EXPECT_FALSE(Load::parseMix(text, reason)) << wrong;
+        EXPECT_EQ(reason.kind, Core::ErrorKind::InvalidConfiguration);
+        EXPECT_NE(reason.message.find('.'), std::string::npos) << reason.message;
+    }
+}
+
+TEST(MixTest, ExampleMixesAreValid)
+{
+    for (auto const* name : { "cypress-hollow", "vitrinezorg" }) {
+        Core::LastReason reason;
+        auto const mix = Load::readMixFile(std::string(EXAMPLES_DIRECTORY "/mixes/") + name + ".yaml", reason);
+        ASSERT_TRUE(mix) << reason.message;
+        EXPECT_EQ(mix->name, name);
+    }
+}
+
+TEST(ArrivalsTest, RateFollowsTheBursts)
+{
+    Core::Random random(3);
+    std::vector<Load::BurstWindow> const windows { { 100, 200 } };
+    int outside = 0;
+    int inside = 0;
+    for (double time = 0; (time = Load::nextArrival(time, 50, windows, 4, random)) < 300;)
+        ++(time >= 100 && time < 200 ? inside : outside);
+    // Both counts are Poisson distributed; 5 standard deviations.
+    EXPECT_NEAR(outside, 10'000, 500);
+    EXPECT_NEAR(inside, 20'000, 710);
+    EXPECT_EQ(Load::nextArrival(0, 0, windows, 4, random), std::numeric_limits<double>::infinity());
+    EXPECT_GE(Load::nextArrival(150, 50, windows, 0, random), 200);
+}
+
+TEST(ArrivalsTest, BurstsHaveTheirMeanDistance)
+{
+    Core::Random random(3);
+    auto const windows = Load::drawBursts({ 10, 2, 4 }, 100'000, random);
+    EXPECT_NEAR(static_cast<double>(windows.size()), 10'000, 500);
+    for (std::size_t index = 1; index < windows.size(); ++index)
+        ASSERT_GE(windows[index].start, windows[index - 1].end);
+}
+
+TEST(RequestFactoryTest, BuildsRepeatableRequestsWithinTheRanges)
+{
+    auto const mix = sample();
+    Core::WallTime const time(std::chrono::milliseconds(1'700'000'000'000));
+    std::map<std::string, int> teams;
+    for (std::uint64_t seed = 0; seed < 400; ++seed) {
+        Core::Random random(seed);
+        Core::Random same(seed);
+        auto const planned = Load::buildRequest(mix, mix.classes[0], "default-key", random, time);
+        ASSERT_EQ(planned, Load::buildRequest(mix, mix.classes[0], "default-key", same, time));
+        ++teams[planned.team];
+        EXPECT_EQ(planned.request.headers.find("Authorization"), planned.team == "a" ? "Bearer a-key" : "Bearer default-key");
+        EXPECT_EQ(planned.request.headers.find("Hyssopstep-Deadline-Ms"), "900");
+        // The 16 words of the prefix, 5 to 9 of the prompt, and the length.
+        auto const words = std::count(planned.request.body.begin(), planned.request.body.end(), ' ') + 2;
+        EXPECT_GE(words, 16 + 5 + 1);
+        EXPECT_LE(words, 16 + 9 + 1);
+    }
+    EXPECT_NEAR(teams["a"], 300, 45);
+}
+
+TEST(RequestFactoryTest, ServiceCallsCarryAKeyOfTheirTime)
+{
+    auto const mix = sample();
+    Core::Random random(1);
+    Core::WallTime const time(std::chrono::milliseconds(1'700'000'000'000));
+    auto const planned = Load::buildRequest(mix, mix.classes[1], "", random, time);
+    EXPECT_EQ(planned.request.target, "/services/shop/refunds");
+    Core::LastReason reason;
+    auto const key = Core::parseUuid(planned.request.headers.find("Idempotency-Key").value_or(""), reason);
+    ASSERT_TRUE(key);
+    EXPECT_EQ(Core::uuidTime(*key), time);
+}
+
+// Guards against a repeated or missing event that is counted as a correct answer.
+TEST(AnswerTest, CountsTokensAndSequenceErrors)
+{
+    Load::StreamedAnswer answer;
+    auto const event = [](int id, std::string const& text) { return HTTP::ServerSentEvent { std::to_string(id), R"({"choices":[{"delta":{"content":")" + text + "\"}}]}" }; };
+    EXPECT_EQ(Load::consumeEvent(answer, event(1, "one")), 1u);
+    EXPECT_EQ(Load::consumeEvent(answer, event(2, " two three")), 2u);
+    EXPECT_EQ(answer.sequenceErrors, 0u);
+    Load::consumeEvent(answer, event(2, " two three"));
+    Load::consumeEvent(answer, event(4, ""));
+    EXPECT_EQ(answer.sequenceErrors, 2u);
+    EXPECT_FALSE(answer.done);
+    Load::consumeEvent(answer, { "", R"({"type":"about:blank","title":"","status":502,"detail":"x","kind":"backend_failed","run_state":"unknown"})" });
+    ASSERT_TRUE(answer.problem);
+    EXPECT_EQ(answer.problem->kind, Core::ErrorKind::BackendFailed);
+    Load::consumeEvent(answer, { "", "[DONE]" });
+    EXPECT_TRUE(answer.done);
+    EXPECT_EQ(Load::parseWholeAnswer(R"({"choices":[{"message":{"content":"a b"}}]})"), "a b");
+    EXPECT_EQ(Load::parseWholeAnswer(R"({"choices":[{"text":"c"}]})"), "c");
+    EXPECT_FALSE(Load::parseWholeAnswer(R"({"choices":[]})"));
+}
--- /dev/null
+++ b/Utilities/Load/Answer.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <LibCore/ErrorKind.h>
+#include <LibHTTP/ServerSentEvents.h>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace Load {
+
+/// The part of a streamed answer that has arrived.
+struct StreamedAnswer {
+    std::string text;
+    std::uint64_t tokens { 0 };
+    /// The number in the last event's `id:` line, from which a resumed answer continues; counted if there is no such line.
+    std::uint64_t lastEventId { 0 };
+    /// Events whose number does not follow the one before: repeated, missing or out of order.
+    std::uint64_t sequenceErrors { 0 };
+    bool done { false };
+    /// The problem that ended the answer.
+    std::optional<Core::LastReason> problem;
+
+    bool operator==(StreamedAnswer const&) const = default;
+};
+
+/// Adds an event of the OpenAI form, `[DONE]` or a problem details object. Returns the number of tokens in it.
+std::uint64_t consumeEvent(StreamedAnswer&, HTTP::ServerSentEvent const&);
+
+/// The text of a whole answer to a chat or text completion; nothing if the body is not such an answer. Thread safe.
+[[nodiscard]] std::optional<std::string> parseWholeAnswer(std::string const& body);
+
+/// The number of tokens of a text, which the gateway joins by spaces. Thread safe.
+[[nodiscard]] std::uint64_t countTokens(std::string_view text);
+
+}
--- a/Utilities/Load/LoadCommand.cpp
+++ b/Utilities/Load/LoadCommand.cpp
@@ -1,11 +1,148 @@
 #include <Load/LoadCommand.h>
 
+#include <Hyssopstep/Command.h>
+#include <LibCore/Log.h>
+#include <LibCore/Settings.h>
+#include <Load/LoadRunner.h>
+#include <boost/asio/signal_set.hpp>
+#include <boost/json/serialize.hpp>
+#include <cstdio>
+#include <fstream>
+#include <gflags/gflags.h>
+#include <iostream>
+#include <sstream>
+
+DEFINE_string(mix, "", "file with the mix of requests, see docs/load.md");
+DEFINE_string(targets, "", "comma-separated IP numbers and ports of the nodes, used in turn");
+DEFINE_string(key, "", "bearer key of the teams whose key is not in the mix");
+DEFINE_uint64(seed, 1, "seed of the arrivals and requests");
+DEFINE_double(duration, 10, "seconds in which requests arrive");
+DEFINE_double(drain, 30, "seconds that requests may take after the last arrival before they are counted as open");
+DEFINE_double(rate_factor, 1, "factor on all arrival rates of the mix");
+DEFINE_int32(timeout_ms, 120'000, "milliseconds that a request without a deadline may take");
+DEFINE_int32(maximum_resumes, 8, "number of times that a streamed answer is continued at another target after it broke off");
+DEFINE_string(json, "", "file for the results as JSON; - for standard output, without the table");
+DEFINE_string(trace, "", "file for one line of JSON for each request that ended");
+
 namespace Load {
 
-// FIXME: Not written yet.
-int runLoadCommand(int, char**)
+static std::vector<Core::Endpoint> parseTargets(std::string const& list, Core::SettingChecker& checker)
+{
+    std::vector<Core::Endpoint> targets;
+    std::istringstream stream(list);
+    std::string part;
+    while (std::getline(stream, part, ',')) {
+        Core::LastReason reason;
+        if (auto const endpoint = Core::parseEndpoint(part, reason))
+            targets.push_back(*endpoint);
+        else
+            checker.addFault("targets", part, "IP numbers and ports, such as 127.0.0.1:8080,127.0.0.1:8081");
+    }
+    if (targets.empty())
+        checker.checkNotEmpty("targets", "", "at least one node, such as 127.0.0.1:8080");
+    return targets;
+}
+
+static Core::Duration fromSeconds(double seconds)
+{
+    return std::chrono::duration_cast<Core::Duration>(std::chrono::duration<double>(seconds));
+}
+
+static void checkPositive(Core::SettingChecker& checker, std::string_view name, double value, std::string_view allowed)
+{
+    static constexpr double maximum = 1'000'000;
+    if (!(value > 0 && value <= maximum))
+        checker.addFault(name, std::to_string(value), allowed);
+}
+
+static RunSettings settingsFromFlags(Core::SettingChecker& checker)
 {
-    return 1;
+    static constexpr int maximumMilliseconds = 86'400'000;
+    static constexpr int maximumResumes = 1000;
+    checker.checkNotEmpty("mix", FLAGS_mix, "a file, such as Examples/mixes/cypress-hollow.yaml");
+    checkPositive(checker, "duration", FLAGS_duration, "more than 0 and at most 1000000 seconds");
+    checkPositive(checker, "rate_factor", FLAGS_rate_factor, "more than 0 and at most 1000000");
+    if (!(FLAGS_drain >= 0))
+        checker.addFault("drain", std::to_string(FLAGS_drain), "at least 0 seconds");
+    checker.checkRange("timeout_ms", FLAGS_timeout_ms, 1, maximumMilliseconds, "milliseconds");
+    checker.checkRange("maximum_resumes", FLAGS_maximum_resumes, 0, maximumResumes, "times");
+    RunSettings settings;
+    settings.targets = parseTargets(FLAGS_targets, checker);
+    settings.defaultKey = FLAGS_key;
+    settings.seed = FLAGS_seed;
+    settings.duration = fromSeconds(FLAGS_duration);
+    settings.drainTime = fromSeconds(FLAGS_drain);
+    settings.timeout = std::chrono::milliseconds(FLAGS_timeout_ms);
+    settings.maximumResumes = static_cast<unsigned>(FLAGS_maximum_resumes);
+    return settings;
+}
+
+static Core::Awaitable<void> runAndStop(Core::Runtime& runtime, LoadRunner& runner, RunStatistics& statistics)
+{
+    statistics = co_await runner.run();
+    runtime.context().stop();
+}
+
+static bool writeResults(RunStatistics const& statistics)
+{
+    auto const text = boost::json::serialize(toJson(statistics)) + "\n";
+    if (FLAGS_json == "-") {
+        std::cout << text << std::flush;
+        return static_cast<bool>(std::cout);
+    }
+    std::cout << toTable(statistics) << std::flush;
+    if (FLAGS_json.empty())
+        return true;
+    std::ofstream file(FLAGS_json);
+    file << text << std::flush;
+    if (!file)
+        std::fprintf(stderr, "cannot write %s\n", FLAGS_json.c_str());
+    return static_cast<bool>(file);
+}
+
+int runLoadCommand(int argc, char** argv)
+{
+    gflags::SetUsageMessage("generates load in an open loop and measures latencies");
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    Core::configureLog(Core::LogLevel::Info, "load");
+    auto faults = Core::applyEnvironmentToFlags();
+    Core::SettingChecker checker;
+    auto settings = settingsFromFlags(checker);
+    faults.insert(faults.end(), checker.faults().begin(), checker.faults().end());
+    Core::LastReason reason;
+    auto mix = FLAGS_mix.empty() ? std::nullopt : readMixFile(FLAGS_mix, reason);
+    if (!mix && !FLAGS_mix.empty())
+        faults.push_back(reason.message);
+    for (auto const& fault : faults)
+        std::fprintf(stderr, "%s\n", fault.c_str());
+    if (!faults.empty())
+        return Hyssopstep::Usage;
+    for (auto& requestClass : mix->classes)
+        requestClass.ratePerSecond *= FLAGS_rate_factor;
+
+    Trace trace;
+    std::ofstream traceFile;
+    if (!FLAGS_trace.empty()) {
+        traceFile.open(FLAGS_trace);
+        trace = [&traceFile](boost::json::object const& line) { traceFile << boost::json::serialize(line) << '\n'; };
+    }
+    RunStatistics statistics;
+    boost::asio::io_context context(1);
+    Core::Runtime runtime(context);
+    // Idle connections for a burst; the pool's default is made for a node.
+    static constexpr std::size_t idleConnectionsPerTarget = 1024;
+    HTTP::Client client(runtime, { .idleConnectionsPerEndpoint = idleConnectionsPerTarget });
+    LoadRunner runner(runtime, client, std::move(*mix), std::move(settings), std::move(trace));
+    boost::asio::signal_set signals(context, SIGTERM, SIGINT);
+    signals.async_wait([&runner](boost::system::error_code error, int) {
+        if (!error)
+            runner.stop();
+    });
+    runtime.spawn(runAndStop(runtime, runner, statistics));
+    context.run();
+    traceFile.flush();
+    bool const isWritten = writeResults(statistics) && (FLAGS_trace.empty() || traceFile);
+    return isWritten ? Hyssopstep::Success : Hyssopstep::Failure;
 }
 
 }
--- /dev/null
+++ b/Utilities/Load/RequestFactory.cpp
@@ -0,0 +1,96 @@
+#include <Load/RequestFactory.h>
+
+#include <LibCore/Uuid.h>
+#include <Load/Arrivals.h>
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
+
+namespace Load {
+
+namespace json = boost::json;
+
+static Team const& drawTeam(Mix const& mix, Core::Random& random)
+{
+    double total = 0;
+    for (auto const& team : mix.teams)
+        total += team.weight;
+    auto point = random.unit() * total;
+    for (auto const& team : mix.teams) {
+        point -= team.weight;
+        if (point < 0)
+            return team;
+    }
+    return mix.teams.back();
+}
+
+static std::string prefixText(RequestClass const& requestClass, Team const& team, Core::Random& random)
+{
+    if (requestClass.prefixGroups == 0)
+        return {};
+    auto const group = random.below(requestClass.prefixGroups);
+    auto const stem = team.name + "-" + requestClass.name + "-" + std::to_string(group) + "-";
+    std::string text;
+    for (std::uint32_t index = 0; index < requestClass.prefixTokens; ++index)
+        text.append(index == 0 ? "" : " ").append(stem).append(std::to_string(index));
+    return text;
+}
+
+static std::string promptText(RequestClass const& requestClass, std::uint32_t answerTokens, Core::Random& random)
+{
+    std::string text;
+    auto const words = drawFrom(requestClass.promptTokens, random);
+    for (std::uint32_t index = 0; index < words; ++index)
+        text += "w" + std::to_string(random.below(1'000'000)) + " ";
+    return text + "length=" + std::to_string(answerTokens);
+}
+
+static std::string modelBody(RequestClass const& requestClass, Team const& team, Core::Random& random)
+{
+    auto const prefix = prefixText(requestClass, team, random);
+    auto const answerTokens = drawFrom(requestClass.answerTokens, random);
+    auto const prompt = promptText(requestClass, answerTokens, random);
+    json::object body { { "model", requestClass.service }, { "max_tokens", requestClass.answerTokens.maximum }, { "stream", requestClass.answerMode == AnswerMode::Streamed }, { "seed", random.below(1'000'000'000) } };
+    if (requestClass.kind == ClassKind::Completion) {
+        body["prompt"] = prefix.empty() ? prompt : prefix + " " + prompt;
+        return json::serialize(body);
+    }
+    json::array messages;
+    if (!prefix.empty())
+        messages.push_back(json::object { { "role", "system" }, { "content", prefix } });
+    messages.push_back(json::object { { "role", "user" }, { "content", prompt } });
+    body["messages"] = std::move(messages);
+    return json::serialize(body);
+}
+
+PlannedRequest buildRequest(Mix const& mix, RequestClass const& requestClass, std::string const& defaultKey, Core::Random& random, Core::WallTime time)
+{
+    PlannedRequest planned;
+    auto const& team = drawTeam(mix, random);
+    planned.team = team.name;
+    planned.bearerKey = team.key.empty() ? defaultKey : team.key;
+    auto& request = planned.request;
+    request.headers.set("Content-Type", "application/json");
+    if (!planned.bearerKey.empty())
+        request.headers.set("Authorization", "Bearer " + planned.bearerKey);
+    if (requestClass.deadlineMs > 0)
+        request.headers.set("Hyssopstep-Deadline-Ms", std::to_string(requestClass.deadlineMs));
+    if (requestClass.kind != ClassKind::Service) {
+        request.method = "POST";
+        request.target = requestClass.kind == ClassKind::Chat ? "/v1/chat/completions" : "/v1/completions";
+        request.body = modelBody(requestClass, team, random);
+        return planned;
+    }
+    request.method = requestClass.method;
+    request.target = "/services/" + requestClass.service + requestClass.path;
+    if (requestClass.bodyBytes.maximum > 0) {
+        json::object const body { { "number", random.below(1'000'000'000) }, { "text", std::string(drawFrom(requestClass.bodyBytes, random), 'x') } };
+        request.body = json::serialize(body);
+    }
+    if (requestClass.idempotencyKey == IdempotencyKeyUse::Send) {
+        planned.idempotencyKey = Core::generateUuidV7(random, time).toString();
+        request.headers.set("Idempotency-Key", planned.idempotencyKey);
+    }
+    return planned;
+}
+
+}
--- /dev/null
+++ b/Utilities/Load/RequestFactory.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include <LibCore/Random.h>
+#include <LibCore/Runtime.h>
+#include <LibHTTP/Message.h>
+#include <Load/Mix.h>
+#include <string>
+
+namespace Load {
+
+/// One request as it is sent.
+struct PlannedRequest {
+    HTTP::Request request;
+    std::string team;
+    std::string idempotencyKey;
+    std::string bearerKey;
+
+    bool operator==(PlannedRequest const&) const = default;
+};
+
+/// Builds a request of a class: the team by weight, the lengths by the class's ranges. The same random state and time give the
+/// same request. The last word of a prompt is "length=<answer tokens>", which the stand-in of the engine obeys.
+[[nodiscard]] PlannedRequest buildRequest(Mix const&, RequestClass const&, std::string const& defaultKey, Core::Random&, Core::WallTime);
+
+}
