LibPeer: Call other nodes over Cap'n Proto RPC

KJ's event loop runs on a thread of its own and is reached through a queue that wakes it; results return by a post to the runtime. Deadlines are kept on the runtime's clock. The sending thread and the waiting side agree by one atomic step whether a call was sent, so that NotRun is claimed only if nothing was or will be sent.

--- /dev/null
+++ b/Libraries/LibPeer/PeerClient.cpp
@@ -0,0 +1,361 @@
+#include <LibPeer/PeerClient.h>
+
+#include <LibPeer/KjThread.h>
+#include <LibPeer/PeerCodec.h>
+#include <atomic>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <capnp/rpc-twoparty.h>
+#include <kj/debug.h>
+#include <unordered_map>
+
+namespace Peer {
+
+/// A receiver reads each message once; the traversal limit also counts the envelope.
+static constexpr std::uint64_t receiveLimitWords = 2 * maximumMessageBytes / sizeof(capnp::word);
+/// KJ's own limit of one connection attempt; deadlines of calls end the wait earlier.
+static constexpr auto connectTimeout = 3 * kj::SECONDS;
+/// A connection without any answer in this many calls is replaced: a peer that lost power sends no reset.
+static constexpr unsigned timeoutsUntilReconnect = 3;
+
+namespace {
+
+/// Decides between the KJ thread that sends and the runtime's thread that gives up, so that NotRun is claimed only if nothing
+/// was sent and nothing will be.
+enum class CallStage {
+    Waiting,
+    Sent,
+    GivenUp,
+};
+
+struct CallProgress {
+    std::atomic<CallStage> stage { CallStage::Waiting };
+
+    bool advanceTo(CallStage next)
+    {
+        auto expected = CallStage::Waiting;
+        return stage.compare_exchange_strong(expected, next);
+    }
+};
+
+/// One connection to a peer. Belongs to the KJ thread.
+struct Connection : kj::Refcounted {
+    explicit Connection(kj::Own<kj::AsyncIoStream> ownStream)
+        : stream(kj::mv(ownStream))
+        , network(*stream, capnp::rpc::twoparty::Side::CLIENT, capnp::ReaderOptions { receiveLimitWords, 64 })
+        , system(capnp::makeRpcClient(network))
+        , node(bootstrap())
+    {
+    }
+
+    /// Lets each branch of a forked promise own the connection.
+    kj::Own<Connection> addRef() { return kj::addRef(*this); }
+
+    Wire::Node::Client bootstrap()
+    {
+        capnp::MallocMessageBuilder message;
+        auto identity = message.initRoot<capnp::rpc::twoparty::VatId>();
+        identity.setSide(capnp::rpc::twoparty::Side::SERVER);
+        return system.bootstrap(identity).castAs<Wire::Node>();
+    }
+
+    kj::Own<kj::AsyncIoStream> stream;
+    capnp::TwoPartyVatNetwork network;
+    capnp::RpcSystem<capnp::rpc::twoparty::VatId> system;
+    Wire::Node::Client node;
+};
+
+/// A peer's connection, being opened or open. Belongs to the KJ thread.
+struct PeerState : kj::Refcounted {
+    kj::ForkedPromise<kj::Own<Connection>> connection { nullptr };
+    /// Ends when the connection is closed.
+    kj::Promise<void> closed { nullptr };
+    unsigned timeouts { 0 };
+};
+
+struct PendingCall {
+    std::string peer;
+    kj::Own<PeerState> state;
+    kj::Canceler canceler;
+};
+
+/// State of the KJ thread. Created, used and destroyed there.
+struct ClientLoop : private kj::TaskSet::ErrorHandler {
+    explicit ClientLoop(kj::AsyncIoContext& context)
+        : io(context)
+        , tasks(*this)
+    {
+    }
+
+    ~ClientLoop()
+    {
+        // Ends the calls before the connections they use.
+        calls.clear();
+    }
+
+    void taskFailed(kj::Exception&&) override { }
+
+    PeerState& peer(std::string const& address)
+    {
+        auto& entry = peers[address];
+        if (entry.get())
+            return *entry;
+        entry = kj::refcounted<PeerState>();
+        auto& network = io.provider->getNetwork();
+        auto opening = network.parseAddress(address.c_str()).then([](kj::Own<kj::NetworkAddress> parsed) {
+            auto stream = parsed->connect();
+            return stream.attach(kj::mv(parsed));
+        });
+        auto& timer = io.provider->getTimer();
+        auto limited = timer.timeoutAfter(connectTimeout, kj::mv(opening));
+        auto* const state = entry.get();
+        state->connection = limited.then([this, address, state](kj::Own<kj::AsyncIoStream> stream) {
+                                       auto connection = kj::refcounted<Connection>(kj::mv(stream));
+                                       auto disconnected = connection->network.onDisconnect().attach(kj::addRef(*connection));
+                                       state->closed = disconnected.then([this, address, state] { dropPeer(address, state); }).eagerlyEvaluate(nullptr);
+                                       return connection;
+                                   })
+                                .fork();
+        tasks.add(state->connection.addBranch().then([](kj::Own<Connection>) {}, [this, address, state](kj::Exception&&) { dropPeer(address, state); }).attach(kj::addRef(*state)));
+        return *entry;
+    }
+
+    /// Forgets a connection, so that the next call opens a new one. Calls in progress keep it until they end. The release
+    /// happens in an event of its own, because the caller may run inside of a promise of the connection.
+    void dropPeer(std::string const& address, PeerState const* state)
+    {
+        auto const entry = peers.find(address);
+        if (entry == peers.end() || entry->second.get() != state)
+            return;
+        tasks.add(kj::evalLater([dropped = kj::mv(entry->second)] {}));
+        peers.erase(entry);
+    }
+
+    void endCall(std::uint64_t id)
+    {
+        auto const entry = calls.find(id);
+        if (entry == calls.end())
+            return;
+        tasks.add(kj::evalLater([ended = kj::mv(entry->second)] {}));
+        calls.erase(entry);
+    }
+
+    kj::AsyncIoContext& io;
+    std::unordered_map<std::string, kj::Own<PeerState>> peers;
+    std::unordered_map<std::uint64_t, kj::Own<PendingCall>> calls;
+    kj::TaskSet tasks;
+};
+
+}
+
+class PeerClient::Implementation : public std::enable_shared_from_this<Implementation> {
+public:
+    explicit Implementation(Core::Runtime& runtime)
+        : m_runtime(runtime)
+    {
+        m_thread.post([this](kj::AsyncIoContext& io) { m_loop = std::make_unique<ClientLoop>(io); });
+    }
+
+    ~Implementation() { shutDown(); }
+
+    void shutDown()
+    {
+        m_thread.stop([this](kj::AsyncIoContext&) { m_loop.reset(); });
+        for (auto& [id, call] : std::exchange(m_waiting, {}))
+            call->end();
+    }
+
+    template <typename Reply, typename Request, typename Method>
+    Core::Awaitable<std::optional<Reply>> call(Core::Endpoint, Request, Method, Core::MonotonicTime deadline, Core::LastReason&);
+
+private:
+    /// The waiting side of a call, in the frame of its coroutine.
+    struct Waiter {
+        explicit Waiter(Core::Runtime& runtime)
+            : signal(runtime.context(), Core::asio::steady_timer::time_point::max())
+        {
+        }
+
+        void end()
+        {
+            ended = true;
+            signal.cancel();
+        }
+
+        Core::asio::steady_timer signal;
+        bool ended { false };
+        bool answered { false };
+        Core::LastReason reason { Core::ErrorKind::Cancelled, Core::RunState::Unknown, "the client was closed", std::nullopt };
+    };
+
+    /// Removes the waiter when the coroutine ends or is destroyed.
+    struct Registration {
+        Registration(Implementation& implementation, std::uint64_t callId, Waiter& waiter)
+            : owner(implementation)
+            , id(callId)
+        {
+            owner.m_waiting.emplace(id, &waiter);
+        }
+        Registration(Registration const&) = delete;
+        Registration& operator=(Registration const&) = delete;
+        ~Registration() { owner.m_waiting.erase(id); }
+
+        Implementation& owner;
+        std::uint64_t id;
+    };
+
+    void finish(std::uint64_t id, std::optional<Core::LastReason> failure)
+    {
+        auto const entry = m_waiting.find(id);
+        if (entry == m_waiting.end())
+            return;
+        auto& waiter = *entry->second;
+        waiter.answered = !failure;
+        if (failure)
+            waiter.reason = std::move(*failure);
+        waiter.end();
+    }
+
+    template <typename Reply, typename Request, typename Method>
+    void start(std::uint64_t id, std::string const& address, std::shared_ptr<Request> const&, Method, std::shared_ptr<CallProgress> const&, std::shared_ptr<Reply> const&);
+
+    Core::Runtime& m_runtime;
+    std::unordered_map<std::uint64_t, Waiter*> m_waiting;
+    std::uint64_t m_nextCall { 0 };
+    /// Belongs to the KJ thread.
+    std::unique_ptr<ClientLoop> m_loop;
+    KjThread m_thread;
+};
+
+/// Runs on the KJ thread.
+template <typename Reply, typename Request, typename Method>
+void PeerClient::Implementation::start(std::uint64_t id, std::string const& address, std::shared_ptr<Request> const& request, Method method, std::shared_ptr<CallProgress> const& progress, std::shared_ptr<Reply> const& reply)
+{
+    auto& loop = *m_loop;
+    auto& peer = loop.peer(address);
+    auto pending = kj::heap<PendingCall>();
+    pending->peer = address;
+    pending->state = kj::addRef(peer);
+
+    auto exchange = peer.connection.addBranch().then([request, method, progress, reply](kj::Own<Connection> connection) -> kj::Promise<void> {
+        auto call = method(connection->node);
+        encode(*request, call.initRequest());
+        if (call.totalSize().wordCount * sizeof(capnp::word) > maximumMessageBytes)
+            return KJ_EXCEPTION(FAILED, "the request is too large");
+        if (!progress->advanceTo(CallStage::Sent))
+            return kj::READY_NOW;
+        return call.send().then([reply](auto response) { decode(response.getReply(), *reply); }).attach(kj::mv(connection));
+    });
+    auto report = [this, id, weak = weak_from_this()](std::optional<Core::LastReason> failure) {
+        m_runtime.post([weak, id, failure = std::move(failure)] {
+            if (auto const self = weak.lock())
+                self->finish(id, failure);
+        });
+    };
+    auto* const state = &peer;
+    auto done = pending->canceler.wrap(kj::mv(exchange)).then([this, id, report, state] {
+            state->timeouts = 0;
+            report(std::nullopt);
+            m_loop->endCall(id); }, [this, id, report, state, address, progress](kj::Exception&& exception) {
+            auto const runState = progress->advanceTo(CallStage::GivenUp) ? Core::RunState::NotRun : Core::RunState::Unknown;
+            if (exception.getType() == kj::Exception::Type::DISCONNECTED)
+                m_loop->dropPeer(address, state);
+            report(Core::LastReason { Core::ErrorKind::PeerUnreachable, runState, "peer " + address + ": " + describe(exception), std::nullopt });
+            m_loop->endCall(id); });
+    loop.calls.emplace(id, kj::mv(pending));
+    loop.tasks.add(kj::mv(done));
+}
+
+template <typename Reply, typename Request, typename Method>
+Core::Awaitable<std::optional<Reply>> PeerClient::Implementation::call(Core::Endpoint endpoint, Request request, Method method, Core::MonotonicTime deadline, Core::LastReason& reason)
+{
+    auto const self = shared_from_this();
+    auto const id = m_nextCall++;
+    auto const address = endpoint.toString();
+    auto const progress = std::make_shared<CallProgress>();
+    auto const reply = std::make_shared<Reply>();
+    Waiter waiter(m_runtime);
+    Registration const registration(*this, id, waiter);
+    bool timedOut = false;
+    auto timer = m_runtime.callAt(deadline, [&] {
+        timedOut = true;
+        waiter.end();
+    });
+    m_thread.post([this, id, address, shared = std::make_shared<Request>(std::move(request)), method, progress, reply](kj::AsyncIoContext&) {
+        start(id, address, shared, method, progress, reply);
+    });
+    while (!waiter.ended)
+        co_await waiter.signal.async_wait(Core::asio::as_tuple(Core::asio::use_awaitable));
+
+    if (waiter.answered)
+        co_return std::move(*reply);
+    if (!timedOut) {
+        reason = waiter.reason;
+        co_return std::nullopt;
+    }
+    auto const runState = progress->advanceTo(CallStage::GivenUp) ? Core::RunState::NotRun : Core::RunState::Unknown;
+    m_thread.post([this, id](kj::AsyncIoContext&) {
+        auto const entry = m_loop->calls.find(id);
+        if (entry == m_loop->calls.end())
+            return;
+        auto& state = *entry->second->state;
+        if (++state.timeouts >= timeoutsUntilReconnect)
+            m_loop->dropPeer(entry->second->peer, &state);
+        entry->second->canceler.cancel("the deadline passed");
+    });
+    co_return Core::fail(reason, Core::ErrorKind::DeadlineExceeded, "peer " + address + " did not answer in time", runState);
+}
+
+PeerClient::PeerClient(Core::Runtime& runtime)
+    : m_implementation(std::make_shared<Implementation>(runtime))
+{
+}
+
+PeerClient::~PeerClient()
+{
+    m_implementation->shutDown();
+}
+
+Core::Awaitable<std::optional<ExchangeReply>> PeerClient::exchange(Core::Endpoint endpoint, ExchangeRequest request, Core::MonotonicTime deadline, Core::LastReason& reason)
+{
+    auto const method = [](Wire::Node::Client& node) { return node.exchangeRequest(); };
+    return m_implementation->call<ExchangeReply>(std::move(endpoint), std::move(request), method, deadline, reason);
+}
+
+Core::Awaitable<std::optional<FetchConfigurationReply>> PeerClient::fetchConfiguration(Core::Endpoint endpoint, FetchConfigurationRequest request, Core::MonotonicTime deadline, Core::LastReason& reason)
+{
+    auto const method = [](Wire::Node::Client& node) { return node.fetchConfigurationRequest(); };
+    return m_implementation->call<FetchConfigurationReply>(std::move(endpoint), request, method, deadline, reason);
+}
+
+Core::Awaitable<std::optional<ReplicateReply>> PeerClient::replicate(Core::Endpoint endpoint, ReplicateRequest request, Core::MonotonicTime deadline, Core::LastReason& reason)
+{
+    auto const method = [](Wire::Node::Client& node) { return node.replicateRequest(); };
+    return m_implementation->call<ReplicateReply>(std::move(endpoint), std::move(request), method, deadline, reason);
+}
+
+Core::Awaitable<std::optional<HandOverReply>> PeerClient::handOver(Core::Endpoint endpoint, HandOverRequest request, Core::MonotonicTime deadline, Core::LastReason& reason)
+{
+    auto const method = [](Wire::Node::Client& node) { return node.handOverRequest(); };
+    return m_implementation->call<HandOverReply>(std::move(endpoint), std::move(request), method, deadline, reason);
+}
+
+Core::Awaitable<std::optional<FindStreamReply>> PeerClient::findStream(Core::Endpoint endpoint, FindStreamRequest request, Core::MonotonicTime deadline, Core::LastReason& reason)
+{
+    auto const method = [](Wire::Node::Client& node) { return node.findStreamRequest(); };
+    return m_implementation->call<FindStreamReply>(std::move(endpoint), std::move(request), method, deadline, reason);
+}
+
+Core::Awaitable<std::optional<BeginIntentReply>> PeerClient::beginIntent(Core::Endpoint endpoint, BeginIntentRequest request, Core::MonotonicTime deadline, Core::LastReason& reason)
+{
+    auto const method = [](Wire::Node::Client& node) { return node.beginIntentRequest(); };
+    return m_implementation->call<BeginIntentReply>(std::move(endpoint), std::move(request), method, deadline, reason);
+}
+
+Core::Awaitable<std::optional<FinishIntentReply>> PeerClient::finishIntent(Core::Endpoint endpoint, FinishIntentRequest request, Core::MonotonicTime deadline, Core::LastReason& reason)
+{
+    auto const method = [](Wire::Node::Client& node) { return node.finishIntentRequest(); };
+    return m_implementation->call<FinishIntentReply>(std::move(endpoint), std::move(request), method, deadline, reason);
+}
+
+}
