--- a/Libraries/LibConfiguration/ConfigurationStore.cpp
+++ b/Libraries/LibConfiguration/ConfigurationStore.cpp
@@ -4,7 +4,9 @@
 #include <LibConfiguration/Validate.h>
 #include <LibCore/Log.h>
 #include <algorithm>
+#include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
+#include <map>
 
 namespace Configuration {
 
@@ -91,6 +93,36 @@
     co_return version || reason.kind == Core::ErrorKind::StoreConflict;
 }
 
+Core::Awaitable<std::optional<std::vector<AuditEntry>>> ConfigurationStore::readArchive(std::uint64_t beforeGeneration, std::size_t limit, Core::MonotonicTime deadline, Core::LastReason& reason)
+{
+    auto const list = co_await m_store.list(std::string(auditArchiveKind), deadline, reason);
+    if (!list)
+        co_return std::nullopt;
+    // Two applies of which only one took effect may have archived different ranges, so generations can occur twice.
+    std::map<std::uint64_t, AuditEntry> entries;
+    for (auto object = list->objects.rbegin(); object != list->objects.rend() && entries.size() < limit; ++object) {
+        boost::json::error_code error;
+        auto const archive = boost::json::parse(object->value, error);
+        if (error || !archive.is_array())
+            co_return Core::fail(reason, Core::ErrorKind::InvalidConfiguration, "object auditentries/" + object->key.name + " is not a JSON list");
+        Faults faults;
+        for (auto const& element : archive.get_array()) {
+            auto entry = auditEntryFromJson(element, faults);
+            if (!entry)
+                co_return Core::fail(reason, Core::ErrorKind::InvalidConfiguration, "object auditentries/" + object->key.name + ": " + joinFaults(faults));
+            if (entry->generation < beforeGeneration)
+                entries.emplace(entry->generation, std::move(*entry));
+        }
+    }
+    while (entries.size() > limit)
+        entries.erase(entries.begin());
+    std::vector<AuditEntry> ordered;
+    ordered.reserve(entries.size());
+    for (auto& [generation, entry] : entries)
+        ordered.push_back(std::move(entry));
+    co_return ordered;
+}
+
 Core::Awaitable<bool> ConfigurationStore::write(AppliedState const& state, std::uint64_t expectedVersion, Core::MonotonicTime deadline, Core::LastReason& reason)
 {
     auto text = toJsonText(state);
--- a/Libraries/LibConfiguration/ConfigurationStore.h
+++ b/Libraries/LibConfiguration/ConfigurationStore.h
@@ -40,6 +40,10 @@
     /// RunState::Unknown; the same apply (with its apply id) may then be sent again.
     [[nodiscard]] Core::Awaitable<std::optional<ApplyDecision>> apply(ApplyRequest, Core::MonotonicTime deadline, Core::LastReason&);
 
+    /// Reads archived audit entries below a generation, the latest of them up to the limit, in the order of generations.
+    /// StoreUnavailable, or InvalidConfiguration if an archive cannot be decoded.
+    [[nodiscard]] Core::Awaitable<std::optional<std::vector<AuditEntry>>> readArchive(std::uint64_t beforeGeneration, std::size_t limit, Core::MonotonicTime deadline, Core::LastReason&);
+
     /// The largest number of reads that one call makes.
     static constexpr unsigned maximumAttempts = 8;
 
--- a/Libraries/LibConfiguration/DesiredState.cpp
+++ b/Libraries/LibConfiguration/DesiredState.cpp
@@ -23,7 +23,7 @@
     return findByName(state.teams, name);
 }
 
-static std::string sha256Hexadecimal(std::string_view text)
+std::string keyDigest(std::string_view text)
 {
     static constexpr std::string_view digits = "0123456789abcdef";
     std::array<unsigned char, SHA256_DIGEST_LENGTH> digest {};
@@ -38,7 +38,7 @@
 
 Team const* findTeamByKey(DesiredState const& state, std::string_view bearerKey)
 {
-    auto const digest = sha256Hexadecimal(bearerKey);
+    auto const digest = keyDigest(bearerKey);
     auto const found = std::find_if(state.teams.begin(), state.teams.end(), [&](auto const& team) {
         return std::find(team.keyDigests.begin(), team.keyDigests.end(), digest) != team.keyDigests.end();
     });
--- a/Libraries/LibConfiguration/DesiredState.h
+++ b/Libraries/LibConfiguration/DesiredState.h
@@ -159,6 +159,9 @@
 [[nodiscard]] Service const* findService(DesiredState const&, std::string_view name);
 [[nodiscard]] Team const* findTeam(DesiredState const&, std::string_view name);
 
+/// The SHA-256 of a bearer key in lower-case hexadecimal. Thread safe.
+[[nodiscard]] std::string keyDigest(std::string_view bearerKey);
+
 /// Finds the team that one of its keys belongs to; null if there is none. Thread safe.
 [[nodiscard]] Team const* findTeamByKey(DesiredState const&, std::string_view bearerKey);
 
--- a/Libraries/LibConfiguration/Loader.cpp
+++ b/Libraries/LibConfiguration/Loader.cpp
@@ -51,6 +51,9 @@
         return nullptr;
     }
 
+    /// Whether a part of the document was left out.
+    [[nodiscard]] bool isTooLarge() const { return m_isTooLarge; }
+
     /// "file:line:column" of the value that a pointer names, or of the nearest value around it.
     [[nodiscard]] std::string placeOf(std::string pointer) const
     {
@@ -188,7 +191,10 @@
             faults.push_back({ file, "the file", "has " + std::to_string(documents.size()) + " documents; allowed is one" });
         if (!documents.empty() && !documents.front().IsNull()) {
             auto const value = converter.convert(documents.front(), "");
-            Decoder(faults).decode(value, "", state);
+            if (converter.isTooLarge())
+                gathered.isIncomplete = true;
+            else
+                Decoder(faults).decode(value, "", state);
         }
     } catch (YAML::Exception const& exception) {
         auto const place = exception.mark.is_null() ? file : file + ":" + std::to_string(exception.mark.line + 1) + ":" + std::to_string(exception.mark.column + 1);
--- /dev/null
+++ b/Services/Node/OperatorEndpoint.cpp
@@ -0,0 +1,279 @@
+#include <Node/OperatorEndpoint.h>
+
+#include <LibConfiguration/Codec.h>
+#include <LibCore/Log.h>
+#include <LibHTTP/Problem.h>
+#include <algorithm>
+#include <array>
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+#include <charconv>
+#include <gflags/gflags.h>
+#include <openssl/crypto.h>
+
+DEFINE_string(operator_key_digest, "", "SHA-256 of the operator key in lower-case hexadecimal; empty means that no key is required on the operator port");
+
+namespace Node {
+
+using Configuration::ApplyOutcome;
+using Core::ErrorKind;
+
+namespace {
+
+struct Route {
+    std::string_view path;
+    std::string_view methods;
+    bool isPublic;
+};
+
+constexpr std::array routes {
+    Route { "/operator/desired-state", "GET, PUT", false },
+    Route { "/operator/status", "GET", false },
+    Route { "/operator/audit", "GET", false },
+    Route { "/operator/explain", "GET", false },
+    Route { "/operator/drain", "POST", false },
+    Route { "/metrics", "GET", true },
+    Route { "/healthz", "GET", true },
+    Route { "/readyz", "GET", true },
+};
+
+HTTP::Response jsonResponse(unsigned status, boost::json::value const& body)
+{
+    return { status, { { "Content-Type", "application/json" } }, boost::json::serialize(body) + "\n" };
+}
+
+HTTP::Response textResponse(std::string_view contentType, std::string body)
+{
+    return { 200, { { "Content-Type", std::string(contentType) } }, std::move(body) };
+}
+
+HTTP::Response problem(ErrorKind kind, std::string message)
+{
+    return HTTP::problemResponse({ kind, Core::RunState::NotRun, std::move(message), std::nullopt });
+}
+
+/// Adds a field to a problem details answer (RFC 9457, section 3.2).
+void extendProblem(HTTP::Response& response, std::string_view name, boost::json::value value)
+{
+    auto body = boost::json::parse(response.body);
+    body.as_object()[name] = std::move(value);
+    response.body = boost::json::serialize(body);
+}
+
+std::string_view outcomeName(ApplyOutcome outcome)
+{
+    switch (outcome) {
+    case ApplyOutcome::Accepted:
+        return "accepted";
+    case ApplyOutcome::AlreadyAccepted:
+        return "already_accepted";
+    case ApplyOutcome::Unchanged:
+        return "unchanged";
+    case ApplyOutcome::Conflict:
+        break;
+    }
+    return "conflict";
+}
+
+template <typename Entries>
+boost::json::array encodeEntries(Entries const& entries)
+{
+    boost::json::array list;
+    for (auto const& entry : entries)
+        list.push_back(Configuration::toJson(entry));
+    return list;
+}
+
+boost::json::array faultLines(Configuration::Faults const& faults)
+{
+    boost::json::array lines;
+    for (auto const& fault : faults)
+        lines.emplace_back(fault.toString());
+    return lines;
+}
+
+}
+
+OperatorEndpoint::OperatorEndpoint(OperatorDependencies dependencies)
+    : m_node(std::move(dependencies))
+{
+}
+
+Core::Awaitable<void> OperatorEndpoint::handle(HTTP::Request const& request, HTTP::ResponseWriter& writer)
+{
+    auto response = co_await respond(request, writer.peer());
+    (void)co_await writer.send(std::move(response));
+}
+
+Core::Awaitable<HTTP::Response> OperatorEndpoint::respond(HTTP::Request const& request, Core::Endpoint const& peer)
+{
+    auto const path = request.path();
+    auto const* route = std::find_if(routes.begin(), routes.end(), [&](auto const& candidate) { return candidate.path == path; });
+    if (route == routes.end())
+        co_return problem(ErrorKind::NotFound, "there is no such path on the operator port");
+    if (!route->isPublic && !isAuthorized(request)) {
+        auto response = problem(ErrorKind::Unauthorized, "the operator key is missing or not the right one");
+        response.headers.add("WWW-Authenticate", "Bearer");
+        co_return response;
+    }
+    if (request.method.empty() || (", " + std::string(route->methods) + ",").find(", " + request.method + ",") == std::string::npos) {
+        auto response = problem(ErrorKind::MethodNotAllowed, "allowed: " + std::string(route->methods));
+        response.headers.add("Allow", std::string(route->methods));
+        co_return response;
+    }
+
+    if (path == "/operator/desired-state") {
+        if (request.method == "PUT")
+            co_return co_await applyDesiredState(request, peer);
+        co_return co_await showDesiredState();
+    }
+    if (path == "/operator/audit")
+        co_return co_await showAudit(request);
+    if (path == "/operator/explain")
+        co_return explainRequest(request);
+    if (path == "/operator/status")
+        co_return jsonResponse(200, m_node.status());
+    if (path == "/operator/drain") {
+        Core::logEvent(Core::LogLevel::Info, "drain_requested", { { "peer", peer.toString() } });
+        co_return jsonResponse(202, m_node.drain());
+    }
+    if (path == "/metrics")
+        co_return textResponse("text/plain; version=0.0.4", m_node.metrics.renderText());
+    if (path == "/healthz")
+        co_return textResponse("text/plain", "ok\n");
+
+    auto const readiness = m_node.readiness();
+    auto const* ready = readiness.is_object() ? readiness.get_object().if_contains("ready") : nullptr;
+    co_return jsonResponse(ready && ready->is_bool() && ready->get_bool() ? 200 : 503, readiness);
+}
+
+bool OperatorEndpoint::isAuthorized(HTTP::Request const& request) const
+{
+    if (m_node.operatorKeyDigest.empty())
+        return true;
+    constexpr std::string_view scheme = "Bearer ";
+    auto const field = request.headers.find("Authorization");
+    if (!field || !field->starts_with(scheme))
+        return false;
+    auto const digest = Configuration::keyDigest(field->substr(scheme.size()));
+    // Takes the same time wherever the digests differ.
+    return digest.size() == m_node.operatorKeyDigest.size() && CRYPTO_memcmp(digest.data(), m_node.operatorKeyDigest.data(), digest.size()) == 0;
+}
+
+Core::Awaitable<HTTP::Response> OperatorEndpoint::applyDesiredState(HTTP::Request const& request, Core::Endpoint const& peer)
+{
+    boost::json::error_code error;
+    auto const body = boost::json::parse(request.body, error);
+    if (error)
+        co_return problem(ErrorKind::InvalidRequest, "the body is not valid JSON: " + error.message());
+    Configuration::Faults faults;
+    auto apply = Configuration::applyRequestFromJson(body, faults);
+    if (!apply) {
+        auto response = problem(ErrorKind::InvalidConfiguration, std::to_string(faults.size()) + " faults, the first: " + faults.front().toString());
+        extendProblem(response, "faults", faultLines(faults));
+        co_return response;
+    }
+    auto const basedOn = apply->basedOnGeneration;
+    auto const appliedBy = apply->appliedBy;
+    auto const applyId = apply->applyId;
+
+    Core::LastReason reason;
+    auto const deadline = m_node.runtime.now() + storeTimeout;
+    auto const decision = co_await m_node.store.apply(std::move(*apply), deadline, reason);
+    auto const result = decision ? outcomeName(decision->outcome) : Core::answerFor(reason.kind).name;
+    m_node.metrics.counter("hyssopstep_applies_total", { { "result", std::string(result) } }).add();
+    Core::logEvent(Core::LogLevel::Info, "apply_requested", { { "peer", peer.toString() }, { "by", appliedBy }, { "apply_id", applyId }, { "based_on", basedOn }, { "result", result }, { "detail", decision ? decision->message : reason.message } });
+    if (!decision)
+        co_return HTTP::problemResponse(reason);
+
+    if (decision->state.generation > 0)
+        m_node.adopt(decision->state);
+    if (decision->outcome == ApplyOutcome::Conflict) {
+        auto response = problem(ErrorKind::ApplyConflict, decision->message);
+        extendProblem(response, "generation", decision->generation);
+        extendProblem(response, "entriesSince", encodeEntries(decision->entriesSince));
+        co_return response;
+    }
+    boost::json::object answer;
+    answer["outcome"] = result;
+    answer["generation"] = decision->generation;
+    answer["message"] = decision->message;
+    co_return jsonResponse(200, answer);
+}
+
+Core::Awaitable<std::optional<OperatorEndpoint::ShownState>> OperatorEndpoint::readState(Core::LastReason& reason)
+{
+    auto const deadline = m_node.runtime.now() + storeTimeout;
+    auto stored = co_await m_node.store.read(deadline, reason);
+    if (stored)
+        co_return ShownState { std::move(stored->state), "object-api" };
+    // In an outage of the object API operators still need to see what is in force here.
+    if (auto const* current = m_node.currentState())
+        co_return ShownState { *current, "node" };
+    co_return std::nullopt;
+}
+
+Core::Awaitable<HTTP::Response> OperatorEndpoint::showDesiredState()
+{
+    Core::LastReason reason;
+    auto const shown = co_await readState(reason);
+    if (!shown)
+        co_return HTTP::problemResponse(reason);
+    boost::json::object answer;
+    answer["source"] = shown->source;
+    answer["generation"] = shown->state.generation;
+    if (!shown->state.audit.empty())
+        answer["applied"] = Configuration::toJson(shown->state.audit.back());
+    answer["desired"] = Configuration::toJson(shown->state.desired);
+    co_return jsonResponse(200, answer);
+}
+
+Core::Awaitable<HTTP::Response> OperatorEndpoint::showAudit(HTTP::Request const& request)
+{
+    std::size_t limit = 20;
+    if (auto const text = request.queryParameter("limit")) {
+        auto const [end, error] = std::from_chars(text->data(), text->data() + text->size(), limit);
+        if (error != std::errc() || end != text->data() + text->size() || limit < 1 || limit > maximumAuditLimit)
+            co_return problem(ErrorKind::InvalidRequest, "limit: allowed is 1 to " + std::to_string(maximumAuditLimit) + " entries");
+    }
+    Core::LastReason reason;
+    auto shown = co_await readState(reason);
+    if (!shown)
+        co_return HTTP::problemResponse(reason);
+
+    auto& entries = shown->state.audit;
+    bool isComplete = entries.empty() || entries.front().generation == 1;
+    if (entries.size() < limit && !isComplete) {
+        auto const deadline = m_node.runtime.now() + storeTimeout;
+        auto const firstKept = entries.front().generation;
+        auto archived = co_await m_node.store.readArchive(firstKept, limit - entries.size(), deadline, reason);
+        if (archived) {
+            entries.insert(entries.begin(), archived->begin(), archived->end());
+            isComplete = entries.front().generation == 1;
+        }
+    }
+    std::reverse(entries.begin(), entries.end());
+    if (entries.size() > limit) {
+        entries.resize(limit);
+        isComplete = false;
+    }
+    boost::json::object answer;
+    answer["source"] = shown->source;
+    answer["generation"] = shown->state.generation;
+    answer["isComplete"] = isComplete;
+    answer["entries"] = encodeEntries(entries);
+    co_return jsonResponse(200, answer);
+}
+
+HTTP::Response OperatorEndpoint::explainRequest(HTTP::Request const& request) const
+{
+    auto const requestId = request.queryParameter("request");
+    if (!requestId || requestId->empty())
+        return problem(ErrorKind::InvalidRequest, "the query parameter \"request\" is missing; allowed is a request id");
+    auto const explanation = m_node.explain(*requestId);
+    if (!explanation)
+        return problem(ErrorKind::NotFound, "this node knows nothing of request " + *requestId);
+    return jsonResponse(200, *explanation);
+}
+
+}
--- a/Tests/LibConfiguration/Fixtures.h
+++ b/Tests/LibConfiguration/Fixtures.h
@@ -61,7 +61,18 @@
         co_return write({ key, expectedVersion, std::move(value) }, fault, reason);
     }
 
-    Core::Awaitable<std::optional<Platform::ObjectList>> list(std::string, Core::MonotonicTime, Core::LastReason& reason) override { co_return Core::fail(reason, Core::ErrorKind::Internal, "not used"); }
+    Core::Awaitable<std::optional<Platform::ObjectList>> list(std::string kind, Core::MonotonicTime, Core::LastReason& reason) override
+    {
+        if (co_await enter() != StoreFault::None)
+            co_return Core::fail(reason, Core::ErrorKind::StoreUnavailable, "list failed");
+        Platform::ObjectList list { {}, m_version };
+        for (auto const& [key, object] : objects) {
+            if (key.kind == kind)
+                list.objects.push_back(object);
+        }
+        co_return list;
+    }
+
     Core::Awaitable<bool> remove(Platform::ObjectKey, std::uint64_t, Core::MonotonicTime, Core::LastReason&) override { co_return false; }
     Core::Awaitable<std::optional<std::vector<Platform::ObjectEvent>>> waitForChanges(std::string, std::uint64_t, Core::MonotonicTime, Core::LastReason& reason) override { co_return Core::fail(reason, Core::ErrorKind::Internal, "not used"); }
 
--- /dev/null
+++ b/Utilities/Hyssopstep/ApplyCommands.cpp
@@ -0,0 +1,205 @@
+#include <Hyssopstep/Command.h>
+#include <Hyssopstep/OperatorCall.h>
+#include <Hyssopstep/OperatorCommands.h>
+#include <LibConfiguration/Apply.h>
+#include <LibConfiguration/Codec.h>
+#include <LibConfiguration/Diff.h>
+#include <LibConfiguration/Loader.h>
+#include <array>
+#include <boost/json/serialize.hpp>
+#include <cstdio>
+#include <iostream>
+#include <random>
+
+namespace Hyssopstep {
+
+namespace {
+
+constexpr Core::CommandFlag directoryFlag { "directory", "DIR", "f" };
+
+/// 128 random bits in hexadecimal.
+std::string newApplyId()
+{
+    std::random_device device;
+    std::array<char, 33> text {};
+    std::snprintf(text.data(), text.size(), "%08x%08x%08x%08x", device(), device(), device(), device());
+    return text.data();
+}
+
+/// Loads the directory; prints each fault on a line of standard error.
+std::optional<Configuration::DesiredState> loadState()
+{
+    Configuration::Faults faults;
+    auto state = Configuration::loadDirectory(FLAGS_directory, faults);
+    if (!state)
+        std::fprintf(stderr, "%s\n%zu faults in %s\n", Configuration::joinFaults(faults).c_str(), faults.size(), FLAGS_directory.c_str());
+    return state;
+}
+
+struct StateInForce {
+    std::uint64_t generation { 0 };
+    Configuration::DesiredState desired;
+};
+
+/// Asks a node for the desired state in force; prints why and sets the exit code if that fails.
+std::optional<StateInForce> fetchState(OperatorSettings const& settings, int& exitCode)
+{
+    exitCode = Failure;
+    auto const answer = callOperator(settings, "GET", "/operator/desired-state", "", Repetition::Allowed);
+    if (!answer)
+        return std::nullopt;
+    if (answer->status != 200) {
+        exitCode = reportProblem(*answer);
+        return std::nullopt;
+    }
+    auto const& body = answer->body.get_object();
+    auto const* generation = body.if_contains("generation");
+    auto const* desired = body.if_contains("desired");
+    Configuration::Faults faults;
+    auto state = desired ? Configuration::desiredStateFromJson(*desired, faults) : std::nullopt;
+    boost::json::error_code error;
+    auto const number = generation ? generation->to_number<std::uint64_t>(error) : 0;
+    if (!state || !generation || error) {
+        std::fprintf(stderr, "the node's answer is not a desired state; does its version differ from this one?\n%s\n", Configuration::joinFaults(faults).c_str());
+        return std::nullopt;
+    }
+    return StateInForce { number, std::move(*state) };
+}
+
+void printDiff(OperatorSettings const& settings, std::uint64_t generation, std::vector<std::string> const& changes)
+{
+    if (settings.output == OutputForm::Json) {
+        boost::json::object body;
+        body["generation"] = generation;
+        body["changes"] = boost::json::array(changes.begin(), changes.end());
+        printAnswer(settings, body);
+        return;
+    }
+    std::printf("%zu differences from generation %llu\n", changes.size(), static_cast<unsigned long long>(generation));
+    for (auto const& change : changes)
+        std::printf("  %s\n", change.c_str());
+}
+
+bool isConfirmed()
+{
+    if (FLAGS_yes)
+        return true;
+    std::fputs("apply? (yes/no) ", stderr);
+    std::string answer;
+    std::getline(std::cin, answer);
+    return answer == "yes" || answer == "y";
+}
+
+int reportConflict(OperatorSettings const& settings, OperatorAnswer const& answer)
+{
+    if (settings.output == OutputForm::Json) {
+        printAnswer(settings, answer.body);
+        return Conflict;
+    }
+    (void)reportProblem(answer);
+    if (auto const* entries = answer.body.get_object().if_contains("entriesSince"); entries && entries->is_array()) {
+        std::puts("changed since:");
+        for (auto const& entry : entries->get_array())
+            printAuditEntry(entry);
+    }
+    std::fputs("nothing was changed; look at `hyssopstep diff` and apply again\n", stderr);
+    return Conflict;
+}
+
+}
+
+int runApplyCommand(int argc, char** argv)
+{
+    Core::CommandDescription const description {
+        "apply -f DIR [FLAG...]",
+        "Validates the desired state in a directory, shows how it differs from the one in force, asks, and applies it as a whole.",
+        withConnectionFlags({ directoryFlag, { "author", "1 to 128 bytes", "" }, { "comment", "0 to 512 bytes", "" }, { "yes", "", "" } }),
+    };
+    int exitCode = Failure;
+    auto const settings = readOperatorSettings(description, Connection::Needed, argc, argv, exitCode);
+    if (!settings)
+        return exitCode;
+    auto desired = loadState();
+    if (!desired)
+        return Failure;
+    auto const current = fetchState(*settings, exitCode);
+    if (!current)
+        return exitCode;
+    auto const changes = Configuration::diff(current->desired, *desired);
+    if (settings->output == OutputForm::Text)
+        printDiff(*settings, current->generation, changes);
+    if (changes.empty() && current->generation > 0) {
+        if (settings->output == OutputForm::Json)
+            printAnswer(*settings, boost::json::object { { "outcome", "unchanged" }, { "generation", current->generation } });
+        return Success;
+    }
+    if (!isConfirmed()) {
+        std::fputs("nothing was changed\n", stderr);
+        return Failure;
+    }
+
+    // One id for the whole run, so that a send repeated after a lost answer is recognised.
+    Configuration::ApplyRequest const request { current->generation, newApplyId(), FLAGS_author, FLAGS_comment, std::move(*desired) };
+    auto const answer = callOperator(*settings, "PUT", "/operator/desired-state", boost::json::serialize(Configuration::toJson(request)), Repetition::Allowed);
+    if (!answer)
+        return Failure;
+    if (answer->status == 409)
+        return reportConflict(*settings, *answer);
+    if (answer->status != 200)
+        return reportProblem(*answer);
+    if (settings->output == OutputForm::Json)
+        printAnswer(*settings, answer->body);
+    else
+        std::printf("applied as generation %s\n", boost::json::serialize(answer->body.at("generation")).c_str());
+    return Success;
+}
+
+int runDiffCommand(int argc, char** argv)
+{
+    Core::CommandDescription const description {
+        "diff -f DIR [FLAG...]",
+        "Shows how the desired state in a directory differs from the one in force. Changes nothing.",
+        withConnectionFlags({ directoryFlag }),
+    };
+    int exitCode = Failure;
+    auto const settings = readOperatorSettings(description, Connection::Needed, argc, argv, exitCode);
+    if (!settings)
+        return exitCode;
+    auto const desired = loadState();
+    if (!desired)
+        return Failure;
+    auto const current = fetchState(*settings, exitCode);
+    if (!current)
+        return exitCode;
+    printDiff(*settings, current->generation, Configuration::diff(current->desired, *desired));
+    return Success;
+}
+
+int runValidateCommand(int argc, char** argv)
+{
+    Core::CommandDescription const description {
+        "validate -f DIR [FLAG...]",
+        "Checks the desired state in a directory without talking to a node, and prints one line for each fault.",
+        { directoryFlag, { "output", "text or json", "" } },
+    };
+    int exitCode = Failure;
+    auto const settings = readOperatorSettings(description, Connection::None, argc, argv, exitCode);
+    if (!settings)
+        return exitCode;
+    if (settings->output == OutputForm::Json) {
+        Configuration::Faults faults;
+        bool const isValid = Configuration::loadDirectory(FLAGS_directory, faults).has_value();
+        boost::json::array lines;
+        for (auto const& fault : faults)
+            lines.emplace_back(fault.toString());
+        printAnswer(*settings, boost::json::object { { "valid", isValid }, { "faults", lines } });
+        return isValid ? Success : Failure;
+    }
+    auto const state = loadState();
+    if (!state)
+        return Failure;
+    std::printf("valid: %zu services, %zu teams, %zu places\n", state->services.size(), state->teams.size(), state->places.size());
+    return Success;
+}
+
+}
--- /dev/null
+++ b/Utilities/Hyssopstep/OperatorCall.cpp
@@ -0,0 +1,68 @@
+#include <Hyssopstep/OperatorCall.h>
+
+#include <Hyssopstep/Command.h>
+#include <Hyssopstep/Output.h>
+#include <LibConfiguration/Codec.h>
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+#include <cstdio>
+
+namespace Hyssopstep {
+
+std::optional<OperatorAnswer> callOperator(OperatorSettings const& settings, std::string method, std::string target, std::string body, Repetition repetition)
+{
+    HTTP::Request request { std::move(method), std::move(target), {}, std::move(body) };
+    if (!FLAGS_operator_key.empty())
+        request.headers.set("Authorization", "Bearer " + FLAGS_operator_key);
+    if (!request.body.empty())
+        request.headers.set("Content-Type", "application/json");
+    Core::LastReason reason;
+    auto const response = sendToNodes(settings.endpoints, request, repetition, std::chrono::milliseconds(FLAGS_operator_timeout_ms), reason);
+    if (!response) {
+        std::fprintf(stderr, "no node answered: %s (%s)\n", reason.message.c_str(), std::string(Core::runStateName(reason.runState)).c_str());
+        return std::nullopt;
+    }
+    boost::json::error_code error;
+    auto value = boost::json::parse(response->body, error);
+    if (error || !value.is_object()) {
+        std::fprintf(stderr, "a node answered %u without a JSON object; is this an operator port?\n", response->status);
+        return std::nullopt;
+    }
+    return OperatorAnswer { response->status, std::move(value) };
+}
+
+int reportProblem(OperatorAnswer const& answer)
+{
+    auto const& body = answer.body.get_object();
+    auto const text = [&](std::string_view name) {
+        auto const* value = body.if_contains(name);
+        return value && value->is_string() ? std::string(std::string_view(value->get_string())) : std::string();
+    };
+    std::fprintf(stderr, "refused (%u %s): %s\n", answer.status, text("kind").c_str(), text("detail").c_str());
+    if (auto const* faults = body.if_contains("faults"); faults && faults->is_array())
+        std::fputs(renderText(*faults).c_str(), stderr);
+    if (auto const state = text("run_state"); state != "not_run")
+        std::fprintf(stderr, "it is not known whether it took effect (%s); look at `hyssopstep audit`\n", state.c_str());
+    return Failure;
+}
+
+void printAnswer(OperatorSettings const& settings, boost::json::value const& body)
+{
+    auto const text = settings.output == OutputForm::Json ? boost::json::serialize(body) + "\n" : renderText(body);
+    std::fputs(text.c_str(), stdout);
+}
+
+void printAuditEntry(boost::json::value const& value)
+{
+    Configuration::Faults faults;
+    auto const entry = Configuration::auditEntryFromJson(value, faults);
+    if (!entry) {
+        std::fputs(renderText(value).c_str(), stdout);
+        return;
+    }
+    std::printf("generation %llu, %s, by %s%s%s\n", static_cast<unsigned long long>(entry->generation), formatTime(entry->appliedAtMilliseconds).c_str(), entry->appliedBy.c_str(), entry->comment.empty() ? "" : ": ", entry->comment.c_str());
+    for (auto const& change : entry->changes)
+        std::printf("  %s\n", change.c_str());
+}
+
+}
--- /dev/null
+++ b/Utilities/Hyssopstep/OperatorFlags.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <LibCore/CommandLine.h>
+#include <LibCore/Endpoint.h>
+#include <gflags/gflags_declare.h>
+#include <optional>
+#include <string>
+#include <vector>
+
+DECLARE_string(author);
+DECLARE_string(comment);
+DECLARE_string(directory);
+DECLARE_int32(limit);
+DECLARE_string(operator);
+DECLARE_string(operator_key);
+DECLARE_int32(operator_timeout_ms);
+DECLARE_string(output);
+DECLARE_bool(yes);
+
+namespace Hyssopstep {
+
+/// How a command prints its result.
+enum class OutputForm {
+    Text,
+    Json,
+};
+
+/// The checked flags that the operator commands share.
+struct OperatorSettings {
+    std::vector<Core::Endpoint> endpoints;
+    std::vector<std::string> arguments;
+    OutputForm output { OutputForm::Text };
+};
+
+/// Whether a command talks to nodes.
+enum class Connection {
+    Needed,
+    None,
+};
+
+/// Parses and checks the command line. On --help or a fault it prints the help or one line per fault, and returns nothing with
+/// the exit code. Not thread safe.
+[[nodiscard]] std::optional<OperatorSettings> readOperatorSettings(Core::CommandDescription const&, Connection, int argc, char** argv, int& exitCode);
+
+/// The flags of the commands that talk to nodes, followed by those of one command.
+[[nodiscard]] std::vector<Core::CommandFlag> withConnectionFlags(std::vector<Core::CommandFlag>);
+
+}
--- /dev/null
+++ b/Utilities/Hyssopstep/StatusCommands.cpp
@@ -0,0 +1,85 @@
+#include <Hyssopstep/Command.h>
+#include <Hyssopstep/OperatorCall.h>
+#include <Hyssopstep/OperatorCommands.h>
+#include <LibCore/Settings.h>
+#include <boost/url/encode.hpp>
+#include <boost/url/rfc/unreserved_chars.hpp>
+#include <cstdio>
+
+namespace Hyssopstep {
+
+namespace {
+
+/// Makes one call and prints the answer.
+int callAndPrint(OperatorSettings const& settings, std::string method, std::string target, Repetition repetition)
+{
+    auto const answer = callOperator(settings, std::move(method), std::move(target), "", repetition);
+    if (!answer)
+        return Failure;
+    if (answer->status >= 300)
+        return reportProblem(*answer);
+    printAnswer(settings, answer->body);
+    return Success;
+}
+
+}
+
+int runStatusCommand(int argc, char** argv)
+{
+    Core::CommandDescription const description { "status [FLAG...]", "Shows what a node knows of the deployment: configuration, nodes, backend servers and roles.", withConnectionFlags({}) };
+    int exitCode = Failure;
+    auto const settings = readOperatorSettings(description, Connection::Needed, argc, argv, exitCode);
+    return settings ? callAndPrint(*settings, "GET", "/operator/status", Repetition::Allowed) : exitCode;
+}
+
+int runDrainCommand(int argc, char** argv)
+{
+    Core::CommandDescription const description { "drain [FLAG...]", "Begins the graceful shutdown of the one node that --operator names.", withConnectionFlags({}) };
+    int exitCode = Failure;
+    auto const settings = readOperatorSettings(description, Connection::Needed, argc, argv, exitCode);
+    if (!settings)
+        return exitCode;
+    // With a list, an unreachable first node would make the command drain another one.
+    if (settings->endpoints.size() != 1) {
+        std::fprintf(stderr, "--operator=\"%s\": allowed is exactly one operator port, the one of the node to drain\n", FLAGS_operator.c_str());
+        return Usage;
+    }
+    return callAndPrint(*settings, "POST", "/operator/drain", Repetition::Refused);
+}
+
+int runAuditCommand(int argc, char** argv)
+{
+    Core::CommandDescription const description { "audit [FLAG...]", "Shows who changed the desired state, when, why and how; the newest change first.", withConnectionFlags({ { "limit", "entries, 1 to 1000", "" } }) };
+    int exitCode = Failure;
+    auto const settings = readOperatorSettings(description, Connection::Needed, argc, argv, exitCode);
+    if (!settings)
+        return exitCode;
+    auto const answer = callOperator(*settings, "GET", "/operator/audit?limit=" + std::to_string(FLAGS_limit), "", Repetition::Allowed);
+    if (!answer)
+        return Failure;
+    if (answer->status != 200)
+        return reportProblem(*answer);
+    auto const* entries = answer->body.get_object().if_contains("entries");
+    if (settings->output == OutputForm::Json || !entries || !entries->is_array()) {
+        printAnswer(*settings, answer->body);
+        return Success;
+    }
+    for (auto const& entry : entries->get_array())
+        printAuditEntry(entry);
+    if (auto const* isComplete = answer->body.get_object().if_contains("isComplete"); isComplete && *isComplete == false)
+        std::puts("there are older entries");
+    return Success;
+}
+
+int runExplainCommand(int argc, char** argv)
+{
+    Core::CommandDescription const description { "explain REQUEST [FLAG...]", "Shows what a node knows of one request: where it ran, and why it was refused, delayed or retried.", withConnectionFlags({}), 1, 1, "REQUEST, the value of Hyssopstep-Request-Id" };
+    int exitCode = Failure;
+    auto const settings = readOperatorSettings(description, Connection::Needed, argc, argv, exitCode);
+    if (!settings)
+        return exitCode;
+    auto const encoded = boost::urls::encode(settings->arguments.front(), boost::urls::unreserved_chars);
+    return callAndPrint(*settings, "GET", "/operator/explain?request=" + encoded, Repetition::Allowed);
+}
+
+}
--- a/Utilities/Hyssopstep/main.cpp
+++ b/Utilities/Hyssopstep/main.cpp
@@ -1,4 +1,5 @@
 #include <Hyssopstep/Command.h>
+#include <Hyssopstep/OperatorCommands.h>
 #include <Load/LoadCommand.h>
 #include <Node/NodeCommand.h>
 #include <array>
@@ -8,6 +9,13 @@
 
 constexpr std::array commands {
     Hyssopstep::Command { "node", "run the process of an entry host", Node::runNodeCommand },
+    Hyssopstep::Command { "apply", "apply the desired state in a directory", Hyssopstep::runApplyCommand },
+    Hyssopstep::Command { "diff", "show how a directory differs from the state in force", Hyssopstep::runDiffCommand },
+    Hyssopstep::Command { "validate", "check the desired state in a directory", Hyssopstep::runValidateCommand },
+    Hyssopstep::Command { "status", "show what a node knows of the deployment", Hyssopstep::runStatusCommand },
+    Hyssopstep::Command { "drain", "begin the graceful shutdown of a node", Hyssopstep::runDrainCommand },
+    Hyssopstep::Command { "audit", "show who changed the desired state", Hyssopstep::runAuditCommand },
+    Hyssopstep::Command { "explain", "show what a node knows of one request", Hyssopstep::runExplainCommand },
     Hyssopstep::Command { "load", "generate load and measure latencies", Load::runLoadCommand },
 };
 
