--- a/Tests/Integration/Cluster.cpp
+++ b/Tests/Integration/Cluster.cpp
@@ -229,7 +229,7 @@
 std::string newKey()
 {
     static Core::Random random(std::random_device {}());
-    return Core::generateUuidV7(random, std::chrono::system_clock::now());
+    return Core::generateUuidV7(random, std::chrono::system_clock::now()).toString();
 }
 
 AnswerReader::AnswerReader(Core::Endpoint const& endpoint, HTTP::Request request)
