Tests: Cover archiving in the race, the audit size bound and single sends

Trial faults showed three gaps: the race of two operators never archived audit entries, no test reached the bound on the audit entries' bytes, and none noticed a drain that is sent twice.

--- a/Tests/LibConfiguration/ApplyTest.cpp
+++ b/Tests/LibConfiguration/ApplyTest.cpp
@@ -3,6 +3,7 @@
 #include <LibConfiguration/ConfigurationStore.h>
 #include <LibConfiguration/Diff.h>
 #include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
 #include <gmock/gmock.h>
 #include <set>
 
@@ -100,8 +101,8 @@
     std::vector<AuditEntry> archived;
     for (std::uint32_t generation = 0; generation < 200; ++generation) {
         auto next = request(generation, "id-" + std::to_string(generation), generation + 1);
-        if (generation % 50 == 0) {
-            // A large change: hundreds of teams come, and go with the next apply.
+        if (generation >= 100 && generation % 2 == 0) {
+            // Large changes: hundreds of teams come, and go with the next apply.
             for (int team = 0; team < 900; ++team)
                 next.desired.teams.push_back({ "team-" + std::to_string(team), { std::to_string(1000 + team) + std::string(60, 'b') }, { "advisor" }, {}, 1 });
         }
@@ -110,7 +111,10 @@
         archived.insert(archived.end(), decision.entriesToArchive.begin(), decision.entriesToArchive.end());
         state = decision.state;
         ASSERT_LE(state.audit.size(), maximumAuditEntries);
-        ASSERT_LT(toJsonText(state).size(), Platform::maximumValueBytes);
+        std::size_t auditBytes = 0;
+        for (auto const& entry : state.audit)
+            auditBytes += boost::json::serialize(toJson(entry)).size();
+        ASSERT_LE(auditBytes, maximumAuditBytes);
         ASSERT_LE(state.audit.back().changes.size(), maximumChangeLines + 1);
         ASSERT_EQ(archived.size() + state.audit.size(), generation + 1);
     }
@@ -173,7 +177,7 @@
     auto const operate = [](Core::Runtime& runtime, FakeObjectStore& store, std::string name, std::uint64_t seed, Outcome& outcome) -> Core::Awaitable<void> {
         ConfigurationStore configuration(runtime, store);
         Core::Random random(seed);
-        for (int round = 0; round < 40; ++round) {
+        for (int round = 0; round < 120; ++round) {
             Core::LastReason reason;
             auto const deadline = runtime.now() + 5s;
             auto const current = co_await configuration.read(deadline, reason);
@@ -224,5 +228,6 @@
                 kept.insert(entry.at("generation").to_number<std::uint64_t>());
         }
         EXPECT_EQ(kept.size(), store.history.size());
+        EXPECT_GT(kept.size(), last->audit.size()) << "nothing was archived";
     }
 }
--- a/Tests/OperatorCommands/OperatorEndpointTest.cpp
+++ b/Tests/OperatorCommands/OperatorEndpointTest.cpp
@@ -246,6 +246,27 @@
     EXPECT_EQ(runCommand("drain --operator=127.0.0.1:1 --operator_timeout_ms=700").exitCode, 1);
 }
 
+// Guards against a call that is sent twice though the first one may have taken effect, and against giving up on one that may
+// be repeated.
+TEST_F(OperatorEndpointTest, OnlyRepeatableCallsAreSentAgain)
+{
+    int calls = 0;
+    auto breakOff = [&calls](HTTP::Request const&, HTTP::ResponseWriter& writer) -> Core::Awaitable<void> {
+        ++calls;
+        HTTP::Headers headers;
+        (void)co_await writer.begin(200, headers);
+    };
+    HTTP::Server server(m_runtime, {}, breakOff);
+    Core::LastReason reason;
+    m_address = server.listen({ "127.0.0.1", 0 }, reason).value();
+    auto const drained = runCommand("drain --operator_timeout_ms=1300 --operator=" + m_address.toString());
+    EXPECT_EQ(drained.exitCode, 1);
+    EXPECT_THAT(drained.output, HasSubstr("(unknown)"));
+    EXPECT_EQ(calls, 1);
+    EXPECT_EQ(runCommand("status --operator_timeout_ms=1300").exitCode, 1);
+    EXPECT_GE(calls, 3);
+}
+
 // Guards against settings that are ignored, or reported one at a time.
 TEST_F(OperatorEndpointTest, CommandsReportEveryFaultySetting)
 {
