StandIns: Keep only the counts of ended attempts

The engine's record held the prompt of every attempt, which grows without bound in a long run with long prompts. It now keeps the counts and the first token.

--- a/Tests/StandIns/Engine.cpp
+++ b/Tests/StandIns/Engine.cpp
@@ -180,6 +180,9 @@
         co_await streamAnswer(sequence, std::move(faults), writer);
     // A sequence that still runs here has lost its caller.
     m_simulator.end(sequence, Outcome::Disconnected);
+    // The record needs the counts only; long prompts would fill the memory in a long run.
+    sequence->prompt = {};
+    sequence->generated = {};
 }
 
 Core::Awaitable<void> Engine::streamAnswer(SequencePointer sequence, AttemptFaults faults, HTTP::ResponseWriter& writer)
@@ -423,12 +426,11 @@
     for (auto const& [requestId, sequences] : m_attemptsByRequest) {
         json::array list;
         for (auto const& sequence : sequences) {
-            auto const tokens = sequence->generated.size() - sequence->resumedFrom;
             ++attempts;
-            computed += tokens;
+            computed += sequence->computedTokens;
             prefilled += sequence->prefilledTokens;
             cached += sequence->cachedTokens;
-            list.push_back({ { "attemptId", sequence->attemptId }, { "outcome", outcomeName(sequence->outcome) }, { "computed", tokens }, { "prefilled", sequence->prefilledTokens }, { "cached", sequence->cachedTokens }, { "resumedFrom", sequence->resumedFrom }, { "priority", sequence->priority }, { "firstToken", sequence->generated.empty() ? "" : sequence->generated.front() } });
+            list.push_back({ { "attemptId", sequence->attemptId }, { "outcome", outcomeName(sequence->outcome) }, { "computed", sequence->computedTokens }, { "prefilled", sequence->prefilledTokens }, { "cached", sequence->cachedTokens }, { "resumedFrom", sequence->resumedFrom }, { "priority", sequence->priority }, { "firstToken", sequence->firstToken } });
         }
         requests[requestId] = json::object { { "attempts", std::move(list) } };
     }
--- a/Tests/StandIns/EngineSimulator.cpp
+++ b/Tests/StandIns/EngineSimulator.cpp
@@ -102,6 +102,8 @@
         sequence.generated.push_back(firstToken(sequence.prompt, sequence.seed, sequence.attemptId));
     else
         sequence.generated.push_back(followingToken(sequence.generated.back(), sequence.generated.size()));
+    if (sequence.computedTokens++ == 0)
+        sequence.firstToken = sequence.generated.front();
     ++m_tokensComputed;
 }
 
--- a/Tests/StandIns/EngineSimulator.h
+++ b/Tests/StandIns/EngineSimulator.h
@@ -64,6 +64,8 @@
     std::size_t remainingPrefill { 0 };
     std::size_t cachedTokens { 0 };
     std::size_t prefilledTokens { 0 };
+    std::size_t computedTokens { 0 };
+    std::string firstToken;
     Outcome outcome { Outcome::Running };
     /// Notified after each token and at the end.
     Core::AsyncEvent progress;
