LibStream: Compute event positions incrementally

Cause: each event hashed the whole answer before it, so the cost of an answer grew with the square of its length. Change: a position is advanced by one token at a time.

--- a/Libraries/LibStream/StreamTable.cpp
+++ b/Libraries/LibStream/StreamTable.cpp
@@ -25,33 +25,40 @@
     return stream.replicaNodeId.empty() || stream.replicatedPhase == stream.phase;
 }
 
-static std::uint64_t hashOf(std::vector<std::string> const& tokens, std::uint64_t count)
+StreamPosition advanced(StreamPosition position, std::string_view token)
 {
-    std::uint64_t hash = 0;
-    for (std::uint64_t index = 0; index < count; ++index)
-        hash = XXH3_64bits_withSeed(tokens[index].data(), tokens[index].size(), hash + 1);
-    return hash;
+    // The sum with 1 makes an empty token change the hash of the empty prefix too.
+    return { position.count + 1, XXH3_64bits_withSeed(token.data(), token.size(), position.hash + 1) };
 }
 
-std::string positionAfter(std::vector<std::string> const& tokens, std::uint64_t count)
+StreamPosition positionAfter(std::vector<std::string> const& tokens, std::uint64_t count)
+{
+    StreamPosition position;
+    while (position.count < count)
+        position = advanced(position, tokens[position.count]);
+    return position;
+}
+
+std::string formatPosition(StreamPosition position)
 {
     char buffer[48];
-    std::snprintf(buffer, sizeof(buffer), "%llu-%016llx", static_cast<unsigned long long>(count), static_cast<unsigned long long>(hashOf(tokens, count)));
+    std::snprintf(buffer, sizeof(buffer), "%llu-%016llx", static_cast<unsigned long long>(position.count), static_cast<unsigned long long>(position.hash));
     return buffer;
 }
 
-std::optional<std::uint64_t> countAtPosition(std::vector<std::string> const& tokens, std::string_view position, Core::LastReason& reason)
+std::optional<StreamPosition> parsePosition(std::vector<std::string> const& tokens, std::string_view eventId, Core::LastReason& reason)
 {
     std::uint64_t count = 0;
-    auto const* const end = position.data() + position.size();
-    auto const parsed = std::from_chars(position.data(), end, count);
+    auto const* const end = eventId.data() + eventId.size();
+    auto const parsed = std::from_chars(eventId.data(), end, count);
     if (parsed.ec != std::errc {} || parsed.ptr == end || *parsed.ptr != '-')
-        return Core::fail(reason, ErrorKind::InvalidRequest, "\"" + std::string(position) + "\" is not the id of an event");
+        return Core::fail(reason, ErrorKind::InvalidRequest, "\"" + std::string(eventId) + "\" is not the id of an event");
     if (count > tokens.size())
         return Core::fail(reason, ErrorKind::StreamNotFound, "the answer is not known up to event " + std::to_string(count), Core::RunState::Unknown);
-    if (positionAfter(tokens, count) != position)
+    auto const position = positionAfter(tokens, count);
+    if (formatPosition(position) != eventId)
         return Core::fail(reason, ErrorKind::StreamDiverged, "the answer known here differs from the one received so far", Core::RunState::Unknown);
-    return count;
+    return position;
 }
 
 static std::string finishReasonOnWire(Stream const& stream)
--- a/Libraries/LibStream/StreamTable.h
+++ b/Libraries/LibStream/StreamTable.h
@@ -64,13 +64,27 @@
 /// Whether the end of the stream may be shown to the client.
 [[nodiscard]] bool endIsVisible(Stream const&);
 
-/// The opaque position after `count` tokens: their number and a hash of them, so that a client that continues elsewhere is
-/// never given the rest of a different answer. Precondition: count <= tokens.size(). Thread safe.
-[[nodiscard]] std::string positionAfter(std::vector<std::string> const& tokens, std::uint64_t count);
+/// A place in an answer: the number of tokens before it and a hash of them, so that a client that continues elsewhere is never
+/// given the rest of a different answer.
+struct StreamPosition {
+    std::uint64_t count { 0 };
+    std::uint64_t hash { 0 };
 
-/// The number of tokens before a position. StreamDiverged if the position belongs to another answer, StreamNotFound if the
+    bool operator==(StreamPosition const&) const = default;
+};
+
+/// The position after one more token. Thread safe.
+[[nodiscard]] StreamPosition advanced(StreamPosition, std::string_view token);
+
+/// The position after the first `count` tokens. Precondition: count <= tokens.size(). Thread safe.
+[[nodiscard]] StreamPosition positionAfter(std::vector<std::string> const& tokens, std::uint64_t count);
+
+/// The opaque form that clients get as the id of an event. Thread safe.
+[[nodiscard]] std::string formatPosition(StreamPosition);
+
+/// The position that an event id stands for. StreamDiverged if the id belongs to another answer, StreamNotFound if the
 /// tokens do not reach it yet, InvalidRequest if it is malformed. Thread safe.
-[[nodiscard]] std::optional<std::uint64_t> countAtPosition(std::vector<std::string> const& tokens, std::string_view position, Core::LastReason&);
+[[nodiscard]] std::optional<StreamPosition> parsePosition(std::vector<std::string> const& tokens, std::string_view eventId, Core::LastReason&);
 
 /// The part of the stream that the replica has not acknowledged, as a message; the request only if the replica lacks it.
 [[nodiscard]] Peer::StreamRecord unreplicatedPart(Stream const&);
--- a/Services/Node/Gateway.cpp
+++ b/Services/Node/Gateway.cpp
@@ -185,7 +185,7 @@
         co_await refuse(writer, reason, requestId);
         co_return;
     }
-    co_await respond(requestId, model->form, 0, writer);
+    co_await respond(requestId, model->form, {}, writer);
 }
 
 Core::Awaitable<bool> Gateway::acceptModel(ModelRequest const& model, Admission const& admission, Core::LastReason& reason)
@@ -277,21 +277,21 @@
         co_await refuse(writer, reason, requestId);
         co_return;
     }
-    std::uint64_t from = 0;
-    if (auto const position = request.queryParameter("from"); position && !position->empty()) {
-        auto const count = Stream::countAtPosition(stream->tokens, *position, reason);
-        if (!count) {
+    Stream::StreamPosition from;
+    if (auto const eventId = request.queryParameter("from"); eventId && !eventId->empty()) {
+        auto const position = Stream::parsePosition(stream->tokens, *eventId, reason);
+        if (!position) {
             co_await refuse(writer, reason, requestId);
             co_return;
         }
-        from = *count;
+        from = *position;
     }
     auto const model = decodeModelRequest(stream->requestJson);
     auto const form = model ? model->form : ResponseForm::Whole;
     co_await respond(requestId, form, from, writer);
 }
 
-Core::Awaitable<void> Gateway::respond(std::string requestId, ResponseForm form, std::uint64_t from, HTTP::ResponseWriter& writer)
+Core::Awaitable<void> Gateway::respond(std::string requestId, ResponseForm form, Stream::StreamPosition from, HTTP::ResponseWriter& writer)
 {
     auto const* stream = m_node.streams.find(requestId);
     auto model = stream ? decodeModelRequest(stream->requestJson) : std::nullopt;
@@ -315,7 +315,7 @@
 }
 
 // Returning without finish() closes the connection; the client then continues at another node.
-Core::Awaitable<void> Gateway::streamResponse(std::string requestId, ModelRequest model, std::uint64_t from, HTTP::ResponseWriter& writer)
+Core::Awaitable<void> Gateway::streamResponse(std::string requestId, ModelRequest model, Stream::StreamPosition from, HTTP::ResponseWriter& writer)
 {
     HTTP::Headers const headers { { "Content-Type", "text/event-stream" }, { "Cache-Control", "no-cache" }, { "Hyssopstep-Request-Id", requestId } };
     static constexpr unsigned ok = 200;
@@ -326,9 +326,13 @@
         if (!stream || !isServedOrComplete(*stream))
             co_return;
         std::string events;
-        for (auto const visible = Stream::visibleTokens(*stream); sent < visible; ++sent)
-            events += HTTP::formatEvent({ Stream::positionAfter(stream->tokens, sent + 1), tokenEventData(model, requestId, stream->tokens[sent]) });
-        bool const atEnd = sent == stream->tokens.size() && Stream::endIsVisible(*stream);
+        auto const visible = Stream::visibleTokens(*stream);
+        while (sent.count < visible) {
+            auto const& token = stream->tokens[sent.count];
+            sent = Stream::advanced(sent, token);
+            events += HTTP::formatEvent({ Stream::formatPosition(sent), tokenEventData(model, requestId, token) });
+        }
+        bool const atEnd = sent.count == stream->tokens.size() && Stream::endIsVisible(*stream);
         if (atEnd && stream->phase == Stream::StreamPhase::Failed) {
             events += HTTP::formatEvent({ "", HTTP::problemResponse(stream->failure, requestId).body });
         } else if (atEnd) {
--- a/Services/Node/Gateway.h
+++ b/Services/Node/Gateway.h
@@ -54,8 +54,8 @@
     [[nodiscard]] Core::Awaitable<void> serveService(HTTP::Request const&, HTTP::ResponseWriter&);
     [[nodiscard]] Core::Awaitable<void> continueRequest(HTTP::Request const&, HTTP::ResponseWriter&);
     [[nodiscard]] Core::Awaitable<bool> acceptModel(ModelRequest const&, Admission const&, Core::LastReason&);
-    [[nodiscard]] Core::Awaitable<void> respond(std::string requestId, ResponseForm, std::uint64_t from, HTTP::ResponseWriter&);
-    [[nodiscard]] Core::Awaitable<void> streamResponse(std::string requestId, ModelRequest, std::uint64_t from, HTTP::ResponseWriter&);
+    [[nodiscard]] Core::Awaitable<void> respond(std::string requestId, ResponseForm, Stream::StreamPosition from, HTTP::ResponseWriter&);
+    [[nodiscard]] Core::Awaitable<void> streamResponse(std::string requestId, ModelRequest, Stream::StreamPosition from, HTTP::ResponseWriter&);
     [[nodiscard]] Core::Awaitable<void> wholeResponse(std::string requestId, ModelRequest, HTTP::ResponseWriter&);
     [[nodiscard]] Core::Awaitable<void> refuse(HTTP::ResponseWriter&, Core::LastReason, std::string requestId);
     [[nodiscard]] std::optional<Admission> authenticate(HTTP::Request const&, std::string_view service, Core::LastReason&) const;
--- a/Tests/LibStream/StreamTest.cpp
+++ b/Tests/LibStream/StreamTest.cpp
@@ -173,14 +173,14 @@
 {
     std::vector<std::string> const tokens { "a", "b", "c" };
     std::vector<std::string> const other { "a", "x", "c" };
-    auto const position = Stream::positionAfter(tokens, 2);
-    EXPECT_EQ(Stream::countAtPosition(tokens, position, m_reason), 2u);
-    EXPECT_FALSE(Stream::countAtPosition(other, position, m_reason));
+    auto const position = Stream::formatPosition(Stream::positionAfter(tokens, 2));
+    EXPECT_EQ(Stream::parsePosition(tokens, position, m_reason), Stream::positionAfter(tokens, 2));
+    EXPECT_FALSE(Stream::parsePosition(other, position, m_reason));
     EXPECT_EQ(m_reason.kind, Core::ErrorKind::StreamDiverged);
-    EXPECT_FALSE(Stream::countAtPosition({ "a" }, position, m_reason));
+    EXPECT_FALSE(Stream::parsePosition({ "a" }, position, m_reason));
     EXPECT_EQ(m_reason.kind, Core::ErrorKind::StreamNotFound);
     for (auto const* text : { "", "2", "x-1", "-", "2-zz" })
-        EXPECT_FALSE(Stream::countAtPosition(tokens, text, m_reason)) << text;
+        EXPECT_FALSE(Stream::parsePosition(tokens, text, m_reason)) << text;
 }
 
 // Guards against losing the reason of a failure at the replica.
