--- a/Tests/StandIns/FaultProxy.cpp
+++ b/Tests/StandIns/FaultProxy.cpp
@@ -1,9 +1,9 @@
 #include <LibCore/Log.h>
-#include <LibPlatform/JsonFields.h>
 #include <StandIns/ListenFlags.h>
 #include <StandIns/ProxyPair.h>
 #include <StandIns/StandInProcess.h>
 #include <StandIns/StandIns.h>
+#include <StandIns/SwitchReader.h>
 #include <boost/json/array.hpp>
 #include <cstdio>
 #include <gflags/gflags.h>
@@ -15,28 +15,15 @@
 
 static std::optional<ProxyFaults> faultsFromJson(boost::json::value const& value)
 {
-    Platform::JsonFields fields(value);
+    SwitchReader switches(value);
     ProxyFaults faults;
-    std::size_t known = 0;
-    auto const readNumber = [&](std::string_view name, std::uint64_t& number) {
-        if (!fields.has(name))
-            return;
-        number = fields.number(name);
-        ++known;
-    };
-    auto const readFlag = [&](std::string_view name, bool& flag) {
-        if (!fields.has(name))
-            return;
-        flag = fields.flag(name);
-        ++known;
-    };
-    readFlag("cut", faults.cut);
-    readNumber("delayMs", faults.delayMs);
-    readFlag("freezeToTarget", faults.freezeToTarget);
-    readFlag("freezeFromTarget", faults.freezeFromTarget);
-    readNumber("truncateAfterBytes", faults.truncateAfterBytes);
-    readNumber("dropAnswers", faults.dropAnswers);
-    if (!fields.areValid() || known != value.get_object().size())
+    switches.read("cut", faults.cut);
+    switches.read("delayMs", faults.delayMs);
+    switches.read("freezeToTarget", faults.freezeToTarget);
+    switches.read("freezeFromTarget", faults.freezeFromTarget);
+    switches.read("truncateAfterBytes", faults.truncateAfterBytes);
+    switches.read("dropAnswers", faults.dropAnswers);
+    if (!switches.isComplete())
         return std::nullopt;
     return faults;
 }
--- a/Tests/StandIns/ObjectTable.cpp
+++ b/Tests/StandIns/ObjectTable.cpp
@@ -57,12 +57,17 @@
 
 void ObjectTable::addEvent(ObjectEventKind kind, StoredObject object)
 {
+    // Bounds the memory of a kind whose values are near the limit of 1 MB.
+    static constexpr std::size_t maximumValueBytes = 64 * 1024 * 1024;
     auto& history = m_histories[object.key.kind];
+    history.valueBytes += object.value.size();
     history.events.push_back({ kind, std::move(object) });
-    if (history.events.size() <= m_history)
-        return;
-    history.lastDroppedVersion = history.events.front().object.resourceVersion;
-    history.events.pop_front();
+    while (history.events.size() > m_history || history.valueBytes > maximumValueBytes) {
+        auto const& oldest = history.events.front().object;
+        history.lastDroppedVersion = oldest.resourceVersion;
+        history.valueBytes -= oldest.value.size();
+        history.events.pop_front();
+    }
 }
 
 }
--- a/Tests/StandIns/ObjectTable.h
+++ b/Tests/StandIns/ObjectTable.h
@@ -39,6 +39,7 @@
 private:
     struct KindHistory {
         std::deque<Platform::ObjectEvent> events;
+        std::size_t valueBytes { 0 };
         std::uint64_t lastDroppedVersion { 0 };
     };
 
--- a/Tests/StandIns/PlatformObjects.cpp
+++ b/Tests/StandIns/PlatformObjects.cpp
@@ -129,7 +129,7 @@
     // An hour at 25 writes/s; a test that writes more sees only the first ones.
     static constexpr std::size_t maximumWrites = 100'000;
     if (m_writes.size() < maximumWrites)
-        m_writes.push_back(boost::json::object { { "kind", key.kind }, { "name", key.name }, { "version", version }, { "operation", operation } });
+        m_writes[version] = { { "kind", key.kind }, { "name", key.name }, { "version", version }, { "operation", operation } };
     m_changed.notifyAll();
 }
 
--- a/Tests/StandIns/PlatformStandIn.cpp
+++ b/Tests/StandIns/PlatformStandIn.cpp
@@ -2,6 +2,7 @@
 
 #include <LibPlatform/JsonFields.h>
 #include <StandIns/StandInProcess.h>
+#include <StandIns/SwitchReader.h>
 #include <algorithm>
 #include <set>
 
@@ -105,39 +106,26 @@
     if (call == "notices" && request.method == "POST")
         return postNotices(request);
     if (call == "record" && request.method == "GET")
-        return record();
+        return record(queryNumber(request, "after", 0));
     return errorResponse(404, "no such switch");
 }
 
 HTTP::Response PlatformStandIn::replaceFaults(HTTP::Request const& request)
 {
     auto const body = parseBody(request);
-    if (!body || !body->is_object())
-        return errorResponse(400, "the body is not a JSON object");
-    JsonFields fields(*body);
+    if (!body)
+        return errorResponse(400, "the body is not JSON");
+    SwitchReader switches(*body);
     auto faults = m_settings.initialFaults;
-    std::size_t known = 0;
-    auto const readNumber = [&](std::string_view name, std::uint64_t& value) {
-        if (!fields.has(name))
-            return;
-        value = fields.number(name);
-        ++known;
-    };
-    auto const readFlag = [&](std::string_view name, bool& value) {
-        if (!fields.has(name))
-            return;
-        value = fields.flag(name);
-        ++known;
-    };
-    readNumber("slowMs", faults.slowMs);
-    readFlag("down", faults.down);
-    readNumber("dropWriteAnswers", faults.dropWriteAnswers);
-    readNumber("hostListLagMs", faults.hostListLagMs);
-    readFlag("refuseHostStarts", faults.refuseHostStarts);
-    readNumber("writesPerSecond", faults.writesPerSecond);
-    readNumber("readsPerSecond", faults.readsPerSecond);
-    readNumber("weightsBytesPerSecond", faults.weightsBytesPerSecond);
-    if (!fields.areValid() || known != body->get_object().size())
+    switches.read("slowMs", faults.slowMs);
+    switches.read("down", faults.down);
+    switches.read("dropWriteAnswers", faults.dropWriteAnswers);
+    switches.read("hostListLagMs", faults.hostListLagMs);
+    switches.read("refuseHostStarts", faults.refuseHostStarts);
+    switches.read("writesPerSecond", faults.writesPerSecond);
+    switches.read("readsPerSecond", faults.readsPerSecond);
+    switches.read("weightsBytesPerSecond", faults.weightsBytesPerSecond);
+    if (!switches.isComplete())
         return errorResponse(400, "an unknown switch or a value of the wrong type");
     m_faults = faults;
     m_changed.notifyAll();
@@ -212,8 +200,13 @@
     m_hosts.remove(hostIds);
 }
 
-HTTP::Response PlatformStandIn::record() const
+HTTP::Response PlatformStandIn::record(std::uint64_t afterVersion) const
 {
+    boost::json::array writes;
+    for (auto const& [version, write] : m_writes) {
+        if (version > afterVersion)
+            writes.push_back(write);
+    }
     boost::json::object calls;
     for (auto const& [name, count] : m_calls)
         calls[name] = count;
@@ -221,7 +214,7 @@
         boost::json::object {
             { "calls", std::move(calls) },
             { "rateLimitedCalls", m_rateLimitedCalls },
-            { "writes", m_writes },
+            { "writes", std::move(writes) },
             { "hostStarts", m_starts },
             { "hostStops", m_stops },
         });
--- a/Tests/StandIns/PlatformStandIn.h
+++ b/Tests/StandIns/PlatformStandIn.h
@@ -60,7 +60,7 @@
     [[nodiscard]] HTTP::Response replaceFaults(HTTP::Request const&);
     [[nodiscard]] HTTP::Response registerHosts(HTTP::Request const&);
     [[nodiscard]] HTTP::Response postNotices(HTTP::Request const&);
-    [[nodiscard]] HTTP::Response record() const;
+    [[nodiscard]] HTTP::Response record(std::uint64_t afterVersion) const;
     [[nodiscard]] Core::Awaitable<void> removeLater(std::vector<std::string> hostIds, Core::Duration);
 
     // PlatformObjects.cpp
@@ -92,7 +92,8 @@
     Core::AsyncEvent m_changed;
     std::map<std::string, std::uint64_t> m_calls;
     std::uint64_t m_rateLimitedCalls { 0 };
-    boost::json::array m_writes;
+    /// By version.
+    std::map<std::uint64_t, boost::json::object> m_writes;
     boost::json::array m_starts;
     boost::json::array m_stops;
 };
--- a/Tests/Support/BlockingCall.h
+++ b/Tests/Support/BlockingCall.h
@@ -6,7 +6,7 @@
 #include <LibHTTP/Client.h>
 #include <LibHTTP/Message.h>
 #include <Support/ChildProcess.h>
-#include <functional>
+#include <exception>
 #include <optional>
 
 namespace TestSupport {
@@ -22,23 +22,35 @@
     /// The generous bound, from now.
     [[nodiscard]] Core::MonotonicTime deadline() const { return m_runtime.now() + generousBound; }
 
-    /// Runs the loop until the task has ended, and returns its result.
+    /// Runs the loop until the task has ended, and returns its result or throws its exception.
     template <typename T>
     T run(Core::Awaitable<T> task)
     {
-        std::optional<T> result;
-        m_runtime.spawn(store(std::move(task), result));
+        Outcome<T> outcome;
+        m_runtime.spawn(store(std::move(task), outcome));
         m_context.restart();
-        while (!result)
+        while (!outcome.result && !outcome.exception)
             m_context.run_one();
-        return std::move(*result);
+        if (outcome.exception)
+            std::rethrow_exception(outcome.exception);
+        return std::move(*outcome.result);
     }
 
 private:
     template <typename T>
-    static Core::Awaitable<void> store(Core::Awaitable<T> task, std::optional<T>& result)
+    struct Outcome {
+        std::optional<T> result;
+        std::exception_ptr exception;
+    };
+
+    template <typename T>
+    static Core::Awaitable<void> store(Core::Awaitable<T> task, Outcome<T>& outcome)
     {
-        result = co_await std::move(task);
+        try {
+            outcome.result = co_await std::move(task);
+        } catch (...) {
+            outcome.exception = std::current_exception();
+        }
     }
 
     boost::asio::io_context m_context;
--- a/Tests/Support/ChildProcess.cpp
+++ b/Tests/Support/ChildProcess.cpp
@@ -46,6 +46,8 @@
             _exit(EXIT_FAILURE);
         dup2(logFile, STDOUT_FILENO);
         dup2(logFile, STDERR_FILENO);
+        // Asio's sockets are inherited, and a connection that the test closes would stay open in the child.
+        close_range(STDERR_FILENO + 1, ~0U, 0);
         execve(argumentPointers[0], argumentPointers.data(), environmentPointers.data());
         _exit(EXIT_FAILURE);
     }
--- a/Tests/Support/StandInSwitches.cpp
+++ b/Tests/Support/StandInSwitches.cpp
@@ -5,6 +5,7 @@
 #include <boost/json/serialize.hpp>
 #include <boost/json/value_from.hpp>
 #include <boost/json/value_to.hpp>
+#include <limits>
 #include <stdexcept>
 
 namespace TestSupport {
@@ -67,21 +68,21 @@
     return boost::json::value_to<std::vector<std::string>>(answer.at("hostIds"));
 }
 
-boost::json::value PlatformSwitches::record() const
+boost::json::value PlatformSwitches::record(std::uint64_t afterVersion) const
 {
-    return callStandIn(m_endpoint, "GET", "/stand-in/record");
+    return callStandIn(m_endpoint, "GET", "/stand-in/record?after=" + std::to_string(afterVersion));
 }
 
 std::uint64_t PlatformSwitches::callCount(std::string_view kind) const
 {
-    auto const whole = record();
+    auto const whole = record(std::numeric_limits<std::uint64_t>::max());
     auto const* count = whole.at("calls").as_object().if_contains(kind);
     return count ? boost::json::value_to<std::uint64_t>(*count) : 0;
 }
 
-std::vector<AcceptedWrite> PlatformSwitches::acceptedWrites() const
+std::vector<AcceptedWrite> PlatformSwitches::acceptedWrites(std::uint64_t afterVersion) const
 {
-    auto const whole = record();
+    auto const whole = record(afterVersion);
     std::vector<AcceptedWrite> writes;
     for (auto const& write : whole.at("writes").as_array()) {
         writes.push_back({ boost::json::value_to<std::string>(write.at("kind")), boost::json::value_to<std::string>(write.at("name")),
--- a/Tests/Support/StandInSwitches.h
+++ b/Tests/Support/StandInSwitches.h
@@ -59,13 +59,13 @@
     /// Posts notices and returns the ids of the hosts they name.
     std::vector<std::string> reclaim(Reclaim const&) const;
 
-    /// The whole record; docs/stand-ins.md describes it.
-    [[nodiscard]] boost::json::value record() const;
+    /// The record, with the writes after a version; docs/stand-ins.md describes it.
+    [[nodiscard]] boost::json::value record(std::uint64_t afterVersion = 0) const;
 
     /// How often a kind of call arrived, for example "update".
     [[nodiscard]] std::uint64_t callCount(std::string_view kind) const;
 
-    [[nodiscard]] std::vector<AcceptedWrite> acceptedWrites() const;
+    [[nodiscard]] std::vector<AcceptedWrite> acceptedWrites(std::uint64_t afterVersion = 0) const;
 
 private:
     Core::Endpoint m_endpoint;
