LibCore: Write log times without quotes

Cause: the layout of log4cxx takes the quotes of the pattern literally, so times read 2026-12-04'T'06:14. Change: the pattern without quotes.

--- a/Libraries/LibCore/Log.cpp
+++ b/Libraries/LibCore/Log.cpp
@@ -83,7 +83,7 @@
 
 void configureLog(LogLevel minimum, std::string const& nodeName)
 {
-    auto const pattern = "time=%d{yyyy-MM-dd'T'HH:mm:ss.SSSZ} level=%p node=" + nodeName + " %m%n";
+    auto const pattern = "time=%d{yyyy-MM-ddTHH:mm:ss.SSS} level=%p node=" + nodeName + " %m%n";
     auto layout = std::make_shared<log4cxx::PatternLayout>(pattern);
     auto appender = std::make_shared<log4cxx::ConsoleAppender>(layout, log4cxx::ConsoleAppender::getSystemErr());
     log4cxx::BasicConfigurator::resetConfiguration();
