--- a/Libraries/LibHTTP/Server.cpp
+++ b/Libraries/LibHTTP/Server.cpp
@@ -165,10 +165,12 @@
 
     Core::Awaitable<bool> drained(Core::MonotonicTime deadline)
     {
-        // GCC 12 generates an illegal instruction for this loop if its body is an if statement with the co_await as condition.
-        bool inTime = true;
-        while (m_requestsInProgress > 0 && inTime)
-            inTime = co_await m_progress.waitUntil(deadline);
+        while (m_requestsInProgress > 0) {
+            // GCC 12 destroys an awaitable that was never created if this co_await is part of the condition.
+            bool const hasProgressed = co_await m_progress.waitUntil(deadline);
+            if (!hasProgressed)
+                break;
+        }
         co_return m_requestsInProgress == 0;
     }
 
