Load: Let a class name its teams and take the command's own flags

The teams of the example configurations may use some services only, so a mix without a choice of teams would measure refusals. The command parses its flags by Core::parseCommandLine() like the others.

--- a/Tests/LibLoad/MixTest.cpp
+++ b/Tests/LibLoad/MixTest.cpp
@@ -14,7 +14,7 @@
 bursts: { everySeconds: 10, lengthSeconds: 2, factor: 4 }
 classes:
   - { name: short, kind: chat, service: model, ratePerSecond: 50, promptTokens: [5, 9], answerTokens: [2, 4], prefixGroups: 2, prefixTokens: 16, stream: true, deadlineMs: 900 }
-  - { name: refund, kind: service, service: shop, ratePerSecond: 1, path: /refunds, bodyBytes: [10, 20], idempotencyKey: true }
+  - { name: refund, kind: service, service: shop, teams: [b], ratePerSecond: 1, path: /refunds, bodyBytes: [10, 20], idempotencyKey: true }
 )";
 
 static Load::Mix sample()
@@ -47,6 +47,7 @@
         { "stream: true", "stream: perhaps" },
         { "path: /refunds", "path: refunds" },
         { "weight: 3", "weight: .nan" },
+        { "teams: [b]", "teams: [c]" },
     };
     for (auto const& [right, wrong] : faults) {
         std::string text = sampleMix;
@@ -120,6 +121,7 @@
     Core::WallTime const time(std::chrono::milliseconds(1'700'000'000'000));
     auto const planned = Load::buildRequest(mix, mix.classes[1], "", random, time);
     EXPECT_EQ(planned.request.target, "/services/shop/refunds");
+    EXPECT_EQ(planned.team, "b") << "the class is sent by team b only";
     Core::LastReason reason;
     auto const key = Core::parseUuid(planned.request.headers.find("Idempotency-Key").value_or(""), reason);
     ASSERT_TRUE(key);
--- a/Utilities/Load/LoadCommand.cpp
+++ b/Utilities/Load/LoadCommand.cpp
@@ -1,6 +1,7 @@
 #include <Load/LoadCommand.h>
 
 #include <Hyssopstep/Command.h>
+#include <LibCore/CommandLine.h>
 #include <LibCore/Log.h>
 #include <LibCore/Settings.h>
 #include <Load/LoadRunner.h>
@@ -26,6 +27,27 @@
 
 namespace Load {
 
+static Core::CommandDescription commandDescription()
+{
+    return {
+        .usage = "load --mix=FILE --targets=IP:PORT,... [FLAG...]",
+        .description = "Sends a mix of requests in an open loop and measures latencies from the intended arrival times.",
+        .flags = {
+            { "mix", "FILE", "" },
+            { "targets", "IP:PORT,...", "" },
+            { "key", "", "" },
+            { "seed", "", "" },
+            { "duration", "s", "" },
+            { "drain", "s", "" },
+            { "rate_factor", "", "" },
+            { "timeout_ms", "ms, 1 to 86400000", "" },
+            { "maximum_resumes", "0 to 1000", "" },
+            { "json", "FILE", "" },
+            { "trace", "FILE", "" },
+        },
+    };
+}
+
 static std::vector<Core::Endpoint> parseTargets(std::string const& list, Core::SettingChecker& checker)
 {
     std::vector<Core::Endpoint> targets;
@@ -102,10 +124,14 @@
 
 int runLoadCommand(int argc, char** argv)
 {
-    gflags::SetUsageMessage("generates load in an open loop and measures latencies");
-    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    auto const description = commandDescription();
+    auto parsed = Core::parseCommandLine(description, argc, argv);
+    if (parsed.help) {
+        std::fputs(parsed.help->c_str(), stdout);
+        return Hyssopstep::Success;
+    }
     Core::configureLog(Core::LogLevel::Info, "load");
-    auto faults = Core::applyEnvironmentToFlags();
+    auto faults = std::move(parsed.faults);
     Core::SettingChecker checker;
     auto settings = settingsFromFlags(checker);
     faults.insert(faults.end(), checker.faults().begin(), checker.faults().end());
--- a/Utilities/Load/Mix.cpp
+++ b/Utilities/Load/Mix.cpp
@@ -80,6 +80,21 @@
     return teams;
 }
 
+static std::vector<std::string> readTeamNames(YAML::Node const& node, std::string const& where, std::vector<Team> const& teams)
+{
+    auto names = readField<std::vector<std::string>>(node, where, "teams", {});
+    double weight = names.empty() ? 1 : 0;
+    for (auto const& name : names) {
+        auto const team = std::find_if(teams.begin(), teams.end(), [&](Team const& candidate) { return candidate.name == name; });
+        if (team == teams.end())
+            throw MixFault(where + ".teams: a team is not in the list of teams");
+        weight += team->weight;
+    }
+    if (weight <= 0)
+        throw MixFault(where + ".teams: a team with a weight is needed");
+    return names;
+}
+
 static ClassKind readKind(YAML::Node const& node, std::string const& where)
 {
     auto const kind = readField<std::string>(node, where, "kind", "chat");
@@ -92,18 +107,19 @@
     throw MixFault(where + ".kind: chat, completion or service is needed");
 }
 
-static RequestClass readClass(YAML::Node const& node, std::string const& where)
+static RequestClass readClass(YAML::Node const& node, std::string const& where, std::vector<Team> const& teams)
 {
     RequestClass requestClass;
     requestClass.kind = readKind(node, where);
     if (requestClass.kind == ClassKind::Service)
-        checkFields(node, where, { "name", "kind", "service", "ratePerSecond", "deadlineMs", "method", "path", "bodyBytes", "idempotencyKey" });
+        checkFields(node, where, { "name", "kind", "service", "teams", "ratePerSecond", "deadlineMs", "method", "path", "bodyBytes", "idempotencyKey" });
     else
-        checkFields(node, where, { "name", "kind", "service", "ratePerSecond", "deadlineMs", "promptTokens", "answerTokens", "prefixGroups", "prefixTokens", "stream" });
+        checkFields(node, where, { "name", "kind", "service", "teams", "ratePerSecond", "deadlineMs", "promptTokens", "answerTokens", "prefixGroups", "prefixTokens", "stream" });
     requestClass.name = readField<std::string>(node, where, "name", "");
     requestClass.service = readField<std::string>(node, where, "service", "");
     if (requestClass.name.empty() || requestClass.service.empty())
         throw MixFault(where + ": name and service are needed");
+    requestClass.teams = readTeamNames(node, where, teams);
     requestClass.ratePerSecond = readNumber(node, where, "ratePerSecond", 0, 0);
     requestClass.deadlineMs = readField<std::uint32_t>(node, where, "deadlineMs", 0);
     requestClass.promptTokens = readRange(node, where, "promptTokens");
@@ -132,7 +148,7 @@
         mix.teams = readTeams(document["teams"]);
         mix.bursts = readBursts(document["bursts"]);
         for (auto const& entry : document["classes"])
-            mix.classes.push_back(readClass(entry, "classes[" + std::to_string(mix.classes.size()) + "]"));
+            mix.classes.push_back(readClass(entry, "classes[" + std::to_string(mix.classes.size()) + "]", mix.teams));
         if (mix.classes.empty())
             throw MixFault("classes: a class is needed");
         return mix;
--- a/Utilities/Load/Mix.h
+++ b/Utilities/Load/Mix.h
@@ -60,6 +60,8 @@
     ClassKind kind { ClassKind::Chat };
     /// The model, or the non-model service.
     std::string service;
+    /// The names of the teams that send these requests; empty for all.
+    std::vector<std::string> teams;
     /// The mean arrival rate outside bursts.
     double ratePerSecond { 0 };
     /// The time from the intended arrival in which the answer is wanted; 0 for no deadline.
--- a/Utilities/Load/RequestFactory.cpp
+++ b/Utilities/Load/RequestFactory.cpp
@@ -2,6 +2,7 @@
 
 #include <LibCore/Uuid.h>
 #include <Load/Arrivals.h>
+#include <algorithm>
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
 
@@ -9,18 +10,25 @@
 
 namespace json = boost::json;
 
-static Team const& drawTeam(Mix const& mix, Core::Random& random)
+// Precondition: a team of the class has a weight, which parseMix() checks.
+static Team const& drawTeam(Mix const& mix, RequestClass const& requestClass, Core::Random& random)
 {
+    std::vector<Team const*> candidates;
     double total = 0;
-    for (auto const& team : mix.teams)
+    for (auto const& team : mix.teams) {
+        bool const isNamed = std::find(requestClass.teams.begin(), requestClass.teams.end(), team.name) != requestClass.teams.end();
+        if (team.weight <= 0 || !(isNamed || requestClass.teams.empty()))
+            continue;
+        candidates.push_back(&team);
         total += team.weight;
+    }
     auto point = random.unit() * total;
-    for (auto const& team : mix.teams) {
-        point -= team.weight;
+    for (auto const* team : candidates) {
+        point -= team->weight;
         if (point < 0)
-            return team;
+            return *team;
     }
-    return mix.teams.back();
+    return *candidates.back();
 }
 
 static std::string prefixText(RequestClass const& requestClass, Team const& team, Core::Random& random)
@@ -65,7 +73,7 @@
 PlannedRequest buildRequest(Mix const& mix, RequestClass const& requestClass, std::string const& defaultKey, Core::Random& random, Core::WallTime time)
 {
     PlannedRequest planned;
-    auto const& team = drawTeam(mix, random);
+    auto const& team = drawTeam(mix, requestClass, random);
     planned.team = team.name;
     planned.bearerKey = team.key.empty() ? defaultKey : team.key;
     auto& request = planned.request;
