Tests: Add an in-memory ObjectStore

Change: MemoryObjectStore with conditional updates, watches and switches for outages, delays, lost requests and lost answers. Calls in flight run on a runtime of their own, so that a write takes effect while its caller is paused or has given up.

--- /dev/null
+++ b/Tests/Support/MemoryObjectStore.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include <LibCore/Random.h>
+#include <LibPlatform/ObjectStore.h>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+
+namespace TestSupport {
+
+/// The objects of an in-memory platform, shared by the stores of several nodes.
+struct MemoryObjects {
+    std::map<Platform::ObjectKey, Platform::StoredObject> objects;
+    std::uint64_t version { 0 };
+    std::vector<Platform::ObjectEvent> history;
+    /// A watch from a version before this one gives StoreVersionExpired.
+    std::uint64_t oldestWatchVersion { 0 };
+    std::set<Core::AsyncEvent*> watchers;
+
+    std::uint64_t put(Platform::ObjectKey const&, std::string value);
+    void erase(Platform::ObjectKey const&);
+};
+
+/// Faults of one store. Probabilities are per call.
+struct MemoryObjectFaults {
+    bool isDown { false };
+    /// Bounds of the random delay before a call takes effect and before its answer arrives. A delay beyond the caller's
+    /// deadline gives StoreUnavailable, although a write still takes effect later.
+    Core::Duration requestDelay { 0 };
+    Core::Duration answerDelay { 0 };
+    double lostAnswer { 0 };
+    double lostRequest { 0 };
+    /// The answers of this many coming writes are lost.
+    unsigned lostWriteAnswers { 0 };
+};
+
+struct MemoryObjectCalls {
+    std::uint64_t reads { 0 };
+    std::uint64_t writes { 0 };
+    std::uint64_t conflicts { 0 };
+};
+
+/// An ObjectStore with the platform's semantics. The runtime is the caller's; the network's runtime carries calls in flight,
+/// so that they take effect while the caller's clock stands still.
+class MemoryObjectStore final : public Platform::ObjectStore {
+public:
+    MemoryObjectStore(Core::Runtime&, Core::Random&, std::shared_ptr<MemoryObjects> = std::make_shared<MemoryObjects>(), Core::Runtime* network = nullptr);
+    ~MemoryObjectStore() override;
+
+    MemoryObjectFaults faults;
+    MemoryObjectCalls calls;
+    [[nodiscard]] MemoryObjects& objects() { return *m_objects; }
+
+    Core::Awaitable<std::optional<Platform::StoredObject>> read(Platform::ObjectKey, Core::MonotonicTime, Core::LastReason&) override;
+    Core::Awaitable<std::optional<Platform::ObjectList>> list(std::string kind, Core::MonotonicTime, Core::LastReason&) override;
+    Core::Awaitable<std::optional<std::uint64_t>> create(Platform::ObjectKey, std::string value, Core::MonotonicTime, Core::LastReason&) override;
+    Core::Awaitable<std::optional<std::uint64_t>> update(Platform::ObjectKey, std::string value, std::uint64_t expectedVersion, Core::MonotonicTime, Core::LastReason&) override;
+    Core::Awaitable<bool> remove(Platform::ObjectKey, std::uint64_t expectedVersion, Core::MonotonicTime, Core::LastReason&) override;
+    Core::Awaitable<std::optional<std::vector<Platform::ObjectEvent>>> waitForChanges(std::string kind, std::uint64_t afterVersion, Core::MonotonicTime, Core::LastReason&) override;
+
+private:
+    enum class CallKind {
+        Read,
+        Write,
+    };
+    /// Fills the reason if it fails.
+    using Effect = std::function<bool(Core::LastReason&)>;
+
+    /// Runs the effect under the faults. Returns whether the effect succeeded and its answer arrived.
+    [[nodiscard]] Core::Awaitable<bool> perform(CallKind, Effect, Core::MonotonicTime deadline, Core::LastReason&);
+    [[nodiscard]] Core::Duration randomDelay(Core::Duration bound);
+
+    Core::Runtime& m_runtime;
+    Core::Random& m_random;
+    std::shared_ptr<MemoryObjects> m_objects;
+    Core::Runtime& m_network;
+    Core::AsyncEvent m_changed;
+};
+
+}
