LibIntent: Run calls that must not be repeated at most once

Change: key parsing, decisions, the codec of shard objects, and IntentJournal over conditional updates with batches per shard, continuation objects, answers in objects of their own, withdrawal of attempts that were not recorded in time, and removal of expired buckets.

--- /dev/null
+++ b/Libraries/LibIntent/IntentDecision.cpp
@@ -0,0 +1,60 @@
+#include <LibIntent/IntentDecision.h>
+
+namespace Intent {
+
+std::string_view decisionName(IntentDecisionKind kind)
+{
+    switch (kind) {
+    case IntentDecisionKind::Run:
+        return "run";
+    case IntentDecisionKind::Replay:
+        return "replay";
+    case IntentDecisionKind::Mismatch:
+        return "mismatch";
+    case IntentDecisionKind::InProgress:
+        return "in_progress";
+    case IntentDecisionKind::OutcomeUnknown:
+        return "outcome_unknown";
+    case IntentDecisionKind::Expired:
+        return "expired";
+    case IntentDecisionKind::Invalid:
+        break;
+    }
+    return "invalid";
+}
+
+static IntentDecision refuse(IntentDecisionKind kind, Core::ErrorKind errorKind, Core::RunState runState, char const* message)
+{
+    return { kind, std::nullopt, std::nullopt, { errorKind, runState, message, std::nullopt } };
+}
+
+IntentDecision decideIntent(IntentRecord const* record, IntentKey const& key, std::string_view fingerprint, Core::WallTime now, WriterState writerState, IntentSettings const& settings)
+{
+    using enum IntentDecisionKind;
+    auto const age = keyAge(key, now, settings);
+    if (age == KeyAge::InFuture)
+        return refuse(Invalid, Core::ErrorKind::IdempotencyKeyInvalid, Core::RunState::NotRun, "the key's time is in the future by more than the clock skew bound");
+    // The record may be gone, so nothing can be said of an earlier request with this key.
+    if (age == KeyAge::Expired)
+        return refuse(Expired, Core::ErrorKind::IdempotencyKeyExpired, Core::RunState::Unknown, "this request was not run; an earlier one with the same key may have run");
+    if (!record)
+        return { Run, std::nullopt, std::nullopt, {} };
+    if (record->fingerprint != fingerprint)
+        return refuse(Mismatch, Core::ErrorKind::IdempotencyKeyReused, Core::RunState::NotRun, "the key was used with another request");
+    switch (record->state) {
+    case IntentState::Finished:
+        if (record->answerPlace == AnswerPlace::Omitted)
+            return refuse(OutcomeUnknown, Core::ErrorKind::OutcomeUnknown, Core::RunState::Ran, "the call ran; its answer was too large to be kept");
+        return { Replay, std::nullopt, record->answer, {} };
+    case IntentState::Abandoned:
+        return refuse(OutcomeUnknown, Core::ErrorKind::OutcomeUnknown, Core::RunState::Unknown, "an earlier attempt ended without an answer");
+    case IntentState::Started:
+        break;
+    }
+    auto const longOver = record->deadlineAt + static_cast<std::uint64_t>(settings.clockSkewBound.count()) < unixMilliseconds(now);
+    if (writerState == WriterState::Dead || (writerState == WriterState::Unknown && longOver))
+        return refuse(OutcomeUnknown, Core::ErrorKind::OutcomeUnknown, Core::RunState::Unknown, "the node that started the call is gone");
+    return refuse(InProgress, Core::ErrorKind::OutcomeUnknown, Core::RunState::Unknown, "another attempt with the same key is in progress");
+}
+
+}
--- /dev/null
+++ b/Libraries/LibIntent/IntentJournal.cpp
@@ -0,0 +1,394 @@
+#include <LibIntent/IntentJournal.h>
+
+#include <LibCore/Log.h>
+#include <LibIntent/IntentShard.h>
+#include <algorithm>
+#include <boost/json.hpp>
+#include <cstdio>
+
+namespace Intent {
+
+IntentJournal::IntentJournal(Core::Runtime& runtime, Platform::ObjectStore& store, Core::Random& random, Core::Metrics& metrics, std::string nodeId, IntentSettings settings)
+    : m_runtime(runtime)
+    , m_store(store)
+    , m_random(random)
+    , m_metrics(metrics)
+    , m_nodeId(std::move(nodeId))
+    , m_settings(std::move(settings))
+    , m_attemptEnded(runtime)
+    , m_nextIdleCheck(runtime.now())
+{
+}
+
+IntentJournal::~IntentJournal() = default;
+
+std::shared_ptr<IntentShard> IntentJournal::shardFor(IntentPlace place)
+{
+    dropIdleShards();
+    auto& shard = m_shards[place];
+    if (!shard) {
+        auto writerStateOf = [this](IntentRecord const& record) { return writerState(record); };
+        shard = std::make_shared<IntentShard>(m_runtime, m_store, m_random, m_metrics, m_settings, place, writerStateOf);
+    }
+    return shard;
+}
+
+void IntentJournal::dropIdleShards()
+{
+    auto const now = m_runtime.now();
+    if (now < m_nextIdleCheck)
+        return;
+    m_nextIdleCheck = now + m_settings.cacheIdlePeriod / 4;
+    std::erase_if(m_shards, [&](auto const& entry) { return entry.second.use_count() == 1 && entry.second->isIdleSince(now - m_settings.cacheIdlePeriod); });
+    m_metrics.gauge("hyssopstep_intent_cached_shards").set(static_cast<double>(m_shards.size()));
+}
+
+std::string IntentJournal::newAttemptId()
+{
+    char buffer[40];
+    std::snprintf(buffer, sizeof(buffer), ".%016llx%016llx", static_cast<unsigned long long>(m_random.bits()), static_cast<unsigned long long>(m_random.bits()));
+    return m_nodeId + buffer;
+}
+
+WriterState IntentJournal::writerState(IntentRecord const& record) const
+{
+    if (record.writer == m_nodeId)
+        return m_liveAttempts.contains(record.attemptId) ? WriterState::Live : WriterState::Dead;
+    return m_settings.writerState ? m_settings.writerState(record.writer) : WriterState::Unknown;
+}
+
+void IntentJournal::endAttempt(std::string const& attemptId)
+{
+    m_liveAttempts.erase(attemptId);
+    m_attemptEnded.notifyAll();
+}
+
+IntentDecision IntentJournal::counted(IntentDecision decision)
+{
+    m_metrics.counter("hyssopstep_intent_decisions_total", { { "decision", std::string(decisionName(decision.kind)) } }).add();
+    return decision;
+}
+
+void IntentJournal::withdraw(std::shared_ptr<IntentShard> const& shard, std::shared_ptr<IntentOperation> const& operation)
+{
+    auto const attemptId = operation->record.attemptId;
+    auto const release = shard->withdraw(operation);
+    if (!release) {
+        endAttempt(attemptId);
+        return;
+    }
+    m_metrics.counter("hyssopstep_intent_withdrawn_total").add();
+    auto clean = [](IntentJournal& journal, std::shared_ptr<IntentShard> owner, std::shared_ptr<IntentOperation> pending, std::string attempt) -> Core::Awaitable<void> {
+        auto const end = journal.m_runtime.now() + journal.m_settings.completionRetryPeriod;
+        bool const isDone = co_await owner->waitFor(pending, end);
+        if (!isDone) {
+            owner->withdraw(pending);
+            Core::logEvent(Core::LogLevel::Warning, "intent_withdrawal_given_up", { { "attempt", attempt } });
+        }
+        journal.endAttempt(attempt);
+    };
+    m_runtime.spawn(clean(*this, shard, release, attemptId));
+}
+
+Core::Awaitable<std::optional<IntentDecision>> IntentJournal::begin(std::string team, std::string service, std::string keyText, std::string fingerprint, Core::MonotonicTime deadline, Core::LastReason& reason)
+{
+    Core::LastReason keyReason;
+    auto const key = parseIntentKey(keyText, keyReason);
+    if (!key)
+        co_return counted({ IntentDecisionKind::Invalid, std::nullopt, std::nullopt, keyReason });
+    auto const place = placeOf(team, service, *key, m_settings);
+    auto const digest = keyDigest(team, service, *key);
+    auto pollDelay = m_settings.pollDelay;
+    std::optional<IntentDecision> inProgress;
+
+    while (m_runtime.now() < deadline) {
+        auto const shard = shardFor(place);
+        auto operation = std::make_shared<IntentOperation>();
+        operation->key = *key;
+        operation->record.keyDigest = digest;
+        operation->record.fingerprint = fingerprint;
+        operation->record.attemptId = newAttemptId();
+        operation->record.writer = m_nodeId;
+        operation->record.startedAt = unixMilliseconds(m_runtime.wallNow());
+        operation->record.deadlineAt = operation->record.startedAt + static_cast<std::uint64_t>(std::chrono::ceil<std::chrono::milliseconds>(deadline - m_runtime.now()).count());
+        m_liveAttempts.insert(operation->record.attemptId);
+
+        // Withdraws the attempt on every way out but Run, including cancellation of the caller's coroutine.
+        struct Withdrawal {
+            IntentJournal& journal;
+            std::weak_ptr<void> lifetime;
+            std::shared_ptr<IntentShard> const& shard;
+            std::shared_ptr<IntentOperation> const& operation;
+            bool isNeeded { true };
+            ~Withdrawal()
+            {
+                // At shutdown the event loop destroys suspended coroutines after the journal.
+                if (isNeeded && !lifetime.expired())
+                    journal.withdraw(shard, operation);
+            }
+        } withdrawal { *this, m_lifetime, shard, operation };
+
+        shard->submit(operation);
+        bool const isDecided = co_await shard->waitFor(operation, deadline);
+        if (!isDecided || m_runtime.now() >= deadline)
+            break;
+        auto decision = operation->decision;
+        if (decision.kind == IntentDecisionKind::Run && keyAge(*key, m_runtime.wallNow(), m_settings) != KeyAge::Valid) {
+            // The write may have created an object anew after the collector removed it, so an earlier record may be gone.
+            decision = decideIntent(nullptr, *key, fingerprint, m_runtime.wallNow(), WriterState::Live, m_settings);
+        }
+        switch (decision.kind) {
+        case IntentDecisionKind::Run:
+            withdrawal.isNeeded = false;
+            m_openAttempts.insert(operation->record.attemptId);
+            decision.ticket = IntentTicket { place, digest, operation->record.attemptId };
+            co_return counted(std::move(decision));
+        case IntentDecisionKind::Replay:
+            if (decision.answer)
+                co_return counted(std::move(decision));
+            decision = co_await readAnswer(operation->found->answerName, deadline);
+            co_return counted(std::move(decision));
+        case IntentDecisionKind::InProgress:
+            break;
+        default:
+            co_return counted(std::move(decision));
+        }
+        inProgress = decision;
+        // Another node's attempt must be read again; the end of an own one is notified.
+        auto const attempt = operation->found->attemptId;
+        if (!m_liveAttempts.contains(attempt)) {
+            auto const nextLook = std::min(deadline, m_runtime.now() + pollDelay);
+            pollDelay = std::min(pollDelay * 2, m_settings.maximumPollDelay);
+            co_await m_runtime.sleepUntil(nextLook);
+        }
+        while (m_liveAttempts.contains(attempt) && m_runtime.now() < deadline)
+            (void)co_await m_attemptEnded.waitUntil(deadline);
+    }
+
+    if (inProgress) {
+        inProgress->kind = IntentDecisionKind::OutcomeUnknown;
+        co_return counted(std::move(*inProgress));
+    }
+    m_metrics.counter("hyssopstep_intent_not_recorded_total").add();
+    co_return Core::fail(reason, Core::ErrorKind::StoreUnavailable, "the intent could not be recorded before the deadline");
+}
+
+Core::Awaitable<IntentDecision> IntentJournal::readAnswer(std::string name, Core::MonotonicTime deadline)
+{
+    IntentDecision decision { IntentDecisionKind::Replay, std::nullopt, std::nullopt, {} };
+    Core::LastReason reason;
+    do {
+        Platform::ObjectKey key { "intentanswers", name };
+        auto const callEnd = std::min(deadline, callDeadline());
+        auto const stored = co_await m_store.read(std::move(key), callEnd, reason);
+        if (stored)
+            decision.answer = decodeAnswer(stored->value, reason);
+        if (decision.answer)
+            co_return decision;
+        if (reason.kind != Core::ErrorKind::StoreUnavailable)
+            break;
+        co_await m_runtime.sleepFor(m_settings.retryDelay);
+    } while (m_runtime.now() < deadline);
+    decision.kind = IntentDecisionKind::OutcomeUnknown;
+    decision.reason = { Core::ErrorKind::OutcomeUnknown, Core::RunState::Ran, "the call ran; its answer cannot be read: " + reason.message, std::nullopt };
+    co_return decision;
+}
+
+bool IntentJournal::closeTicket(IntentTicket const& ticket, Core::LastReason& reason)
+{
+    if (m_openAttempts.erase(ticket.attemptId) > 0)
+        return true;
+    Core::fail(reason, Core::ErrorKind::Internal, "the ticket is not open", Core::RunState::Unknown);
+    return false;
+}
+
+Core::Awaitable<std::shared_ptr<IntentOperation>> IntentJournal::complete(IntentTicket ticket, IntentOperationKind kind, IntentRecord outcome)
+{
+    auto const shard = shardFor(ticket.place);
+    auto operation = std::make_shared<IntentOperation>();
+    operation->kind = kind;
+    operation->record = std::move(outcome);
+    operation->record.keyDigest = ticket.keyDigest;
+    operation->record.attemptId = ticket.attemptId;
+    shard->submit(operation);
+    auto const end = m_runtime.now() + m_settings.completionRetryPeriod;
+    bool const isDone = co_await shard->waitFor(operation, end);
+    if (!isDone)
+        shard->withdraw(operation);
+    co_return operation;
+}
+
+Core::Awaitable<bool> IntentJournal::recordCompletion(IntentTicket ticket, IntentOperationKind kind, Core::LastReason& reason)
+{
+    if (!closeTicket(ticket, reason))
+        co_return false;
+    IntentRecord none;
+    auto const operation = co_await complete(ticket, kind, std::move(none));
+    endAttempt(ticket.attemptId);
+    if (operation->state == IntentOperationState::Recorded)
+        co_return true;
+    Core::fail(reason, Core::ErrorKind::StoreUnavailable, "the end of the attempt was not recorded", Core::RunState::Unknown);
+    co_return false;
+}
+
+Core::Awaitable<bool> IntentJournal::release(IntentTicket ticket, Core::LastReason& reason)
+{
+    return recordCompletion(std::move(ticket), IntentOperationKind::Release, reason);
+}
+
+Core::Awaitable<bool> IntentJournal::abandon(IntentTicket ticket, Core::LastReason& reason)
+{
+    return recordCompletion(std::move(ticket), IntentOperationKind::Abandon, reason);
+}
+
+Core::Awaitable<bool> IntentJournal::finish(IntentTicket ticket, RecordedAnswer answer, Core::LastReason& reason)
+{
+    if (!closeTicket(ticket, reason))
+        co_return false;
+    auto const random = ticket.attemptId.substr(ticket.attemptId.rfind('.') + 1);
+    auto const name = shardObjectName(ticket.place, 0) + "-" + ticket.keyDigest + "-" + random;
+    std::size_t bytes = answer.body.size();
+    for (auto const& [headerName, value] : answer.headers)
+        bytes += headerName.size() + value.size();
+
+    IntentRecord outcome;
+    outcome.answer = std::move(answer);
+    bool needsOwnObject = bytes > m_settings.inlineAnswerBytes;
+    std::shared_ptr<IntentOperation> operation;
+    if (!needsOwnObject) {
+        operation = co_await complete(ticket, IntentOperationKind::Finish, outcome);
+        needsOwnObject = operation->state == IntentOperationState::AnswerTooLarge;
+    }
+    if (needsOwnObject) {
+        outcome.answerPlace = AnswerPlace::Omitted;
+        if (bytes <= m_settings.maximumAnswerBytes) {
+            auto value = encodeAnswer(*outcome.answer);
+            bool const isStored = co_await storeAnswer(name, std::move(value));
+            if (isStored) {
+                outcome.answerPlace = AnswerPlace::OwnObject;
+                outcome.answerName = name;
+            }
+        }
+        outcome.answer.reset();
+        operation = co_await complete(ticket, IntentOperationKind::Finish, std::move(outcome));
+    }
+    endAttempt(ticket.attemptId);
+    if (operation->state == IntentOperationState::Recorded)
+        co_return true;
+    m_metrics.counter("hyssopstep_intent_answers_not_recorded_total").add();
+    Core::logEvent(Core::LogLevel::Warning, "intent_answer_not_recorded", { { "attempt", ticket.attemptId } });
+    Core::fail(reason, Core::ErrorKind::StoreUnavailable, "the answer was not recorded", Core::RunState::Ran);
+    co_return false;
+}
+
+Core::Awaitable<bool> IntentJournal::storeAnswer(std::string name, std::string value)
+{
+    auto const end = m_runtime.now() + m_settings.completionRetryPeriod;
+    while (m_runtime.now() < end) {
+        Core::LastReason reason;
+        Platform::ObjectKey key { "intentanswers", name };
+        auto const version = co_await m_store.create(std::move(key), value, callDeadline(), reason);
+        // The name holds the attempt id, so an existing object is this answer, written by a call whose answer was lost.
+        if (version || reason.kind == Core::ErrorKind::StoreConflict)
+            co_return true;
+        if (reason.kind != Core::ErrorKind::StoreUnavailable)
+            co_return false;
+        co_await m_runtime.sleepFor(m_settings.maximumRetryDelay);
+    }
+    co_return false;
+}
+
+Core::Awaitable<bool> IntentJournal::removeObject(Platform::ObjectKey key, Core::LastReason& reason)
+{
+    auto const stored = co_await m_store.read(key, callDeadline(), reason);
+    if (!stored)
+        co_return reason.kind == Core::ErrorKind::NotFound;
+    bool const isRemoved = co_await m_store.remove(std::move(key), stored->resourceVersion, callDeadline(), reason);
+    co_return isRemoved || reason.kind == Core::ErrorKind::NotFound;
+}
+
+Core::Awaitable<bool> IntentJournal::removeShard(IntentPlace place, Core::LastReason& reason)
+{
+    std::size_t count = 0;
+    for (;; ++count) {
+        Platform::ObjectKey key { "intents", shardObjectName(place, count) };
+        auto const stored = co_await m_store.read(std::move(key), callDeadline(), reason);
+        if (!stored && reason.kind != Core::ErrorKind::NotFound)
+            co_return false;
+        if (!stored)
+            break;
+        auto const content = decodeShard(stored->value, reason);
+        if (!content)
+            continue;
+        for (auto const& [digest, record] : content->records) {
+            if (record.answerPlace != AnswerPlace::OwnObject)
+                continue;
+            Platform::ObjectKey answerKey { "intentanswers", record.answerName };
+            bool const isRemoved = co_await removeObject(std::move(answerKey), reason);
+            if (!isRemoved)
+                co_return false;
+        }
+    }
+    // From the end, so that an interrupted removal leaves a chain that the next one finds.
+    while (count-- > 0) {
+        Platform::ObjectKey key { "intents", shardObjectName(place, count) };
+        bool const isRemoved = co_await removeObject(std::move(key), reason);
+        if (!isRemoved)
+            co_return false;
+    }
+    co_return true;
+}
+
+Core::Awaitable<std::optional<std::size_t>> IntentJournal::collectGarbage(std::size_t maximumBuckets, Core::LastReason& reason)
+{
+    // The collector's clock may be ahead of a node's by the clock skew bound; twice the bound leaves the same again for
+    // requests in progress. A node checks the age again after its write, so a longer pause is safe too.
+    auto const width = static_cast<std::uint64_t>(m_settings.bucketDuration.count());
+    auto const keep = static_cast<std::uint64_t>((m_settings.retention + 2 * m_settings.clockSkewBound).count());
+    auto const now = unixMilliseconds(m_runtime.wallNow());
+    if (now < keep + width)
+        co_return 0;
+    auto const end = (now - keep) / width;
+
+    // Buckets are found by their names in order, since a list call would return the values of all objects.
+    Platform::ObjectKey const cursorKey { "intentcursors", "collector" };
+    auto const cursor = co_await m_store.read(cursorKey, callDeadline(), reason);
+    if (!cursor && reason.kind != Core::ErrorKind::NotFound)
+        co_return std::nullopt;
+    std::uint64_t next = end - std::min(end, static_cast<std::uint64_t>(m_settings.retention.count()) / width);
+    if (cursor) {
+        boost::system::error_code error;
+        auto const parsed = boost::json::parse(cursor->value, error);
+        auto const* object = error ? nullptr : parsed.if_object();
+        auto const* value = object ? object->if_contains("nextBucket") : nullptr;
+        if (!value || !value->is_int64())
+            co_return Core::fail(reason, Core::ErrorKind::Internal, "the collector's cursor cannot be read");
+        next = static_cast<std::uint64_t>(value->as_int64());
+    }
+
+    std::size_t passed = 0;
+    for (; next < end && passed < maximumBuckets; ++next, ++passed) {
+        for (std::uint32_t shard = 0; shard < m_settings.shardsPerBucket; ++shard) {
+            IntentPlace const place { next, shard };
+            bool const isRemoved = co_await removeShard(place, reason);
+            if (!isRemoved)
+                co_return std::nullopt;
+        }
+    }
+    if (passed == 0)
+        co_return 0;
+    auto const text = boost::json::serialize(boost::json::object { { "nextBucket", next } });
+    std::optional<std::uint64_t> version;
+    if (cursor)
+        version = co_await m_store.update(cursorKey, text, cursor->resourceVersion, callDeadline(), reason);
+    else
+        version = co_await m_store.create(cursorKey, text, callDeadline(), reason);
+    // Another collector has moved the cursor; its buckets are empty now.
+    if (!version && reason.kind != Core::ErrorKind::StoreConflict)
+        co_return std::nullopt;
+    m_metrics.counter("hyssopstep_intent_collected_buckets_total").add(passed);
+    Core::logEvent(Core::LogLevel::Info, "intent_buckets_collected", { { "buckets", static_cast<std::uint64_t>(passed) }, { "next_bucket", next } });
+    co_return passed;
+}
+
+}
--- a/Libraries/LibIntent/IntentJournal.h
+++ b/Libraries/LibIntent/IntentJournal.h
@@ -11,6 +11,8 @@
 namespace Intent {
 
 class IntentShard;
+struct IntentOperation;
+enum class IntentOperationKind;
 
 /// At-most-once execution of calls that must not be repeated, recorded in the object API; see docs/at-most-once.md.
 /// Must outlive the tasks it starts on the runtime. Called on the runtime's thread only.
@@ -48,23 +50,21 @@
     [[nodiscard]] std::size_t openTickets() const { return m_openAttempts.size(); }
 
 private:
-    enum class Completion {
-        Finish,
-        Release,
-        Abandon,
-    };
-
-    IntentShard& shardFor(IntentPlace);
+    [[nodiscard]] std::shared_ptr<IntentShard> shardFor(IntentPlace);
     void dropIdleShards();
     [[nodiscard]] std::string newAttemptId();
     [[nodiscard]] WriterState writerState(IntentRecord const&) const;
     [[nodiscard]] bool closeTicket(IntentTicket const&, Core::LastReason&);
     [[nodiscard]] IntentDecision counted(IntentDecision);
-    [[nodiscard]] Core::Awaitable<bool> complete(IntentTicket, Completion, IntentRecord outcome, Core::LastReason&);
-    [[nodiscard]] Core::Awaitable<bool> storeAnswer(std::string name, std::string value, Core::MonotonicTime deadline, Core::LastReason&);
-    [[nodiscard]] Core::Awaitable<std::optional<IntentDecision>> resolveReplay(IntentDecision, IntentRecord, Core::MonotonicTime deadline, Core::LastReason&);
-    [[nodiscard]] Core::Awaitable<bool> removeBucket(std::uint64_t bucket, Core::LastReason&);
-    [[nodiscard]] Core::Awaitable<bool> removeObject(Platform::ObjectKey, std::uint64_t version, Core::LastReason&);
+    void endAttempt(std::string const& attemptId);
+    void withdraw(std::shared_ptr<IntentShard> const&, std::shared_ptr<IntentOperation> const&);
+    [[nodiscard]] Core::Awaitable<std::shared_ptr<IntentOperation>> complete(IntentTicket, IntentOperationKind, IntentRecord outcome);
+    [[nodiscard]] Core::Awaitable<bool> recordCompletion(IntentTicket, IntentOperationKind, Core::LastReason&);
+    [[nodiscard]] Core::Awaitable<bool> storeAnswer(std::string name, std::string value);
+    [[nodiscard]] Core::Awaitable<IntentDecision> readAnswer(std::string name, Core::MonotonicTime deadline);
+    [[nodiscard]] Core::Awaitable<bool> removeShard(IntentPlace, Core::LastReason&);
+    [[nodiscard]] Core::Awaitable<bool> removeObject(Platform::ObjectKey, Core::LastReason&);
+    [[nodiscard]] Core::MonotonicTime callDeadline() const { return m_runtime.now() + m_settings.storeCallTimeout; }
 
     Core::Runtime& m_runtime;
     Platform::ObjectStore& m_store;
@@ -72,9 +72,14 @@
     Core::Metrics& m_metrics;
     std::string m_nodeId;
     IntentSettings m_settings;
-    std::map<IntentPlace, std::unique_ptr<IntentShard>> m_shards;
+    std::map<IntentPlace, std::shared_ptr<IntentShard>> m_shards;
+    /// Attempts with an open ticket.
     std::set<std::string> m_openAttempts;
+    /// Attempts from their begin until their completion is recorded or given up.
+    std::set<std::string> m_liveAttempts;
+    Core::AsyncEvent m_attemptEnded;
     Core::MonotonicTime m_nextIdleCheck;
+    std::shared_ptr<void> m_lifetime { std::make_shared<int>() };
 };
 
 }
--- /dev/null
+++ b/Libraries/LibIntent/IntentShard.cpp
@@ -0,0 +1,355 @@
+#include <LibIntent/IntentShard.h>
+
+#include <LibCore/Log.h>
+#include <algorithm>
+
+namespace Intent {
+
+// The size a record without an answer adds to the JSON text of its object, rounded up.
+static constexpr std::size_t recordBytes = 512;
+
+static std::size_t answerBytes(RecordedAnswer const& answer)
+{
+    std::size_t bytes = answer.body.size();
+    for (auto const& [name, value] : answer.headers)
+        bytes += name.size() + value.size() + 16;
+    return bytes * 4 / 3 + 64;
+}
+
+IntentShard::IntentShard(Core::Runtime& runtime, Platform::ObjectStore& store, Core::Random& random, Core::Metrics& metrics, IntentSettings const& settings, IntentPlace place, std::function<WriterState(IntentRecord const&)> writerState)
+    : m_runtime(runtime)
+    , m_store(store)
+    , m_random(random)
+    , m_settings(settings)
+    , m_place(place)
+    , m_writerState(std::move(writerState))
+    , m_writes(metrics.counter("hyssopstep_intent_writes_total"))
+    , m_conflicts(metrics.counter("hyssopstep_intent_write_conflicts_total"))
+    , m_failures(metrics.counter("hyssopstep_intent_store_failures_total"))
+    , m_lostAnswers(metrics.counter("hyssopstep_intent_lost_write_answers_total"))
+    , m_seals(metrics.counter("hyssopstep_intent_sealed_objects_total"))
+    , m_operationsPerWrite(metrics.summary("hyssopstep_intent_operations_per_write"))
+    , m_nextWriteAt(runtime.now())
+    , m_lastUsed(runtime.now())
+    , m_retryDelay(settings.retryDelay)
+    , m_changed(runtime)
+{
+}
+
+void IntentShard::submit(std::shared_ptr<IntentOperation> const& operation)
+{
+    operation->sequence = ++m_sequence;
+    m_operations.push_back(operation);
+    m_lastUsed = m_runtime.now();
+    if (m_running)
+        return;
+    m_running = true;
+    m_runtime.spawn(run());
+}
+
+Core::Awaitable<bool> IntentShard::waitFor(std::shared_ptr<IntentOperation> operation, Core::MonotonicTime deadline)
+{
+    while (operation->state == IntentOperationState::Waiting) {
+        bool const isNotified = co_await m_changed.waitUntil(deadline);
+        if (!isNotified)
+            break;
+    }
+    co_return operation->state != IntentOperationState::Waiting;
+}
+
+std::shared_ptr<IntentOperation> IntentShard::withdraw(std::shared_ptr<IntentOperation> const& operation)
+{
+    std::erase(m_operations, operation);
+    if (!operation->mayBeWritten)
+        return nullptr;
+    auto release = std::make_shared<IntentOperation>();
+    release->kind = IntentOperationKind::Release;
+    release->record.keyDigest = operation->record.keyDigest;
+    release->record.attemptId = operation->record.attemptId;
+    submit(release);
+    return release;
+}
+
+bool IntentShard::isIdleSince(Core::MonotonicTime time) const
+{
+    return !m_running && m_operations.empty() && m_lastUsed <= time;
+}
+
+Core::Awaitable<void> IntentShard::run()
+{
+    while (!m_operations.empty()) {
+        bool const isRead = co_await readChain();
+        if (!isRead) {
+            co_await backOff();
+            continue;
+        }
+        auto round = evaluate();
+        if (!round.target || m_runtime.now() < m_nextWriteAt) {
+            applyOutcomes(round, false);
+            if (round.target)
+                co_await m_runtime.sleepUntil(m_nextWriteAt);
+            continue;
+        }
+        bool const isWritten = co_await writeRound(round);
+        if (!isWritten)
+            co_await backOff();
+    }
+    m_running = false;
+}
+
+Core::Awaitable<void> IntentShard::backOff()
+{
+    // The random part keeps nodes that conflict with each other from repeating in step.
+    double const factor = 0.5 + m_random.unit();
+    auto const delay = std::chrono::duration_cast<Core::Duration>(m_retryDelay * factor);
+    m_retryDelay = std::min(m_retryDelay * 2, m_settings.maximumRetryDelay);
+    co_await m_runtime.sleepFor(delay);
+}
+
+Core::Awaitable<bool> IntentShard::readChain()
+{
+    for (std::size_t index = 0;; ++index) {
+        if (index == m_chain.size())
+            m_chain.emplace_back();
+        if (m_chain[index].mustRead) {
+            auto const sequence = ++m_sequence;
+            Core::LastReason reason;
+            Platform::ObjectKey key { "intents", shardObjectName(m_place, index) };
+            auto const deadline = m_runtime.now() + m_settings.storeCallTimeout;
+            auto const stored = co_await m_store.read(std::move(key), deadline, reason);
+            if (!stored && reason.kind != Core::ErrorKind::NotFound) {
+                m_failures.add();
+                co_return false;
+            }
+            ChainObject object;
+            if (stored) {
+                auto content = decodeShard(stored->value, reason);
+                if (!content) {
+                    Core::logEvent(Core::LogLevel::Error, "intent_shard_unreadable", { { "object", shardObjectName(m_place, index) }, { "error", reason.message } });
+                    co_return false;
+                }
+                object.version = stored->resourceVersion;
+                object.content = std::move(*content);
+                object.bytes = stored->value.size();
+            }
+            object.mustRead = false;
+            object.readSequence = sequence;
+            if (m_uncertainWrite && m_uncertainWrite->index == index && m_uncertainWrite->version != object.version)
+                m_uncertainWrite.reset();
+            m_chain[index] = std::move(object);
+        }
+        if (!m_chain[index].content.sealed) {
+            m_chain.resize(index + 1);
+            // The objects behind the end were removed because all their keys are expired.
+            if (m_uncertainWrite && m_uncertainWrite->index > index)
+                m_uncertainWrite.reset();
+            co_return true;
+        }
+    }
+}
+
+IntentShard::Round IntentShard::evaluate()
+{
+    Round round;
+    for (auto const& operation : m_operations) {
+        if (operation->kind == IntentOperationKind::Begin)
+            evaluateBegin(round, operation);
+        else
+            evaluateCompletion(round, operation);
+    }
+    return round;
+}
+
+bool IntentShard::canTarget(Round const& round, std::size_t index) const
+{
+    return !round.target || *round.target == index;
+}
+
+void IntentShard::target(Round& round, std::size_t index)
+{
+    if (round.target)
+        return;
+    round.target = index;
+    round.content = m_chain[index].content;
+    round.bytes = m_chain[index].bytes;
+}
+
+IntentRecord const* IntentShard::find(Round const& round, std::string const& digest, std::size_t& index) const
+{
+    for (index = 0; index < m_chain.size(); ++index) {
+        auto const& records = round.target == index ? round.content.records : m_chain[index].content.records;
+        auto const position = records.find(digest);
+        if (position != records.end())
+            return &position->second;
+    }
+    return nullptr;
+}
+
+void IntentShard::evaluateBegin(Round& round, std::shared_ptr<IntentOperation> const& operation)
+{
+    auto const now = m_runtime.wallNow();
+    std::size_t index = 0;
+    auto const* record = find(round, operation->record.keyDigest, index);
+    if (record && record->attemptId == operation->record.attemptId) {
+        // An earlier write of this operation took effect although its answer was lost.
+        auto decision = decideIntent(nullptr, operation->key, operation->record.fingerprint, now, WriterState::Live, m_settings);
+        round.outcomes.push_back({ operation, IntentOperationState::Decided, std::move(decision), std::nullopt, round.target == index });
+        return;
+    }
+    if (record) {
+        bool const dependsOnWrite = round.target == index;
+        // Only a finished record never changes; others may have been finished or released since they were read.
+        if (record->state != IntentState::Finished && !dependsOnWrite && m_chain[index].readSequence < operation->sequence) {
+            m_chain[index].mustRead = true;
+            return;
+        }
+        auto decision = decideIntent(record, operation->key, operation->record.fingerprint, now, m_writerState(*record), m_settings);
+        round.outcomes.push_back({ operation, IntentOperationState::Decided, std::move(decision), *record, dependsOnWrite });
+        return;
+    }
+    auto decision = decideIntent(nullptr, operation->key, operation->record.fingerprint, now, WriterState::Live, m_settings);
+    if (decision.kind != IntentDecisionKind::Run) {
+        round.outcomes.push_back({ operation, IntentOperationState::Decided, std::move(decision), std::nullopt, false });
+        return;
+    }
+    auto const open = m_chain.size() - 1;
+    if (!canTarget(round, open))
+        return;
+    target(round, open);
+    if (round.bytes + recordBytes > m_settings.maximumObjectBytes)
+        return;
+    round.content.records.emplace(operation->record.keyDigest, operation->record);
+    round.bytes += recordBytes;
+    round.outcomes.push_back({ operation, IntentOperationState::Decided, std::move(decision), std::nullopt, true });
+}
+
+void IntentShard::evaluateCompletion(Round& round, std::shared_ptr<IntentOperation> const& operation)
+{
+    std::size_t index = 0;
+    auto const* record = find(round, operation->record.keyDigest, index);
+    if (record && record->attemptId == operation->record.attemptId) {
+        changeRecord(round, operation, index);
+        return;
+    }
+    auto const open = m_chain.size() - 1;
+    if (round.target != open && m_chain[open].readSequence < operation->sequence) {
+        m_chain[open].mustRead = true;
+        return;
+    }
+    if (operation->kind != IntentOperationKind::Release) {
+        round.outcomes.push_back({ operation, IntentOperationState::NotFound, {}, std::nullopt, round.target == open });
+        return;
+    }
+    // A write that was lost on the way may still insert the record until the object's version changes, so the version is
+    // changed by a write of the same content.
+    if (m_uncertainWrite) {
+        if (!canTarget(round, m_uncertainWrite->index))
+            return;
+        target(round, m_uncertainWrite->index);
+        round.outcomes.push_back({ operation, IntentOperationState::Recorded, {}, std::nullopt, true });
+        return;
+    }
+    round.outcomes.push_back({ operation, IntentOperationState::Recorded, {}, std::nullopt, round.target == open });
+}
+
+void IntentShard::changeRecord(Round& round, std::shared_ptr<IntentOperation> const& operation, std::size_t index)
+{
+    auto const& current = (round.target == index ? round.content : m_chain[index].content).records.find(operation->record.keyDigest)->second;
+    auto const wanted = operation->kind == IntentOperationKind::Finish ? IntentState::Finished : IntentState::Abandoned;
+    if (operation->kind != IntentOperationKind::Release && current.state == wanted) {
+        round.outcomes.push_back({ operation, IntentOperationState::Recorded, {}, std::nullopt, round.target == index });
+        return;
+    }
+    if (!canTarget(round, index))
+        return;
+    std::size_t const added = operation->record.answer ? answerBytes(*operation->record.answer) : 0;
+    auto const bytes = round.target ? round.bytes : m_chain[index].bytes;
+    if (added > 0 && bytes + added > m_settings.maximumObjectBytes) {
+        round.outcomes.push_back({ operation, IntentOperationState::AnswerTooLarge, {}, std::nullopt, false });
+        return;
+    }
+    target(round, index);
+    round.bytes += added;
+    auto const position = round.content.records.find(operation->record.keyDigest);
+    if (operation->kind == IntentOperationKind::Release) {
+        round.content.records.erase(position);
+    } else {
+        auto& record = position->second;
+        record.state = wanted;
+        record.finishedAt = unixMilliseconds(m_runtime.wallNow());
+        record.answerPlace = operation->record.answerPlace;
+        record.answerName = operation->record.answerName;
+        record.answer = operation->record.answer;
+    }
+    round.outcomes.push_back({ operation, IntentOperationState::Recorded, {}, std::nullopt, true });
+}
+
+Core::Awaitable<bool> IntentShard::writeRound(Round& round)
+{
+    auto const index = *round.target;
+    auto value = encodeShard(round.content);
+    if (!round.content.sealed && value.size() > m_settings.sealBytes) {
+        round.content.sealed = true;
+        value = encodeShard(round.content);
+        m_seals.add();
+    }
+    for (auto const& outcome : round.outcomes) {
+        if (outcome.dependsOnWrite && outcome.decision.kind == IntentDecisionKind::Run && !outcome.found)
+            outcome.operation->mayBeWritten = true;
+    }
+    auto const bytes = value.size();
+    auto const expected = m_chain[index].version;
+    auto const sequence = ++m_sequence;
+    m_nextWriteAt = m_runtime.now() + m_settings.writeInterval;
+    auto const deadline = m_runtime.now() + m_settings.storeCallTimeout;
+    Platform::ObjectKey key { "intents", shardObjectName(m_place, index) };
+    Core::LastReason reason;
+    std::optional<std::uint64_t> version;
+    if (expected == 0)
+        version = co_await m_store.create(std::move(key), std::move(value), deadline, reason);
+    else
+        version = co_await m_store.update(std::move(key), std::move(value), expected, deadline, reason);
+    if (version) {
+        m_writes.add();
+        m_operationsPerWrite.observe(static_cast<double>(round.outcomes.size()));
+        m_chain[index] = { *version, false, sequence, std::move(round.content), bytes };
+        if (m_uncertainWrite && m_uncertainWrite->index == index)
+            m_uncertainWrite.reset();
+        m_retryDelay = m_settings.retryDelay;
+        applyOutcomes(round, true);
+        co_return true;
+    }
+    m_chain[index].mustRead = true;
+    if (reason.kind == Core::ErrorKind::StoreConflict) {
+        m_conflicts.add();
+        co_return false;
+    }
+    m_failures.add();
+    if (reason.runState != Core::RunState::NotRun) {
+        m_lostAnswers.add();
+        m_uncertainWrite = { index, expected };
+    }
+    Core::logEvent(Core::LogLevel::Warning, "intent_write_failed", { { "object", shardObjectName(m_place, index) }, { "error", reason.message }, { "run_state", Core::runStateName(reason.runState) } });
+    co_return false;
+}
+
+void IntentShard::applyOutcomes(Round const& round, bool written)
+{
+    bool changed = false;
+    for (auto const& outcome : round.outcomes) {
+        auto const& operation = outcome.operation;
+        if (outcome.dependsOnWrite && !written)
+            continue;
+        // Withdrawn while the write was in flight.
+        if (std::erase(m_operations, operation) == 0)
+            continue;
+        operation->decision = outcome.decision;
+        operation->found = outcome.found;
+        operation->state = outcome.state;
+        changed = true;
+    }
+    if (changed)
+        m_changed.notifyAll();
+}
+
+}
