--- a/Tests/LibIntent/JournalTest.cpp
+++ b/Tests/LibIntent/JournalTest.cpp
@@ -21,6 +21,9 @@
     JournalTest()
     {
         m_network.pause();
+        // The same position in a bucket in every run.
+        auto const sinceEpoch = std::chrono::duration_cast<Core::Duration>(m_network.wallNow().time_since_epoch());
+        m_network.advance(1h - sinceEpoch % Core::Duration(1h) + 500us);
         m_settings.shardsPerBucket = 1;
         for (std::size_t index = 0; index < 2; ++index)
             start("node-" + std::to_string(index));
@@ -33,6 +36,14 @@
         return *m_nodes.back();
     }
 
+    /// Applies changed settings.
+    void restartAll()
+    {
+        m_nodes.clear();
+        start("node-0");
+        start("node-1");
+    }
+
     std::string newKey() { return IntentTest::makeKey(unixMilliseconds(m_network.wallNow()), m_random); }
 
     std::shared_ptr<Result> begin(Node& node, std::string const& key, Core::Duration time = 1s, std::string const& fingerprint = "request")
@@ -97,6 +108,20 @@
         } while (duration > 0ms);
     }
 
+    /// Lets time pass at once and collects garbage at the second node.
+    void collect(Core::Duration later)
+    {
+        m_network.advance(later);
+        for (auto& node : m_nodes)
+            node->runtime.advance(later);
+        auto task = [](Node& node) -> Core::Awaitable<void> {
+            Core::LastReason reason;
+            (void)co_await node.journal.collectGarbage(5000, reason);
+        };
+        m_nodes[1]->runtime.spawn(task(*m_nodes[1]));
+        advance(100ms);
+    }
+
     std::size_t count(std::string const& kind)
     {
         std::size_t found = 0;
@@ -195,6 +220,7 @@
     auto const second = begin(*m_nodes[0], key, 3s);
     EXPECT_EQ(*release(*m_nodes[0], ticket), true);
     EXPECT_EQ(*finish(*m_nodes[0], ticket, "late"), false);
+    EXPECT_EQ(*release(*m_nodes[0], ticket), false);
     advance(2s);
     EXPECT_EQ((first->kind() == IntentDecisionKind::Run) + (second->kind() == IntentDecisionKind::Run), 1);
 }
@@ -216,6 +242,73 @@
     EXPECT_EQ(begin(*m_nodes[1], key)->kind(), IntentDecisionKind::Run);
 }
 
+// Guards against a withdrawal that finds no record while the lost write is still on its way and inserts it later.
+TEST_F(JournalTest, WriteInFlightIsFencedByTheWithdrawal)
+{
+    m_settings.storeCallTimeout = 100ms;
+    restartAll();
+    auto& node = *m_nodes[0];
+    auto const key = newKey();
+    run(node, newKey());
+    node.store.faults.requestDelay = 100s;
+    auto const result = begin(node, key, 150ms);
+    while (node.store.calls.writes < 2)
+        advance(10ms);
+    node.store.faults.requestDelay = 0ms;
+    advance(1s);
+    EXPECT_TRUE(result->isDone && !result->decision);
+    advance(100s);
+    EXPECT_EQ(records(), 1U);
+}
+
+// Guards against a run that starts after the deadline because the node was paused while its write was in flight.
+TEST_F(JournalTest, PauseDuringTheWriteEndsInNotRun)
+{
+    auto& node = *m_nodes[0];
+    node.store.faults.requestDelay = 5ms;
+    auto const result = begin(node, newKey(), 500ms);
+    while (node.store.calls.writes < 1)
+        advance(10ms);
+    ASSERT_FALSE(result->isDone);
+    node.isDead = true;
+    advance(1s);
+    EXPECT_FALSE(result->isDone);
+    node.isDead = false;
+    node.runtime.advance(1s);
+    advance(500ms);
+    EXPECT_TRUE(result->isDone && !result->decision);
+    EXPECT_EQ(result->reason.runState, Core::RunState::NotRun);
+    EXPECT_EQ(records(), 0U);
+}
+
+// Guards against a second run by a create that was held up until the collector had removed the record of the first.
+TEST_F(JournalTest, CreateAfterTheCollectionDoesNotRun)
+{
+    m_settings.retention = 1s;
+    m_settings.clockSkewBound = 100ms;
+    m_settings.bucketDuration = 100ms;
+    m_settings.storeCallTimeout = 2000s;
+    restartAll();
+    // The first collection sets the cursor that the second one continues from.
+    collect(0s);
+    auto& late = *m_nodes[0];
+    auto const key = newKey();
+    // The read passes at once, and the create is held up.
+    late.store.faults.answerDelay = 1ms;
+    auto const result = begin(late, key, 2000s);
+    late.store.faults.requestDelay = 1000s;
+    while (late.store.calls.writes < 1)
+        advance(10ms);
+    finish(*m_nodes[1], run(*m_nodes[1], key), "answer");
+    advance(5s);
+    collect(0s);
+    EXPECT_EQ(count("intents"), 0U);
+    EXPECT_FALSE(result->isDone);
+    advance(1000s);
+    ASSERT_TRUE(result->decision);
+    EXPECT_EQ(result->kind(), IntentDecisionKind::Expired);
+}
+
 // Guards against a second run of a key whose writer died, also at a node that was restarted under the same id.
 TEST_F(JournalTest, DeadWriterGivesOutcomeUnknown)
 {
@@ -248,11 +341,10 @@
 // Guards against a value over the object API's limit, and against a key that runs again from a continuation object.
 TEST_F(JournalTest, OverflowKeepsKeysUnique)
 {
-    m_settings.sealBytes = 16 * 1024;
+    m_settings.bucketDuration = 10min;
+    m_settings.sealBytes = 10 * 1024;
     m_settings.maximumObjectBytes = 100 * 1024;
-    m_nodes.clear();
-    start("node-0");
-    start("node-1");
+    restartAll();
     std::vector<std::string> keys;
     std::vector<IntentTicket> tickets;
     for (std::size_t index = 0; index < 200; ++index) {
@@ -297,17 +389,6 @@
 TEST_F(JournalTest, GarbageIsCollectedAfterTheRetention)
 {
     finish(*m_nodes[0], run(*m_nodes[0], newKey()), std::string(100'000, 'x'));
-    auto const collect = [&](Core::Duration later) {
-        m_network.advance(later);
-        for (auto& node : m_nodes)
-            node->runtime.advance(later);
-        auto task = [](Node& node) -> Core::Awaitable<void> {
-            Core::LastReason reason;
-            (void)co_await node.journal.collectGarbage(5000, reason);
-        };
-        m_nodes[1]->runtime.spawn(task(*m_nodes[1]));
-        advance(100ms);
-    };
     collect(24h + 9min);
     EXPECT_EQ(count("intents"), 1U);
     EXPECT_EQ(count("intentanswers"), 1U);
