Node: Report all faulty settings and describe the flags

Cause: node parsed its flags with the parser of gflags, which ends the process at the first fault and lists the flags of all commands. Change: the parser that the other commands use, and the node's flags in the settings page.

--- a/Services/Node/NodeCommand.cpp
+++ b/Services/Node/NodeCommand.cpp
@@ -1,12 +1,12 @@
 #include <Node/NodeCommand.h>
 
+#include <LibCore/CommandLine.h>
 #include <LibCore/Log.h>
-#include <LibCore/Settings.h>
 #include <Node/NodeService.h>
 #include <boost/asio/signal_set.hpp>
 #include <csignal>
 #include <cstdio>
-#include <gflags/gflags.h>
+#include <gflags/gflags_declare.h>
 
 DECLARE_string(log_level);
 
@@ -25,10 +25,39 @@
     });
 }
 
+static Core::CommandDescription commandDescription()
+{
+    return {
+        .usage = "node --node_id=ID --data_centre=NAME --region=NAME --platform=IP:PORT [FLAG...]",
+        .description = "Runs the process of an entry host until SIGTERM. Requests in progress are finished or handed over first; a second "
+                       "SIGTERM hands them over at once.",
+        .flags = {
+            { "node_id", "", "" },
+            { "data_centre", "", "" },
+            { "region", "", "" },
+            { "client_listen", "IP:PORT", "" },
+            { "operator_listen", "IP:PORT", "" },
+            { "peer_listen", "IP:PORT", "" },
+            { "seeds", "IP:PORT,...", "" },
+            { "platform", "IP:PORT", "" },
+            { "operator_key_digest", "", "" },
+            { "drain_timeout_ms", "ms, 0 to 3600000", "" },
+            { "reclaim_margin_ms", "ms, 0 to 3600000", "" },
+            { "routing_policy", "", "" },
+            { "log_level", "", "" },
+        },
+    };
+}
+
 int runNodeCommand(int argc, char** argv)
 {
-    gflags::ParseCommandLineFlags(&argc, &argv, true);
-    auto faults = Core::applyEnvironmentToFlags();
+    auto const description = commandDescription();
+    auto const commandLine = Core::parseCommandLine(description, argc, argv);
+    if (commandLine.help) {
+        std::fputs(commandLine.help->c_str(), stdout);
+        return 0;
+    }
+    auto faults = commandLine.faults;
     auto const settings = nodeSettingsFromFlags(faults);
     for (auto const& fault : faults)
         std::fprintf(stderr, "hyssopstep node: %s\n", fault.c_str());
