LibMembership: Keep every node within the traffic budget

Cause: the budget test allowed single nodes 1.2 times the stated 11 KB/s; the busiest sent and received 11.5 KB/s. Change: exchanges every 600 ms instead of 500 ms, and the stated bound for every node.

--- a/Libraries/LibMembership/MembershipService.h
+++ b/Libraries/LibMembership/MembershipService.h
@@ -44,7 +44,7 @@
     /// Peer endpoints to contact while no other node is known.
     std::vector<Core::Endpoint> seeds;
     Core::Duration tick { std::chrono::milliseconds(100) };
-    Core::Duration exchangeInterval { std::chrono::milliseconds(500) };
+    Core::Duration exchangeInterval { std::chrono::milliseconds(600) };
     Core::Duration remoteExchangeInterval { std::chrono::seconds(4) };
     Core::Duration callTimeout { std::chrono::seconds(1) };
     /// Length of one wait for changes of the configuration object on a relay.
--- a/Tests/LibMembership/BudgetTest.cpp
+++ b/Tests/LibMembership/BudgetTest.cpp
@@ -61,7 +61,7 @@
         std::chrono::duration<double>(known).count(), mean, relayTotal / relays, relays, highest, suspected, suspectedFar, dead, 15U * 413 * 413, usage.nodes);
     EXPECT_LT(mean, 11000);
     EXPECT_LT(relayTotal / relays, 11000) << "relays also exchange with other data centres";
-    EXPECT_LT(highest, 1.2 * 11000) << "the number of calls answered in 15 s varies by chance";
+    EXPECT_LT(highest, 11000) << "every node must keep to the budget, also one that answers more calls than others";
     EXPECT_EQ(dead, 0U);
     EXPECT_GT(usage.nodes, 35U);
 
