Node: Report "not run" only where the key is known not to have run

Cause: a refund ran, its answer was lost, and its repeat at a node without access to the object API, or at one that was draining or over the team's limit, was refused as not run. The client could then order again under a new key. The same held for a request that HTTP::Client had written to an idle connection before the peer closed it and was gone.

Change: IntentJournal::begin refuses as unknown unless it read the shard after the submission and saw no record. The gateway refuses requests with an Idempotency-Key as unknown as long as they were not looked up. HTTP::Client keeps "unknown" across its second sending. A replaced node is not taken for the writer of its predecessor's intents, for which repeats waited until their deadline.

Tests: AtMostOnceTest runs clients that repeat refunds at other nodes under 14 faults, 8 steps of a node's death or freeze, refused connections, a draining and a replaced node, and compares with the executions in the stand-ins' record. ConfigurationTest polls all nodes during 9 scenarios. JournalTest.OutageIsNotRun demanded the false "not run"; it is replaced by one test for an outage before the read and one for an outage after it.

RequestOnAClosedIdleConnectionMayHaveRun fails without the change of HTTP::Client.

--- a/Libraries/LibHTTP/Client.h
+++ b/Libraries/LibHTTP/Client.h
@@ -47,7 +47,7 @@
 /// has unread bytes, is closed and never reused, so an answer cannot reach the wrong request. Not thread safe.
 /// Failures are BackendUnreachable with RunState::NotRun if no byte of the request was written, and else BackendFailed,
 /// BackendAnswerInvalid or DeadlineExceeded with RunState::Unknown. A deadline before the first byte is DeadlineExceeded with
-/// RunState::NotRun.
+/// RunState::NotRun. Both are RunState::Unknown if the request had been written to an idle connection that then closed.
 class Client {
 public:
     Client(Core::Runtime&, ClientLimits);
--- a/Libraries/LibIntent/IntentJournal.h
+++ b/Libraries/LibIntent/IntentJournal.h
@@ -25,8 +25,9 @@
     IntentJournal& operator=(IntentJournal const&) = delete;
 
     /// Records the intent to run a call, or decides why it must not run. Waits until the deadline for another attempt in
-    /// progress. Empty with StoreUnavailable or DeadlineExceeded (NotRun) if the intent could not be recorded in time; its
-    /// attempt is then withdrawn and never gives a ticket, even if its write takes effect later.
+    /// progress. Empty with StoreUnavailable if the intent could not be recorded in time; its attempt is then withdrawn and
+    /// never gives a ticket, even if its write takes effect later. The run state is NotRun if the journal was read and held no
+    /// other attempt with the key, and else Unknown, because an earlier one may have run.
     [[nodiscard]] Core::Awaitable<std::optional<IntentDecision>> begin(std::string team, std::string service, std::string key, std::string fingerprint, Core::MonotonicTime deadline, Core::LastReason&);
 
     /// Records the answer. Returns false if the ticket is not open or the answer was not recorded within
--- a/Libraries/LibIntent/IntentShard.cpp
+++ b/Libraries/LibIntent/IntentShard.cpp
@@ -196,6 +196,7 @@
         round.outcomes.push_back({ operation, IntentOperationState::Decided, std::move(decision), std::nullopt, round.target == index });
         return;
     }
+    operation->wasAbsent = !record && m_chain.back().readSequence > operation->sequence;
     if (record) {
         bool const dependsOnWrite = round.target == index;
         // Only a finished record never changes; others may have been finished or released since they were read.
--- a/Libraries/LibIntent/IntentShard.h
+++ b/Libraries/LibIntent/IntentShard.h
@@ -46,6 +46,8 @@
     std::uint64_t sequence { 0 };
     /// A write that inserts the record was sent.
     bool mayBeWritten { false };
+    /// Of a begin: the chain was read after the submission and held no record of another attempt with the key.
+    bool wasAbsent { false };
 };
 
 /// The objects of one shard: the chain of sealed objects and the open one at its end, with the operations that wait for the
--- a/Services/Node/Gateway.cpp
+++ b/Services/Node/Gateway.cpp
@@ -35,6 +35,17 @@
         Core::logEvent(Core::LogLevel::Debug, "client_gone", { { "request_id", requestId } });
 }
 
+// A refusal that comes before the request was looked up by its key. The request may be a repeat of one that ran at another node,
+// so nothing can be said of the key.
+static Core::LastReason withoutLookUp(HTTP::Request const& request, Core::LastReason reason)
+{
+    if (request.headers.find("Idempotency-Key") && reason.runState == RunState::NotRun) {
+        reason.runState = RunState::Unknown;
+        reason.message += "; this request was not run, but an earlier one with the same key may have run";
+    }
+    return reason;
+}
+
 Core::Awaitable<void> Gateway::handle(HTTP::Request const& request, HTTP::ResponseWriter& writer)
 {
     auto const path = request.path();
@@ -157,17 +168,17 @@
 {
     Core::LastReason reason;
     if (!checkReady(reason)) {
-        co_await refuse(writer, reason, "");
+        co_await refuse(writer, withoutLookUp(request, reason), "");
         co_return;
     }
     auto model = parseModelRequest(interface, request.body, reason);
     if (!model) {
-        co_await refuse(writer, reason, "");
+        co_await refuse(writer, withoutLookUp(request, reason), "");
         co_return;
     }
     auto admission = authenticate(request, model->service, reason);
     if (!admission) {
-        co_await refuse(writer, reason, "");
+        co_await refuse(writer, withoutLookUp(request, reason), "");
         co_return;
     }
     auto const requestId = requestIdFor(request, admission->team->name);
@@ -175,14 +186,14 @@
     auto const* service = Configuration::findService(m_node.tables.configuration.desired, model->service);
     if (!service || service->kind != Configuration::ServiceKind::Model) {
         Core::fail(reason, ErrorKind::NotFound, "there is no model " + model->service);
-        co_await refuse(writer, reason, requestId);
+        co_await refuse(writer, withoutLookUp(request, reason), requestId);
         co_return;
     }
     auto const deadlineWall = m_node.runtime.wallNow() + admission->timeout;
     model->deadlineMilliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(deadlineWall.time_since_epoch()).count();
     bool const accepted = co_await acceptModel(*model, *admission, reason);
     if (!accepted) {
-        co_await refuse(writer, reason, requestId);
+        co_await refuse(writer, withoutLookUp(request, reason), requestId);
         co_return;
     }
     co_await respond(requestId, model->form, {}, writer);
@@ -398,7 +409,7 @@
     auto const serviceName = rest.substr(0, rest.find_first_of("/?"));
     auto admission = checkReady(reason) ? authenticate(request, serviceName, reason) : std::nullopt;
     if (!admission) {
-        co_await refuse(writer, reason, "");
+        co_await refuse(writer, withoutLookUp(request, reason), "");
         co_return;
     }
     ServiceCall call;
@@ -417,7 +428,7 @@
     auto const* operation = service ? Configuration::findOperation(*service, request.method, call.request.path()) : nullptr;
     if (!operation) {
         Core::fail(reason, ErrorKind::NotFound, "service " + serviceName + " has no operation " + request.method + " " + std::string(call.request.path()));
-        co_await refuse(writer, reason, requestId);
+        co_await refuse(writer, withoutLookUp(request, reason), requestId);
         co_return;
     }
     call.idempotency = operation->idempotency;
@@ -425,12 +436,15 @@
     auto const team = call.team;
     Limits::recordDemand(m_node.tables.teamLimits, team, now);
     if (!Limits::admit(m_node.tables.teamLimits, team, limitOf(*admission->team), m_node.share(team), 0, now, reason)) {
-        co_await refuse(writer, reason, requestId);
+        co_await refuse(writer, withoutLookUp(request, reason), requestId);
         co_return;
     }
+    bool const isJournalled = call.idempotency == Configuration::Idempotency::NonIdempotent;
     auto response = co_await m_node.services.call(std::move(call), reason);
     Limits::release(m_node.tables.teamLimits, team, 0, 0);
     if (!response) {
+        if (!isJournalled)
+            reason = withoutLookUp(request, reason);
         co_await refuse(writer, reason, requestId);
         co_return;
     }
--- a/Services/Node/NodeService.cpp
+++ b/Services/Node/NodeService.cpp
@@ -112,6 +112,18 @@
     return true;
 }
 
+// A writer is named <node id>/<incarnation>.
+static Intent::WriterState writerState(Membership::NodeTable const& nodes, std::string const& writer)
+{
+    auto const separator = writer.rfind('/');
+    auto const* row = nodes.find(writer.substr(0, separator));
+    if (!row)
+        return Intent::WriterState::Unknown;
+    // A node that was replaced under the same id is not the writer; its repeats would wait until their deadline.
+    bool const wasReplaced = separator != std::string::npos && std::to_string(row->incarnation) != writer.substr(separator + 1);
+    return wasReplaced || row->liveness == Membership::Liveness::Dead ? Intent::WriterState::Dead : Intent::WriterState::Live;
+}
+
 void NodeService::connectParts()
 {
     auto& parts = *m_parts;
@@ -123,14 +135,7 @@
     parts.membership->configuration().onChange([this] { adoptConfiguration(); });
 
     Intent::IntentSettings intentSettings;
-    intentSettings.writerState = [this, writer = m_settings.nodeId + "/" + std::to_string(incarnation)](std::string const& nodeId) {
-        if (nodeId == writer)
-            return Intent::WriterState::Live;
-        auto const* row = m_parts->membership->nodes().find(nodeId.substr(0, nodeId.find('/')));
-        if (!row)
-            return Intent::WriterState::Unknown;
-        return row->liveness == Membership::Liveness::Dead ? Intent::WriterState::Dead : Intent::WriterState::Live;
-    };
+    intentSettings.writerState = [this](std::string const& writer) { return writerState(m_parts->membership->nodes(), writer); };
     parts.journal = std::make_unique<Intent::IntentJournal>(m_runtime, *parts.objects, parts.random, parts.metrics, m_settings.nodeId + "/" + std::to_string(incarnation), std::move(intentSettings));
 
     parts.streamPeers = std::make_unique<StreamPeers>(*parts.membership, parts.peerClient);
--- /dev/null
+++ b/Tests/Integration/AtMostOnceTest.cpp
@@ -0,0 +1,334 @@
+#include <Integration/RefundClients.h>
+
+#include <LibCore/Random.h>
+#include <algorithm>
+#include <boost/json/parse.hpp>
+#include <csignal>
+#include <cstdio>
+#include <gtest/gtest.h>
+#include <utility>
+
+using namespace std::chrono_literals;
+using Integration::Cluster;
+using Integration::ClusterNode;
+using Integration::RefundClients;
+using TestSupport::PlatformFaults;
+using TestSupport::ProxyFaults;
+using TestSupport::waitUntil;
+
+namespace {
+
+constexpr std::uint64_t seed = 4711;
+constexpr unsigned keysPerScenario = 16;
+
+Integration::ClusterOptions clusterOptions()
+{
+    Integration::ClusterOptions options;
+    options.enginesPerDataCentre = 0;
+    return options;
+}
+
+class AtMostOnce : public testing::Test {
+protected:
+    void SetUp() override { m_cluster.start(); }
+
+    void TearDown() override
+    {
+        if (HasFailure())
+            std::fputs(m_cluster.nodeLogs().c_str(), stderr);
+    }
+
+    void setServiceFaults(boost::json::object const& faults) const
+    {
+        for (auto const& service : m_cluster.services())
+            TestSupport::callStandIn(service.endpoint, "PUT", "/stand-in/faults", faults);
+    }
+
+    void heal()
+    {
+        m_cluster.platform().setFaults({});
+        m_cluster.platformProxy().pass();
+        setServiceFaults({});
+        for (auto const& node : m_cluster.nodes())
+            node->process->sendSignal(SIGCONT);
+    }
+
+    std::size_t intentWrites() const
+    {
+        auto const writes = m_cluster.platform().acceptedWrites();
+        return static_cast<std::size_t>(std::count_if(writes.begin(), writes.end(), [](auto const& write) { return write.kind == "intents"; }));
+    }
+
+    // A client that wants its refund, and turns to another node for each repeat. Some send the repeat at the same time.
+    void runClient(std::string const& key, std::uint64_t clientSeed)
+    {
+        Core::Random random(clientSeed);
+        auto const pick = [&]() -> ClusterNode& { return m_cluster.node(random.below(m_cluster.nodes().size())); };
+        std::optional<std::jthread> concurrent;
+        if (random.below(3) == 0) {
+            auto* node = &pick();
+            concurrent.emplace([this, node, key] { m_clients.send(*node, key); });
+        }
+        for (unsigned attempt = 0; attempt < 3; ++attempt) {
+            if (m_clients.send(pick(), key).isAnswer())
+                return;
+        }
+    }
+
+    // Starts clients one after the other while the fault holds, and keeps it until half of them have been told something.
+    void runClients(std::vector<std::string> const& keys)
+    {
+        std::vector<std::jthread> threads;
+        auto const before = m_clients.repliesSoFar();
+        for (std::size_t index = 0; index < keys.size(); ++index) {
+            threads.emplace_back([this, key = keys[index], index] { runClient(key, seed + index); });
+            threads.emplace_back([this, index] { m_clients.sendQuery(m_cluster.node(index % m_cluster.nodes().size())); });
+        }
+        EXPECT_TRUE(waitUntil([&] { return m_clients.repliesSoFar() >= before + keys.size() / 2; }));
+    }
+
+    // Repeats every key at each node in turn until one of them gives a final word.
+    void settle(std::vector<std::string> const& keys)
+    {
+        for (std::size_t index = 0; index < keys.size(); ++index) {
+            auto const isFinal = [&] {
+                auto const reply = m_clients.send(m_cluster.node(index % m_cluster.nodes().size()), keys[index]);
+                return reply.isAnswer() || reply.kind == "outcome_unknown";
+            };
+            EXPECT_TRUE(waitUntil(isFinal)) << keys[index];
+        }
+    }
+
+    void check(std::string const& scenario, std::size_t faults, std::chrono::milliseconds held = 0ms)
+    {
+        auto const replies = m_clients.replies();
+        auto figures = Integration::judge(replies, Integration::executionsByKey(m_cluster));
+        figures.faults = faults;
+        for (auto const& reply : replies) {
+            bool const isLate = reply.endedAt - reply.sentAt > 3s + RefundClients::margin + held;
+            figures.lost += isLate || (reply.status == 0 && !m_killed) ? 1 : 0;
+        }
+        std::printf("promise=at_most_once scenario=%s seed=%llu %s\n", scenario.c_str(), static_cast<unsigned long long>(seed), figures.toString().c_str());
+        EXPECT_EQ(figures.executedTwice, 0u);
+        EXPECT_EQ(figures.wronglyNotRun, 0u);
+        EXPECT_EQ(figures.differentReplays, 0u);
+        EXPECT_EQ(figures.lost, 0u);
+        EXPECT_GT(figures.answered, 0u);
+    }
+
+    static std::vector<std::string> newKeys()
+    {
+        std::vector<std::string> keys(keysPerScenario);
+        std::generate(keys.begin(), keys.end(), Integration::newKey);
+        return keys;
+    }
+
+    Cluster m_cluster { clusterOptions() };
+    RefundClients m_clients;
+    bool m_killed { false };
+};
+
+struct FaultCase {
+    char const* name;
+    std::size_t faults;
+    PlatformFaults platform {};
+    /// Of the way from data centre 0 to the platform.
+    ProxyFaults proxy {};
+    /// JSON switches of the plain services.
+    char const* service { "{}" };
+};
+
+std::ostream& operator<<(std::ostream& stream, FaultCase const& fault)
+{
+    return stream << fault.name;
+}
+
+PlatformFaults platformFaults(std::uint64_t slowMs, bool down, std::uint64_t dropWriteAnswers)
+{
+    PlatformFaults faults;
+    faults.slowMs = slowMs;
+    faults.down = down;
+    faults.dropWriteAnswers = dropWriteAnswers;
+    return faults;
+}
+
+ProxyFaults proxyFaults(bool cut, std::uint64_t delayMs, std::uint64_t dropAnswers)
+{
+    ProxyFaults faults;
+    faults.cut = cut;
+    faults.delayMs = delayMs;
+    faults.dropAnswers = dropAnswers;
+    return faults;
+}
+
+class AtMostOnceFault : public AtMostOnce, public testing::WithParamInterface<FaultCase> { };
+
+}
+
+// Guards against a second execution, a false "not run", a lost request and a replay that differs from the executed answer (I3, I4),
+// while clients repeat refunds at other nodes and in another data centre, at the same time and afterwards.
+TEST_P(AtMostOnceFault, HoldsForRepeatedRefunds)
+{
+    auto const& fault = GetParam();
+    auto const keys = newKeys();
+    auto const first = std::vector<std::string>(keys.begin(), keys.begin() + keysPerScenario / 4);
+    auto const others = std::vector<std::string>(keys.begin() + keysPerScenario / 4, keys.end());
+    runClients(first);
+    m_cluster.platform().setFaults(fault.platform);
+    m_cluster.platformProxy().setFaults(fault.proxy, 0);
+    setServiceFaults(boost::json::parse(fault.service).as_object());
+    runClients(others);
+    // The keys that ran before the fault are repeated within it.
+    runClients(first);
+    check(std::string(fault.name) + "/before_repair", fault.faults);
+    heal();
+    settle(keys);
+    check(fault.name, fault.faults);
+}
+
+INSTANTIATE_TEST_SUITE_P(Faults, AtMostOnceFault, testing::Values( //
+                                                      FaultCase { "platform_down", 1, platformFaults(0, true, 0) }, FaultCase { "platform_slow", 1, platformFaults(700, false, 0) }, FaultCase { "platform_slower_than_timeouts", 1, platformFaults(2500, false, 0) }, FaultCase { "platform_loses_write_answers", 6, platformFaults(0, false, 6) }, FaultCase { "data_centre_cut_from_platform", 1, {}, proxyFaults(true, 0, 0) }, FaultCase { "proxy_drops_platform_answers", 10, {}, proxyFaults(false, 0, 10) }, FaultCase { "service_slow", 1, {}, {}, R"({"delayMs":1500})" }, FaultCase { "service_slower_than_deadline", 1, {}, {}, R"({"delayMs":4000})" }, FaultCase { "service_drops_answers", 12, {}, {}, R"({"dropAnswer":true,"requests":12})" }, FaultCase { "service_truncates_answers", 12, {}, {}, R"({"truncateAnswer":true,"requests":12})" }, FaultCase { "service_answers_twice", 1, {}, {}, R"({"answerTwice":true})" }, FaultCase { "service_answers_with_other_attempt", 12, {}, {}, R"({"crossAttempts":true,"requests":12})" }, FaultCase { "service_fails", 1, {}, {}, R"({"fail":true})" }, FaultCase { "platform_slow_and_service_drops_answers", 13, platformFaults(300, false, 0), {}, R"({"dropAnswer":true,"requests":12})" }),
+    [](auto const& info) { return std::string(info.param.name); });
+
+// Guards against a refusal as unknown, and against a lost key, when no connection to the back end came about: the host is gone
+// but still listed, so that no byte was sent.
+TEST_F(AtMostOnce, RefusedConnectionsRunNothing)
+{
+    auto const listed = m_cluster.services();
+    std::vector<Platform::Host> hosts;
+    hosts.reserve(listed.size());
+    for (auto const& server : listed)
+        hosts.push_back({ server.id, Platform::HostRole::Backend, { "127.0.0.1", 1 }, "storefront", "", server.dataCentre, server.dataCentre + "-zone", "small", true, Platform::HostState::Live, 2 });
+    m_cluster.platform().registerHosts(hosts);
+    auto const key = Integration::newKey();
+    auto const isRefused = [&] { return m_clients.send(m_cluster.node(0), Integration::newKey()).runState == "not_run"; };
+    ASSERT_TRUE(waitUntil(isRefused));
+    for (auto const& node : m_cluster.nodes())
+        (void)m_clients.send(*node, key);
+    check("connections_refused", listed.size());
+    for (std::size_t index = 0; index < hosts.size(); ++index) {
+        hosts[index].endpoint = listed[index].endpoint;
+        hosts[index].incarnation = 3;
+    }
+    m_cluster.platform().registerHosts(hosts);
+    settle({ key });
+    EXPECT_EQ(m_cluster.executionsOf(key), 1u);
+    check("connections_refused", listed.size());
+}
+
+// Guards against "not run" for a key that ran, told by a node that refuses the repeat before it looks at the journal.
+TEST_F(AtMostOnce, DrainingNodeDoesNotClaimNotRun)
+{
+    auto const key = Integration::newKey();
+    setServiceFaults({ { "dropAnswer", true } });
+    EXPECT_EQ(m_clients.send(m_cluster.node(0), key).runState, "unknown");
+    auto& draining = m_cluster.node(1);
+    ASSERT_TRUE(TestSupport::callStandIn(draining.operators, "POST", "/operator/drain").is_object());
+    auto const refused = m_clients.send(draining, key);
+    EXPECT_EQ(refused.kind, "draining");
+    EXPECT_EQ(refused.runState, "unknown");
+    heal();
+    m_clients.send(m_cluster.node(2), Integration::newKey());
+    check("draining_node", 2);
+}
+
+// Guards against repeats that wait until their deadline for a writer whose host was replaced under the same id.
+TEST_F(AtMostOnce, ReplacedNodeIsNotTheWriter)
+{
+    auto const key = Integration::newKey();
+    setServiceFaults({ { "delayMs", 1000 } });
+    m_killed = true;
+    std::jthread firstRequest([&] { m_clients.send(m_cluster.node(0), key); });
+    ASSERT_TRUE(waitUntil([&] { return m_cluster.executionsOf(key) == 1; }));
+    m_cluster.node(0).process->sendSignal(SIGKILL);
+    firstRequest.join();
+    heal();
+    auto& replacement = m_cluster.addNode(m_cluster.node(0).id, m_cluster.node(0).dataCentre);
+    ASSERT_TRUE(waitUntil([&] { return m_clients.send(replacement, Integration::newKey()).isAnswer(); }));
+    for (ClusterNode const* node : { &std::as_const(replacement), &std::as_const(m_cluster.node(1)) }) {
+        auto const reply = m_clients.send(*node, key, 20s);
+        EXPECT_EQ(reply.kind, "outcome_unknown");
+        EXPECT_LT(reply.endedAt - reply.sentAt, 10s);
+    }
+    check("replaced_node", 1, 10s);
+}
+
+namespace {
+
+enum class Step {
+    BeforeIntent,
+    BetweenIntentAndCall,
+    CallSent,
+    AnswerOnItsWay,
+};
+
+struct StepCase {
+    Step step;
+    int signal;
+    char const* name;
+};
+
+std::ostream& operator<<(std::ostream& stream, StepCase const& stepCase)
+{
+    return stream << stepCase.name;
+}
+
+class AtMostOnceStep : public AtMostOnce, public testing::WithParamInterface<StepCase> {
+protected:
+    // Waits until the request of node 0 is at the step. The proxy delays what passes between data centre 0 and the platform, so
+    // that the platform's record shows a write before the node has its answer.
+    bool waitForStep(Step step, std::string const& key, std::uint64_t readsBefore)
+    {
+        switch (step) {
+        case Step::BeforeIntent:
+            return waitUntil([&] { return m_cluster.platform().callCount("read") > readsBefore; });
+        case Step::BetweenIntentAndCall:
+            return waitUntil([&] { return intentWrites() >= 1; });
+        case Step::CallSent:
+            return waitUntil([&] { return m_cluster.executionsOf(key) == 1; });
+        case Step::AnswerOnItsWay:
+            break;
+        }
+        return waitUntil([&] { return intentWrites() >= 2; });
+    }
+};
+
+}
+
+// Guards against a second execution and a false "not run" when the node that holds the intent is killed or frozen at a step of
+// the call, and the client repeats it in another data centre while the node is gone and after it has returned.
+TEST_P(AtMostOnceStep, HoldsWhenTheNodeStops)
+{
+    auto const& stepCase = GetParam();
+    m_killed = stepCase.signal == SIGKILL;
+    auto const key = Integration::newKey();
+    auto const reads = m_cluster.platform().callCount("read");
+    ProxyFaults slowWay;
+    slowWay.delayMs = stepCase.step == Step::CallSent ? 0 : 400;
+    m_cluster.platformProxy().setFaults(slowWay, 0);
+    if (stepCase.step == Step::CallSent)
+        setServiceFaults({ { "delayMs", 1000 } });
+    auto const sentAt = std::chrono::steady_clock::now();
+    std::jthread firstRequest([&] { m_clients.send(m_cluster.node(0), key); });
+    ASSERT_TRUE(waitForStep(stepCase.step, key, reads));
+    m_cluster.node(0).process->sendSignal(stepCase.signal);
+    std::jthread sameDataCentre([&] { m_clients.send(m_cluster.node(1), key); });
+    m_clients.send(m_cluster.node(2), key);
+    m_clients.send(m_cluster.node(3), key);
+    sameDataCentre.join();
+    m_cluster.node(0).process->sendSignal(SIGCONT);
+    firstRequest.join();
+    auto const held = std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now() - sentAt);
+    heal();
+    for (std::size_t index = 1; index < m_cluster.nodes().size(); ++index)
+        m_clients.send(m_cluster.node(index), key);
+    auto const executions = m_cluster.executionsOf(key);
+    EXPECT_LE(executions, 1u);
+    EXPECT_TRUE(executions == 1 || stepCase.step < Step::CallSent);
+    m_clients.send(m_cluster.node(1), Integration::newKey());
+    check(stepCase.name, 1, held);
+}
+
+INSTANTIATE_TEST_SUITE_P(Steps, AtMostOnceStep, testing::Values( //
+                                                    StepCase { Step::BeforeIntent, SIGKILL, "killed_before_intent" }, StepCase { Step::BetweenIntentAndCall, SIGKILL, "killed_between_intent_and_call" }, StepCase { Step::CallSent, SIGKILL, "killed_after_call_was_sent" }, StepCase { Step::AnswerOnItsWay, SIGKILL, "killed_with_answer_on_its_way" }, StepCase { Step::BeforeIntent, SIGSTOP, "frozen_before_intent" }, StepCase { Step::BetweenIntentAndCall, SIGSTOP, "frozen_between_intent_and_call" }, StepCase { Step::CallSent, SIGSTOP, "frozen_after_call_was_sent" }, StepCase { Step::AnswerOnItsWay, SIGSTOP, "frozen_with_answer_on_its_way" }),
+    [](auto const& info) { return std::string(info.param.name); });
--- /dev/null
+++ b/Tests/Integration/ConfigurationTest.cpp
@@ -0,0 +1,383 @@
+#include <Integration/Cluster.h>
+
+#include <LibConfiguration/Codec.h>
+#include <LibCore/Random.h>
+#include <atomic>
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+#include <csignal>
+#include <cstdio>
+#include <gtest/gtest.h>
+#include <mutex>
+#include <thread>
+
+using namespace std::chrono_literals;
+using Integration::Cluster;
+using Integration::ClusterNode;
+using TestSupport::waitUntil;
+namespace json = boost::json;
+
+namespace {
+
+// Within which an accepted configuration has to be in effect on every node (docs/design.md, section 1).
+constexpr std::chrono::seconds spreadBound { 13 };
+constexpr std::uint64_t seed = 20261204;
+
+struct ApplyAnswer {
+    unsigned status { 0 };
+    json::value body;
+
+    [[nodiscard]] std::uint64_t generation() const { return body.is_object() && body.get_object().contains("generation") ? body.at("generation").to_number<std::uint64_t>() : 0; }
+    [[nodiscard]] std::string text(char const* name) const { return body.is_object() && body.get_object().contains(name) && body.at(name).is_string() ? std::string(body.at(name).as_string()) : std::string(); }
+};
+
+// Polls /operator/status of every node until it is destroyed, one thread for each node.
+class GenerationWatch {
+public:
+    explicit GenerationWatch(Cluster& cluster)
+        : m_cluster(cluster)
+    {
+        for (auto const& node : cluster.nodes())
+            add(*node);
+    }
+
+    ~GenerationWatch()
+    {
+        m_stopped = true;
+    }
+
+    GenerationWatch(GenerationWatch const&) = delete;
+    GenerationWatch& operator=(GenerationWatch const&) = delete;
+
+    void add(ClusterNode const& node)
+    {
+        std::scoped_lock const lock(m_mutex);
+        m_threads.emplace_back([this, &node] { poll(node); });
+    }
+
+    [[nodiscard]] std::uint64_t of(std::string const& nodeId) const
+    {
+        std::scoped_lock const lock(m_mutex);
+        auto const found = m_generations.find(nodeId);
+        return found == m_generations.end() ? 0 : found->second;
+    }
+
+    // Waits until each of the nodes shows the generation. Returns the time that took, or nothing after the bound.
+    std::optional<std::chrono::milliseconds> waitFor(std::vector<std::string> const& nodeIds, std::uint64_t generation, std::chrono::steady_clock::time_point since, std::chrono::milliseconds bound = spreadBound)
+    {
+        auto const shown = [&] { return std::all_of(nodeIds.begin(), nodeIds.end(), [&](auto const& id) { return of(id) >= generation; }); };
+        if (!waitUntil(shown, bound))
+            return std::nullopt;
+        return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now() - since);
+    }
+
+    [[nodiscard]] std::size_t polls() const { return m_polls; }
+    [[nodiscard]] std::size_t reverts() const { return m_reverts; }
+
+private:
+    void poll(ClusterNode const& node)
+    {
+        while (!m_stopped) {
+            auto const status = m_cluster.status(node);
+            if (status.is_object()) {
+                auto const generation = status.at("generation").to_number<std::uint64_t>();
+                std::scoped_lock const lock(m_mutex);
+                auto& highest = m_generations[node.id];
+                m_reverts += generation < highest ? 1 : 0;
+                highest = std::max(highest, generation);
+                ++m_polls;
+            }
+            // Bounds the load of the polls; it waits for nothing.
+            std::this_thread::sleep_for(20ms);
+        }
+    }
+
+    Cluster& m_cluster;
+    mutable std::mutex m_mutex;
+    std::map<std::string, std::uint64_t> m_generations;
+    std::atomic<std::size_t> m_polls { 0 };
+    std::atomic<std::size_t> m_reverts { 0 };
+    std::atomic<bool> m_stopped { false };
+    std::vector<std::jthread> m_threads;
+};
+
+Integration::ClusterOptions clusterOptions()
+{
+    Integration::ClusterOptions options;
+    options.enginesPerDataCentre = 0;
+    return options;
+}
+
+class ConfigurationPromise : public testing::Test {
+protected:
+    explicit ConfigurationPromise(Integration::ClusterOptions options = clusterOptions())
+        : m_cluster(std::move(options))
+    {
+        m_cluster.start();
+        m_watch.emplace(m_cluster);
+    }
+
+    void TearDown() override
+    {
+        auto const* test = testing::UnitTest::GetInstance()->current_test_info();
+        std::printf("promise=configuration test=%s seed=%llu applies=%zu faults=%zu polls=%zu reverts=%zu longest_spread_ms=%lld\n", test->name(), static_cast<unsigned long long>(seed),
+            m_applies, m_faults, m_watch->polls(), m_watch->reverts(), static_cast<long long>(m_longestSpread.count()));
+        EXPECT_EQ(m_watch->reverts(), 0u);
+        EXPECT_GT(m_watch->polls(), 0u);
+        if (HasFailure())
+            std::fputs(m_cluster.nodeLogs().c_str(), stderr);
+    }
+
+    // The test's state with another number of servers, so that each call gives a different one.
+    static Configuration::DesiredState stateWith(unsigned maximumServers)
+    {
+        auto state = Integration::testState();
+        state.services.front().maximumServers = maximumServers;
+        return state;
+    }
+
+    static HTTP::Request applyRequest(std::string const& author, unsigned maximumServers, std::uint64_t basedOn, std::string const& applyId)
+    {
+        json::object body { { "basedOnGeneration", basedOn }, { "applyId", applyId }, { "appliedBy", author }, { "comment", "" }, { "desired", Configuration::toJson(stateWith(maximumServers)) } };
+        return { "PUT", "/operator/desired-state", { { "Content-Type", "application/json" } }, json::serialize(body) };
+    }
+
+    static ApplyAnswer send(Core::Endpoint const& endpoint, HTTP::Request request)
+    {
+        Core::LastReason reason;
+        auto const response = TestSupport::blockingCall(endpoint, std::move(request), reason);
+        if (!response)
+            return {};
+        json::error_code error;
+        return { response->status, json::parse(response->body, error) };
+    }
+
+    ApplyAnswer apply(std::size_t node, unsigned maximumServers, std::uint64_t basedOn, std::string const& applyId, std::string const& author = "ada")
+    {
+        ++m_applies;
+        return send(m_cluster.node(node).operators, applyRequest(author, maximumServers, basedOn, applyId));
+    }
+
+    std::vector<std::string> nodeIds(std::string const& dataCentre = "")
+    {
+        std::vector<std::string> ids;
+        for (auto const& node : m_cluster.nodes()) {
+            if (dataCentre.empty() || node->dataCentre == dataCentre)
+                ids.push_back(node->id);
+        }
+        return ids;
+    }
+
+    void expectSpread(std::vector<std::string> const& ids, std::uint64_t generation, std::chrono::steady_clock::time_point since)
+    {
+        auto const time = m_watch->waitFor(ids, generation, since);
+        ASSERT_TRUE(time) << "generation " << generation;
+        m_longestSpread = std::max(m_longestSpread, *time);
+        EXPECT_LE(*time, spreadBound);
+    }
+
+    static std::chrono::steady_clock::time_point now() { return std::chrono::steady_clock::now(); }
+
+    Cluster m_cluster;
+    std::optional<GenerationWatch> m_watch;
+    std::size_t m_applies { 1 };
+    std::size_t m_faults { 0 };
+    std::chrono::milliseconds m_longestSpread { 0 };
+};
+
+}
+
+// Guards against two operators whose applies both take effect on the same base, so that one change is lost unseen.
+TEST_F(ConfigurationPromise, OneOfTwoOperatorsWins)
+{
+    Core::Random random(seed);
+    std::uint64_t generation = 1;
+    for (unsigned round = 0; round < 8; ++round, ++generation) {
+        auto const firstNode = random.below(m_cluster.nodes().size());
+        auto const secondNode = (firstNode + 1 + random.below(m_cluster.nodes().size() - 1)) % m_cluster.nodes().size();
+        std::array<ApplyAnswer, 2> answers;
+        {
+            std::jthread const ada([&] { answers[0] = apply(firstNode, 30 + 2 * round, generation, "ada-" + std::to_string(round), "ada"); });
+            std::jthread const ben([&] { answers[1] = apply(secondNode, 31 + 2 * round, generation, "ben-" + std::to_string(round), "ben"); });
+        }
+        ++m_faults;
+        auto const winner = answers[0].status == 200 ? 0u : 1u;
+        auto const& lost = answers[1 - winner];
+        ASSERT_EQ(answers[winner].status, 200u) << json::serialize(answers[winner].body);
+        EXPECT_EQ(answers[winner].generation(), generation + 1);
+        ASSERT_EQ(lost.status, 409u) << json::serialize(lost.body);
+        EXPECT_EQ(lost.text("kind"), "apply_conflict");
+        auto const& entries = lost.body.at("entriesSince").as_array();
+        ASSERT_EQ(entries.size(), 1u);
+        EXPECT_EQ(entries[0].at("appliedBy"), json::string(winner == 0 ? "ada" : "ben"));
+        EXPECT_FALSE(entries[0].at("changes").as_array().empty());
+        expectSpread(nodeIds(), generation + 1, now());
+    }
+}
+
+// Guards against an apply that takes effect twice, or is reported as refused although it took effect, when its answer is lost
+// between platform and node.
+TEST_F(ConfigurationPromise, LostAnswerOfThePlatformIsResolved)
+{
+    std::uint64_t generation = 1;
+    for (unsigned round = 0; round < 4; ++round, ++generation) {
+        TestSupport::PlatformFaults faults;
+        faults.dropWriteAnswers = 1 + round % 2;
+        m_cluster.platform().setFaults(faults);
+        m_faults += faults.dropWriteAnswers;
+        auto const id = "apply-" + std::to_string(round);
+        auto const answer = apply(round, 40 + round, generation, id);
+        ASSERT_EQ(answer.status, 200u) << json::serialize(answer.body);
+        EXPECT_EQ(answer.generation(), generation + 1);
+        auto const repeated = apply((round + 1) % 4, 40 + round, generation, id);
+        EXPECT_EQ(repeated.status, 200u);
+        EXPECT_EQ(repeated.text("outcome"), "already_accepted");
+        EXPECT_EQ(repeated.generation(), generation + 1);
+        m_cluster.platform().setFaults({});
+        expectSpread(nodeIds(), generation + 1, now());
+    }
+}
+
+// Guards against the same when the answer is lost between node and operator, who repeats the apply at another node, also after a
+// later apply of somebody else.
+TEST_F(ConfigurationPromise, LostAnswerToTheOperatorIsResolved)
+{
+    TestSupport::ChildProcess proxy({ STAND_IN_BINARY, "proxy", "--listen=127.0.0.1:0", "--target=" + m_cluster.node(0).operators.toString() });
+    TestSupport::ProxySwitches const switches(proxy.endpoint("control"));
+    TestSupport::ProxyFaults drop;
+    drop.dropAnswers = 1;
+    switches.setFaults(drop);
+    ++m_faults;
+    ++m_applies;
+    EXPECT_EQ(send(proxy.endpoint("proxy0"), applyRequest("ada", 50, 1, "lost")).status, 0u);
+    auto const repeated = apply(2, 50, 1, "lost");
+    ASSERT_EQ(repeated.status, 200u) << json::serialize(repeated.body);
+    EXPECT_EQ(repeated.generation(), 2u);
+    ASSERT_EQ(apply(1, 51, 2, "other", "ben").generation(), 3u);
+    auto const late = apply(3, 50, 1, "lost");
+    EXPECT_EQ(late.status, 200u);
+    EXPECT_EQ(late.text("outcome"), "already_accepted");
+    EXPECT_EQ(late.generation(), 2u);
+    expectSpread(nodeIds(), 3, now());
+}
+
+// Guards against an apply during an outage that is reported as not run and takes effect later, or blocks the node.
+TEST_F(ConfigurationPromise, ApplyInAnOutageChangesNothing)
+{
+    TestSupport::PlatformFaults down;
+    down.down = true;
+    m_cluster.platform().setFaults(down);
+    ++m_faults;
+    auto const refused = apply(0, 60, 1, "outage");
+    EXPECT_EQ(refused.status, 503u);
+    EXPECT_EQ(refused.text("kind"), "store_unavailable");
+    EXPECT_EQ(refused.text("run_state"), "not_run");
+    m_cluster.platform().setFaults({});
+    auto const since = now();
+    ASSERT_EQ(apply(1, 61, 1, "after").generation(), 2u);
+    expectSpread(nodeIds(), 2, since);
+}
+
+// Guards against a node that starts in an outage and serves without a configuration or with an old one.
+TEST_F(ConfigurationPromise, StartingNodeTakesItFromPeersInAnOutage)
+{
+    auto since = now();
+    ASSERT_EQ(apply(0, 70, 1, "before").generation(), 2u);
+    expectSpread(nodeIds(), 2, since);
+    TestSupport::PlatformFaults down;
+    down.down = true;
+    m_cluster.platform().setFaults(down);
+    ++m_faults;
+    since = now();
+    auto& node = m_cluster.addNode("late", "dc2");
+    m_watch->add(node);
+    expectSpread({ "late" }, 2, since);
+    EXPECT_EQ(m_cluster.status(node).at("phase"), "serving");
+}
+
+// Guards against a data centre that keeps an old configuration because its own relays cannot reach the platform.
+TEST_F(ConfigurationPromise, CutDataCentreLearnsItFromAnother)
+{
+    TestSupport::ProxyFaults cut;
+    cut.cut = true;
+    for (unsigned round = 0; round < 3; ++round) {
+        auto const cutDataCentre = round % 2;
+        m_cluster.platformProxy().pass();
+        m_cluster.platformProxy().setFaults(cut, cutDataCentre);
+        ++m_faults;
+        auto const since = now();
+        ASSERT_EQ(apply(cutDataCentre == 0 ? 2 : 0, 80 + round, 1 + round, "cut-" + std::to_string(round)).generation(), 2 + round);
+        expectSpread(nodeIds(), 2 + round, since);
+    }
+}
+
+// Guards against a node that was paused during an apply and afterwards goes back, or does not catch up.
+TEST_F(ConfigurationPromise, PausedNodesCatchUp)
+{
+    std::vector<std::size_t> const paused { 0, 3 };
+    for (auto const index : paused)
+        m_cluster.node(index).process->sendSignal(SIGSTOP);
+    m_faults += paused.size();
+    auto since = now();
+    ASSERT_EQ(apply(1, 90, 1, "paused-1").generation(), 2u);
+    expectSpread({ m_cluster.node(1).id, m_cluster.node(2).id }, 2, since);
+    since = now();
+    ASSERT_EQ(apply(2, 91, 2, "paused-2").generation(), 3u);
+    expectSpread({ m_cluster.node(1).id, m_cluster.node(2).id }, 3, since);
+    since = now();
+    for (auto const index : paused)
+        m_cluster.node(index).process->sendSignal(SIGCONT);
+    expectSpread(nodeIds(), 3, since);
+}
+
+// Guards against a spread that depends on quick answers of the platform.
+TEST_F(ConfigurationPromise, SlowPlatformKeepsTheBound)
+{
+    TestSupport::PlatformFaults slow;
+    slow.slowMs = 600;
+    m_cluster.platform().setFaults(slow);
+    ++m_faults;
+    for (unsigned round = 0; round < 2; ++round) {
+        auto const answer = apply(round, 100 + round, 1 + round, "slow-" + std::to_string(round));
+        ASSERT_EQ(answer.status, 200u) << json::serialize(answer.body);
+        expectSpread(nodeIds(), 2 + round, now());
+    }
+}
+
+// Guards against a lost change in a mixture of faults: seeded applies at random nodes while answers are lost, data centres are
+// cut from the platform, and nodes are paused. Each accepted generation reaches every node, none is accepted twice.
+TEST_F(ConfigurationPromise, SeededFaultsLoseNoAcceptedChange)
+{
+    Core::Random random(seed);
+    std::uint64_t generation = 1;
+    for (unsigned round = 0; round < 12; ++round) {
+        auto const node = random.below(m_cluster.nodes().size());
+        auto const neighbour = (node + 1) % m_cluster.nodes().size();
+        bool const isPaused = random.below(2) == 0;
+        TestSupport::PlatformFaults faults;
+        faults.dropWriteAnswers = random.below(2);
+        faults.slowMs = random.below(2) * 200;
+        m_cluster.platform().setFaults(faults);
+        TestSupport::ProxyFaults way;
+        way.dropAnswers = random.below(3);
+        m_cluster.platformProxy().setFaults(way, random.below(2));
+        if (isPaused)
+            m_cluster.node(neighbour).process->sendSignal(SIGSTOP);
+        m_faults += faults.dropWriteAnswers + way.dropAnswers + (faults.slowMs > 0 ? 1 : 0) + (isPaused ? 1 : 0);
+        auto const id = "seeded-" + std::to_string(round);
+        auto answer = apply(node, 200 + round, generation, id);
+        if (answer.status != 200)
+            answer = apply((node + 2) % m_cluster.nodes().size(), 200 + round, generation, id);
+        if (isPaused)
+            m_cluster.node(neighbour).process->sendSignal(SIGCONT);
+        m_cluster.platform().setFaults({});
+        m_cluster.platformProxy().pass();
+        ASSERT_EQ(answer.status, 200u) << json::serialize(answer.body);
+        EXPECT_EQ(answer.generation(), generation + 1);
+        generation = answer.generation();
+    }
+    expectSpread(nodeIds(), generation, now());
+    auto const state = send(m_cluster.node(0).operators, { "GET", "/operator/desired-state", {}, "" });
+    EXPECT_EQ(state.generation(), generation);
+    EXPECT_EQ(state.body.at("desired").at("services").at(0).at("maximumServers"), 211);
+}
--- a/Tests/LibHTTP/ClientServerTest.cpp
+++ b/Tests/LibHTTP/ClientServerTest.cpp
@@ -135,6 +135,32 @@
     }(deadline(), m_endpoint, m_client, m_reason));
 }
 
+// Guards against "not run" for a request that an idle connection carried to the peer before the peer closed it and was gone.
+TEST_F(ClientServerTest, RequestOnAClosedIdleConnectionMayHaveRun)
+{
+    unsigned executions = 0;
+    startServer([&](HTTP::Request const& request, HTTP::ResponseWriter& writer) -> Awaitable<void> {
+        ++executions;
+        if (request.target == "/first") {
+            co_await echo(request, writer);
+            co_return;
+        }
+        m_server->stopAccepting();
+        m_server->closeAll();
+    });
+    run([](Core::MonotonicTime deadline, Core::Endpoint endpoint, HTTP::Client& client, Core::LastReason& reason) -> Awaitable<void> {
+        HTTP::Request first { "GET", "/first", {}, "" };
+        auto const answer = co_await client.send(endpoint, first, HTTP::ConnectionUse::Pooled, deadline, reason);
+        EXPECT_TRUE(answer);
+        HTTP::Request second { "GET", "/second", {}, "" };
+        auto const refused = co_await client.send(endpoint, second, HTTP::ConnectionUse::Pooled, deadline, reason);
+        EXPECT_FALSE(refused);
+        EXPECT_EQ(reason.kind, Core::ErrorKind::BackendUnreachable);
+        EXPECT_EQ(reason.runState, Core::RunState::Unknown);
+    }(deadline(), m_endpoint, m_client, m_reason));
+    EXPECT_EQ(executions, 2u);
+}
+
 // Guards against bad input that stops the process or gets no clear answer.
 TEST_F(ClientServerTest, BadInputGetsProblemDetails)
 {
--- a/Tests/LibIntent/JournalTest.cpp
+++ b/Tests/LibIntent/JournalTest.cpp
@@ -230,9 +230,15 @@
 {
     auto& node = *m_nodes[0];
     auto const key = newKey();
+    // The read is answered in time, the write is on its way at the deadline.
+    node.store.faults.answerDelay = 10ms;
+    auto const result = begin(node, key, 15ms);
+    while (node.store.calls.reads == 0)
+        advance(1ms);
     node.store.faults.requestDelay = 1000ms;
-    auto const result = begin(node, key, 1ms);
-    advance(50ms);
+    advance(20ms);
+    EXPECT_EQ(node.store.calls.writes, 1U);
+    EXPECT_EQ(records(), 0U);
     EXPECT_TRUE(result->isDone);
     EXPECT_FALSE(result->decision);
     EXPECT_EQ(result->reason.runState, Core::RunState::NotRun);
@@ -322,9 +328,12 @@
     EXPECT_EQ(other->kind(), IntentDecisionKind::OutcomeUnknown);
 }
 
-// Guards against an outage that is told as anything but not run, and against a journal that does not recover.
-TEST_F(JournalTest, OutageIsNotRun)
+// Guards against "not run" for a key that ran at another node, told by a node that could not read the journal, and against a
+// journal that does not recover.
+TEST_F(JournalTest, OutageWithoutALookAtTheJournalIsUnknown)
 {
+    auto const ranKey = newKey();
+    run(*m_nodes[1], ranKey);
     for (auto& node : m_nodes)
         node->store.faults.isDown = true;
     auto const key = newKey();
@@ -332,12 +341,33 @@
     advance(2s);
     EXPECT_TRUE(refused->isDone && !refused->decision);
     EXPECT_EQ(refused->reason.kind, Core::ErrorKind::StoreUnavailable);
-    EXPECT_EQ(refused->reason.runState, Core::RunState::NotRun);
+    EXPECT_EQ(refused->reason.runState, Core::RunState::Unknown);
+    auto const repeated = begin(*m_nodes[0], ranKey);
+    advance(2s);
+    EXPECT_TRUE(repeated->isDone && !repeated->decision);
+    EXPECT_EQ(repeated->reason.runState, Core::RunState::Unknown);
     for (auto& node : m_nodes)
         node->store.faults.isDown = false;
     run(*m_nodes[1], key);
 }
 
+// Guards against "unknown" for a key of which the journal was seen to hold no record before the outage.
+TEST_F(JournalTest, OutageAfterALookAtTheJournalIsNotRun)
+{
+    auto& node = *m_nodes[0];
+    node.store.faults.answerDelay = 20ms;
+    node.store.faults.lostWriteAnswers = 1;
+    auto const key = newKey();
+    auto const refused = begin(node, key);
+    while (node.store.calls.writes == 0)
+        advance(1ms);
+    node.store.faults.isDown = true;
+    advance(30s);
+    EXPECT_TRUE(refused->isDone && !refused->decision);
+    EXPECT_EQ(refused->reason.kind, Core::ErrorKind::StoreUnavailable);
+    EXPECT_EQ(refused->reason.runState, Core::RunState::NotRun);
+}
+
 // Guards against a value over the object API's limit, and against a key that runs again from a continuation object.
 TEST_F(JournalTest, OverflowKeepsKeysUnique)
 {
