--- a/Libraries/LibHTTP/Client.cpp
+++ b/Libraries/LibHTTP/Client.cpp
@@ -79,6 +79,7 @@
     }
 
     void forget(Core::Endpoint const& endpoint) { m_idle.erase(endpoint); }
+    [[nodiscard]] ClientTraffic traffic() const { return *m_traffic; }
 
     Core::Awaitable<std::unique_ptr<ResponseStream>> openStream(Core::Endpoint endpoint, Request request, ConnectionUse use, Core::MonotonicTime deadline, Core::LastReason& reason);
 
@@ -142,6 +143,8 @@
 
     Core::Runtime& m_runtime;
     ClientLimits m_limits;
+    /// Shared with the streams, which may outlive the client.
+    std::shared_ptr<ClientTraffic> m_traffic { std::make_shared<ClientTraffic>() };
     std::map<Core::Endpoint, std::deque<ConnectionPointer>> m_idle;
 };
 
@@ -152,11 +155,12 @@
     // Called with the connection of a completed exchange that may be reused.
     using GiveBack = std::function<void(Core::Endpoint const&, ConnectionPointer)>;
 
-    BeastResponseStream(Core::Runtime& runtime, Core::Endpoint endpoint, ConnectionPointer connection, std::unique_ptr<BodyParser> parser, GiveBack giveBack)
+    BeastResponseStream(Core::Runtime& runtime, Core::Endpoint endpoint, ConnectionPointer connection, std::unique_ptr<BodyParser> parser, std::shared_ptr<ClientTraffic> traffic, GiveBack giveBack)
         : m_runtime(runtime)
         , m_endpoint(std::move(endpoint))
         , m_connection(std::move(connection))
         , m_parser(std::move(parser))
+        , m_traffic(std::move(traffic))
         , m_giveBack(std::move(giveBack))
         , m_headers(headersFromFields(m_parser->get()))
     {
@@ -183,6 +187,7 @@
                 });
                 auto [readError, length] = co_await beast::http::async_read_some(m_connection->socket, m_connection->buffer, *m_parser, useTuple);
                 error = readError;
+                m_traffic->receivedBytes += length;
             }
             piece.resize(piece.size() - m_parser->get().body().size);
             m_parser->get().body().data = nullptr;
@@ -215,6 +220,7 @@
     Core::Endpoint m_endpoint;
     ConnectionPointer m_connection;
     std::unique_ptr<BodyParser> m_parser;
+    std::shared_ptr<ClientTraffic> m_traffic;
     GiveBack m_giveBack;
     Headers m_headers;
 };
@@ -228,10 +234,12 @@
 
 }
 
-static Core::Awaitable<HeaderOutcome> exchangeHeaders(Connection& connection, beast::http::request<beast::http::string_body>& message, ClientLimits const& limits)
+static Core::Awaitable<HeaderOutcome> exchangeHeaders(Connection& connection, beast::http::request<beast::http::string_body>& message, ClientLimits const& limits, ClientTraffic& traffic)
 {
     HeaderOutcome outcome;
     auto [writeError, written] = co_await beast::http::async_write(connection.socket, message, useTuple);
+    ++traffic.requests;
+    traffic.sentBytes += written;
     if (writeError) {
         outcome.error = writeError;
         co_return outcome;
@@ -240,6 +248,7 @@
     parser->header_limit(static_cast<std::uint32_t>(limits.maximumHeaderBytes));
     parser->body_limit(limits.maximumBodyBytes);
     auto [readError, length] = co_await beast::http::async_read_header(connection.socket, connection.buffer, *parser, useTuple);
+    traffic.receivedBytes += length;
     outcome.answerBegan = length > 0 || connection.buffer.size() > 0;
     if (readError) {
         outcome.error = readError;
@@ -288,7 +297,7 @@
                 timedOut = true;
                 connection->close();
             });
-            outcome = co_await exchangeHeaders(*connection, message, m_limits);
+            outcome = co_await exchangeHeaders(*connection, message, m_limits, *m_traffic);
         }
         if (timedOut) {
             Core::fail(reason, ErrorKind::DeadlineExceeded, "no answer from " + endpoint.toString() + " within the deadline", RunState::Unknown);
@@ -309,7 +318,7 @@
             if (auto implementation = weak.lock())
                 implementation->giveBack(target, std::move(connection));
         };
-        co_return std::make_unique<BeastResponseStream>(m_runtime, endpoint, std::move(leased.connection), std::move(outcome.parser), std::move(giveBack));
+        co_return std::make_unique<BeastResponseStream>(m_runtime, endpoint, std::move(leased.connection), std::move(outcome.parser), m_traffic, std::move(giveBack));
     }
 }
 
@@ -320,6 +329,11 @@
 
 Client::~Client() = default;
 
+ClientTraffic Client::traffic() const
+{
+    return m_implementation->traffic();
+}
+
 Core::Awaitable<std::optional<Response>> Client::send(Core::Endpoint endpoint, Request request, ConnectionUse use, Core::MonotonicTime deadline, Core::LastReason& reason)
 {
     auto implementation = m_implementation;
--- a/Libraries/LibHTTP/Client.h
+++ b/Libraries/LibHTTP/Client.h
@@ -5,6 +5,7 @@
 #include <LibCore/Runtime.h>
 #include <LibHTTP/Message.h>
 #include <cstddef>
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <string>
@@ -21,6 +22,15 @@
     bool operator==(ClientLimits const&) const = default;
 };
 
+/// Bytes of requests and responses with their headers, without the framing of lower layers.
+struct ClientTraffic {
+    std::uint64_t requests { 0 };
+    std::uint64_t sentBytes { 0 };
+    std::uint64_t receivedBytes { 0 };
+
+    bool operator==(ClientTraffic const&) const = default;
+};
+
 /// Whether a request may use an idle connection.
 enum class ConnectionUse {
     /// An idle connection may be used. If it turns out to have been closed before any byte of an answer arrived, the request
@@ -63,6 +73,9 @@
     /// Closes the idle connections to an endpoint, for example one that has left.
     void forget(Core::Endpoint const&);
 
+    /// What this client sent and received so far.
+    [[nodiscard]] ClientTraffic traffic() const;
+
 private:
     class Implementation;
     std::shared_ptr<Implementation> m_implementation;
--- /dev/null
+++ b/Libraries/LibMembership/PlatformData.h
@@ -0,0 +1,116 @@
+#pragma once
+
+#include <LibCore/Runtime.h>
+#include <LibPeer/PeerMessages.h>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace Membership {
+
+/// A copy of the platform's list of backend servers and of its reclaim notices, as a relay serves it to other nodes.
+///
+/// The copy always equals one reading of the platform's list, the newest known: a list is adopted only if it was read later
+/// than the one held, so a relay that lags cannot bring a removed server back. Whether a server is leaving for good is not
+/// decided here; Routing::mergeHostList() keeps that mark one-way.
+struct PlatformData {
+    struct Row {
+        Peer::ServerEntry entry;
+        /// The version that added, changed or removed the row.
+        std::uint64_t changedAt { 0 };
+        /// Kept after the removal, so that a caller with an older version learns of it.
+        bool removed { false };
+
+        bool operator==(Row const&) const = default;
+    };
+
+    /// Identifies the process whose versions these are; random.
+    std::uint64_t epoch { 0 };
+    /// Grows with each change of a row.
+    std::uint64_t version { 0 };
+    /// Removals up to this version are no longer recorded.
+    std::uint64_t forgottenVersion { 0 };
+    std::map<std::string, Row> rows;
+    /// All rows that are not removed, combined; equal for equal lists.
+    std::uint64_t contentHash { 0 };
+    /// When the platform was asked for the list held; empty before the first one.
+    std::optional<Core::MonotonicTime> readAt;
+    /// By the platform's sequence.
+    std::map<std::uint64_t, Peer::ReclaimNotice> notices;
+    std::uint64_t noticeSequence { 0 };
+
+    bool operator==(PlatformData const&) const = default;
+};
+
+/// What a node last received from one peer.
+struct PlatformDataCursor {
+    std::uint64_t epoch { 0 };
+    std::uint64_t version { 0 };
+
+    bool operator==(PlatformDataCursor const&) const = default;
+};
+
+/// Replaces the list if the given one was read later than the one held. Returns whether it was adopted, changed or not.
+bool adoptServerList(PlatformData&, std::vector<Peer::ServerEntry> const&, Core::MonotonicTime readAt);
+
+/// Adds notices and advances the sequence. Returns those that are new.
+std::vector<Peer::ReclaimNotice> addNotices(PlatformData&, std::vector<Peer::ReclaimNotice> const&, std::uint64_t sequence);
+
+/// Drops the notices whose time passed long ago; their hosts are no longer listed.
+void expireNotices(PlatformData&, std::int64_t wallMilliseconds);
+
+[[nodiscard]] std::vector<Peer::ServerEntry> listedServers(PlatformData const&);
+
+/// Whether a caller that waits gets its reply now: it has no version of this process, an older version, or misses a notice.
+[[nodiscard]] bool hasNews(PlatformData const&, Peer::FetchPlatformDataRequest const&);
+
+[[nodiscard]] Peer::FetchPlatformDataRequest requestFor(PlatformData const&, PlatformDataCursor const&);
+
+/// Answers with the changes since the caller's version, with no rows if its list is the same, or else with all rows.
+[[nodiscard]] Peer::FetchPlatformDataReply replyTo(PlatformData const&, Peer::FetchPlatformDataRequest const&, Core::MonotonicTime now);
+
+/// What a merged reply changed.
+struct PlatformDataNews {
+    bool listAdopted { false };
+    std::vector<Peer::ReclaimNotice> notices;
+
+    bool operator==(PlatformDataNews const&) const = default;
+};
+
+/// Merges a peer's reply. The cursor is reset, so that the next reply holds all rows, if the changes did not lead to the
+/// peer's list; that happens when the lists of two relays differ.
+PlatformDataNews mergeReply(PlatformData&, PlatformDataCursor&, Peer::FetchPlatformDataReply const&, Core::MonotonicTime now);
+
+/// Where a node gets the platform's data from.
+enum class PlatformDataSource {
+    Platform,
+    LocalRelays,
+    /// Relays of other data centres, while the own ones cannot reach the platform.
+    RemoteRelays,
+};
+
+struct PlatformDataAges {
+    /// Since the list held was read, by whoever read it; empty without one.
+    std::optional<Core::Duration> list;
+    /// Since a call of this node to the platform last succeeded, or since the start.
+    Core::Duration platformSuccess { 0 };
+
+    bool operator==(PlatformDataAges const&) const = default;
+};
+
+enum class RelayRole {
+    Relay,
+    Member,
+};
+
+/// The sources to use now. A relay always asks the platform, and relays of other data centres while it gets no answer. A member
+/// asks its relays; once the list is older than `staleAfter`, it also asks the platform (the caller limits the rate).
+[[nodiscard]] std::vector<PlatformDataSource> choosePlatformDataSources(RelayRole, PlatformDataAges const&, Core::Duration staleAfter);
+
+/// The time until the platform's list is read again: at least `minimum`, and so long that the reading takes at most
+/// `bytesPerSecond` on average.
+[[nodiscard]] Core::Duration hostListInterval(std::size_t listBytes, std::size_t bytesPerSecond, Core::Duration minimum);
+
+}
--- a/Libraries/LibPeer/Peer.capnp
+++ b/Libraries/LibPeer/Peer.capnp
@@ -121,6 +121,44 @@
   answer @3 :RecordedAnswer;
 }
 
+struct ServerEntry {
+  id @0 :Text;
+  endpoint @1 :Text;
+  service @2 :Text;
+  version @3 :Text;
+  dataCentre @4 :Text;
+  zone @5 :Text;
+  incarnation @6 :UInt64;
+  leaving @7 :Bool;
+}
+
+struct ReclaimNotice {
+  sequence @0 :UInt64;
+  hostId @1 :Text;
+  reclaimAtMilliseconds @2 :Int64;
+}
+
+struct FetchPlatformDataRequest {
+  epoch @0 :UInt64;
+  version @1 :UInt64;
+  contentHash @2 :UInt64;
+  noticeSequence @3 :UInt64;
+  waitMilliseconds @4 :UInt32;
+}
+
+struct FetchPlatformDataReply {
+  hasList @0 :Bool;
+  complete @1 :Bool;
+  ageMilliseconds @2 :UInt64;
+  epoch @3 :UInt64;
+  version @4 :UInt64;
+  contentHash @5 :UInt64;
+  servers @6 :List(ServerEntry);
+  removedIds @7 :List(Text);
+  notices @8 :List(ReclaimNotice);
+  noticeSequence @9 :UInt64;
+}
+
 interface Node {
   exchange @0 (request :ExchangeMessage) -> (reply :ExchangeMessage);
   fetchConfiguration @1 (request :FetchConfigurationRequest) -> (reply :FetchConfigurationReply);
@@ -129,4 +167,5 @@
   findStream @4 (request :FindStreamRequest) -> (reply :FindStreamReply);
   beginIntent @5 (request :BeginIntentRequest) -> (reply :IntentReply);
   finishIntent @6 (request :FinishIntentRequest) -> (reply :IntentReply);
+  fetchPlatformData @7 (request :FetchPlatformDataRequest) -> (reply :FetchPlatformDataReply);
 }
--- a/Libraries/LibPeer/Peer.capnp.h
+++ b/Libraries/LibPeer/Peer.capnp.h
@@ -36,6 +36,10 @@
 CAPNP_DECLARE_SCHEMA(c169e30f8464a0ff);
 CAPNP_DECLARE_SCHEMA(cf7bd91ad3283121);
 CAPNP_DECLARE_SCHEMA(be367979e2efa296);
+CAPNP_DECLARE_SCHEMA(9c0d6640435070e9);
+CAPNP_DECLARE_SCHEMA(94f24f0b8ba3a2cf);
+CAPNP_DECLARE_SCHEMA(84fe8d9ffd3d5781);
+CAPNP_DECLARE_SCHEMA(e2a867fc17df20e3);
 CAPNP_DECLARE_SCHEMA(893e33e6b1b49893);
 CAPNP_DECLARE_SCHEMA(c9f53557f9a57c35);
 CAPNP_DECLARE_SCHEMA(895804838846e152);
@@ -51,6 +55,8 @@
 CAPNP_DECLARE_SCHEMA(ba97230df38b999c);
 CAPNP_DECLARE_SCHEMA(c466ed639fba36cb);
 CAPNP_DECLARE_SCHEMA(fc24a3678c58a8fb);
+CAPNP_DECLARE_SCHEMA(f831347e1785c872);
+CAPNP_DECLARE_SCHEMA(8a989c697d117b91);
 
 }  // namespace schemas
 }  // namespace capnp
@@ -313,6 +319,66 @@
   };
 };
 
+struct ServerEntry {
+  ServerEntry() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(9c0d6640435070e9, 2, 6)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct ReclaimNotice {
+  ReclaimNotice() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(94f24f0b8ba3a2cf, 2, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct FetchPlatformDataRequest {
+  FetchPlatformDataRequest() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(84fe8d9ffd3d5781, 5, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct FetchPlatformDataReply {
+  FetchPlatformDataReply() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(e2a867fc17df20e3, 6, 3)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Node {
   Node() = delete;
 
@@ -335,6 +401,8 @@
   struct BeginIntentResults;
   struct FinishIntentParams;
   struct FinishIntentResults;
+  struct FetchPlatformDataParams;
+  struct FetchPlatformDataResults;
 
   #if !CAPNP_LITE
   struct _capnpPrivate {
@@ -554,6 +622,36 @@
   };
 };
 
+struct Node::FetchPlatformDataParams {
+  FetchPlatformDataParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(f831347e1785c872, 0, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Node::FetchPlatformDataResults {
+  FetchPlatformDataResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(8a989c697d117b91, 0, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 // =======================================================================================
 
 class NodeEntry::Reader {
@@ -2317,98 +2415,9 @@
 };
 #endif  // !CAPNP_LITE
 
-#if !CAPNP_LITE
-class Node::Client
-    : public virtual ::capnp::Capability::Client {
-public:
-  typedef Node Calls;
-  typedef Node Reads;
-
-  Client(decltype(nullptr));
-  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
-  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
-  Client(::kj::Own<_t>&& server);
-  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
-  Client(::kj::Promise<_t>&& promise);
-  Client(::kj::Exception&& exception);
-  Client(Client&) = default;
-  Client(Client&&) = default;
-  Client& operator=(Client& other);
-  Client& operator=(Client&& other);
-
-  ::capnp::Request< ::Peer::Wire::Node::ExchangeParams,  ::Peer::Wire::Node::ExchangeResults> exchangeRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::Peer::Wire::Node::FetchConfigurationParams,  ::Peer::Wire::Node::FetchConfigurationResults> fetchConfigurationRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::Peer::Wire::Node::ReplicateParams,  ::Peer::Wire::Node::ReplicateResults> replicateRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::Peer::Wire::Node::HandOverParams,  ::Peer::Wire::Node::HandOverResults> handOverRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::Peer::Wire::Node::FindStreamParams,  ::Peer::Wire::Node::FindStreamResults> findStreamRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::Peer::Wire::Node::BeginIntentParams,  ::Peer::Wire::Node::BeginIntentResults> beginIntentRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::Peer::Wire::Node::FinishIntentParams,  ::Peer::Wire::Node::FinishIntentResults> finishIntentRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-
-protected:
-  Client() = default;
-};
-
-class Node::Server
-    : public virtual ::capnp::Capability::Server {
-public:
-  typedef Node Serves;
-
-  ::capnp::Capability::Server::DispatchCallResult dispatchCall(
-      uint64_t interfaceId, uint16_t methodId,
-      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
-      override;
-
-protected:
-  typedef  ::Peer::Wire::Node::ExchangeParams ExchangeParams;
-  typedef  ::Peer::Wire::Node::ExchangeResults ExchangeResults;
-  typedef ::capnp::CallContext<ExchangeParams, ExchangeResults> ExchangeContext;
-  virtual ::kj::Promise<void> exchange(ExchangeContext context);
-  typedef  ::Peer::Wire::Node::FetchConfigurationParams FetchConfigurationParams;
-  typedef  ::Peer::Wire::Node::FetchConfigurationResults FetchConfigurationResults;
-  typedef ::capnp::CallContext<FetchConfigurationParams, FetchConfigurationResults> FetchConfigurationContext;
-  virtual ::kj::Promise<void> fetchConfiguration(FetchConfigurationContext context);
-  typedef  ::Peer::Wire::Node::ReplicateParams ReplicateParams;
-  typedef  ::Peer::Wire::Node::ReplicateResults ReplicateResults;
-  typedef ::capnp::CallContext<ReplicateParams, ReplicateResults> ReplicateContext;
-  virtual ::kj::Promise<void> replicate(ReplicateContext context);
-  typedef  ::Peer::Wire::Node::HandOverParams HandOverParams;
-  typedef  ::Peer::Wire::Node::HandOverResults HandOverResults;
-  typedef ::capnp::CallContext<HandOverParams, HandOverResults> HandOverContext;
-  virtual ::kj::Promise<void> handOver(HandOverContext context);
-  typedef  ::Peer::Wire::Node::FindStreamParams FindStreamParams;
-  typedef  ::Peer::Wire::Node::FindStreamResults FindStreamResults;
-  typedef ::capnp::CallContext<FindStreamParams, FindStreamResults> FindStreamContext;
-  virtual ::kj::Promise<void> findStream(FindStreamContext context);
-  typedef  ::Peer::Wire::Node::BeginIntentParams BeginIntentParams;
-  typedef  ::Peer::Wire::Node::BeginIntentResults BeginIntentResults;
-  typedef ::capnp::CallContext<BeginIntentParams, BeginIntentResults> BeginIntentContext;
-  virtual ::kj::Promise<void> beginIntent(BeginIntentContext context);
-  typedef  ::Peer::Wire::Node::FinishIntentParams FinishIntentParams;
-  typedef  ::Peer::Wire::Node::FinishIntentResults FinishIntentResults;
-  typedef ::capnp::CallContext<FinishIntentParams, FinishIntentResults> FinishIntentContext;
-  virtual ::kj::Promise<void> finishIntent(FinishIntentContext context);
-
-  inline  ::Peer::Wire::Node::Client thisCap() {
-    return ::capnp::Capability::Server::thisCap()
-        .template castAs< ::Peer::Wire::Node>();
-  }
-
-  ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
-      uint16_t methodId,
-      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context);
-};
-#endif  // !CAPNP_LITE
-
-class Node::ExchangeParams::Reader {
+class ServerEntry::Reader {
 public:
-  typedef ExchangeParams Reads;
+  typedef ServerEntry Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2423,8 +2432,27 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasRequest() const;
-  inline  ::Peer::Wire::ExchangeMessage::Reader getRequest() const;
+  inline bool hasId() const;
+  inline  ::capnp::Text::Reader getId() const;
+
+  inline bool hasEndpoint() const;
+  inline  ::capnp::Text::Reader getEndpoint() const;
+
+  inline bool hasService() const;
+  inline  ::capnp::Text::Reader getService() const;
+
+  inline bool hasVersion() const;
+  inline  ::capnp::Text::Reader getVersion() const;
+
+  inline bool hasDataCentre() const;
+  inline  ::capnp::Text::Reader getDataCentre() const;
+
+  inline bool hasZone() const;
+  inline  ::capnp::Text::Reader getZone() const;
+
+  inline  ::uint64_t getIncarnation() const;
+
+  inline bool getLeaving() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2438,9 +2466,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Node::ExchangeParams::Builder {
+class ServerEntry::Builder {
 public:
-  typedef ExchangeParams Builds;
+  typedef ServerEntry Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2454,12 +2482,53 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasRequest();
-  inline  ::Peer::Wire::ExchangeMessage::Builder getRequest();
-  inline void setRequest( ::Peer::Wire::ExchangeMessage::Reader value);
-  inline  ::Peer::Wire::ExchangeMessage::Builder initRequest();
-  inline void adoptRequest(::capnp::Orphan< ::Peer::Wire::ExchangeMessage>&& value);
-  inline ::capnp::Orphan< ::Peer::Wire::ExchangeMessage> disownRequest();
+  inline bool hasId();
+  inline  ::capnp::Text::Builder getId();
+  inline void setId( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initId(unsigned int size);
+  inline void adoptId(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownId();
+
+  inline bool hasEndpoint();
+  inline  ::capnp::Text::Builder getEndpoint();
+  inline void setEndpoint( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initEndpoint(unsigned int size);
+  inline void adoptEndpoint(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownEndpoint();
+
+  inline bool hasService();
+  inline  ::capnp::Text::Builder getService();
+  inline void setService( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initService(unsigned int size);
+  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownService();
+
+  inline bool hasVersion();
+  inline  ::capnp::Text::Builder getVersion();
+  inline void setVersion( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initVersion(unsigned int size);
+  inline void adoptVersion(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownVersion();
+
+  inline bool hasDataCentre();
+  inline  ::capnp::Text::Builder getDataCentre();
+  inline void setDataCentre( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initDataCentre(unsigned int size);
+  inline void adoptDataCentre(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownDataCentre();
+
+  inline bool hasZone();
+  inline  ::capnp::Text::Builder getZone();
+  inline void setZone( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initZone(unsigned int size);
+  inline void adoptZone(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownZone();
+
+  inline  ::uint64_t getIncarnation();
+  inline void setIncarnation( ::uint64_t value);
+
+  inline bool getLeaving();
+  inline void setLeaving(bool value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2471,15 +2540,14 @@
 };
 
 #if !CAPNP_LITE
-class Node::ExchangeParams::Pipeline {
+class ServerEntry::Pipeline {
 public:
-  typedef ExchangeParams Pipelines;
+  typedef ServerEntry Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::Peer::Wire::ExchangeMessage::Pipeline getRequest();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -2488,9 +2556,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Node::ExchangeResults::Reader {
+class ReclaimNotice::Reader {
 public:
-  typedef ExchangeResults Reads;
+  typedef ReclaimNotice Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2505,8 +2573,12 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasReply() const;
-  inline  ::Peer::Wire::ExchangeMessage::Reader getReply() const;
+  inline  ::uint64_t getSequence() const;
+
+  inline bool hasHostId() const;
+  inline  ::capnp::Text::Reader getHostId() const;
+
+  inline  ::int64_t getReclaimAtMilliseconds() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2520,9 +2592,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Node::ExchangeResults::Builder {
+class ReclaimNotice::Builder {
 public:
-  typedef ExchangeResults Builds;
+  typedef ReclaimNotice Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2536,12 +2608,18 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasReply();
-  inline  ::Peer::Wire::ExchangeMessage::Builder getReply();
-  inline void setReply( ::Peer::Wire::ExchangeMessage::Reader value);
-  inline  ::Peer::Wire::ExchangeMessage::Builder initReply();
-  inline void adoptReply(::capnp::Orphan< ::Peer::Wire::ExchangeMessage>&& value);
-  inline ::capnp::Orphan< ::Peer::Wire::ExchangeMessage> disownReply();
+  inline  ::uint64_t getSequence();
+  inline void setSequence( ::uint64_t value);
+
+  inline bool hasHostId();
+  inline  ::capnp::Text::Builder getHostId();
+  inline void setHostId( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initHostId(unsigned int size);
+  inline void adoptHostId(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownHostId();
+
+  inline  ::int64_t getReclaimAtMilliseconds();
+  inline void setReclaimAtMilliseconds( ::int64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2553,15 +2631,14 @@
 };
 
 #if !CAPNP_LITE
-class Node::ExchangeResults::Pipeline {
+class ReclaimNotice::Pipeline {
 public:
-  typedef ExchangeResults Pipelines;
+  typedef ReclaimNotice Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::Peer::Wire::ExchangeMessage::Pipeline getReply();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -2570,9 +2647,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Node::FetchConfigurationParams::Reader {
+class FetchPlatformDataRequest::Reader {
 public:
-  typedef FetchConfigurationParams Reads;
+  typedef FetchPlatformDataRequest Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2587,8 +2664,15 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasRequest() const;
-  inline  ::Peer::Wire::FetchConfigurationRequest::Reader getRequest() const;
+  inline  ::uint64_t getEpoch() const;
+
+  inline  ::uint64_t getVersion() const;
+
+  inline  ::uint64_t getContentHash() const;
+
+  inline  ::uint64_t getNoticeSequence() const;
+
+  inline  ::uint32_t getWaitMilliseconds() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2602,9 +2686,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Node::FetchConfigurationParams::Builder {
+class FetchPlatformDataRequest::Builder {
 public:
-  typedef FetchConfigurationParams Builds;
+  typedef FetchPlatformDataRequest Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2618,12 +2702,20 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasRequest();
-  inline  ::Peer::Wire::FetchConfigurationRequest::Builder getRequest();
-  inline void setRequest( ::Peer::Wire::FetchConfigurationRequest::Reader value);
-  inline  ::Peer::Wire::FetchConfigurationRequest::Builder initRequest();
-  inline void adoptRequest(::capnp::Orphan< ::Peer::Wire::FetchConfigurationRequest>&& value);
-  inline ::capnp::Orphan< ::Peer::Wire::FetchConfigurationRequest> disownRequest();
+  inline  ::uint64_t getEpoch();
+  inline void setEpoch( ::uint64_t value);
+
+  inline  ::uint64_t getVersion();
+  inline void setVersion( ::uint64_t value);
+
+  inline  ::uint64_t getContentHash();
+  inline void setContentHash( ::uint64_t value);
+
+  inline  ::uint64_t getNoticeSequence();
+  inline void setNoticeSequence( ::uint64_t value);
+
+  inline  ::uint32_t getWaitMilliseconds();
+  inline void setWaitMilliseconds( ::uint32_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2635,15 +2727,14 @@
 };
 
 #if !CAPNP_LITE
-class Node::FetchConfigurationParams::Pipeline {
+class FetchPlatformDataRequest::Pipeline {
 public:
-  typedef FetchConfigurationParams Pipelines;
+  typedef FetchPlatformDataRequest Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::Peer::Wire::FetchConfigurationRequest::Pipeline getRequest();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -2652,9 +2743,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Node::FetchConfigurationResults::Reader {
+class FetchPlatformDataReply::Reader {
 public:
-  typedef FetchConfigurationResults Reads;
+  typedef FetchPlatformDataReply Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2669,8 +2760,28 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasReply() const;
-  inline  ::Peer::Wire::FetchConfigurationReply::Reader getReply() const;
+  inline bool getHasList() const;
+
+  inline bool getComplete() const;
+
+  inline  ::uint64_t getAgeMilliseconds() const;
+
+  inline  ::uint64_t getEpoch() const;
+
+  inline  ::uint64_t getVersion() const;
+
+  inline  ::uint64_t getContentHash() const;
+
+  inline bool hasServers() const;
+  inline  ::capnp::List< ::Peer::Wire::ServerEntry,  ::capnp::Kind::STRUCT>::Reader getServers() const;
+
+  inline bool hasRemovedIds() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getRemovedIds() const;
+
+  inline bool hasNotices() const;
+  inline  ::capnp::List< ::Peer::Wire::ReclaimNotice,  ::capnp::Kind::STRUCT>::Reader getNotices() const;
+
+  inline  ::uint64_t getNoticeSequence() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2684,9 +2795,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Node::FetchConfigurationResults::Builder {
+class FetchPlatformDataReply::Builder {
 public:
-  typedef FetchConfigurationResults Builds;
+  typedef FetchPlatformDataReply Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2700,12 +2811,48 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasReply();
-  inline  ::Peer::Wire::FetchConfigurationReply::Builder getReply();
-  inline void setReply( ::Peer::Wire::FetchConfigurationReply::Reader value);
-  inline  ::Peer::Wire::FetchConfigurationReply::Builder initReply();
-  inline void adoptReply(::capnp::Orphan< ::Peer::Wire::FetchConfigurationReply>&& value);
-  inline ::capnp::Orphan< ::Peer::Wire::FetchConfigurationReply> disownReply();
+  inline bool getHasList();
+  inline void setHasList(bool value);
+
+  inline bool getComplete();
+  inline void setComplete(bool value);
+
+  inline  ::uint64_t getAgeMilliseconds();
+  inline void setAgeMilliseconds( ::uint64_t value);
+
+  inline  ::uint64_t getEpoch();
+  inline void setEpoch( ::uint64_t value);
+
+  inline  ::uint64_t getVersion();
+  inline void setVersion( ::uint64_t value);
+
+  inline  ::uint64_t getContentHash();
+  inline void setContentHash( ::uint64_t value);
+
+  inline bool hasServers();
+  inline  ::capnp::List< ::Peer::Wire::ServerEntry,  ::capnp::Kind::STRUCT>::Builder getServers();
+  inline void setServers( ::capnp::List< ::Peer::Wire::ServerEntry,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::Peer::Wire::ServerEntry,  ::capnp::Kind::STRUCT>::Builder initServers(unsigned int size);
+  inline void adoptServers(::capnp::Orphan< ::capnp::List< ::Peer::Wire::ServerEntry,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::Peer::Wire::ServerEntry,  ::capnp::Kind::STRUCT>> disownServers();
+
+  inline bool hasRemovedIds();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getRemovedIds();
+  inline void setRemovedIds( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setRemovedIds(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initRemovedIds(unsigned int size);
+  inline void adoptRemovedIds(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownRemovedIds();
+
+  inline bool hasNotices();
+  inline  ::capnp::List< ::Peer::Wire::ReclaimNotice,  ::capnp::Kind::STRUCT>::Builder getNotices();
+  inline void setNotices( ::capnp::List< ::Peer::Wire::ReclaimNotice,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::Peer::Wire::ReclaimNotice,  ::capnp::Kind::STRUCT>::Builder initNotices(unsigned int size);
+  inline void adoptNotices(::capnp::Orphan< ::capnp::List< ::Peer::Wire::ReclaimNotice,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::Peer::Wire::ReclaimNotice,  ::capnp::Kind::STRUCT>> disownNotices();
+
+  inline  ::uint64_t getNoticeSequence();
+  inline void setNoticeSequence( ::uint64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2717,15 +2864,14 @@
 };
 
 #if !CAPNP_LITE
-class Node::FetchConfigurationResults::Pipeline {
+class FetchPlatformDataReply::Pipeline {
 public:
-  typedef FetchConfigurationResults Pipelines;
+  typedef FetchPlatformDataReply Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::Peer::Wire::FetchConfigurationReply::Pipeline getReply();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -2734,9 +2880,104 @@
 };
 #endif  // !CAPNP_LITE
 
-class Node::ReplicateParams::Reader {
+#if !CAPNP_LITE
+class Node::Client
+    : public virtual ::capnp::Capability::Client {
 public:
-  typedef ReplicateParams Reads;
+  typedef Node Calls;
+  typedef Node Reads;
+
+  Client(decltype(nullptr));
+  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
+  Client(::kj::Own<_t>&& server);
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
+  Client(::kj::Promise<_t>&& promise);
+  Client(::kj::Exception&& exception);
+  Client(Client&) = default;
+  Client(Client&&) = default;
+  Client& operator=(Client& other);
+  Client& operator=(Client&& other);
+
+  ::capnp::Request< ::Peer::Wire::Node::ExchangeParams,  ::Peer::Wire::Node::ExchangeResults> exchangeRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::Peer::Wire::Node::FetchConfigurationParams,  ::Peer::Wire::Node::FetchConfigurationResults> fetchConfigurationRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::Peer::Wire::Node::ReplicateParams,  ::Peer::Wire::Node::ReplicateResults> replicateRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::Peer::Wire::Node::HandOverParams,  ::Peer::Wire::Node::HandOverResults> handOverRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::Peer::Wire::Node::FindStreamParams,  ::Peer::Wire::Node::FindStreamResults> findStreamRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::Peer::Wire::Node::BeginIntentParams,  ::Peer::Wire::Node::BeginIntentResults> beginIntentRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::Peer::Wire::Node::FinishIntentParams,  ::Peer::Wire::Node::FinishIntentResults> finishIntentRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::Peer::Wire::Node::FetchPlatformDataParams,  ::Peer::Wire::Node::FetchPlatformDataResults> fetchPlatformDataRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+
+protected:
+  Client() = default;
+};
+
+class Node::Server
+    : public virtual ::capnp::Capability::Server {
+public:
+  typedef Node Serves;
+
+  ::capnp::Capability::Server::DispatchCallResult dispatchCall(
+      uint64_t interfaceId, uint16_t methodId,
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
+      override;
+
+protected:
+  typedef  ::Peer::Wire::Node::ExchangeParams ExchangeParams;
+  typedef  ::Peer::Wire::Node::ExchangeResults ExchangeResults;
+  typedef ::capnp::CallContext<ExchangeParams, ExchangeResults> ExchangeContext;
+  virtual ::kj::Promise<void> exchange(ExchangeContext context);
+  typedef  ::Peer::Wire::Node::FetchConfigurationParams FetchConfigurationParams;
+  typedef  ::Peer::Wire::Node::FetchConfigurationResults FetchConfigurationResults;
+  typedef ::capnp::CallContext<FetchConfigurationParams, FetchConfigurationResults> FetchConfigurationContext;
+  virtual ::kj::Promise<void> fetchConfiguration(FetchConfigurationContext context);
+  typedef  ::Peer::Wire::Node::ReplicateParams ReplicateParams;
+  typedef  ::Peer::Wire::Node::ReplicateResults ReplicateResults;
+  typedef ::capnp::CallContext<ReplicateParams, ReplicateResults> ReplicateContext;
+  virtual ::kj::Promise<void> replicate(ReplicateContext context);
+  typedef  ::Peer::Wire::Node::HandOverParams HandOverParams;
+  typedef  ::Peer::Wire::Node::HandOverResults HandOverResults;
+  typedef ::capnp::CallContext<HandOverParams, HandOverResults> HandOverContext;
+  virtual ::kj::Promise<void> handOver(HandOverContext context);
+  typedef  ::Peer::Wire::Node::FindStreamParams FindStreamParams;
+  typedef  ::Peer::Wire::Node::FindStreamResults FindStreamResults;
+  typedef ::capnp::CallContext<FindStreamParams, FindStreamResults> FindStreamContext;
+  virtual ::kj::Promise<void> findStream(FindStreamContext context);
+  typedef  ::Peer::Wire::Node::BeginIntentParams BeginIntentParams;
+  typedef  ::Peer::Wire::Node::BeginIntentResults BeginIntentResults;
+  typedef ::capnp::CallContext<BeginIntentParams, BeginIntentResults> BeginIntentContext;
+  virtual ::kj::Promise<void> beginIntent(BeginIntentContext context);
+  typedef  ::Peer::Wire::Node::FinishIntentParams FinishIntentParams;
+  typedef  ::Peer::Wire::Node::FinishIntentResults FinishIntentResults;
+  typedef ::capnp::CallContext<FinishIntentParams, FinishIntentResults> FinishIntentContext;
+  virtual ::kj::Promise<void> finishIntent(FinishIntentContext context);
+  typedef  ::Peer::Wire::Node::FetchPlatformDataParams FetchPlatformDataParams;
+  typedef  ::Peer::Wire::Node::FetchPlatformDataResults FetchPlatformDataResults;
+  typedef ::capnp::CallContext<FetchPlatformDataParams, FetchPlatformDataResults> FetchPlatformDataContext;
+  virtual ::kj::Promise<void> fetchPlatformData(FetchPlatformDataContext context);
+
+  inline  ::Peer::Wire::Node::Client thisCap() {
+    return ::capnp::Capability::Server::thisCap()
+        .template castAs< ::Peer::Wire::Node>();
+  }
+
+  ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
+      uint16_t methodId,
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context);
+};
+#endif  // !CAPNP_LITE
+
+class Node::ExchangeParams::Reader {
+public:
+  typedef ExchangeParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2752,7 +2993,7 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasRequest() const;
-  inline  ::Peer::Wire::StreamRecords::Reader getRequest() const;
+  inline  ::Peer::Wire::ExchangeMessage::Reader getRequest() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2766,9 +3007,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Node::ReplicateParams::Builder {
+class Node::ExchangeParams::Builder {
 public:
-  typedef ReplicateParams Builds;
+  typedef ExchangeParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2783,11 +3024,11 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasRequest();
-  inline  ::Peer::Wire::StreamRecords::Builder getRequest();
-  inline void setRequest( ::Peer::Wire::StreamRecords::Reader value);
-  inline  ::Peer::Wire::StreamRecords::Builder initRequest();
-  inline void adoptRequest(::capnp::Orphan< ::Peer::Wire::StreamRecords>&& value);
-  inline ::capnp::Orphan< ::Peer::Wire::StreamRecords> disownRequest();
+  inline  ::Peer::Wire::ExchangeMessage::Builder getRequest();
+  inline void setRequest( ::Peer::Wire::ExchangeMessage::Reader value);
+  inline  ::Peer::Wire::ExchangeMessage::Builder initRequest();
+  inline void adoptRequest(::capnp::Orphan< ::Peer::Wire::ExchangeMessage>&& value);
+  inline ::capnp::Orphan< ::Peer::Wire::ExchangeMessage> disownRequest();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2799,15 +3040,15 @@
 };
 
 #if !CAPNP_LITE
-class Node::ReplicateParams::Pipeline {
+class Node::ExchangeParams::Pipeline {
 public:
-  typedef ReplicateParams Pipelines;
+  typedef ExchangeParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::Peer::Wire::StreamRecords::Pipeline getRequest();
+  inline  ::Peer::Wire::ExchangeMessage::Pipeline getRequest();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -2816,9 +3057,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Node::ReplicateResults::Reader {
+class Node::ExchangeResults::Reader {
 public:
-  typedef ReplicateResults Reads;
+  typedef ExchangeResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2834,7 +3075,7 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasReply() const;
-  inline  ::Peer::Wire::StreamResults::Reader getReply() const;
+  inline  ::Peer::Wire::ExchangeMessage::Reader getReply() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2848,9 +3089,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Node::ReplicateResults::Builder {
+class Node::ExchangeResults::Builder {
 public:
-  typedef ReplicateResults Builds;
+  typedef ExchangeResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2865,11 +3106,11 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasReply();
-  inline  ::Peer::Wire::StreamResults::Builder getReply();
-  inline void setReply( ::Peer::Wire::StreamResults::Reader value);
-  inline  ::Peer::Wire::StreamResults::Builder initReply();
-  inline void adoptReply(::capnp::Orphan< ::Peer::Wire::StreamResults>&& value);
-  inline ::capnp::Orphan< ::Peer::Wire::StreamResults> disownReply();
+  inline  ::Peer::Wire::ExchangeMessage::Builder getReply();
+  inline void setReply( ::Peer::Wire::ExchangeMessage::Reader value);
+  inline  ::Peer::Wire::ExchangeMessage::Builder initReply();
+  inline void adoptReply(::capnp::Orphan< ::Peer::Wire::ExchangeMessage>&& value);
+  inline ::capnp::Orphan< ::Peer::Wire::ExchangeMessage> disownReply();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2881,15 +3122,15 @@
 };
 
 #if !CAPNP_LITE
-class Node::ReplicateResults::Pipeline {
+class Node::ExchangeResults::Pipeline {
 public:
-  typedef ReplicateResults Pipelines;
+  typedef ExchangeResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::Peer::Wire::StreamResults::Pipeline getReply();
+  inline  ::Peer::Wire::ExchangeMessage::Pipeline getReply();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -2898,9 +3139,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Node::HandOverParams::Reader {
+class Node::FetchConfigurationParams::Reader {
 public:
-  typedef HandOverParams Reads;
+  typedef FetchConfigurationParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2916,7 +3157,7 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasRequest() const;
-  inline  ::Peer::Wire::StreamRecords::Reader getRequest() const;
+  inline  ::Peer::Wire::FetchConfigurationRequest::Reader getRequest() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2930,9 +3171,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Node::HandOverParams::Builder {
+class Node::FetchConfigurationParams::Builder {
 public:
-  typedef HandOverParams Builds;
+  typedef FetchConfigurationParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2947,11 +3188,11 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasRequest();
-  inline  ::Peer::Wire::StreamRecords::Builder getRequest();
-  inline void setRequest( ::Peer::Wire::StreamRecords::Reader value);
-  inline  ::Peer::Wire::StreamRecords::Builder initRequest();
-  inline void adoptRequest(::capnp::Orphan< ::Peer::Wire::StreamRecords>&& value);
-  inline ::capnp::Orphan< ::Peer::Wire::StreamRecords> disownRequest();
+  inline  ::Peer::Wire::FetchConfigurationRequest::Builder getRequest();
+  inline void setRequest( ::Peer::Wire::FetchConfigurationRequest::Reader value);
+  inline  ::Peer::Wire::FetchConfigurationRequest::Builder initRequest();
+  inline void adoptRequest(::capnp::Orphan< ::Peer::Wire::FetchConfigurationRequest>&& value);
+  inline ::capnp::Orphan< ::Peer::Wire::FetchConfigurationRequest> disownRequest();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2963,15 +3204,15 @@
 };
 
 #if !CAPNP_LITE
-class Node::HandOverParams::Pipeline {
+class Node::FetchConfigurationParams::Pipeline {
 public:
-  typedef HandOverParams Pipelines;
+  typedef FetchConfigurationParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::Peer::Wire::StreamRecords::Pipeline getRequest();
+  inline  ::Peer::Wire::FetchConfigurationRequest::Pipeline getRequest();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -2980,9 +3221,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Node::HandOverResults::Reader {
+class Node::FetchConfigurationResults::Reader {
 public:
-  typedef HandOverResults Reads;
+  typedef FetchConfigurationResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2998,7 +3239,7 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasReply() const;
-  inline  ::Peer::Wire::StreamResults::Reader getReply() const;
+  inline  ::Peer::Wire::FetchConfigurationReply::Reader getReply() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -3012,9 +3253,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Node::HandOverResults::Builder {
+class Node::FetchConfigurationResults::Builder {
 public:
-  typedef HandOverResults Builds;
+  typedef FetchConfigurationResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3029,11 +3270,11 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasReply();
-  inline  ::Peer::Wire::StreamResults::Builder getReply();
-  inline void setReply( ::Peer::Wire::StreamResults::Reader value);
-  inline  ::Peer::Wire::StreamResults::Builder initReply();
-  inline void adoptReply(::capnp::Orphan< ::Peer::Wire::StreamResults>&& value);
-  inline ::capnp::Orphan< ::Peer::Wire::StreamResults> disownReply();
+  inline  ::Peer::Wire::FetchConfigurationReply::Builder getReply();
+  inline void setReply( ::Peer::Wire::FetchConfigurationReply::Reader value);
+  inline  ::Peer::Wire::FetchConfigurationReply::Builder initReply();
+  inline void adoptReply(::capnp::Orphan< ::Peer::Wire::FetchConfigurationReply>&& value);
+  inline ::capnp::Orphan< ::Peer::Wire::FetchConfigurationReply> disownReply();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -3045,15 +3286,15 @@
 };
 
 #if !CAPNP_LITE
-class Node::HandOverResults::Pipeline {
+class Node::FetchConfigurationResults::Pipeline {
 public:
-  typedef HandOverResults Pipelines;
+  typedef FetchConfigurationResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::Peer::Wire::StreamResults::Pipeline getReply();
+  inline  ::Peer::Wire::FetchConfigurationReply::Pipeline getReply();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -3062,9 +3303,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Node::FindStreamParams::Reader {
+class Node::ReplicateParams::Reader {
 public:
-  typedef FindStreamParams Reads;
+  typedef ReplicateParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3080,7 +3321,7 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasRequest() const;
-  inline  ::Peer::Wire::FindStreamRequest::Reader getRequest() const;
+  inline  ::Peer::Wire::StreamRecords::Reader getRequest() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -3094,9 +3335,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Node::FindStreamParams::Builder {
+class Node::ReplicateParams::Builder {
 public:
-  typedef FindStreamParams Builds;
+  typedef ReplicateParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3111,11 +3352,11 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasRequest();
-  inline  ::Peer::Wire::FindStreamRequest::Builder getRequest();
-  inline void setRequest( ::Peer::Wire::FindStreamRequest::Reader value);
-  inline  ::Peer::Wire::FindStreamRequest::Builder initRequest();
-  inline void adoptRequest(::capnp::Orphan< ::Peer::Wire::FindStreamRequest>&& value);
-  inline ::capnp::Orphan< ::Peer::Wire::FindStreamRequest> disownRequest();
+  inline  ::Peer::Wire::StreamRecords::Builder getRequest();
+  inline void setRequest( ::Peer::Wire::StreamRecords::Reader value);
+  inline  ::Peer::Wire::StreamRecords::Builder initRequest();
+  inline void adoptRequest(::capnp::Orphan< ::Peer::Wire::StreamRecords>&& value);
+  inline ::capnp::Orphan< ::Peer::Wire::StreamRecords> disownRequest();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -3127,15 +3368,15 @@
 };
 
 #if !CAPNP_LITE
-class Node::FindStreamParams::Pipeline {
+class Node::ReplicateParams::Pipeline {
 public:
-  typedef FindStreamParams Pipelines;
+  typedef ReplicateParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::Peer::Wire::FindStreamRequest::Pipeline getRequest();
+  inline  ::Peer::Wire::StreamRecords::Pipeline getRequest();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -3144,9 +3385,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Node::FindStreamResults::Reader {
+class Node::ReplicateResults::Reader {
 public:
-  typedef FindStreamResults Reads;
+  typedef ReplicateResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3162,7 +3403,7 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasReply() const;
-  inline  ::Peer::Wire::FindStreamReply::Reader getReply() const;
+  inline  ::Peer::Wire::StreamResults::Reader getReply() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -3176,9 +3417,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Node::FindStreamResults::Builder {
+class Node::ReplicateResults::Builder {
 public:
-  typedef FindStreamResults Builds;
+  typedef ReplicateResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3193,11 +3434,11 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasReply();
-  inline  ::Peer::Wire::FindStreamReply::Builder getReply();
-  inline void setReply( ::Peer::Wire::FindStreamReply::Reader value);
-  inline  ::Peer::Wire::FindStreamReply::Builder initReply();
-  inline void adoptReply(::capnp::Orphan< ::Peer::Wire::FindStreamReply>&& value);
-  inline ::capnp::Orphan< ::Peer::Wire::FindStreamReply> disownReply();
+  inline  ::Peer::Wire::StreamResults::Builder getReply();
+  inline void setReply( ::Peer::Wire::StreamResults::Reader value);
+  inline  ::Peer::Wire::StreamResults::Builder initReply();
+  inline void adoptReply(::capnp::Orphan< ::Peer::Wire::StreamResults>&& value);
+  inline ::capnp::Orphan< ::Peer::Wire::StreamResults> disownReply();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -3209,15 +3450,15 @@
 };
 
 #if !CAPNP_LITE
-class Node::FindStreamResults::Pipeline {
+class Node::ReplicateResults::Pipeline {
 public:
-  typedef FindStreamResults Pipelines;
+  typedef ReplicateResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::Peer::Wire::FindStreamReply::Pipeline getReply();
+  inline  ::Peer::Wire::StreamResults::Pipeline getReply();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -3226,9 +3467,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Node::BeginIntentParams::Reader {
+class Node::HandOverParams::Reader {
 public:
-  typedef BeginIntentParams Reads;
+  typedef HandOverParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3244,7 +3485,7 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasRequest() const;
-  inline  ::Peer::Wire::BeginIntentRequest::Reader getRequest() const;
+  inline  ::Peer::Wire::StreamRecords::Reader getRequest() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -3258,9 +3499,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Node::BeginIntentParams::Builder {
+class Node::HandOverParams::Builder {
 public:
-  typedef BeginIntentParams Builds;
+  typedef HandOverParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3275,11 +3516,11 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasRequest();
-  inline  ::Peer::Wire::BeginIntentRequest::Builder getRequest();
-  inline void setRequest( ::Peer::Wire::BeginIntentRequest::Reader value);
-  inline  ::Peer::Wire::BeginIntentRequest::Builder initRequest();
-  inline void adoptRequest(::capnp::Orphan< ::Peer::Wire::BeginIntentRequest>&& value);
-  inline ::capnp::Orphan< ::Peer::Wire::BeginIntentRequest> disownRequest();
+  inline  ::Peer::Wire::StreamRecords::Builder getRequest();
+  inline void setRequest( ::Peer::Wire::StreamRecords::Reader value);
+  inline  ::Peer::Wire::StreamRecords::Builder initRequest();
+  inline void adoptRequest(::capnp::Orphan< ::Peer::Wire::StreamRecords>&& value);
+  inline ::capnp::Orphan< ::Peer::Wire::StreamRecords> disownRequest();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -3291,15 +3532,15 @@
 };
 
 #if !CAPNP_LITE
-class Node::BeginIntentParams::Pipeline {
+class Node::HandOverParams::Pipeline {
 public:
-  typedef BeginIntentParams Pipelines;
+  typedef HandOverParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::Peer::Wire::BeginIntentRequest::Pipeline getRequest();
+  inline  ::Peer::Wire::StreamRecords::Pipeline getRequest();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -3308,9 +3549,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Node::BeginIntentResults::Reader {
+class Node::HandOverResults::Reader {
 public:
-  typedef BeginIntentResults Reads;
+  typedef HandOverResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3326,7 +3567,7 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasReply() const;
-  inline  ::Peer::Wire::IntentReply::Reader getReply() const;
+  inline  ::Peer::Wire::StreamResults::Reader getReply() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -3340,9 +3581,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Node::BeginIntentResults::Builder {
+class Node::HandOverResults::Builder {
 public:
-  typedef BeginIntentResults Builds;
+  typedef HandOverResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3357,11 +3598,11 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasReply();
-  inline  ::Peer::Wire::IntentReply::Builder getReply();
-  inline void setReply( ::Peer::Wire::IntentReply::Reader value);
-  inline  ::Peer::Wire::IntentReply::Builder initReply();
-  inline void adoptReply(::capnp::Orphan< ::Peer::Wire::IntentReply>&& value);
-  inline ::capnp::Orphan< ::Peer::Wire::IntentReply> disownReply();
+  inline  ::Peer::Wire::StreamResults::Builder getReply();
+  inline void setReply( ::Peer::Wire::StreamResults::Reader value);
+  inline  ::Peer::Wire::StreamResults::Builder initReply();
+  inline void adoptReply(::capnp::Orphan< ::Peer::Wire::StreamResults>&& value);
+  inline ::capnp::Orphan< ::Peer::Wire::StreamResults> disownReply();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -3373,15 +3614,15 @@
 };
 
 #if !CAPNP_LITE
-class Node::BeginIntentResults::Pipeline {
+class Node::HandOverResults::Pipeline {
 public:
-  typedef BeginIntentResults Pipelines;
+  typedef HandOverResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::Peer::Wire::IntentReply::Pipeline getReply();
+  inline  ::Peer::Wire::StreamResults::Pipeline getReply();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -3390,9 +3631,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Node::FinishIntentParams::Reader {
+class Node::FindStreamParams::Reader {
 public:
-  typedef FinishIntentParams Reads;
+  typedef FindStreamParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3408,7 +3649,7 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasRequest() const;
-  inline  ::Peer::Wire::FinishIntentRequest::Reader getRequest() const;
+  inline  ::Peer::Wire::FindStreamRequest::Reader getRequest() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -3422,9 +3663,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Node::FinishIntentParams::Builder {
+class Node::FindStreamParams::Builder {
 public:
-  typedef FinishIntentParams Builds;
+  typedef FindStreamParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3439,11 +3680,11 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasRequest();
-  inline  ::Peer::Wire::FinishIntentRequest::Builder getRequest();
-  inline void setRequest( ::Peer::Wire::FinishIntentRequest::Reader value);
-  inline  ::Peer::Wire::FinishIntentRequest::Builder initRequest();
-  inline void adoptRequest(::capnp::Orphan< ::Peer::Wire::FinishIntentRequest>&& value);
-  inline ::capnp::Orphan< ::Peer::Wire::FinishIntentRequest> disownRequest();
+  inline  ::Peer::Wire::FindStreamRequest::Builder getRequest();
+  inline void setRequest( ::Peer::Wire::FindStreamRequest::Reader value);
+  inline  ::Peer::Wire::FindStreamRequest::Builder initRequest();
+  inline void adoptRequest(::capnp::Orphan< ::Peer::Wire::FindStreamRequest>&& value);
+  inline ::capnp::Orphan< ::Peer::Wire::FindStreamRequest> disownRequest();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -3455,15 +3696,15 @@
 };
 
 #if !CAPNP_LITE
-class Node::FinishIntentParams::Pipeline {
+class Node::FindStreamParams::Pipeline {
 public:
-  typedef FinishIntentParams Pipelines;
+  typedef FindStreamParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::Peer::Wire::FinishIntentRequest::Pipeline getRequest();
+  inline  ::Peer::Wire::FindStreamRequest::Pipeline getRequest();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -3472,9 +3713,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Node::FinishIntentResults::Reader {
+class Node::FindStreamResults::Reader {
 public:
-  typedef FinishIntentResults Reads;
+  typedef FindStreamResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3490,7 +3731,7 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasReply() const;
-  inline  ::Peer::Wire::IntentReply::Reader getReply() const;
+  inline  ::Peer::Wire::FindStreamReply::Reader getReply() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -3504,9 +3745,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Node::FinishIntentResults::Builder {
+class Node::FindStreamResults::Builder {
 public:
-  typedef FinishIntentResults Builds;
+  typedef FindStreamResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3521,11 +3762,11 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasReply();
-  inline  ::Peer::Wire::IntentReply::Builder getReply();
-  inline void setReply( ::Peer::Wire::IntentReply::Reader value);
-  inline  ::Peer::Wire::IntentReply::Builder initReply();
-  inline void adoptReply(::capnp::Orphan< ::Peer::Wire::IntentReply>&& value);
-  inline ::capnp::Orphan< ::Peer::Wire::IntentReply> disownReply();
+  inline  ::Peer::Wire::FindStreamReply::Builder getReply();
+  inline void setReply( ::Peer::Wire::FindStreamReply::Reader value);
+  inline  ::Peer::Wire::FindStreamReply::Builder initReply();
+  inline void adoptReply(::capnp::Orphan< ::Peer::Wire::FindStreamReply>&& value);
+  inline ::capnp::Orphan< ::Peer::Wire::FindStreamReply> disownReply();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -3537,15 +3778,15 @@
 };
 
 #if !CAPNP_LITE
-class Node::FinishIntentResults::Pipeline {
+class Node::FindStreamResults::Pipeline {
 public:
-  typedef FinishIntentResults Pipelines;
+  typedef FindStreamResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::Peer::Wire::IntentReply::Pipeline getReply();
+  inline  ::Peer::Wire::FindStreamReply::Pipeline getReply();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -3554,1824 +3795,2884 @@
 };
 #endif  // !CAPNP_LITE
 
-// =======================================================================================
+class Node::BeginIntentParams::Reader {
+public:
+  typedef BeginIntentParams Reads;
 
-inline bool NodeEntry::Reader::hasId() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool NodeEntry::Builder::hasId() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader NodeEntry::Reader::getId() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder NodeEntry::Builder::getId() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void NodeEntry::Builder::setId( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder NodeEntry::Builder::initId(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
-}
-inline void NodeEntry::Builder::adoptId(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> NodeEntry::Builder::disownId() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-inline bool NodeEntry::Reader::hasPeerEndpoint() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline bool NodeEntry::Builder::hasPeerEndpoint() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader NodeEntry::Reader::getPeerEndpoint() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder NodeEntry::Builder::getPeerEndpoint() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline void NodeEntry::Builder::setPeerEndpoint( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder NodeEntry::Builder::initPeerEndpoint(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
-}
-inline void NodeEntry::Builder::adoptPeerEndpoint(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> NodeEntry::Builder::disownPeerEndpoint() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
-inline bool NodeEntry::Reader::hasClientEndpoint() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline bool NodeEntry::Builder::hasClientEndpoint() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader NodeEntry::Reader::getClientEndpoint() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder NodeEntry::Builder::getClientEndpoint() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline void NodeEntry::Builder::setClientEndpoint( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder NodeEntry::Builder::initClientEndpoint(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
-}
-inline void NodeEntry::Builder::adoptClientEndpoint(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> NodeEntry::Builder::disownClientEndpoint() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
 
-inline bool NodeEntry::Reader::hasDataCentre() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
-}
-inline bool NodeEntry::Builder::hasDataCentre() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader NodeEntry::Reader::getDataCentre() const {
+  inline bool hasRequest() const;
+  inline  ::Peer::Wire::BeginIntentRequest::Reader getRequest() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Node::BeginIntentParams::Builder {
+public:
+  typedef BeginIntentParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasRequest();
+  inline  ::Peer::Wire::BeginIntentRequest::Builder getRequest();
+  inline void setRequest( ::Peer::Wire::BeginIntentRequest::Reader value);
+  inline  ::Peer::Wire::BeginIntentRequest::Builder initRequest();
+  inline void adoptRequest(::capnp::Orphan< ::Peer::Wire::BeginIntentRequest>&& value);
+  inline ::capnp::Orphan< ::Peer::Wire::BeginIntentRequest> disownRequest();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Node::BeginIntentParams::Pipeline {
+public:
+  typedef BeginIntentParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::Peer::Wire::BeginIntentRequest::Pipeline getRequest();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Node::BeginIntentResults::Reader {
+public:
+  typedef BeginIntentResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasReply() const;
+  inline  ::Peer::Wire::IntentReply::Reader getReply() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Node::BeginIntentResults::Builder {
+public:
+  typedef BeginIntentResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasReply();
+  inline  ::Peer::Wire::IntentReply::Builder getReply();
+  inline void setReply( ::Peer::Wire::IntentReply::Reader value);
+  inline  ::Peer::Wire::IntentReply::Builder initReply();
+  inline void adoptReply(::capnp::Orphan< ::Peer::Wire::IntentReply>&& value);
+  inline ::capnp::Orphan< ::Peer::Wire::IntentReply> disownReply();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Node::BeginIntentResults::Pipeline {
+public:
+  typedef BeginIntentResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::Peer::Wire::IntentReply::Pipeline getReply();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Node::FinishIntentParams::Reader {
+public:
+  typedef FinishIntentParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasRequest() const;
+  inline  ::Peer::Wire::FinishIntentRequest::Reader getRequest() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Node::FinishIntentParams::Builder {
+public:
+  typedef FinishIntentParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasRequest();
+  inline  ::Peer::Wire::FinishIntentRequest::Builder getRequest();
+  inline void setRequest( ::Peer::Wire::FinishIntentRequest::Reader value);
+  inline  ::Peer::Wire::FinishIntentRequest::Builder initRequest();
+  inline void adoptRequest(::capnp::Orphan< ::Peer::Wire::FinishIntentRequest>&& value);
+  inline ::capnp::Orphan< ::Peer::Wire::FinishIntentRequest> disownRequest();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Node::FinishIntentParams::Pipeline {
+public:
+  typedef FinishIntentParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::Peer::Wire::FinishIntentRequest::Pipeline getRequest();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Node::FinishIntentResults::Reader {
+public:
+  typedef FinishIntentResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasReply() const;
+  inline  ::Peer::Wire::IntentReply::Reader getReply() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Node::FinishIntentResults::Builder {
+public:
+  typedef FinishIntentResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasReply();
+  inline  ::Peer::Wire::IntentReply::Builder getReply();
+  inline void setReply( ::Peer::Wire::IntentReply::Reader value);
+  inline  ::Peer::Wire::IntentReply::Builder initReply();
+  inline void adoptReply(::capnp::Orphan< ::Peer::Wire::IntentReply>&& value);
+  inline ::capnp::Orphan< ::Peer::Wire::IntentReply> disownReply();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Node::FinishIntentResults::Pipeline {
+public:
+  typedef FinishIntentResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::Peer::Wire::IntentReply::Pipeline getReply();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Node::FetchPlatformDataParams::Reader {
+public:
+  typedef FetchPlatformDataParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasRequest() const;
+  inline  ::Peer::Wire::FetchPlatformDataRequest::Reader getRequest() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Node::FetchPlatformDataParams::Builder {
+public:
+  typedef FetchPlatformDataParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasRequest();
+  inline  ::Peer::Wire::FetchPlatformDataRequest::Builder getRequest();
+  inline void setRequest( ::Peer::Wire::FetchPlatformDataRequest::Reader value);
+  inline  ::Peer::Wire::FetchPlatformDataRequest::Builder initRequest();
+  inline void adoptRequest(::capnp::Orphan< ::Peer::Wire::FetchPlatformDataRequest>&& value);
+  inline ::capnp::Orphan< ::Peer::Wire::FetchPlatformDataRequest> disownRequest();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Node::FetchPlatformDataParams::Pipeline {
+public:
+  typedef FetchPlatformDataParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::Peer::Wire::FetchPlatformDataRequest::Pipeline getRequest();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Node::FetchPlatformDataResults::Reader {
+public:
+  typedef FetchPlatformDataResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasReply() const;
+  inline  ::Peer::Wire::FetchPlatformDataReply::Reader getReply() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Node::FetchPlatformDataResults::Builder {
+public:
+  typedef FetchPlatformDataResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasReply();
+  inline  ::Peer::Wire::FetchPlatformDataReply::Builder getReply();
+  inline void setReply( ::Peer::Wire::FetchPlatformDataReply::Reader value);
+  inline  ::Peer::Wire::FetchPlatformDataReply::Builder initReply();
+  inline void adoptReply(::capnp::Orphan< ::Peer::Wire::FetchPlatformDataReply>&& value);
+  inline ::capnp::Orphan< ::Peer::Wire::FetchPlatformDataReply> disownReply();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Node::FetchPlatformDataResults::Pipeline {
+public:
+  typedef FetchPlatformDataResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::Peer::Wire::FetchPlatformDataReply::Pipeline getReply();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+// =======================================================================================
+
+inline bool NodeEntry::Reader::hasId() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool NodeEntry::Builder::hasId() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader NodeEntry::Reader::getId() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder NodeEntry::Builder::getId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void NodeEntry::Builder::setId( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder NodeEntry::Builder::initId(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void NodeEntry::Builder::adoptId(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> NodeEntry::Builder::disownId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool NodeEntry::Reader::hasPeerEndpoint() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool NodeEntry::Builder::hasPeerEndpoint() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader NodeEntry::Reader::getPeerEndpoint() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder NodeEntry::Builder::getPeerEndpoint() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void NodeEntry::Builder::setPeerEndpoint( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder NodeEntry::Builder::initPeerEndpoint(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void NodeEntry::Builder::adoptPeerEndpoint(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> NodeEntry::Builder::disownPeerEndpoint() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool NodeEntry::Reader::hasClientEndpoint() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool NodeEntry::Builder::hasClientEndpoint() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader NodeEntry::Reader::getClientEndpoint() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder NodeEntry::Builder::getClientEndpoint() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void NodeEntry::Builder::setClientEndpoint( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder NodeEntry::Builder::initClientEndpoint(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void NodeEntry::Builder::adoptClientEndpoint(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> NodeEntry::Builder::disownClientEndpoint() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline bool NodeEntry::Reader::hasDataCentre() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool NodeEntry::Builder::hasDataCentre() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader NodeEntry::Reader::getDataCentre() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder NodeEntry::Builder::getDataCentre() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void NodeEntry::Builder::setDataCentre( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder NodeEntry::Builder::initDataCentre(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void NodeEntry::Builder::adoptDataCentre(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> NodeEntry::Builder::disownDataCentre() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
+inline bool NodeEntry::Reader::hasRegion() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool NodeEntry::Builder::hasRegion() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader NodeEntry::Reader::getRegion() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder NodeEntry::Builder::getRegion() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void NodeEntry::Builder::setRegion( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder NodeEntry::Builder::initRegion(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+}
+inline void NodeEntry::Builder::adoptRegion(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> NodeEntry::Builder::disownRegion() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t NodeEntry::Reader::getIncarnation() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t NodeEntry::Builder::getIncarnation() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void NodeEntry::Builder::setIncarnation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t NodeEntry::Reader::getHeartbeat() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t NodeEntry::Builder::getHeartbeat() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void NodeEntry::Builder::setHeartbeat( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t NodeEntry::Reader::getConfigurationGeneration() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t NodeEntry::Builder::getConfigurationGeneration() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void NodeEntry::Builder::setConfigurationGeneration( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool NodeEntry::Reader::getLeaving() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<192>() * ::capnp::ELEMENTS);
+}
+
+inline bool NodeEntry::Builder::getLeaving() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<192>() * ::capnp::ELEMENTS);
+}
+inline void NodeEntry::Builder::setLeaving(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<192>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool LeavingMark::Reader::hasServerId() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool LeavingMark::Builder::hasServerId() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader LeavingMark::Reader::getServerId() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder LeavingMark::Builder::getServerId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void LeavingMark::Builder::setServerId( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder LeavingMark::Builder::initServerId(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void LeavingMark::Builder::adoptServerId(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> LeavingMark::Builder::disownServerId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t LeavingMark::Reader::getIncarnation() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t LeavingMark::Builder::getIncarnation() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void LeavingMark::Builder::setIncarnation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t LeavingMark::Reader::getExpiresAtMilliseconds() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t LeavingMark::Builder::getExpiresAtMilliseconds() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void LeavingMark::Builder::setExpiresAtMilliseconds( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t UsageEntry::Reader::getNodeKey() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t UsageEntry::Builder::getNodeKey() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void UsageEntry::Builder::setNodeKey( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t UsageEntry::Reader::getTeamHash() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t UsageEntry::Builder::getTeamHash() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void UsageEntry::Builder::setTeamHash( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t UsageEntry::Reader::getHeartbeat() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t UsageEntry::Builder::getHeartbeat() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void UsageEntry::Builder::setHeartbeat( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline float UsageEntry::Reader::getRequestsPerSecond() const {
+  return _reader.getDataField<float>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline float UsageEntry::Builder::getRequestsPerSecond() {
+  return _builder.getDataField<float>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void UsageEntry::Builder::setRequestsPerSecond(float value) {
+  _builder.setDataField<float>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline float UsageEntry::Reader::getTokensPerSecond() const {
+  return _reader.getDataField<float>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline float UsageEntry::Builder::getTokensPerSecond() {
+  return _builder.getDataField<float>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void UsageEntry::Builder::setTokensPerSecond(float value) {
+  _builder.setDataField<float>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool QuarantineEntry::Reader::hasFingerprint() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool QuarantineEntry::Builder::hasFingerprint() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader QuarantineEntry::Reader::getFingerprint() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder QuarantineEntry::Builder::getFingerprint() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void QuarantineEntry::Builder::setFingerprint( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder QuarantineEntry::Builder::initFingerprint(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void QuarantineEntry::Builder::adoptFingerprint(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> QuarantineEntry::Builder::disownFingerprint() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::int64_t QuarantineEntry::Reader::getExpiresAtMilliseconds() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t QuarantineEntry::Builder::getExpiresAtMilliseconds() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void QuarantineEntry::Builder::setExpiresAtMilliseconds( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool ExchangeMessage::Reader::hasSender() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool ExchangeMessage::Builder::hasSender() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::Peer::Wire::NodeEntry::Reader ExchangeMessage::Reader::getSender() const {
+  return ::capnp::_::PointerHelpers< ::Peer::Wire::NodeEntry>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::Peer::Wire::NodeEntry::Builder ExchangeMessage::Builder::getSender() {
+  return ::capnp::_::PointerHelpers< ::Peer::Wire::NodeEntry>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::Peer::Wire::NodeEntry::Pipeline ExchangeMessage::Pipeline::getSender() {
+  return  ::Peer::Wire::NodeEntry::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void ExchangeMessage::Builder::setSender( ::Peer::Wire::NodeEntry::Reader value) {
+  ::capnp::_::PointerHelpers< ::Peer::Wire::NodeEntry>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::Peer::Wire::NodeEntry::Builder ExchangeMessage::Builder::initSender() {
+  return ::capnp::_::PointerHelpers< ::Peer::Wire::NodeEntry>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void ExchangeMessage::Builder::adoptSender(
+    ::capnp::Orphan< ::Peer::Wire::NodeEntry>&& value) {
+  ::capnp::_::PointerHelpers< ::Peer::Wire::NodeEntry>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::Peer::Wire::NodeEntry> ExchangeMessage::Builder::disownSender() {
+  return ::capnp::_::PointerHelpers< ::Peer::Wire::NodeEntry>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool ExchangeMessage::Reader::getDigestComplete() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline bool ExchangeMessage::Builder::getDigestComplete() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void ExchangeMessage::Builder::setDigestComplete(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool ExchangeMessage::Reader::hasHeartbeats() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool ExchangeMessage::Builder::hasHeartbeats() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader ExchangeMessage::Reader::getHeartbeats() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder ExchangeMessage::Builder::getHeartbeats() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void ExchangeMessage::Builder::setHeartbeats( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline void ExchangeMessage::Builder::setHeartbeats(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder ExchangeMessage::Builder::initHeartbeats(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void ExchangeMessage::Builder::adoptHeartbeats(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> ExchangeMessage::Builder::disownHeartbeats() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool ExchangeMessage::Reader::hasLeavingNodes() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool ExchangeMessage::Builder::hasLeavingNodes() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader ExchangeMessage::Reader::getLeavingNodes() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder ExchangeMessage::Builder::getLeavingNodes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void ExchangeMessage::Builder::setLeavingNodes( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline void ExchangeMessage::Builder::setLeavingNodes(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder ExchangeMessage::Builder::initLeavingNodes(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void ExchangeMessage::Builder::adoptLeavingNodes(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> ExchangeMessage::Builder::disownLeavingNodes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline bool ExchangeMessage::Reader::hasDataCentres() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool ExchangeMessage::Builder::hasDataCentres() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader ExchangeMessage::Reader::getDataCentres() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder NodeEntry::Builder::getDataCentre() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder ExchangeMessage::Builder::getDataCentres() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline void NodeEntry::Builder::setDataCentre( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+inline void ExchangeMessage::Builder::setDataCentres( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder NodeEntry::Builder::initDataCentre(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+inline void ExchangeMessage::Builder::setDataCentres(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder ExchangeMessage::Builder::initDataCentres(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS), size);
 }
-inline void NodeEntry::Builder::adoptDataCentre(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+inline void ExchangeMessage::Builder::adoptDataCentres(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> NodeEntry::Builder::disownDataCentre() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> ExchangeMessage::Builder::disownDataCentres() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
-inline bool NodeEntry::Reader::hasRegion() const {
+inline bool ExchangeMessage::Reader::hasRows() const {
   return !_reader.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
-inline bool NodeEntry::Builder::hasRegion() {
+inline bool ExchangeMessage::Builder::hasRows() {
   return !_builder.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader NodeEntry::Reader::getRegion() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+inline  ::capnp::List< ::Peer::Wire::NodeEntry,  ::capnp::Kind::STRUCT>::Reader ExchangeMessage::Reader::getRows() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Peer::Wire::NodeEntry,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder NodeEntry::Builder::getRegion() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+inline  ::capnp::List< ::Peer::Wire::NodeEntry,  ::capnp::Kind::STRUCT>::Builder ExchangeMessage::Builder::getRows() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Peer::Wire::NodeEntry,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-inline void NodeEntry::Builder::setRegion( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+inline void ExchangeMessage::Builder::setRows( ::capnp::List< ::Peer::Wire::NodeEntry,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Peer::Wire::NodeEntry,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder NodeEntry::Builder::initRegion(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+inline  ::capnp::List< ::Peer::Wire::NodeEntry,  ::capnp::Kind::STRUCT>::Builder ExchangeMessage::Builder::initRows(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Peer::Wire::NodeEntry,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS), size);
 }
-inline void NodeEntry::Builder::adoptRegion(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+inline void ExchangeMessage::Builder::adoptRows(
+    ::capnp::Orphan< ::capnp::List< ::Peer::Wire::NodeEntry,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Peer::Wire::NodeEntry,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> NodeEntry::Builder::disownRegion() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::Peer::Wire::NodeEntry,  ::capnp::Kind::STRUCT>> ExchangeMessage::Builder::disownRows() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Peer::Wire::NodeEntry,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t NodeEntry::Reader::getIncarnation() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool ExchangeMessage::Reader::hasWantedRows() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::uint64_t NodeEntry::Builder::getIncarnation() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool ExchangeMessage::Builder::hasWantedRows() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
 }
-inline void NodeEntry::Builder::setIncarnation( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader ExchangeMessage::Reader::getWantedRows() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder ExchangeMessage::Builder::getWantedRows() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline void ExchangeMessage::Builder::setWantedRows( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+}
+inline void ExchangeMessage::Builder::setWantedRows(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder ExchangeMessage::Builder::initWantedRows(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
+}
+inline void ExchangeMessage::Builder::adoptWantedRows(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> ExchangeMessage::Builder::disownWantedRows() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t NodeEntry::Reader::getHeartbeat() const {
+inline  ::uint64_t ExchangeMessage::Reader::getMarksHash() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t NodeEntry::Builder::getHeartbeat() {
+inline  ::uint64_t ExchangeMessage::Builder::getMarksHash() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void NodeEntry::Builder::setHeartbeat( ::uint64_t value) {
+inline void ExchangeMessage::Builder::setMarksHash( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t NodeEntry::Reader::getConfigurationGeneration() const {
+inline  ::uint64_t ExchangeMessage::Reader::getQuarantineHash() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t NodeEntry::Builder::getConfigurationGeneration() {
+inline  ::uint64_t ExchangeMessage::Builder::getQuarantineHash() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void NodeEntry::Builder::setConfigurationGeneration( ::uint64_t value) {
+inline void ExchangeMessage::Builder::setQuarantineHash( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool NodeEntry::Reader::getLeaving() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<192>() * ::capnp::ELEMENTS);
+inline bool ExchangeMessage::Reader::hasLeavingMarks() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+}
+inline bool ExchangeMessage::Builder::hasLeavingMarks() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::Peer::Wire::LeavingMark,  ::capnp::Kind::STRUCT>::Reader ExchangeMessage::Reader::getLeavingMarks() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Peer::Wire::LeavingMark,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::Peer::Wire::LeavingMark,  ::capnp::Kind::STRUCT>::Builder ExchangeMessage::Builder::getLeavingMarks() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Peer::Wire::LeavingMark,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline void ExchangeMessage::Builder::setLeavingMarks( ::capnp::List< ::Peer::Wire::LeavingMark,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Peer::Wire::LeavingMark,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::Peer::Wire::LeavingMark,  ::capnp::Kind::STRUCT>::Builder ExchangeMessage::Builder::initLeavingMarks(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Peer::Wire::LeavingMark,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), size);
+}
+inline void ExchangeMessage::Builder::adoptLeavingMarks(
+    ::capnp::Orphan< ::capnp::List< ::Peer::Wire::LeavingMark,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Peer::Wire::LeavingMark,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::Peer::Wire::LeavingMark,  ::capnp::Kind::STRUCT>> ExchangeMessage::Builder::disownLeavingMarks() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Peer::Wire::LeavingMark,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
 }
 
-inline bool NodeEntry::Builder::getLeaving() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<192>() * ::capnp::ELEMENTS);
+inline bool ExchangeMessage::Reader::hasQuarantine() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
 }
-inline void NodeEntry::Builder::setLeaving(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<192>() * ::capnp::ELEMENTS, value);
+inline bool ExchangeMessage::Builder::hasQuarantine() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::Peer::Wire::QuarantineEntry,  ::capnp::Kind::STRUCT>::Reader ExchangeMessage::Reader::getQuarantine() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Peer::Wire::QuarantineEntry,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::Peer::Wire::QuarantineEntry,  ::capnp::Kind::STRUCT>::Builder ExchangeMessage::Builder::getQuarantine() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Peer::Wire::QuarantineEntry,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+inline void ExchangeMessage::Builder::setQuarantine( ::capnp::List< ::Peer::Wire::QuarantineEntry,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Peer::Wire::QuarantineEntry,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::Peer::Wire::QuarantineEntry,  ::capnp::Kind::STRUCT>::Builder ExchangeMessage::Builder::initQuarantine(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Peer::Wire::QuarantineEntry,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), size);
+}
+inline void ExchangeMessage::Builder::adoptQuarantine(
+    ::capnp::Orphan< ::capnp::List< ::Peer::Wire::QuarantineEntry,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Peer::Wire::QuarantineEntry,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::Peer::Wire::QuarantineEntry,  ::capnp::Kind::STRUCT>> ExchangeMessage::Builder::disownQuarantine() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Peer::Wire::QuarantineEntry,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
 }
 
-inline bool LeavingMark::Reader::hasServerId() const {
+inline bool ExchangeMessage::Reader::hasUsage() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
 }
-inline bool LeavingMark::Builder::hasServerId() {
+inline bool ExchangeMessage::Builder::hasUsage() {
   return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader LeavingMark::Reader::getServerId() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::Peer::Wire::UsageEntry,  ::capnp::Kind::STRUCT>::Reader ExchangeMessage::Reader::getUsage() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Peer::Wire::UsageEntry,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder LeavingMark::Builder::getServerId() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::Peer::Wire::UsageEntry,  ::capnp::Kind::STRUCT>::Builder ExchangeMessage::Builder::getUsage() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Peer::Wire::UsageEntry,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
 }
-inline void LeavingMark::Builder::setServerId( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void ExchangeMessage::Builder::setUsage( ::capnp::List< ::Peer::Wire::UsageEntry,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Peer::Wire::UsageEntry,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder LeavingMark::Builder::initServerId(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline  ::capnp::List< ::Peer::Wire::UsageEntry,  ::capnp::Kind::STRUCT>::Builder ExchangeMessage::Builder::initUsage(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Peer::Wire::UsageEntry,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), size);
 }
-inline void LeavingMark::Builder::adoptServerId(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void ExchangeMessage::Builder::adoptUsage(
+    ::capnp::Orphan< ::capnp::List< ::Peer::Wire::UsageEntry,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Peer::Wire::UsageEntry,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> LeavingMark::Builder::disownServerId() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::List< ::Peer::Wire::UsageEntry,  ::capnp::Kind::STRUCT>> ExchangeMessage::Builder::disownUsage() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Peer::Wire::UsageEntry,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t LeavingMark::Reader::getIncarnation() const {
+inline  ::uint64_t FetchConfigurationRequest::Reader::getAboveGeneration() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t LeavingMark::Builder::getIncarnation() {
+inline  ::uint64_t FetchConfigurationRequest::Builder::getAboveGeneration() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void LeavingMark::Builder::setIncarnation( ::uint64_t value) {
+inline void FetchConfigurationRequest::Builder::setAboveGeneration( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::int64_t LeavingMark::Reader::getExpiresAtMilliseconds() const {
-  return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-
-inline  ::int64_t LeavingMark::Builder::getExpiresAtMilliseconds() {
-  return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-inline void LeavingMark::Builder::setExpiresAtMilliseconds( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::uint64_t UsageEntry::Reader::getNodeKey() const {
+inline  ::uint64_t FetchConfigurationReply::Reader::getGeneration() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t UsageEntry::Builder::getNodeKey() {
+inline  ::uint64_t FetchConfigurationReply::Builder::getGeneration() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void UsageEntry::Builder::setNodeKey( ::uint64_t value) {
+inline void FetchConfigurationReply::Builder::setGeneration( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t UsageEntry::Reader::getTeamHash() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint32_t UsageEntry::Builder::getTeamHash() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
-}
-inline void UsageEntry::Builder::setTeamHash( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::uint32_t UsageEntry::Reader::getHeartbeat() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint32_t UsageEntry::Builder::getHeartbeat() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
-}
-inline void UsageEntry::Builder::setHeartbeat( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
-}
-
-inline float UsageEntry::Reader::getRequestsPerSecond() const {
-  return _reader.getDataField<float>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
-}
-
-inline float UsageEntry::Builder::getRequestsPerSecond() {
-  return _builder.getDataField<float>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
-}
-inline void UsageEntry::Builder::setRequestsPerSecond(float value) {
-  _builder.setDataField<float>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
-}
-
-inline float UsageEntry::Reader::getTokensPerSecond() const {
-  return _reader.getDataField<float>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
-}
-
-inline float UsageEntry::Builder::getTokensPerSecond() {
-  return _builder.getDataField<float>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
-}
-inline void UsageEntry::Builder::setTokensPerSecond(float value) {
-  _builder.setDataField<float>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool QuarantineEntry::Reader::hasFingerprint() const {
+inline bool FetchConfigurationReply::Reader::hasJson() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool QuarantineEntry::Builder::hasFingerprint() {
+inline bool FetchConfigurationReply::Builder::hasJson() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader QuarantineEntry::Reader::getFingerprint() const {
+inline  ::capnp::Text::Reader FetchConfigurationReply::Reader::getJson() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder QuarantineEntry::Builder::getFingerprint() {
+inline  ::capnp::Text::Builder FetchConfigurationReply::Builder::getJson() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void QuarantineEntry::Builder::setFingerprint( ::capnp::Text::Reader value) {
+inline void FetchConfigurationReply::Builder::setJson( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder QuarantineEntry::Builder::initFingerprint(unsigned int size) {
+inline  ::capnp::Text::Builder FetchConfigurationReply::Builder::initJson(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void QuarantineEntry::Builder::adoptFingerprint(
+inline void FetchConfigurationReply::Builder::adoptJson(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> QuarantineEntry::Builder::disownFingerprint() {
+inline ::capnp::Orphan< ::capnp::Text> FetchConfigurationReply::Builder::disownJson() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::int64_t QuarantineEntry::Reader::getExpiresAtMilliseconds() const {
-  return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline  ::int64_t QuarantineEntry::Builder::getExpiresAtMilliseconds() {
-  return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void QuarantineEntry::Builder::setExpiresAtMilliseconds( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool ExchangeMessage::Reader::hasSender() const {
+inline bool StreamRecord::Reader::hasRequestId() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool ExchangeMessage::Builder::hasSender() {
+inline bool StreamRecord::Builder::hasRequestId() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::Peer::Wire::NodeEntry::Reader ExchangeMessage::Reader::getSender() const {
-  return ::capnp::_::PointerHelpers< ::Peer::Wire::NodeEntry>::get(_reader.getPointerField(
+inline  ::capnp::Text::Reader StreamRecord::Reader::getRequestId() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::Peer::Wire::NodeEntry::Builder ExchangeMessage::Builder::getSender() {
-  return ::capnp::_::PointerHelpers< ::Peer::Wire::NodeEntry>::get(_builder.getPointerField(
+inline  ::capnp::Text::Builder StreamRecord::Builder::getRequestId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-#if !CAPNP_LITE
-inline  ::Peer::Wire::NodeEntry::Pipeline ExchangeMessage::Pipeline::getSender() {
-  return  ::Peer::Wire::NodeEntry::Pipeline(_typeless.getPointerField(0));
-}
-#endif  // !CAPNP_LITE
-inline void ExchangeMessage::Builder::setSender( ::Peer::Wire::NodeEntry::Reader value) {
-  ::capnp::_::PointerHelpers< ::Peer::Wire::NodeEntry>::set(_builder.getPointerField(
+inline void StreamRecord::Builder::setRequestId( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::Peer::Wire::NodeEntry::Builder ExchangeMessage::Builder::initSender() {
-  return ::capnp::_::PointerHelpers< ::Peer::Wire::NodeEntry>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder StreamRecord::Builder::initRequestId(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void ExchangeMessage::Builder::adoptSender(
-    ::capnp::Orphan< ::Peer::Wire::NodeEntry>&& value) {
-  ::capnp::_::PointerHelpers< ::Peer::Wire::NodeEntry>::adopt(_builder.getPointerField(
+inline void StreamRecord::Builder::adoptRequestId(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::Peer::Wire::NodeEntry> ExchangeMessage::Builder::disownSender() {
-  return ::capnp::_::PointerHelpers< ::Peer::Wire::NodeEntry>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::Text> StreamRecord::Builder::disownRequestId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool ExchangeMessage::Reader::getDigestComplete() const {
-  return _reader.getDataField<bool>(
+inline  ::uint64_t StreamRecord::Reader::getEpoch() const {
+  return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline bool ExchangeMessage::Builder::getDigestComplete() {
-  return _builder.getDataField<bool>(
+inline  ::uint64_t StreamRecord::Builder::getEpoch() {
+  return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void ExchangeMessage::Builder::setDigestComplete(bool value) {
-  _builder.setDataField<bool>(
+inline void StreamRecord::Builder::setEpoch( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool ExchangeMessage::Reader::hasHeartbeats() const {
+inline bool StreamRecord::Reader::hasOriginNodeId() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool ExchangeMessage::Builder::hasHeartbeats() {
+inline bool StreamRecord::Builder::hasOriginNodeId() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader ExchangeMessage::Reader::getHeartbeats() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+inline  ::capnp::Text::Reader StreamRecord::Reader::getOriginNodeId() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder ExchangeMessage::Builder::getHeartbeats() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+inline  ::capnp::Text::Builder StreamRecord::Builder::getOriginNodeId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void ExchangeMessage::Builder::setHeartbeats( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
-}
-inline void ExchangeMessage::Builder::setHeartbeats(::kj::ArrayPtr<const  ::uint64_t> value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+inline void StreamRecord::Builder::setOriginNodeId( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder ExchangeMessage::Builder::initHeartbeats(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+inline  ::capnp::Text::Builder StreamRecord::Builder::initOriginNodeId(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void ExchangeMessage::Builder::adoptHeartbeats(
-    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+inline void StreamRecord::Builder::adoptOriginNodeId(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> ExchangeMessage::Builder::disownHeartbeats() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::Text> StreamRecord::Builder::disownOriginNodeId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool ExchangeMessage::Reader::hasLeavingNodes() const {
+inline bool StreamRecord::Reader::hasTeam() const {
   return !_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool ExchangeMessage::Builder::hasLeavingNodes() {
+inline bool StreamRecord::Builder::hasTeam() {
   return !_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader ExchangeMessage::Reader::getLeavingNodes() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+inline  ::capnp::Text::Reader StreamRecord::Reader::getTeam() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder ExchangeMessage::Builder::getLeavingNodes() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+inline  ::capnp::Text::Builder StreamRecord::Builder::getTeam() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void ExchangeMessage::Builder::setLeavingNodes( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
-}
-inline void ExchangeMessage::Builder::setLeavingNodes(::kj::ArrayPtr<const  ::uint64_t> value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+inline void StreamRecord::Builder::setTeam( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder ExchangeMessage::Builder::initLeavingNodes(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+inline  ::capnp::Text::Builder StreamRecord::Builder::initTeam(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void ExchangeMessage::Builder::adoptLeavingNodes(
-    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+inline void StreamRecord::Builder::adoptTeam(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> ExchangeMessage::Builder::disownLeavingNodes() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::Text> StreamRecord::Builder::disownTeam() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline bool ExchangeMessage::Reader::hasDataCentres() const {
+inline bool StreamRecord::Reader::hasService() const {
   return !_reader.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline bool ExchangeMessage::Builder::hasDataCentres() {
+inline bool StreamRecord::Builder::hasService() {
   return !_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader ExchangeMessage::Reader::getDataCentres() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+inline  ::capnp::Text::Reader StreamRecord::Reader::getService() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder ExchangeMessage::Builder::getDataCentres() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+inline  ::capnp::Text::Builder StreamRecord::Builder::getService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline void ExchangeMessage::Builder::setDataCentres( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
-}
-inline void ExchangeMessage::Builder::setDataCentres(::kj::ArrayPtr<const  ::uint64_t> value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+inline void StreamRecord::Builder::setService( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder ExchangeMessage::Builder::initDataCentres(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+inline  ::capnp::Text::Builder StreamRecord::Builder::initService(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS), size);
 }
-inline void ExchangeMessage::Builder::adoptDataCentres(
-    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+inline void StreamRecord::Builder::adoptService(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> ExchangeMessage::Builder::disownDataCentres() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::Text> StreamRecord::Builder::disownService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
-inline bool ExchangeMessage::Reader::hasRows() const {
+inline bool StreamRecord::Reader::hasRequestJson() const {
   return !_reader.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
-inline bool ExchangeMessage::Builder::hasRows() {
+inline bool StreamRecord::Builder::hasRequestJson() {
   return !_builder.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::Peer::Wire::NodeEntry,  ::capnp::Kind::STRUCT>::Reader ExchangeMessage::Reader::getRows() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::Peer::Wire::NodeEntry,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+inline  ::capnp::Text::Reader StreamRecord::Reader::getRequestJson() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::Peer::Wire::NodeEntry,  ::capnp::Kind::STRUCT>::Builder ExchangeMessage::Builder::getRows() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::Peer::Wire::NodeEntry,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+inline  ::capnp::Text::Builder StreamRecord::Builder::getRequestJson() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-inline void ExchangeMessage::Builder::setRows( ::capnp::List< ::Peer::Wire::NodeEntry,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::Peer::Wire::NodeEntry,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+inline void StreamRecord::Builder::setRequestJson( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::Peer::Wire::NodeEntry,  ::capnp::Kind::STRUCT>::Builder ExchangeMessage::Builder::initRows(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::Peer::Wire::NodeEntry,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+inline  ::capnp::Text::Builder StreamRecord::Builder::initRequestJson(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS), size);
 }
-inline void ExchangeMessage::Builder::adoptRows(
-    ::capnp::Orphan< ::capnp::List< ::Peer::Wire::NodeEntry,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::Peer::Wire::NodeEntry,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+inline void StreamRecord::Builder::adoptRequestJson(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::Peer::Wire::NodeEntry,  ::capnp::Kind::STRUCT>> ExchangeMessage::Builder::disownRows() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::Peer::Wire::NodeEntry,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::Text> StreamRecord::Builder::disownRequestJson() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
-inline bool ExchangeMessage::Reader::hasWantedRows() const {
+inline  ::uint64_t StreamRecord::Reader::getFirstIndex() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t StreamRecord::Builder::getFirstIndex() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void StreamRecord::Builder::setFirstIndex( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool StreamRecord::Reader::hasTokens() const {
   return !_reader.getPointerField(
       ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
 }
-inline bool ExchangeMessage::Builder::hasWantedRows() {
+inline bool StreamRecord::Builder::hasTokens() {
   return !_builder.getPointerField(
       ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader ExchangeMessage::Reader::getWantedRows() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader StreamRecord::Reader::getTokens() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
       ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder ExchangeMessage::Builder::getWantedRows() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder StreamRecord::Builder::getTokens() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
       ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
-inline void ExchangeMessage::Builder::setWantedRows( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+inline void StreamRecord::Builder::setTokens( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
       ::capnp::bounded<5>() * ::capnp::POINTERS), value);
 }
-inline void ExchangeMessage::Builder::setWantedRows(::kj::ArrayPtr<const  ::uint64_t> value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+inline void StreamRecord::Builder::setTokens(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
       ::capnp::bounded<5>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder ExchangeMessage::Builder::initWantedRows(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder StreamRecord::Builder::initTokens(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
       ::capnp::bounded<5>() * ::capnp::POINTERS), size);
 }
-inline void ExchangeMessage::Builder::adoptWantedRows(
-    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+inline void StreamRecord::Builder::adoptTokens(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
       ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> ExchangeMessage::Builder::disownWantedRows() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> StreamRecord::Builder::disownTokens() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
       ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t ExchangeMessage::Reader::getMarksHash() const {
+inline bool StreamRecord::Reader::getFinished() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+}
+
+inline bool StreamRecord::Builder::getFinished() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+}
+inline void StreamRecord::Builder::setFinished(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool StreamRecord::Reader::hasFinishReason() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+}
+inline bool StreamRecord::Builder::hasFinishReason() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader StreamRecord::Reader::getFinishReason() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder StreamRecord::Builder::getFinishReason() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline void StreamRecord::Builder::setFinishReason( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder StreamRecord::Builder::initFinishReason(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), size);
+}
+inline void StreamRecord::Builder::adoptFinishReason(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> StreamRecord::Builder::disownFinishReason() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+
+inline bool StreamResult::Reader::hasRequestId() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool StreamResult::Builder::hasRequestId() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader StreamResult::Reader::getRequestId() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder StreamResult::Builder::getRequestId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void StreamResult::Builder::setRequestId( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder StreamResult::Builder::initRequestId(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void StreamResult::Builder::adoptRequestId(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> StreamResult::Builder::disownRequestId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint16_t StreamResult::Reader::getDecision() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t StreamResult::Builder::getDecision() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void StreamResult::Builder::setDecision( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t StreamResult::Reader::getEpoch() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t ExchangeMessage::Builder::getMarksHash() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::uint64_t StreamResult::Builder::getEpoch() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void StreamResult::Builder::setEpoch( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t StreamResult::Reader::getFirstMissingIndex() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t StreamResult::Builder::getFirstMissingIndex() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void StreamResult::Builder::setFirstMissingIndex( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool StreamRecords::Reader::hasSenderNodeId() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool StreamRecords::Builder::hasSenderNodeId() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader StreamRecords::Reader::getSenderNodeId() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder StreamRecords::Builder::getSenderNodeId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void StreamRecords::Builder::setSenderNodeId( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder StreamRecords::Builder::initSenderNodeId(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void StreamRecords::Builder::adoptSenderNodeId(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> StreamRecords::Builder::disownSenderNodeId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool StreamRecords::Reader::hasRecords() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline void ExchangeMessage::Builder::setMarksHash( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline bool StreamRecords::Builder::hasRecords() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::uint64_t ExchangeMessage::Reader::getQuarantineHash() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::capnp::List< ::Peer::Wire::StreamRecord,  ::capnp::Kind::STRUCT>::Reader StreamRecords::Reader::getRecords() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Peer::Wire::StreamRecord,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-
-inline  ::uint64_t ExchangeMessage::Builder::getQuarantineHash() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::capnp::List< ::Peer::Wire::StreamRecord,  ::capnp::Kind::STRUCT>::Builder StreamRecords::Builder::getRecords() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Peer::Wire::StreamRecord,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void ExchangeMessage::Builder::setQuarantineHash( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline void StreamRecords::Builder::setRecords( ::capnp::List< ::Peer::Wire::StreamRecord,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Peer::Wire::StreamRecord,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::Peer::Wire::StreamRecord,  ::capnp::Kind::STRUCT>::Builder StreamRecords::Builder::initRecords(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Peer::Wire::StreamRecord,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void StreamRecords::Builder::adoptRecords(
+    ::capnp::Orphan< ::capnp::List< ::Peer::Wire::StreamRecord,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Peer::Wire::StreamRecord,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::Peer::Wire::StreamRecord,  ::capnp::Kind::STRUCT>> StreamRecords::Builder::disownRecords() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Peer::Wire::StreamRecord,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool ExchangeMessage::Reader::hasLeavingMarks() const {
+inline bool StreamResults::Reader::hasResults() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool ExchangeMessage::Builder::hasLeavingMarks() {
+inline bool StreamResults::Builder::hasResults() {
   return !_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::Peer::Wire::LeavingMark,  ::capnp::Kind::STRUCT>::Reader ExchangeMessage::Reader::getLeavingMarks() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::Peer::Wire::LeavingMark,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::Peer::Wire::StreamResult,  ::capnp::Kind::STRUCT>::Reader StreamResults::Reader::getResults() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Peer::Wire::StreamResult,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::Peer::Wire::LeavingMark,  ::capnp::Kind::STRUCT>::Builder ExchangeMessage::Builder::getLeavingMarks() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::Peer::Wire::LeavingMark,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::Peer::Wire::StreamResult,  ::capnp::Kind::STRUCT>::Builder StreamResults::Builder::getResults() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Peer::Wire::StreamResult,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void ExchangeMessage::Builder::setLeavingMarks( ::capnp::List< ::Peer::Wire::LeavingMark,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::Peer::Wire::LeavingMark,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS), value);
+inline void StreamResults::Builder::setResults( ::capnp::List< ::Peer::Wire::StreamResult,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Peer::Wire::StreamResult,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::Peer::Wire::LeavingMark,  ::capnp::Kind::STRUCT>::Builder ExchangeMessage::Builder::initLeavingMarks(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::Peer::Wire::LeavingMark,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS), size);
+inline  ::capnp::List< ::Peer::Wire::StreamResult,  ::capnp::Kind::STRUCT>::Builder StreamResults::Builder::initResults(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Peer::Wire::StreamResult,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void ExchangeMessage::Builder::adoptLeavingMarks(
-    ::capnp::Orphan< ::capnp::List< ::Peer::Wire::LeavingMark,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::Peer::Wire::LeavingMark,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS), kj::mv(value));
+inline void StreamResults::Builder::adoptResults(
+    ::capnp::Orphan< ::capnp::List< ::Peer::Wire::StreamResult,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Peer::Wire::StreamResult,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::Peer::Wire::LeavingMark,  ::capnp::Kind::STRUCT>> ExchangeMessage::Builder::disownLeavingMarks() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::Peer::Wire::LeavingMark,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::List< ::Peer::Wire::StreamResult,  ::capnp::Kind::STRUCT>> StreamResults::Builder::disownResults() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Peer::Wire::StreamResult,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool ExchangeMessage::Reader::hasQuarantine() const {
+inline bool FindStreamRequest::Reader::hasRequestId() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool ExchangeMessage::Builder::hasQuarantine() {
+inline bool FindStreamRequest::Builder::hasRequestId() {
   return !_builder.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::Peer::Wire::QuarantineEntry,  ::capnp::Kind::STRUCT>::Reader ExchangeMessage::Reader::getQuarantine() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::Peer::Wire::QuarantineEntry,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader FindStreamRequest::Reader::getRequestId() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::Peer::Wire::QuarantineEntry,  ::capnp::Kind::STRUCT>::Builder ExchangeMessage::Builder::getQuarantine() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::Peer::Wire::QuarantineEntry,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder FindStreamRequest::Builder::getRequestId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void ExchangeMessage::Builder::setQuarantine( ::capnp::List< ::Peer::Wire::QuarantineEntry,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::Peer::Wire::QuarantineEntry,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS), value);
+inline void FindStreamRequest::Builder::setRequestId( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::Peer::Wire::QuarantineEntry,  ::capnp::Kind::STRUCT>::Builder ExchangeMessage::Builder::initQuarantine(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::Peer::Wire::QuarantineEntry,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS), size);
+inline  ::capnp::Text::Builder FindStreamRequest::Builder::initRequestId(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void ExchangeMessage::Builder::adoptQuarantine(
-    ::capnp::Orphan< ::capnp::List< ::Peer::Wire::QuarantineEntry,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::Peer::Wire::QuarantineEntry,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS), kj::mv(value));
+inline void FindStreamRequest::Builder::adoptRequestId(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::Peer::Wire::QuarantineEntry,  ::capnp::Kind::STRUCT>> ExchangeMessage::Builder::disownQuarantine() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::Peer::Wire::QuarantineEntry,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> FindStreamRequest::Builder::disownRequestId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool ExchangeMessage::Reader::hasUsage() const {
+inline bool FindStreamReply::Reader::hasRecord() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool ExchangeMessage::Builder::hasUsage() {
+inline bool FindStreamReply::Builder::hasRecord() {
   return !_builder.getPointerField(
-      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::Peer::Wire::UsageEntry,  ::capnp::Kind::STRUCT>::Reader ExchangeMessage::Reader::getUsage() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::Peer::Wire::UsageEntry,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<8>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::Peer::Wire::UsageEntry,  ::capnp::Kind::STRUCT>::Builder ExchangeMessage::Builder::getUsage() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::Peer::Wire::UsageEntry,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<8>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline void ExchangeMessage::Builder::setUsage( ::capnp::List< ::Peer::Wire::UsageEntry,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::Peer::Wire::UsageEntry,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<8>() * ::capnp::POINTERS), value);
+inline  ::Peer::Wire::StreamRecord::Reader FindStreamReply::Reader::getRecord() const {
+  return ::capnp::_::PointerHelpers< ::Peer::Wire::StreamRecord>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::Peer::Wire::UsageEntry,  ::capnp::Kind::STRUCT>::Builder ExchangeMessage::Builder::initUsage(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::Peer::Wire::UsageEntry,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<8>() * ::capnp::POINTERS), size);
+inline  ::Peer::Wire::StreamRecord::Builder FindStreamReply::Builder::getRecord() {
+  return ::capnp::_::PointerHelpers< ::Peer::Wire::StreamRecord>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void ExchangeMessage::Builder::adoptUsage(
-    ::capnp::Orphan< ::capnp::List< ::Peer::Wire::UsageEntry,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::Peer::Wire::UsageEntry,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<8>() * ::capnp::POINTERS), kj::mv(value));
+#if !CAPNP_LITE
+inline  ::Peer::Wire::StreamRecord::Pipeline FindStreamReply::Pipeline::getRecord() {
+  return  ::Peer::Wire::StreamRecord::Pipeline(_typeless.getPointerField(0));
 }
-inline ::capnp::Orphan< ::capnp::List< ::Peer::Wire::UsageEntry,  ::capnp::Kind::STRUCT>> ExchangeMessage::Builder::disownUsage() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::Peer::Wire::UsageEntry,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<8>() * ::capnp::POINTERS));
+#endif  // !CAPNP_LITE
+inline void FindStreamReply::Builder::setRecord( ::Peer::Wire::StreamRecord::Reader value) {
+  ::capnp::_::PointerHelpers< ::Peer::Wire::StreamRecord>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-
-inline  ::uint64_t FetchConfigurationRequest::Reader::getAboveGeneration() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::Peer::Wire::StreamRecord::Builder FindStreamReply::Builder::initRecord() {
+  return ::capnp::_::PointerHelpers< ::Peer::Wire::StreamRecord>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-
-inline  ::uint64_t FetchConfigurationRequest::Builder::getAboveGeneration() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline void FindStreamReply::Builder::adoptRecord(
+    ::capnp::Orphan< ::Peer::Wire::StreamRecord>&& value) {
+  ::capnp::_::PointerHelpers< ::Peer::Wire::StreamRecord>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline void FetchConfigurationRequest::Builder::setAboveGeneration( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline ::capnp::Orphan< ::Peer::Wire::StreamRecord> FindStreamReply::Builder::disownRecord() {
+  return ::capnp::_::PointerHelpers< ::Peer::Wire::StreamRecord>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t FetchConfigurationReply::Reader::getGeneration() const {
-  return _reader.getDataField< ::uint64_t>(
+inline  ::uint16_t RecordedAnswer::Reader::getStatus() const {
+  return _reader.getDataField< ::uint16_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t FetchConfigurationReply::Builder::getGeneration() {
-  return _builder.getDataField< ::uint64_t>(
+inline  ::uint16_t RecordedAnswer::Builder::getStatus() {
+  return _builder.getDataField< ::uint16_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void FetchConfigurationReply::Builder::setGeneration( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
+inline void RecordedAnswer::Builder::setStatus( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool FetchConfigurationReply::Reader::hasJson() const {
+inline bool RecordedAnswer::Reader::hasContentType() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool FetchConfigurationReply::Builder::hasJson() {
+inline bool RecordedAnswer::Builder::hasContentType() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader FetchConfigurationReply::Reader::getJson() const {
+inline  ::capnp::Text::Reader RecordedAnswer::Reader::getContentType() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder FetchConfigurationReply::Builder::getJson() {
+inline  ::capnp::Text::Builder RecordedAnswer::Builder::getContentType() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void FetchConfigurationReply::Builder::setJson( ::capnp::Text::Reader value) {
+inline void RecordedAnswer::Builder::setContentType( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder FetchConfigurationReply::Builder::initJson(unsigned int size) {
+inline  ::capnp::Text::Builder RecordedAnswer::Builder::initContentType(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void FetchConfigurationReply::Builder::adoptJson(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void RecordedAnswer::Builder::adoptContentType(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> RecordedAnswer::Builder::disownContentType() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool RecordedAnswer::Reader::hasBody() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool RecordedAnswer::Builder::hasBody() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Data::Reader RecordedAnswer::Reader::getBody() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Data::Builder RecordedAnswer::Builder::getBody() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void RecordedAnswer::Builder::setBody( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Data::Builder RecordedAnswer::Builder::initBody(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void RecordedAnswer::Builder::adoptBody(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> FetchConfigurationReply::Builder::disownJson() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Data> RecordedAnswer::Builder::disownBody() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool StreamRecord::Reader::hasRequestId() const {
+inline bool BeginIntentRequest::Reader::hasKey() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool StreamRecord::Builder::hasRequestId() {
+inline bool BeginIntentRequest::Builder::hasKey() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader StreamRecord::Reader::getRequestId() const {
+inline  ::capnp::Text::Reader BeginIntentRequest::Reader::getKey() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder StreamRecord::Builder::getRequestId() {
+inline  ::capnp::Text::Builder BeginIntentRequest::Builder::getKey() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void StreamRecord::Builder::setRequestId( ::capnp::Text::Reader value) {
+inline void BeginIntentRequest::Builder::setKey( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder StreamRecord::Builder::initRequestId(unsigned int size) {
+inline  ::capnp::Text::Builder BeginIntentRequest::Builder::initKey(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void StreamRecord::Builder::adoptRequestId(
+inline void BeginIntentRequest::Builder::adoptKey(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> StreamRecord::Builder::disownRequestId() {
+inline ::capnp::Orphan< ::capnp::Text> BeginIntentRequest::Builder::disownKey() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t StreamRecord::Reader::getEpoch() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t StreamRecord::Builder::getEpoch() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void StreamRecord::Builder::setEpoch( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool StreamRecord::Reader::hasOriginNodeId() const {
+inline bool BeginIntentRequest::Reader::hasFingerprint() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool StreamRecord::Builder::hasOriginNodeId() {
+inline bool BeginIntentRequest::Builder::hasFingerprint() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader StreamRecord::Reader::getOriginNodeId() const {
+inline  ::capnp::Text::Reader BeginIntentRequest::Reader::getFingerprint() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder StreamRecord::Builder::getOriginNodeId() {
+inline  ::capnp::Text::Builder BeginIntentRequest::Builder::getFingerprint() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void StreamRecord::Builder::setOriginNodeId( ::capnp::Text::Reader value) {
+inline void BeginIntentRequest::Builder::setFingerprint( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder StreamRecord::Builder::initOriginNodeId(unsigned int size) {
+inline  ::capnp::Text::Builder BeginIntentRequest::Builder::initFingerprint(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void StreamRecord::Builder::adoptOriginNodeId(
+inline void BeginIntentRequest::Builder::adoptFingerprint(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> StreamRecord::Builder::disownOriginNodeId() {
+inline ::capnp::Orphan< ::capnp::Text> BeginIntentRequest::Builder::disownFingerprint() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool StreamRecord::Reader::hasTeam() const {
+inline bool BeginIntentRequest::Reader::hasAttemptId() const {
   return !_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool StreamRecord::Builder::hasTeam() {
+inline bool BeginIntentRequest::Builder::hasAttemptId() {
   return !_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader StreamRecord::Reader::getTeam() const {
+inline  ::capnp::Text::Reader BeginIntentRequest::Reader::getAttemptId() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder StreamRecord::Builder::getTeam() {
+inline  ::capnp::Text::Builder BeginIntentRequest::Builder::getAttemptId() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void StreamRecord::Builder::setTeam( ::capnp::Text::Reader value) {
+inline void BeginIntentRequest::Builder::setAttemptId( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder StreamRecord::Builder::initTeam(unsigned int size) {
+inline  ::capnp::Text::Builder BeginIntentRequest::Builder::initAttemptId(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void StreamRecord::Builder::adoptTeam(
+inline void BeginIntentRequest::Builder::adoptAttemptId(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> StreamRecord::Builder::disownTeam() {
+inline ::capnp::Orphan< ::capnp::Text> BeginIntentRequest::Builder::disownAttemptId() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline bool StreamRecord::Reader::hasService() const {
+inline bool BeginIntentRequest::Reader::hasNodeId() const {
   return !_reader.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline bool StreamRecord::Builder::hasService() {
+inline bool BeginIntentRequest::Builder::hasNodeId() {
   return !_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader StreamRecord::Reader::getService() const {
+inline  ::capnp::Text::Reader BeginIntentRequest::Reader::getNodeId() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder StreamRecord::Builder::getService() {
+inline  ::capnp::Text::Builder BeginIntentRequest::Builder::getNodeId() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline void StreamRecord::Builder::setService( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder StreamRecord::Builder::initService(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
-}
-inline void StreamRecord::Builder::adoptService(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
