-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> StreamRecord::Builder::disownService() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
-}
-
-inline bool StreamRecord::Reader::hasRequestJson() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
-}
-inline bool StreamRecord::Builder::hasRequestJson() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader StreamRecord::Reader::getRequestJson() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder StreamRecord::Builder::getRequestJson() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
-}
-inline void StreamRecord::Builder::setRequestJson( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder StreamRecord::Builder::initRequestJson(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
-}
-inline void StreamRecord::Builder::adoptRequestJson(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> StreamRecord::Builder::disownRequestJson() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
-}
-
-inline  ::uint64_t StreamRecord::Reader::getFirstIndex() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t StreamRecord::Builder::getFirstIndex() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-inline void StreamRecord::Builder::setFirstIndex( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool StreamRecord::Reader::hasTokens() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
-}
-inline bool StreamRecord::Builder::hasTokens() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader StreamRecord::Reader::getTokens() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder StreamRecord::Builder::getTokens() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS));
-}
-inline void StreamRecord::Builder::setTokens( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
-}
-inline void StreamRecord::Builder::setTokens(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder StreamRecord::Builder::initTokens(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
-}
-inline void StreamRecord::Builder::adoptTokens(
-    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> StreamRecord::Builder::disownTokens() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS));
-}
-
-inline bool StreamRecord::Reader::getFinished() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
-}
-
-inline bool StreamRecord::Builder::getFinished() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
-}
-inline void StreamRecord::Builder::setFinished(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<128>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool StreamRecord::Reader::hasFinishReason() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
-}
-inline bool StreamRecord::Builder::hasFinishReason() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader StreamRecord::Reader::getFinishReason() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder StreamRecord::Builder::getFinishReason() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS));
-}
-inline void StreamRecord::Builder::setFinishReason( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder StreamRecord::Builder::initFinishReason(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS), size);
-}
-inline void StreamRecord::Builder::adoptFinishReason(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> StreamRecord::Builder::disownFinishReason() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS));
-}
-
-inline bool StreamResult::Reader::hasRequestId() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool StreamResult::Builder::hasRequestId() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader StreamResult::Reader::getRequestId() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder StreamResult::Builder::getRequestId() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void StreamResult::Builder::setRequestId( ::capnp::Text::Reader value) {
+inline void BeginIntentRequest::Builder::setNodeId( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder StreamResult::Builder::initRequestId(unsigned int size) {
+inline  ::capnp::Text::Builder BeginIntentRequest::Builder::initNodeId(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
 }
-inline void StreamResult::Builder::adoptRequestId(
+inline void BeginIntentRequest::Builder::adoptNodeId(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> StreamResult::Builder::disownRequestId() {
+inline ::capnp::Orphan< ::capnp::Text> BeginIntentRequest::Builder::disownNodeId() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
-inline  ::uint16_t StreamResult::Reader::getDecision() const {
+inline  ::uint16_t IntentReply::Reader::getCode() const {
   return _reader.getDataField< ::uint16_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint16_t StreamResult::Builder::getDecision() {
+inline  ::uint16_t IntentReply::Builder::getCode() {
   return _builder.getDataField< ::uint16_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void StreamResult::Builder::setDecision( ::uint16_t value) {
+inline void IntentReply::Builder::setCode( ::uint16_t value) {
   _builder.setDataField< ::uint16_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t StreamResult::Reader::getEpoch() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t StreamResult::Builder::getEpoch() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-inline void StreamResult::Builder::setEpoch( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::uint64_t StreamResult::Reader::getFirstMissingIndex() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t StreamResult::Builder::getFirstMissingIndex() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
-}
-inline void StreamResult::Builder::setFirstMissingIndex( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool StreamRecords::Reader::hasSenderNodeId() const {
+inline bool IntentReply::Reader::hasAnswer() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool StreamRecords::Builder::hasSenderNodeId() {
+inline bool IntentReply::Builder::hasAnswer() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader StreamRecords::Reader::getSenderNodeId() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+inline  ::Peer::Wire::RecordedAnswer::Reader IntentReply::Reader::getAnswer() const {
+  return ::capnp::_::PointerHelpers< ::Peer::Wire::RecordedAnswer>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder StreamRecords::Builder::getSenderNodeId() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+inline  ::Peer::Wire::RecordedAnswer::Builder IntentReply::Builder::getAnswer() {
+  return ::capnp::_::PointerHelpers< ::Peer::Wire::RecordedAnswer>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void StreamRecords::Builder::setSenderNodeId( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+#if !CAPNP_LITE
+inline  ::Peer::Wire::RecordedAnswer::Pipeline IntentReply::Pipeline::getAnswer() {
+  return  ::Peer::Wire::RecordedAnswer::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void IntentReply::Builder::setAnswer( ::Peer::Wire::RecordedAnswer::Reader value) {
+  ::capnp::_::PointerHelpers< ::Peer::Wire::RecordedAnswer>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder StreamRecords::Builder::initSenderNodeId(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline  ::Peer::Wire::RecordedAnswer::Builder IntentReply::Builder::initAnswer() {
+  return ::capnp::_::PointerHelpers< ::Peer::Wire::RecordedAnswer>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void StreamRecords::Builder::adoptSenderNodeId(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+inline void IntentReply::Builder::adoptAnswer(
+    ::capnp::Orphan< ::Peer::Wire::RecordedAnswer>&& value) {
+  ::capnp::_::PointerHelpers< ::Peer::Wire::RecordedAnswer>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> StreamRecords::Builder::disownSenderNodeId() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::Peer::Wire::RecordedAnswer> IntentReply::Builder::disownAnswer() {
+  return ::capnp::_::PointerHelpers< ::Peer::Wire::RecordedAnswer>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool StreamRecords::Reader::hasRecords() const {
+inline bool IntentReply::Reader::hasMessage() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool StreamRecords::Builder::hasRecords() {
+inline bool IntentReply::Builder::hasMessage() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::Peer::Wire::StreamRecord,  ::capnp::Kind::STRUCT>::Reader StreamRecords::Reader::getRecords() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::Peer::Wire::StreamRecord,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+inline  ::capnp::Text::Reader IntentReply::Reader::getMessage() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::Peer::Wire::StreamRecord,  ::capnp::Kind::STRUCT>::Builder StreamRecords::Builder::getRecords() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::Peer::Wire::StreamRecord,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+inline  ::capnp::Text::Builder IntentReply::Builder::getMessage() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void StreamRecords::Builder::setRecords( ::capnp::List< ::Peer::Wire::StreamRecord,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::Peer::Wire::StreamRecord,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+inline void IntentReply::Builder::setMessage( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::Peer::Wire::StreamRecord,  ::capnp::Kind::STRUCT>::Builder StreamRecords::Builder::initRecords(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::Peer::Wire::StreamRecord,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+inline  ::capnp::Text::Builder IntentReply::Builder::initMessage(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void StreamRecords::Builder::adoptRecords(
-    ::capnp::Orphan< ::capnp::List< ::Peer::Wire::StreamRecord,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::Peer::Wire::StreamRecord,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+inline void IntentReply::Builder::adoptMessage(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::Peer::Wire::StreamRecord,  ::capnp::Kind::STRUCT>> StreamRecords::Builder::disownRecords() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::Peer::Wire::StreamRecord,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::Text> IntentReply::Builder::disownMessage() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool StreamResults::Reader::hasResults() const {
+inline bool FinishIntentRequest::Reader::hasKey() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool StreamResults::Builder::hasResults() {
+inline bool FinishIntentRequest::Builder::hasKey() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::Peer::Wire::StreamResult,  ::capnp::Kind::STRUCT>::Reader StreamResults::Reader::getResults() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::Peer::Wire::StreamResult,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+inline  ::capnp::Text::Reader FinishIntentRequest::Reader::getKey() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::Peer::Wire::StreamResult,  ::capnp::Kind::STRUCT>::Builder StreamResults::Builder::getResults() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::Peer::Wire::StreamResult,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+inline  ::capnp::Text::Builder FinishIntentRequest::Builder::getKey() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void StreamResults::Builder::setResults( ::capnp::List< ::Peer::Wire::StreamResult,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::Peer::Wire::StreamResult,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+inline void FinishIntentRequest::Builder::setKey( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::Peer::Wire::StreamResult,  ::capnp::Kind::STRUCT>::Builder StreamResults::Builder::initResults(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::Peer::Wire::StreamResult,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+inline  ::capnp::Text::Builder FinishIntentRequest::Builder::initKey(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void StreamResults::Builder::adoptResults(
-    ::capnp::Orphan< ::capnp::List< ::Peer::Wire::StreamResult,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::Peer::Wire::StreamResult,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+inline void FinishIntentRequest::Builder::adoptKey(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::Peer::Wire::StreamResult,  ::capnp::Kind::STRUCT>> StreamResults::Builder::disownResults() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::Peer::Wire::StreamResult,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::Text> FinishIntentRequest::Builder::disownKey() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool FindStreamRequest::Reader::hasRequestId() const {
+inline bool FinishIntentRequest::Reader::hasFingerprint() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool FindStreamRequest::Builder::hasRequestId() {
+inline bool FinishIntentRequest::Builder::hasFingerprint() {
   return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader FindStreamRequest::Reader::getRequestId() const {
+inline  ::capnp::Text::Reader FinishIntentRequest::Reader::getFingerprint() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder FindStreamRequest::Builder::getRequestId() {
+inline  ::capnp::Text::Builder FinishIntentRequest::Builder::getFingerprint() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void FindStreamRequest::Builder::setRequestId( ::capnp::Text::Reader value) {
+inline void FinishIntentRequest::Builder::setFingerprint( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder FindStreamRequest::Builder::initRequestId(unsigned int size) {
+inline  ::capnp::Text::Builder FinishIntentRequest::Builder::initFingerprint(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void FindStreamRequest::Builder::adoptRequestId(
+inline void FinishIntentRequest::Builder::adoptFingerprint(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> FindStreamRequest::Builder::disownRequestId() {
+inline ::capnp::Orphan< ::capnp::Text> FinishIntentRequest::Builder::disownFingerprint() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool FindStreamReply::Reader::hasRecord() const {
+inline bool FinishIntentRequest::Reader::hasAttemptId() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool FindStreamReply::Builder::hasRecord() {
+inline bool FinishIntentRequest::Builder::hasAttemptId() {
   return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::Peer::Wire::StreamRecord::Reader FindStreamReply::Reader::getRecord() const {
-  return ::capnp::_::PointerHelpers< ::Peer::Wire::StreamRecord>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::Peer::Wire::StreamRecord::Builder FindStreamReply::Builder::getRecord() {
-  return ::capnp::_::PointerHelpers< ::Peer::Wire::StreamRecord>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader FinishIntentRequest::Reader::getAttemptId() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-#if !CAPNP_LITE
-inline  ::Peer::Wire::StreamRecord::Pipeline FindStreamReply::Pipeline::getRecord() {
-  return  ::Peer::Wire::StreamRecord::Pipeline(_typeless.getPointerField(0));
+inline  ::capnp::Text::Builder FinishIntentRequest::Builder::getAttemptId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-#endif  // !CAPNP_LITE
-inline void FindStreamReply::Builder::setRecord( ::Peer::Wire::StreamRecord::Reader value) {
-  ::capnp::_::PointerHelpers< ::Peer::Wire::StreamRecord>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void FinishIntentRequest::Builder::setAttemptId( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::Peer::Wire::StreamRecord::Builder FindStreamReply::Builder::initRecord() {
-  return ::capnp::_::PointerHelpers< ::Peer::Wire::StreamRecord>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder FinishIntentRequest::Builder::initAttemptId(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void FindStreamReply::Builder::adoptRecord(
-    ::capnp::Orphan< ::Peer::Wire::StreamRecord>&& value) {
-  ::capnp::_::PointerHelpers< ::Peer::Wire::StreamRecord>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void FinishIntentRequest::Builder::adoptAttemptId(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::Peer::Wire::StreamRecord> FindStreamReply::Builder::disownRecord() {
-  return ::capnp::_::PointerHelpers< ::Peer::Wire::StreamRecord>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> FinishIntentRequest::Builder::disownAttemptId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline  ::uint16_t RecordedAnswer::Reader::getStatus() const {
-  return _reader.getDataField< ::uint16_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool FinishIntentRequest::Reader::hasAnswer() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool FinishIntentRequest::Builder::hasAnswer() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::Peer::Wire::RecordedAnswer::Reader FinishIntentRequest::Reader::getAnswer() const {
+  return ::capnp::_::PointerHelpers< ::Peer::Wire::RecordedAnswer>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::Peer::Wire::RecordedAnswer::Builder FinishIntentRequest::Builder::getAnswer() {
+  return ::capnp::_::PointerHelpers< ::Peer::Wire::RecordedAnswer>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::Peer::Wire::RecordedAnswer::Pipeline FinishIntentRequest::Pipeline::getAnswer() {
+  return  ::Peer::Wire::RecordedAnswer::Pipeline(_typeless.getPointerField(3));
+}
+#endif  // !CAPNP_LITE
+inline void FinishIntentRequest::Builder::setAnswer( ::Peer::Wire::RecordedAnswer::Reader value) {
+  ::capnp::_::PointerHelpers< ::Peer::Wire::RecordedAnswer>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::Peer::Wire::RecordedAnswer::Builder FinishIntentRequest::Builder::initAnswer() {
+  return ::capnp::_::PointerHelpers< ::Peer::Wire::RecordedAnswer>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-
-inline  ::uint16_t RecordedAnswer::Builder::getStatus() {
-  return _builder.getDataField< ::uint16_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline void FinishIntentRequest::Builder::adoptAnswer(
+    ::capnp::Orphan< ::Peer::Wire::RecordedAnswer>&& value) {
+  ::capnp::_::PointerHelpers< ::Peer::Wire::RecordedAnswer>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline void RecordedAnswer::Builder::setStatus( ::uint16_t value) {
-  _builder.setDataField< ::uint16_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline ::capnp::Orphan< ::Peer::Wire::RecordedAnswer> FinishIntentRequest::Builder::disownAnswer() {
+  return ::capnp::_::PointerHelpers< ::Peer::Wire::RecordedAnswer>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
-inline bool RecordedAnswer::Reader::hasContentType() const {
+inline bool ServerEntry::Reader::hasId() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool RecordedAnswer::Builder::hasContentType() {
+inline bool ServerEntry::Builder::hasId() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader RecordedAnswer::Reader::getContentType() const {
+inline  ::capnp::Text::Reader ServerEntry::Reader::getId() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder RecordedAnswer::Builder::getContentType() {
+inline  ::capnp::Text::Builder ServerEntry::Builder::getId() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void RecordedAnswer::Builder::setContentType( ::capnp::Text::Reader value) {
+inline void ServerEntry::Builder::setId( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder RecordedAnswer::Builder::initContentType(unsigned int size) {
+inline  ::capnp::Text::Builder ServerEntry::Builder::initId(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void RecordedAnswer::Builder::adoptContentType(
+inline void ServerEntry::Builder::adoptId(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> RecordedAnswer::Builder::disownContentType() {
+inline ::capnp::Orphan< ::capnp::Text> ServerEntry::Builder::disownId() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool RecordedAnswer::Reader::hasBody() const {
+inline bool ServerEntry::Reader::hasEndpoint() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool RecordedAnswer::Builder::hasBody() {
+inline bool ServerEntry::Builder::hasEndpoint() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Data::Reader RecordedAnswer::Reader::getBody() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+inline  ::capnp::Text::Reader ServerEntry::Reader::getEndpoint() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Data::Builder RecordedAnswer::Builder::getBody() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+inline  ::capnp::Text::Builder ServerEntry::Builder::getEndpoint() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void RecordedAnswer::Builder::setBody( ::capnp::Data::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+inline void ServerEntry::Builder::setEndpoint( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Data::Builder RecordedAnswer::Builder::initBody(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+inline  ::capnp::Text::Builder ServerEntry::Builder::initEndpoint(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void RecordedAnswer::Builder::adoptBody(
-    ::capnp::Orphan< ::capnp::Data>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+inline void ServerEntry::Builder::adoptEndpoint(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Data> RecordedAnswer::Builder::disownBody() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::Text> ServerEntry::Builder::disownEndpoint() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool BeginIntentRequest::Reader::hasKey() const {
+inline bool ServerEntry::Reader::hasService() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool BeginIntentRequest::Builder::hasKey() {
+inline bool ServerEntry::Builder::hasService() {
   return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader BeginIntentRequest::Reader::getKey() const {
+inline  ::capnp::Text::Reader ServerEntry::Reader::getService() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder BeginIntentRequest::Builder::getKey() {
+inline  ::capnp::Text::Builder ServerEntry::Builder::getService() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void BeginIntentRequest::Builder::setKey( ::capnp::Text::Reader value) {
+inline void ServerEntry::Builder::setService( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder BeginIntentRequest::Builder::initKey(unsigned int size) {
+inline  ::capnp::Text::Builder ServerEntry::Builder::initService(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void BeginIntentRequest::Builder::adoptKey(
+inline void ServerEntry::Builder::adoptService(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> BeginIntentRequest::Builder::disownKey() {
+inline ::capnp::Orphan< ::capnp::Text> ServerEntry::Builder::disownService() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline bool BeginIntentRequest::Reader::hasFingerprint() const {
+inline bool ServerEntry::Reader::hasVersion() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline bool BeginIntentRequest::Builder::hasFingerprint() {
+inline bool ServerEntry::Builder::hasVersion() {
   return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader BeginIntentRequest::Reader::getFingerprint() const {
+inline  ::capnp::Text::Reader ServerEntry::Reader::getVersion() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder BeginIntentRequest::Builder::getFingerprint() {
+inline  ::capnp::Text::Builder ServerEntry::Builder::getVersion() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline void BeginIntentRequest::Builder::setFingerprint( ::capnp::Text::Reader value) {
+inline void ServerEntry::Builder::setVersion( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder BeginIntentRequest::Builder::initFingerprint(unsigned int size) {
+inline  ::capnp::Text::Builder ServerEntry::Builder::initVersion(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
 }
-inline void BeginIntentRequest::Builder::adoptFingerprint(
+inline void ServerEntry::Builder::adoptVersion(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> BeginIntentRequest::Builder::disownFingerprint() {
+inline ::capnp::Orphan< ::capnp::Text> ServerEntry::Builder::disownVersion() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
-inline bool BeginIntentRequest::Reader::hasAttemptId() const {
+inline bool ServerEntry::Reader::hasDataCentre() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
-inline bool BeginIntentRequest::Builder::hasAttemptId() {
+inline bool ServerEntry::Builder::hasDataCentre() {
   return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader BeginIntentRequest::Reader::getAttemptId() const {
+inline  ::capnp::Text::Reader ServerEntry::Reader::getDataCentre() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder BeginIntentRequest::Builder::getAttemptId() {
+inline  ::capnp::Text::Builder ServerEntry::Builder::getDataCentre() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-inline void BeginIntentRequest::Builder::setAttemptId( ::capnp::Text::Reader value) {
+inline void ServerEntry::Builder::setDataCentre( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder BeginIntentRequest::Builder::initAttemptId(unsigned int size) {
+inline  ::capnp::Text::Builder ServerEntry::Builder::initDataCentre(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
 }
-inline void BeginIntentRequest::Builder::adoptAttemptId(
+inline void ServerEntry::Builder::adoptDataCentre(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> BeginIntentRequest::Builder::disownAttemptId() {
+inline ::capnp::Orphan< ::capnp::Text> ServerEntry::Builder::disownDataCentre() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
-inline bool BeginIntentRequest::Reader::hasNodeId() const {
+inline bool ServerEntry::Reader::hasZone() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
 }
-inline bool BeginIntentRequest::Builder::hasNodeId() {
+inline bool ServerEntry::Builder::hasZone() {
   return !_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader BeginIntentRequest::Reader::getNodeId() const {
+inline  ::capnp::Text::Reader ServerEntry::Reader::getZone() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder BeginIntentRequest::Builder::getNodeId() {
+inline  ::capnp::Text::Builder ServerEntry::Builder::getZone() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
-inline void BeginIntentRequest::Builder::setNodeId( ::capnp::Text::Reader value) {
+inline void ServerEntry::Builder::setZone( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder BeginIntentRequest::Builder::initNodeId(unsigned int size) {
+inline  ::capnp::Text::Builder ServerEntry::Builder::initZone(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
+}
+inline void ServerEntry::Builder::adoptZone(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> ServerEntry::Builder::disownZone() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t ServerEntry::Reader::getIncarnation() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t ServerEntry::Builder::getIncarnation() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void ServerEntry::Builder::setIncarnation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool ServerEntry::Reader::getLeaving() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+
+inline bool ServerEntry::Builder::getLeaving() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+inline void ServerEntry::Builder::setLeaving(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t ReclaimNotice::Reader::getSequence() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t ReclaimNotice::Builder::getSequence() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void ReclaimNotice::Builder::setSequence( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool ReclaimNotice::Reader::hasHostId() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool ReclaimNotice::Builder::hasHostId() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader ReclaimNotice::Reader::getHostId() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder ReclaimNotice::Builder::getHostId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void ReclaimNotice::Builder::setHostId( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder ReclaimNotice::Builder::initHostId(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void ReclaimNotice::Builder::adoptHostId(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> ReclaimNotice::Builder::disownHostId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::int64_t ReclaimNotice::Reader::getReclaimAtMilliseconds() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t ReclaimNotice::Builder::getReclaimAtMilliseconds() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void ReclaimNotice::Builder::setReclaimAtMilliseconds( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t FetchPlatformDataRequest::Reader::getEpoch() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t FetchPlatformDataRequest::Builder::getEpoch() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void FetchPlatformDataRequest::Builder::setEpoch( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t FetchPlatformDataRequest::Reader::getVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t FetchPlatformDataRequest::Builder::getVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void FetchPlatformDataRequest::Builder::setVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t FetchPlatformDataRequest::Reader::getContentHash() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t FetchPlatformDataRequest::Builder::getContentHash() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void FetchPlatformDataRequest::Builder::setContentHash( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t FetchPlatformDataRequest::Reader::getNoticeSequence() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t FetchPlatformDataRequest::Builder::getNoticeSequence() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void FetchPlatformDataRequest::Builder::setNoticeSequence( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t FetchPlatformDataRequest::Reader::getWaitMilliseconds() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
 }
-inline void BeginIntentRequest::Builder::adoptNodeId(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+
+inline  ::uint32_t FetchPlatformDataRequest::Builder::getWaitMilliseconds() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan< ::capnp::Text> BeginIntentRequest::Builder::disownNodeId() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+inline void FetchPlatformDataRequest::Builder::setWaitMilliseconds( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint16_t IntentReply::Reader::getCode() const {
-  return _reader.getDataField< ::uint16_t>(
+inline bool FetchPlatformDataReply::Reader::getHasList() const {
+  return _reader.getDataField<bool>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint16_t IntentReply::Builder::getCode() {
-  return _builder.getDataField< ::uint16_t>(
+inline bool FetchPlatformDataReply::Builder::getHasList() {
+  return _builder.getDataField<bool>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void IntentReply::Builder::setCode( ::uint16_t value) {
-  _builder.setDataField< ::uint16_t>(
+inline void FetchPlatformDataReply::Builder::setHasList(bool value) {
+  _builder.setDataField<bool>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool IntentReply::Reader::hasAnswer() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool IntentReply::Builder::hasAnswer() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::Peer::Wire::RecordedAnswer::Reader IntentReply::Reader::getAnswer() const {
-  return ::capnp::_::PointerHelpers< ::Peer::Wire::RecordedAnswer>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline bool FetchPlatformDataReply::Reader::getComplete() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline  ::Peer::Wire::RecordedAnswer::Builder IntentReply::Builder::getAnswer() {
-  return ::capnp::_::PointerHelpers< ::Peer::Wire::RecordedAnswer>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+
+inline bool FetchPlatformDataReply::Builder::getComplete() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-#if !CAPNP_LITE
-inline  ::Peer::Wire::RecordedAnswer::Pipeline IntentReply::Pipeline::getAnswer() {
-  return  ::Peer::Wire::RecordedAnswer::Pipeline(_typeless.getPointerField(0));
+inline void FetchPlatformDataReply::Builder::setComplete(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
-#endif  // !CAPNP_LITE
-inline void IntentReply::Builder::setAnswer( ::Peer::Wire::RecordedAnswer::Reader value) {
-  ::capnp::_::PointerHelpers< ::Peer::Wire::RecordedAnswer>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+
+inline  ::uint64_t FetchPlatformDataReply::Reader::getAgeMilliseconds() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline  ::Peer::Wire::RecordedAnswer::Builder IntentReply::Builder::initAnswer() {
-  return ::capnp::_::PointerHelpers< ::Peer::Wire::RecordedAnswer>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+
+inline  ::uint64_t FetchPlatformDataReply::Builder::getAgeMilliseconds() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void IntentReply::Builder::adoptAnswer(
-    ::capnp::Orphan< ::Peer::Wire::RecordedAnswer>&& value) {
-  ::capnp::_::PointerHelpers< ::Peer::Wire::RecordedAnswer>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void FetchPlatformDataReply::Builder::setAgeMilliseconds( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
-inline ::capnp::Orphan< ::Peer::Wire::RecordedAnswer> IntentReply::Builder::disownAnswer() {
-  return ::capnp::_::PointerHelpers< ::Peer::Wire::RecordedAnswer>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+
+inline  ::uint64_t FetchPlatformDataReply::Reader::getEpoch() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline bool IntentReply::Reader::hasMessage() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+inline  ::uint64_t FetchPlatformDataReply::Builder::getEpoch() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline bool IntentReply::Builder::hasMessage() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+inline void FetchPlatformDataReply::Builder::setEpoch( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
-inline  ::capnp::Text::Reader IntentReply::Reader::getMessage() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+
+inline  ::uint64_t FetchPlatformDataReply::Reader::getVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline  ::capnp::Text::Builder IntentReply::Builder::getMessage() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+
+inline  ::uint64_t FetchPlatformDataReply::Builder::getVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void IntentReply::Builder::setMessage( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+inline void FetchPlatformDataReply::Builder::setVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
-inline  ::capnp::Text::Builder IntentReply::Builder::initMessage(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+
+inline  ::uint64_t FetchPlatformDataReply::Reader::getContentHash() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-inline void IntentReply::Builder::adoptMessage(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+
+inline  ::uint64_t FetchPlatformDataReply::Builder::getContentHash() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan< ::capnp::Text> IntentReply::Builder::disownMessage() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline void FetchPlatformDataReply::Builder::setContentHash( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool FinishIntentRequest::Reader::hasKey() const {
+inline bool FetchPlatformDataReply::Reader::hasServers() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool FinishIntentRequest::Builder::hasKey() {
+inline bool FetchPlatformDataReply::Builder::hasServers() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader FinishIntentRequest::Reader::getKey() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+inline  ::capnp::List< ::Peer::Wire::ServerEntry,  ::capnp::Kind::STRUCT>::Reader FetchPlatformDataReply::Reader::getServers() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Peer::Wire::ServerEntry,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder FinishIntentRequest::Builder::getKey() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+inline  ::capnp::List< ::Peer::Wire::ServerEntry,  ::capnp::Kind::STRUCT>::Builder FetchPlatformDataReply::Builder::getServers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Peer::Wire::ServerEntry,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void FinishIntentRequest::Builder::setKey( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+inline void FetchPlatformDataReply::Builder::setServers( ::capnp::List< ::Peer::Wire::ServerEntry,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Peer::Wire::ServerEntry,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder FinishIntentRequest::Builder::initKey(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+inline  ::capnp::List< ::Peer::Wire::ServerEntry,  ::capnp::Kind::STRUCT>::Builder FetchPlatformDataReply::Builder::initServers(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Peer::Wire::ServerEntry,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void FinishIntentRequest::Builder::adoptKey(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+inline void FetchPlatformDataReply::Builder::adoptServers(
+    ::capnp::Orphan< ::capnp::List< ::Peer::Wire::ServerEntry,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Peer::Wire::ServerEntry,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> FinishIntentRequest::Builder::disownKey() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::Peer::Wire::ServerEntry,  ::capnp::Kind::STRUCT>> FetchPlatformDataReply::Builder::disownServers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Peer::Wire::ServerEntry,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool FinishIntentRequest::Reader::hasFingerprint() const {
+inline bool FetchPlatformDataReply::Reader::hasRemovedIds() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool FinishIntentRequest::Builder::hasFingerprint() {
+inline bool FetchPlatformDataReply::Builder::hasRemovedIds() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader FinishIntentRequest::Reader::getFingerprint() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader FetchPlatformDataReply::Reader::getRemovedIds() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder FinishIntentRequest::Builder::getFingerprint() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder FetchPlatformDataReply::Builder::getRemovedIds() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void FinishIntentRequest::Builder::setFingerprint( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+inline void FetchPlatformDataReply::Builder::setRemovedIds( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder FinishIntentRequest::Builder::initFingerprint(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+inline void FetchPlatformDataReply::Builder::setRemovedIds(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder FetchPlatformDataReply::Builder::initRemovedIds(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void FinishIntentRequest::Builder::adoptFingerprint(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+inline void FetchPlatformDataReply::Builder::adoptRemovedIds(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> FinishIntentRequest::Builder::disownFingerprint() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> FetchPlatformDataReply::Builder::disownRemovedIds() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool FinishIntentRequest::Reader::hasAttemptId() const {
+inline bool FetchPlatformDataReply::Reader::hasNotices() const {
   return !_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool FinishIntentRequest::Builder::hasAttemptId() {
+inline bool FetchPlatformDataReply::Builder::hasNotices() {
   return !_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader FinishIntentRequest::Reader::getAttemptId() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+inline  ::capnp::List< ::Peer::Wire::ReclaimNotice,  ::capnp::Kind::STRUCT>::Reader FetchPlatformDataReply::Reader::getNotices() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Peer::Wire::ReclaimNotice,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder FinishIntentRequest::Builder::getAttemptId() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+inline  ::capnp::List< ::Peer::Wire::ReclaimNotice,  ::capnp::Kind::STRUCT>::Builder FetchPlatformDataReply::Builder::getNotices() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Peer::Wire::ReclaimNotice,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void FinishIntentRequest::Builder::setAttemptId( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+inline void FetchPlatformDataReply::Builder::setNotices( ::capnp::List< ::Peer::Wire::ReclaimNotice,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Peer::Wire::ReclaimNotice,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder FinishIntentRequest::Builder::initAttemptId(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+inline  ::capnp::List< ::Peer::Wire::ReclaimNotice,  ::capnp::Kind::STRUCT>::Builder FetchPlatformDataReply::Builder::initNotices(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Peer::Wire::ReclaimNotice,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void FinishIntentRequest::Builder::adoptAttemptId(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+inline void FetchPlatformDataReply::Builder::adoptNotices(
+    ::capnp::Orphan< ::capnp::List< ::Peer::Wire::ReclaimNotice,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Peer::Wire::ReclaimNotice,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> FinishIntentRequest::Builder::disownAttemptId() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::Peer::Wire::ReclaimNotice,  ::capnp::Kind::STRUCT>> FetchPlatformDataReply::Builder::disownNotices() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Peer::Wire::ReclaimNotice,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline bool FinishIntentRequest::Reader::hasAnswer() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
-}
-inline bool FinishIntentRequest::Builder::hasAnswer() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
-}
-inline  ::Peer::Wire::RecordedAnswer::Reader FinishIntentRequest::Reader::getAnswer() const {
-  return ::capnp::_::PointerHelpers< ::Peer::Wire::RecordedAnswer>::get(_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
-}
-inline  ::Peer::Wire::RecordedAnswer::Builder FinishIntentRequest::Builder::getAnswer() {
-  return ::capnp::_::PointerHelpers< ::Peer::Wire::RecordedAnswer>::get(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
-}
-#if !CAPNP_LITE
-inline  ::Peer::Wire::RecordedAnswer::Pipeline FinishIntentRequest::Pipeline::getAnswer() {
-  return  ::Peer::Wire::RecordedAnswer::Pipeline(_typeless.getPointerField(3));
-}
-#endif  // !CAPNP_LITE
-inline void FinishIntentRequest::Builder::setAnswer( ::Peer::Wire::RecordedAnswer::Reader value) {
-  ::capnp::_::PointerHelpers< ::Peer::Wire::RecordedAnswer>::set(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
-}
-inline  ::Peer::Wire::RecordedAnswer::Builder FinishIntentRequest::Builder::initAnswer() {
-  return ::capnp::_::PointerHelpers< ::Peer::Wire::RecordedAnswer>::init(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+inline  ::uint64_t FetchPlatformDataReply::Reader::getNoticeSequence() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
 }
-inline void FinishIntentRequest::Builder::adoptAnswer(
-    ::capnp::Orphan< ::Peer::Wire::RecordedAnswer>&& value) {
-  ::capnp::_::PointerHelpers< ::Peer::Wire::RecordedAnswer>::adopt(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+
+inline  ::uint64_t FetchPlatformDataReply::Builder::getNoticeSequence() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan< ::Peer::Wire::RecordedAnswer> FinishIntentRequest::Builder::disownAnswer() {
-  return ::capnp::_::PointerHelpers< ::Peer::Wire::RecordedAnswer>::disown(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+inline void FetchPlatformDataReply::Builder::setNoticeSequence( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
 }
 
 #if !CAPNP_LITE
@@ -5944,6 +7245,84 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool Node::FetchPlatformDataParams::Reader::hasRequest() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Node::FetchPlatformDataParams::Builder::hasRequest() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::Peer::Wire::FetchPlatformDataRequest::Reader Node::FetchPlatformDataParams::Reader::getRequest() const {
+  return ::capnp::_::PointerHelpers< ::Peer::Wire::FetchPlatformDataRequest>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::Peer::Wire::FetchPlatformDataRequest::Builder Node::FetchPlatformDataParams::Builder::getRequest() {
+  return ::capnp::_::PointerHelpers< ::Peer::Wire::FetchPlatformDataRequest>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::Peer::Wire::FetchPlatformDataRequest::Pipeline Node::FetchPlatformDataParams::Pipeline::getRequest() {
+  return  ::Peer::Wire::FetchPlatformDataRequest::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void Node::FetchPlatformDataParams::Builder::setRequest( ::Peer::Wire::FetchPlatformDataRequest::Reader value) {
+  ::capnp::_::PointerHelpers< ::Peer::Wire::FetchPlatformDataRequest>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::Peer::Wire::FetchPlatformDataRequest::Builder Node::FetchPlatformDataParams::Builder::initRequest() {
+  return ::capnp::_::PointerHelpers< ::Peer::Wire::FetchPlatformDataRequest>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Node::FetchPlatformDataParams::Builder::adoptRequest(
+    ::capnp::Orphan< ::Peer::Wire::FetchPlatformDataRequest>&& value) {
+  ::capnp::_::PointerHelpers< ::Peer::Wire::FetchPlatformDataRequest>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::Peer::Wire::FetchPlatformDataRequest> Node::FetchPlatformDataParams::Builder::disownRequest() {
+  return ::capnp::_::PointerHelpers< ::Peer::Wire::FetchPlatformDataRequest>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Node::FetchPlatformDataResults::Reader::hasReply() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Node::FetchPlatformDataResults::Builder::hasReply() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::Peer::Wire::FetchPlatformDataReply::Reader Node::FetchPlatformDataResults::Reader::getReply() const {
+  return ::capnp::_::PointerHelpers< ::Peer::Wire::FetchPlatformDataReply>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::Peer::Wire::FetchPlatformDataReply::Builder Node::FetchPlatformDataResults::Builder::getReply() {
+  return ::capnp::_::PointerHelpers< ::Peer::Wire::FetchPlatformDataReply>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::Peer::Wire::FetchPlatformDataReply::Pipeline Node::FetchPlatformDataResults::Pipeline::getReply() {
+  return  ::Peer::Wire::FetchPlatformDataReply::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void Node::FetchPlatformDataResults::Builder::setReply( ::Peer::Wire::FetchPlatformDataReply::Reader value) {
+  ::capnp::_::PointerHelpers< ::Peer::Wire::FetchPlatformDataReply>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::Peer::Wire::FetchPlatformDataReply::Builder Node::FetchPlatformDataResults::Builder::initReply() {
+  return ::capnp::_::PointerHelpers< ::Peer::Wire::FetchPlatformDataReply>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Node::FetchPlatformDataResults::Builder::adoptReply(
+    ::capnp::Orphan< ::Peer::Wire::FetchPlatformDataReply>&& value) {
+  ::capnp::_::PointerHelpers< ::Peer::Wire::FetchPlatformDataReply>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::Peer::Wire::FetchPlatformDataReply> Node::FetchPlatformDataResults::Builder::disownReply() {
+  return ::capnp::_::PointerHelpers< ::Peer::Wire::FetchPlatformDataReply>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 
--- a/Libraries/LibPeer/PeerClient.cpp
+++ b/Libraries/LibPeer/PeerClient.cpp
@@ -2,6 +2,7 @@
 
 #include <LibPeer/KjThread.h>
 #include <LibPeer/PeerCodec.h>
+#include <LibPeer/TrafficCounters.h>
 #include <atomic>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -165,6 +166,8 @@
             call->end();
     }
 
+    [[nodiscard]] PeerTraffic traffic(TrafficClass trafficClass) const { return m_traffic.read(trafficClass); }
+
     template <typename Reply, typename Request, typename Method>
     Core::Awaitable<std::optional<Reply>> call(Core::Endpoint, Request, Method, Core::MonotonicTime deadline, Core::LastReason&);
 
@@ -220,6 +223,7 @@
     void start(std::uint64_t id, std::string const& address, std::shared_ptr<Request> const&, Method, std::shared_ptr<CallProgress> const&, std::shared_ptr<Reply> const&);
 
     Core::Runtime& m_runtime;
+    TrafficCounters m_traffic;
     std::unordered_map<std::uint64_t, Waiter*> m_waiting;
     std::uint64_t m_nextCall { 0 };
     /// Belongs to the KJ thread.
@@ -237,14 +241,20 @@
     pending->peer = address;
     pending->state = kj::addRef(peer);
 
-    auto exchange = peer.connection.addBranch().then([request, method, progress, reply](kj::Own<Connection> connection) -> kj::Promise<void> {
+    auto exchange = peer.connection.addBranch().then([this, request, method, progress, reply](kj::Own<Connection> connection) -> kj::Promise<void> {
         auto call = method(connection->node);
         encode(*request, call.initRequest());
-        if (call.totalSize().wordCount * sizeof(capnp::word) > maximumMessageBytes)
+        auto const bytes = call.totalSize().wordCount * sizeof(capnp::word);
+        if (bytes > maximumMessageBytes)
             return KJ_EXCEPTION(FAILED, "the request is too large");
         if (!progress->advanceTo(CallStage::Sent))
             return kj::READY_NOW;
-        return call.send().then([reply](auto response) { decode(response.getReply(), *reply); }).attach(kj::mv(connection));
+        m_traffic.addSent<Request>(bytes);
+        auto received = call.send().then([this, reply](auto response) {
+            m_traffic.addReceived<Request>(response.totalSize().wordCount * sizeof(capnp::word));
+            decode(response.getReply(), *reply);
+        });
+        return received.attach(kj::mv(connection));
     });
     auto report = [this, id, weak = weak_from_this()](std::optional<Core::LastReason> failure) {
         m_runtime.post([weak, id, failure = std::move(failure)] {
@@ -358,4 +368,15 @@
     return m_implementation->call<FinishIntentReply>(std::move(endpoint), std::move(request), method, deadline, reason);
 }
 
+Core::Awaitable<std::optional<FetchPlatformDataReply>> PeerClient::fetchPlatformData(Core::Endpoint endpoint, FetchPlatformDataRequest request, Core::MonotonicTime deadline, Core::LastReason& reason)
+{
+    auto const method = [](Wire::Node::Client& node) { return node.fetchPlatformDataRequest(); };
+    return m_implementation->call<FetchPlatformDataReply>(std::move(endpoint), request, method, deadline, reason);
+}
+
+PeerTraffic PeerClient::traffic(TrafficClass trafficClass) const
+{
+    return m_implementation->traffic(trafficClass);
+}
+
 }
--- a/Libraries/LibPeer/PeerClient.h
+++ b/Libraries/LibPeer/PeerClient.h
@@ -4,6 +4,7 @@
 #include <LibCore/ErrorKind.h>
 #include <LibCore/Runtime.h>
 #include <LibPeer/PeerMessages.h>
+#include <LibPeer/PeerTraffic.h>
 #include <memory>
 
 namespace Peer {
@@ -29,6 +30,11 @@
     [[nodiscard]] Core::Awaitable<std::optional<FindStreamReply>> findStream(Core::Endpoint, FindStreamRequest, Core::MonotonicTime deadline, Core::LastReason&);
     [[nodiscard]] Core::Awaitable<std::optional<BeginIntentReply>> beginIntent(Core::Endpoint, BeginIntentRequest, Core::MonotonicTime deadline, Core::LastReason&);
     [[nodiscard]] Core::Awaitable<std::optional<FinishIntentReply>> finishIntent(Core::Endpoint, FinishIntentRequest, Core::MonotonicTime deadline, Core::LastReason&);
+    /// The deadline must leave time beyond the wait that the request names.
+    [[nodiscard]] Core::Awaitable<std::optional<FetchPlatformDataReply>> fetchPlatformData(Core::Endpoint, FetchPlatformDataRequest, Core::MonotonicTime deadline, Core::LastReason&);
+
+    /// The encoded messages of this client's calls so far. Thread safe.
+    [[nodiscard]] PeerTraffic traffic(TrafficClass) const;
 
 private:
     class Implementation;
--- a/Libraries/LibPeer/PeerCodec.cpp
+++ b/Libraries/LibPeer/PeerCodec.cpp
@@ -329,6 +329,87 @@
     reply = { toEnum(reader.getCode(), IntentCode::Recorded), toString(reader.getMessage()) };
 }
 
+void encode(FetchPlatformDataRequest const& request, Wire::FetchPlatformDataRequest::Builder builder)
+{
+    builder.setEpoch(request.epoch);
+    builder.setVersion(request.version);
+    builder.setContentHash(request.contentHash);
+    builder.setNoticeSequence(request.noticeSequence);
+    builder.setWaitMilliseconds(request.waitMilliseconds);
+}
+
+void decode(Wire::FetchPlatformDataRequest::Reader reader, FetchPlatformDataRequest& request)
+{
+    request = { reader.getEpoch(), reader.getVersion(), reader.getContentHash(), reader.getNoticeSequence(), reader.getWaitMilliseconds() };
+}
+
+static void encode(ServerEntry const& entry, Wire::ServerEntry::Builder builder)
+{
+    builder.setId(toText(entry.id));
+    builder.setEndpoint(toText(entry.endpoint));
+    builder.setService(toText(entry.service));
+    builder.setVersion(toText(entry.version));
+    builder.setDataCentre(toText(entry.dataCentre));
+    builder.setZone(toText(entry.zone));
+    builder.setIncarnation(entry.incarnation);
+    builder.setLeaving(entry.leaving);
+}
+
+static void decode(Wire::ServerEntry::Reader reader, ServerEntry& entry)
+{
+    entry.id = toString(reader.getId());
+    entry.endpoint = toString(reader.getEndpoint());
+    entry.service = toString(reader.getService());
+    entry.version = toString(reader.getVersion());
+    entry.dataCentre = toString(reader.getDataCentre());
+    entry.zone = toString(reader.getZone());
+    entry.incarnation = reader.getIncarnation();
+    entry.leaving = reader.getLeaving();
+}
+
+static void encode(ReclaimNotice const& notice, Wire::ReclaimNotice::Builder builder)
+{
+    builder.setSequence(notice.sequence);
+    builder.setHostId(toText(notice.hostId));
+    builder.setReclaimAtMilliseconds(notice.reclaimAtMilliseconds);
+}
+
+static void decode(Wire::ReclaimNotice::Reader reader, ReclaimNotice& notice)
+{
+    notice = { reader.getSequence(), toString(reader.getHostId()), reader.getReclaimAtMilliseconds() };
+}
+
+void encode(FetchPlatformDataReply const& reply, Wire::FetchPlatformDataReply::Builder builder)
+{
+    builder.setHasList(reply.hasList);
+    builder.setComplete(reply.complete);
+    builder.setAgeMilliseconds(reply.ageMilliseconds);
+    builder.setEpoch(reply.epoch);
+    builder.setVersion(reply.version);
+    builder.setContentHash(reply.contentHash);
+    encodeList(reply.servers, builder.initServers(reply.servers.size()));
+    auto removedIds = builder.initRemovedIds(reply.removedIds.size());
+    for (unsigned i = 0; i < reply.removedIds.size(); ++i)
+        removedIds.set(i, toText(reply.removedIds[i]));
+    encodeList(reply.notices, builder.initNotices(reply.notices.size()));
+    builder.setNoticeSequence(reply.noticeSequence);
+}
+
+void decode(Wire::FetchPlatformDataReply::Reader reader, FetchPlatformDataReply& reply)
+{
+    reply.hasList = reader.getHasList();
+    reply.complete = reader.getComplete();
+    reply.ageMilliseconds = reader.getAgeMilliseconds();
+    reply.epoch = reader.getEpoch();
+    reply.version = reader.getVersion();
+    reply.contentHash = reader.getContentHash();
+    decodeList(reader.getServers(), reply.servers);
+    for (auto id : reader.getRemovedIds())
+        reply.removedIds.push_back(toString(id));
+    decodeList(reader.getNotices(), reply.notices);
+    reply.noticeSequence = reader.getNoticeSequence();
+}
+
 std::size_t encodedBytes(ExchangeMessage const& message)
 {
     capnp::MallocMessageBuilder builder;
--- a/Libraries/LibPeer/PeerCodec.h
+++ b/Libraries/LibPeer/PeerCodec.h
@@ -22,6 +22,8 @@
 void encode(BeginIntentReply const&, Wire::IntentReply::Builder);
 void encode(FinishIntentRequest const&, Wire::FinishIntentRequest::Builder);
 void encode(FinishIntentReply const&, Wire::IntentReply::Builder);
+void encode(FetchPlatformDataRequest const&, Wire::FetchPlatformDataRequest::Builder);
+void encode(FetchPlatformDataReply const&, Wire::FetchPlatformDataReply::Builder);
 
 void decode(Wire::ExchangeMessage::Reader, ExchangeMessage&);
 void decode(Wire::ExchangeMessage::Reader, ExchangeRequest&);
@@ -38,6 +40,8 @@
 void decode(Wire::IntentReply::Reader, BeginIntentReply&);
 void decode(Wire::FinishIntentRequest::Reader, FinishIntentRequest&);
 void decode(Wire::IntentReply::Reader, FinishIntentReply&);
+void decode(Wire::FetchPlatformDataRequest::Reader, FetchPlatformDataRequest&);
+void decode(Wire::FetchPlatformDataReply::Reader, FetchPlatformDataReply&);
 
 /// The size of the encoded message in bytes, without the envelope of the call.
 [[nodiscard]] std::size_t encodedBytes(ExchangeMessage const&);
--- a/Libraries/LibPeer/PeerHandler.h
+++ b/Libraries/LibPeer/PeerHandler.h
@@ -18,6 +18,8 @@
     [[nodiscard]] virtual Core::Awaitable<FindStreamReply> findStream(FindStreamRequest) = 0;
     [[nodiscard]] virtual Core::Awaitable<BeginIntentReply> beginIntent(BeginIntentRequest) = 0;
     [[nodiscard]] virtual Core::Awaitable<FinishIntentReply> finishIntent(FinishIntentRequest) = 0;
+    /// May hold the call for the time that the request names.
+    [[nodiscard]] virtual Core::Awaitable<FetchPlatformDataReply> fetchPlatformData(FetchPlatformDataRequest) = 0;
 };
 
 }
--- a/Libraries/LibPeer/PeerMessages.h
+++ b/Libraries/LibPeer/PeerMessages.h
@@ -254,4 +254,59 @@
     bool operator==(FinishIntentReply const&) const = default;
 };
 
+/// A backend server as the platform's host list names it.
+struct ServerEntry {
+    std::string id;
+    std::string endpoint;
+    std::string service;
+    std::string version;
+    std::string dataCentre;
+    std::string zone;
+    std::uint64_t incarnation { 0 };
+    bool leaving { false };
+
+    bool operator==(ServerEntry const&) const = default;
+};
+
+struct ReclaimNotice {
+    /// The platform's number of the notice.
+    std::uint64_t sequence { 0 };
+    std::string hostId;
+    /// Milliseconds since the Unix epoch.
+    std::int64_t reclaimAtMilliseconds { 0 };
+
+    bool operator==(ReclaimNotice const&) const = default;
+};
+
+struct FetchPlatformDataRequest {
+    /// Process and version of the peer's list that the caller received last; 0 for none.
+    std::uint64_t epoch { 0 };
+    std::uint64_t version { 0 };
+    /// Of the caller's list.
+    std::uint64_t contentHash { 0 };
+    std::uint64_t noticeSequence { 0 };
+    /// How long the peer may hold the call until it has news.
+    std::uint32_t waitMilliseconds { 0 };
+
+    bool operator==(FetchPlatformDataRequest const&) const = default;
+};
+
+struct FetchPlatformDataReply {
+    /// False if the peer has read no list yet; the fields of the list are then empty.
+    bool hasList { false };
+    /// Whether `servers` is the whole list; otherwise it has the rows that changed since the caller's version.
+    bool complete { false };
+    /// Since the platform was asked for the list.
+    std::uint64_t ageMilliseconds { 0 };
+    std::uint64_t epoch { 0 };
+    std::uint64_t version { 0 };
+    std::uint64_t contentHash { 0 };
+    std::vector<ServerEntry> servers;
+    std::vector<std::string> removedIds;
+    std::vector<ReclaimNotice> notices;
+    std::uint64_t noticeSequence { 0 };
+
+    bool operator==(FetchPlatformDataReply const&) const = default;
+};
+
 }
--- a/Libraries/LibPeer/PeerServer.cpp
+++ b/Libraries/LibPeer/PeerServer.cpp
@@ -3,6 +3,7 @@
 #include <LibCore/Log.h>
 #include <LibPeer/KjThread.h>
 #include <LibPeer/PeerCodec.h>
+#include <LibPeer/TrafficCounters.h>
 #include <capnp/rpc-twoparty.h>
 #include <future>
 #include <kj/debug.h>
@@ -69,6 +70,7 @@
 
     bool listen(Core::Endpoint const& endpoint, Core::LastReason& reason);
     [[nodiscard]] std::uint16_t port() const { return m_port; }
+    [[nodiscard]] PeerTraffic traffic(TrafficClass trafficClass) const { return m_traffic.read(trafficClass); }
 
     template <typename Request, typename Reply, typename Context>
     kj::Promise<void> answer(Context context, Core::Awaitable<Reply> (PeerHandler::*method)(Request));
@@ -84,6 +86,7 @@
     /// Belongs to the KJ thread; shared so that late answers find out that it is gone.
     std::shared_ptr<ServerLoop> m_loop;
     std::uint16_t m_port { 0 };
+    TrafficCounters m_traffic;
 };
 
 class PeerServer::Implementation::Node final : public Wire::Node::Server {
@@ -100,6 +103,7 @@
     kj::Promise<void> findStream(FindStreamContext context) override { return m_server.answer(context, &PeerHandler::findStream); }
     kj::Promise<void> beginIntent(BeginIntentContext context) override { return m_server.answer(context, &PeerHandler::beginIntent); }
     kj::Promise<void> finishIntent(FinishIntentContext context) override { return m_server.answer(context, &PeerHandler::finishIntent); }
+    kj::Promise<void> fetchPlatformData(FetchPlatformDataContext context) override { return m_server.answer(context, &PeerHandler::fetchPlatformData); }
 
 private:
     Implementation& m_server;
@@ -122,6 +126,7 @@
 kj::Promise<void> PeerServer::Implementation::answer(Context context, Core::Awaitable<Reply> (PeerHandler::*method)(Request))
 {
     auto request = std::make_shared<Request>();
+    m_traffic.addReceived<Request>(context.getParams().totalSize().wordCount * sizeof(capnp::word));
     decode(context.getParams().getRequest(), *request);
     context.releaseParams();
     auto reply = std::make_shared<std::optional<Reply>>();
@@ -150,12 +155,14 @@
         if (!thread.expired())
             runtime.spawn(runHandler(handler, method, request, finish));
     });
-    return finished.promise.then([context, reply]() mutable {
+    return finished.promise.then([this, context, reply]() mutable {
         if (!reply->has_value())
             kj::throwFatalException(KJ_EXCEPTION(FAILED, "the handler failed"));
         encode(**reply, context.getResults().initReply());
-        if (context.getResults().totalSize().wordCount * sizeof(capnp::word) > maximumMessageBytes)
+        auto const bytes = context.getResults().totalSize().wordCount * sizeof(capnp::word);
+        if (bytes > maximumMessageBytes)
             kj::throwFatalException(KJ_EXCEPTION(FAILED, "the reply is too large"));
+        m_traffic.addSent<Request>(bytes);
     });
 }
 
@@ -214,6 +221,11 @@
     return m_implementation->listen(endpoint, reason);
 }
 
+PeerTraffic PeerServer::traffic(TrafficClass trafficClass) const
+{
+    return m_implementation->traffic(trafficClass);
+}
+
 std::uint16_t PeerServer::port() const
 {
     return m_implementation->port();
--- a/Libraries/LibPeer/PeerServer.h
+++ b/Libraries/LibPeer/PeerServer.h
@@ -3,6 +3,7 @@
 #include <LibCore/Endpoint.h>
 #include <LibCore/ErrorKind.h>
 #include <LibPeer/PeerHandler.h>
+#include <LibPeer/PeerTraffic.h>
 #include <memory>
 
 namespace Peer {
@@ -25,6 +26,9 @@
     /// The port in use; 0 before listen() succeeded.
     [[nodiscard]] std::uint16_t port() const;
 
+    /// The encoded messages of the calls answered so far. Thread safe.
+    [[nodiscard]] PeerTraffic traffic(TrafficClass) const;
+
 private:
     class Implementation;
     std::unique_ptr<Implementation> m_implementation;
--- a/Libraries/LibRouting/ServerChoice.cpp
+++ b/Libraries/LibRouting/ServerChoice.cpp
@@ -115,6 +115,8 @@
     static constexpr std::size_t randomChoices = 2;
     std::vector<Candidate> candidates;
     std::shuffle(rows.begin(), rows.end(), random.engine());
+    // In a large data centre only a sample of the servers is asked for its load; a choice between two unknown loads is blind.
+    std::stable_partition(rows.begin(), rows.end(), [&](auto const* row) { return row->report && now - row->report->receivedAt <= reportLifetime; });
     // Servers of the own data centre come first, so that one of them is sampled as long as there is one.
     std::stable_partition(rows.begin(), rows.end(), [&](auto const* row) { return row->dataCentre == request.dataCentre; });
     for (std::size_t index = 0; index < std::min(randomChoices, rows.size()); ++index)
--- a/Services/Node/BackendWatcher.cpp
+++ b/Services/Node/BackendWatcher.cpp
@@ -1,6 +1,7 @@
 #include <Node/BackendWatcher.h>
 
 #include <LibCore/Log.h>
+#include <algorithm>
 #include <boost/json/parse.hpp>
 #include <charconv>
 
@@ -9,77 +10,66 @@
 namespace json = boost::json;
 using namespace std::chrono_literals;
 
-BackendWatcher::BackendWatcher(Core::Runtime& runtime, Platform::Cloud& cloud, HTTP::Client& client, NodeTables& tables, Core::Random& random, BackendWatcherSettings settings)
+// Status line, headers and request beside the body, as measured with the stand-ins.
+static constexpr std::size_t callOverheadBytes = 220;
+
+BackendWatcher::BackendWatcher(Core::Runtime& runtime, HTTP::Client& client, NodeTables& tables, Core::Random& random, BackendWatcherSettings settings, std::function<std::size_t()> nodesInDataCentre)
     : m_runtime(runtime)
-    , m_cloud(cloud)
     , m_client(client)
     , m_tables(tables)
     , m_random(random)
     , m_settings(std::move(settings))
+    , m_nodesInDataCentre(std::move(nodesInDataCentre))
+    , m_reportBudget { m_settings.reportBytesPerSecond, m_settings.reportBytesPerSecond }
+    , m_cacheEventBudget { m_settings.cacheEventBytesPerSecond, m_settings.cacheEventBytesPerSecond }
 {
 }
 
 void BackendWatcher::start()
 {
     m_running = true;
-    m_runtime.spawn(watchHostList());
-    m_runtime.spawn(watchNotices());
+    m_runtime.spawn(runReports());
 }
 
-// Spreads the calls of many nodes over the interval.
-Core::Duration BackendWatcher::jittered(Core::Duration duration)
-{
-    return std::chrono::duration_cast<Core::Duration>(duration * (0.75 + 0.5 * m_random.unit()));
-}
-
-static std::vector<Routing::ListedServer> listedServers(std::vector<Platform::Host> const& hosts)
+static std::vector<Routing::ListedServer> toListedServers(std::vector<Peer::ServerEntry> const& entries)
 {
     std::vector<Routing::ListedServer> servers;
-    for (auto const& host : hosts) {
-        if (host.role != Platform::HostRole::Backend)
+    for (auto const& entry : entries) {
+        Core::LastReason reason;
+        auto const endpoint = Core::parseEndpoint(entry.endpoint, reason);
+        if (!endpoint)
             continue;
-        auto const lifecycle = host.state == Platform::HostState::Leaving ? Routing::Lifecycle::Leaving : Routing::Lifecycle::Live;
-        servers.push_back({ host.id, host.endpoint, host.service, host.version, host.dataCentre, host.zone, host.incarnation, lifecycle });
+        auto const lifecycle = entry.leaving ? Routing::Lifecycle::Leaving : Routing::Lifecycle::Live;
+        servers.push_back({ entry.id, *endpoint, entry.service, entry.version, entry.dataCentre, entry.zone, entry.incarnation, lifecycle });
     }
     return servers;
 }
 
-Core::Awaitable<void> BackendWatcher::watchHostList()
+void BackendWatcher::mergeServers(std::vector<Peer::ServerEntry> const& entries)
 {
-    while (m_running) {
-        Core::LastReason reason;
-        auto const hosts = co_await m_cloud.hosts(m_runtime.now() + m_settings.callTimeout, reason);
-        // Without the platform the servers known so far stay in use.
-        if (hosts) {
-            Routing::mergeHostList(m_tables.servers, listedServers(*hosts), m_runtime.now());
-            startWatches();
-        }
-        co_await m_runtime.sleepFor(jittered(m_settings.hostListInterval));
-    }
+    std::set<std::string> before;
+    for (auto const& row : m_tables.servers.rows)
+        before.insert(row.id);
+    Routing::mergeHostList(m_tables.servers, toListedServers(entries), m_runtime.now());
+    for (auto const& row : m_tables.servers.rows)
+        before.erase(row.id);
+    for (auto const& id : before)
+        m_tables.prefixes.forgetServer(id);
+    std::erase_if(m_cacheSequences, [&](auto const& entry) { return !findIncarnation(entry.first.first, entry.first.second); });
 }
 
-Core::Awaitable<void> BackendWatcher::watchNotices()
+void BackendWatcher::addNotices(std::vector<Peer::ReclaimNotice> const& notices)
 {
-    std::uint64_t sequence = 0;
-    while (m_running) {
-        Core::LastReason reason;
-        auto const list = co_await m_cloud.waitForNotices(sequence, m_runtime.now() + m_settings.noticeTimeout, reason);
-        if (!list) {
-            co_await m_runtime.sleepFor(jittered(m_settings.hostListInterval));
-            continue;
-        }
-        sequence = list->sequence;
-        std::map<std::int64_t, std::set<std::string>> hostsByTime;
-        for (auto const& notice : list->notices) {
-            hostsByTime[notice.reclaimAtMilliseconds].insert(notice.hostId);
-            if (auto const* row = Routing::findServer(m_tables.servers, notice.hostId))
-                noteLeaving(notice.hostId, row->incarnation);
-        }
-        for (auto const& [milliseconds, hostIds] : hostsByTime) {
-            auto const remaining = Core::WallTime(std::chrono::milliseconds(milliseconds)) - m_runtime.wallNow();
-            if (m_onReclaim)
-                m_onReclaim(hostIds, m_runtime.now() + std::chrono::duration_cast<Core::Duration>(remaining));
-        }
+    std::map<std::int64_t, std::set<std::string>> hostsByTime;
+    for (auto const& notice : notices) {
+        hostsByTime[notice.reclaimAtMilliseconds].insert(notice.hostId);
+        if (auto const* row = Routing::findServer(m_tables.servers, notice.hostId))
+            noteLeaving(notice.hostId, row->incarnation);
+    }
+    for (auto const& [milliseconds, hostIds] : hostsByTime) {
+        auto const remaining = Core::WallTime(std::chrono::milliseconds(milliseconds)) - m_runtime.wallNow();
+        if (m_onReclaim)
+            m_onReclaim(hostIds, m_runtime.now() + std::chrono::duration_cast<Core::Duration>(remaining));
     }
 }
 
@@ -92,14 +82,6 @@
         m_onServerLeaving(serverId, incarnation);
 }
 
-void BackendWatcher::startWatches()
-{
-    for (auto const& row : m_tables.servers.rows) {
-        if (m_watched.emplace(row.id, row.incarnation).second)
-            m_runtime.spawn(watchServer(row.id, row.incarnation));
-    }
-}
-
 Routing::ServerRow* BackendWatcher::findIncarnation(std::string const& serverId, std::uint64_t incarnation)
 {
     auto* row = Routing::findServer(m_tables.servers, serverId);
@@ -112,27 +94,51 @@
     return service && service->kind == Configuration::ServiceKind::Model;
 }
 
-Core::Awaitable<void> BackendWatcher::watchServer(std::string serverId, std::uint64_t incarnation)
+bool BackendWatcher::isConfigured(Routing::ServerRow const& row) const
 {
-    std::uint64_t cacheSequence = 0;
-    auto nextCacheEvents = m_runtime.now();
+    return Configuration::findService(m_tables.configuration.desired, row.service) != nullptr;
+}
+
+Core::Awaitable<void> BackendWatcher::runReports()
+{
+    static constexpr auto step = 50ms;
     while (m_running) {
-        auto const* row = findIncarnation(serverId, incarnation);
-        if (!row)
-            break;
-        bool const isLocal = row->dataCentre == m_settings.dataCentre;
-        bool const isConfigured = Configuration::findService(m_tables.configuration.desired, row->service) != nullptr;
-        if (isConfigured)
-            co_await readLoad(serverId, incarnation);
-        row = findIncarnation(serverId, incarnation);
-        if (row && isModel(*row) && isLocal && m_runtime.now() >= nextCacheEvents) {
-            cacheSequence = co_await readCacheEvents(serverId, cacheSequence);
-            nextCacheEvents = m_runtime.now() + m_settings.cacheEventInterval;
-        }
-        co_await m_runtime.sleepFor(jittered(m_settings.loadInterval * (isLocal ? 1 : 4)));
+        Routing::updateSample(m_schedule, m_tables.servers, m_settings.reports, std::max<std::size_t>(m_nodesInDataCentre(), 1), m_runtime.now(), m_random);
+        startReports();
+        startCacheEvents();
+        co_await m_runtime.sleepFor(step);
     }
-    m_watched.erase({ serverId, incarnation });
-    m_tables.prefixes.forgetServer(serverId);
+}
+
+void BackendWatcher::startReports()
+{
+    while (Routing::maySpend(m_reportBudget, m_runtime.now())) {
+        auto const* due = Routing::takeDueReport(m_schedule, m_settings.reports, m_runtime.now());
+        if (!due)
+            return;
+        auto const* row = findIncarnation(due->id, due->incarnation);
+        if (!row || !isConfigured(*row))
+            continue;
+        Routing::spend(m_reportBudget, callOverheadBytes);
+        m_runtime.spawn(readLoad(due->id, due->incarnation));
+    }
+}
+
+void BackendWatcher::startCacheEvents()
+{
+    if (!Routing::maySpend(m_cacheEventBudget, m_runtime.now()))
+        return;
+    std::vector<std::string> engines;
+    for (auto const& member : m_schedule.sample) {
+        auto const* row = findIncarnation(member.id, member.incarnation);
+        if (row && row->dataCentre == m_settings.reports.dataCentre && isModel(*row))
+            engines.push_back(member.id);
+    }
+    auto const* due = Routing::takeDueCacheEvents(m_schedule, engines, m_settings.cacheEventInterval, m_runtime.now());
+    if (!due)
+        return;
+    Routing::spend(m_cacheEventBudget, callOverheadBytes);
+    m_runtime.spawn(readCacheEvents(due->id, due->incarnation));
 }
 
 static std::uint64_t numberOr(json::object const& object, std::string_view name, std::uint64_t fallback)
@@ -164,11 +170,15 @@
 Core::Awaitable<void> BackendWatcher::readLoad(std::string serverId, std::uint64_t incarnation)
 {
     auto const* before = findIncarnation(serverId, incarnation);
+    if (!before)
+        co_return;
     HTTP::Request request;
     request.method = "GET";
     request.target = isModel(*before) ? "/engine/load" : "/service/load";
     Core::LastReason reason;
     auto const response = co_await m_client.send(before->endpoint, std::move(request), HTTP::ConnectionUse::Pooled, m_runtime.now() + m_settings.callTimeout, reason);
+    if (response)
+        Routing::spend(m_reportBudget, response->body.size());
     auto const body = objectBody(response);
     auto* row = findIncarnation(serverId, incarnation);
     if (!row)
@@ -191,20 +201,26 @@
         noteLeaving(serverId, incarnation);
 }
 
-Core::Awaitable<std::uint64_t> BackendWatcher::readCacheEvents(std::string serverId, std::uint64_t after)
+Core::Awaitable<void> BackendWatcher::readCacheEvents(std::string serverId, std::uint64_t incarnation)
 {
-    auto const* row = Routing::findServer(m_tables.servers, serverId);
+    auto const* row = findIncarnation(serverId, incarnation);
+    if (!row)
+        co_return;
+    auto const found = m_cacheSequences.find({ serverId, incarnation });
+    auto const after = found == m_cacheSequences.end() ? 0 : found->second;
     HTTP::Request request;
     request.method = "GET";
     request.target = "/engine/cache-events?after=" + std::to_string(after);
     Core::LastReason reason;
     auto const response = co_await m_client.send(row->endpoint, std::move(request), HTTP::ConnectionUse::Pooled, m_runtime.now() + m_settings.callTimeout, reason);
+    if (response)
+        Routing::spend(m_cacheEventBudget, response->body.size());
     auto const body = objectBody(response);
-    if (!body)
-        co_return after;
+    if (!body || !findIncarnation(serverId, incarnation))
+        co_return;
     auto const* events = body->if_contains("events");
     if (!events || !events->is_array())
-        co_return after;
+        co_return;
     for (auto const& event : events->get_array()) {
         if (!event.is_object())
             continue;
@@ -222,7 +238,7 @@
         else
             m_tables.prefixes.recordEvicted(serverId, hash);
     }
-    co_return numberOr(*body, "next", after);
+    m_cacheSequences[{ serverId, incarnation }] = numberOr(*body, "next", after);
 }
 
 }
--- a/Services/Node/BackendWatcher.h
+++ b/Services/Node/BackendWatcher.h
@@ -3,22 +3,25 @@
 #include <LibCore/Random.h>
 #include <LibCore/Runtime.h>
 #include <LibHTTP/Client.h>
-#include <LibPlatform/Cloud.h>
+#include <LibPeer/PeerMessages.h>
+#include <LibRouting/ReportSchedule.h>
 #include <Node/NodeTables.h>
 #include <functional>
+#include <map>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace Node {
 
 struct BackendWatcherSettings {
-    std::string dataCentre;
-    Core::Duration hostListInterval { std::chrono::seconds(1) };
-    /// Between two load reports of a server of the own data centre; others are asked a quarter as often.
-    Core::Duration loadInterval { std::chrono::milliseconds(250) };
+    Routing::ReportScheduleSettings reports;
     Core::Duration cacheEventInterval { std::chrono::milliseconds(500) };
     Core::Duration callTimeout { std::chrono::milliseconds(500) };
-    Core::Duration noticeTimeout { std::chrono::seconds(20) };
+    /// Of load reports, for the requests and responses together. The budget of a node for all control is 11 KB/s.
+    double reportBytesPerSecond { 4000 };
+    /// Of cache events. Busy engines publish more than this budget carries; the estimate of the own requests then prevails.
+    double cacheEventBytesPerSecond { 1000 };
 };
 
 /// Hosts that the platform announced to reclaim, and when at the latest.
@@ -28,13 +31,20 @@
 /// load reports and the engines' cache events. Used from the runtime's thread only.
 class BackendWatcher {
 public:
-    /// Precondition: all references outlive the watcher, which outlives its tasks.
-    BackendWatcher(Core::Runtime&, Platform::Cloud&, HTTP::Client&, NodeTables&, Core::Random&, BackendWatcherSettings);
+    /// The callback tells the number of nodes in the own data centre. Precondition: all references outlive the watcher, which
+    /// outlives its tasks.
+    BackendWatcher(Core::Runtime&, HTTP::Client&, NodeTables&, Core::Random&, BackendWatcherSettings, std::function<std::size_t()> nodesInDataCentre);
 
     void start();
     /// Ends the tasks at their next step.
     void stop() { m_running = false; }
 
+    /// Merges the platform's list of backend servers into the table.
+    void mergeServers(std::vector<Peer::ServerEntry> const&);
+
+    /// Marks the servers among the hosts as leaving and tells the listener of reclaims.
+    void addNotices(std::vector<Peer::ReclaimNotice> const&);
+
     /// Called for each reclaim notice, also for hosts that are no backend servers.
     void onReclaim(ReclaimListener listener) { m_onReclaim = std::move(listener); }
 
@@ -42,26 +52,29 @@
     void onServerLeaving(std::function<void(std::string const&, std::uint64_t)> listener) { m_onServerLeaving = std::move(listener); }
 
 private:
-    [[nodiscard]] Core::Awaitable<void> watchHostList();
-    [[nodiscard]] Core::Awaitable<void> watchNotices();
-    [[nodiscard]] Core::Awaitable<void> watchServer(std::string serverId, std::uint64_t incarnation);
+    [[nodiscard]] Core::Awaitable<void> runReports();
     [[nodiscard]] Core::Awaitable<void> readLoad(std::string serverId, std::uint64_t incarnation);
-    [[nodiscard]] Core::Awaitable<std::uint64_t> readCacheEvents(std::string serverId, std::uint64_t after);
-    void startWatches();
+    [[nodiscard]] Core::Awaitable<void> readCacheEvents(std::string serverId, std::uint64_t incarnation);
+    void startReports();
+    void startCacheEvents();
     void noteLeaving(std::string const& serverId, std::uint64_t incarnation);
     [[nodiscard]] Routing::ServerRow* findIncarnation(std::string const& serverId, std::uint64_t incarnation);
+    [[nodiscard]] bool isConfigured(Routing::ServerRow const&) const;
     [[nodiscard]] bool isModel(Routing::ServerRow const&) const;
-    [[nodiscard]] Core::Duration jittered(Core::Duration);
 
     Core::Runtime& m_runtime;
-    Platform::Cloud& m_cloud;
     HTTP::Client& m_client;
     NodeTables& m_tables;
     Core::Random& m_random;
     BackendWatcherSettings m_settings;
+    std::function<std::size_t()> m_nodesInDataCentre;
     ReclaimListener m_onReclaim;
     std::function<void(std::string const&, std::uint64_t)> m_onServerLeaving;
-    std::set<std::pair<std::string, std::uint64_t>> m_watched;
+    Routing::ReportSchedule m_schedule;
+    Routing::ByteBudget m_reportBudget;
+    Routing::ByteBudget m_cacheEventBudget;
+    /// The sequence to read cache events after, by server and incarnation.
+    std::map<std::pair<std::string, std::uint64_t>, std::uint64_t> m_cacheSequences;
     bool m_running { false };
 };
 
--- a/Services/Node/NodeService.cpp
+++ b/Services/Node/NodeService.cpp
@@ -59,6 +59,8 @@
     Peer::PeerClient peerClient { runtime };
     HTTP::Client platformHTTP { runtime, {} };
     HTTP::Client backendHTTP { runtime, {} };
+    // For load reports and cache events, so that they are counted apart from the requests served.
+    HTTP::Client reportHTTP { runtime, {} };
     EngineClient engines { backendHTTP };
     Stream::StreamTable streams { runtime, maximumStreams, streamRetention };
     Membership::PeerClientCalls membershipCalls { peerClient };
@@ -74,6 +76,7 @@
     std::unique_ptr<ModelRunner> runner;
     std::unique_ptr<StreamTakeOver> takeOver;
     std::unique_ptr<ServiceProxy> services;
+    std::unique_ptr<PlatformFeed> platformFeed;
     std::unique_ptr<BackendWatcher> watcher;
     std::unique_ptr<Gateway> gateway;
     std::unique_ptr<OperatorEndpoint> operatorEndpoint;
@@ -103,6 +106,7 @@
     m_settings.peerListen.port = m_parts->peerServer.port();
     connectParts();
     m_parts->membership->start();
+    m_parts->platformFeed->start();
     m_parts->watcher->start();
     m_runtime.spawn(runTicks());
     m_runtime.spawn(runGarbageCollection());
@@ -147,8 +151,15 @@
     parts.services = std::make_unique<ServiceProxy>(m_runtime, parts.backendHTTP, *parts.journal, parts.tables, parts.decisions, parts.random, parts.metrics, m_settings.nodeId, m_settings.dataCentre);
 
     BackendWatcherSettings watcherSettings;
-    watcherSettings.dataCentre = m_settings.dataCentre;
-    parts.watcher = std::make_unique<BackendWatcher>(m_runtime, *parts.cloud, parts.backendHTTP, parts.tables, parts.random, std::move(watcherSettings));
+    watcherSettings.reports.dataCentre = m_settings.dataCentre;
+    auto const nodesInDataCentre = [this] {
+        auto const& nodes = m_parts->membership->nodes();
+        return Membership::nodesOf(nodes, nodes.ownDataCentre, Membership::NodeFilter::NotDead).size();
+    };
+    parts.watcher = std::make_unique<BackendWatcher>(m_runtime, parts.reportHTTP, parts.tables, parts.random, std::move(watcherSettings), nodesInDataCentre);
+    parts.platformFeed = std::make_unique<PlatformFeed>(m_runtime, *parts.cloud, parts.peerClient, *parts.membership, parts.random, PlatformFeedSettings {});
+    parts.platformFeed->onServers([this](std::vector<Peer::ServerEntry> const& servers) { mergeServers(servers); });
+    parts.platformFeed->onNotices([this](std::vector<Peer::ReclaimNotice> const& notices) { m_parts->watcher->addNotices(notices); });
     parts.watcher->onServerLeaving([this](std::string const& id, std::uint64_t serverIncarnation) { m_parts->membership->markServerLeaving(id, serverIncarnation); });
     parts.watcher->onReclaim([this](auto const& hostIds, auto reclaimAt) { handleReclaim(hostIds, reclaimAt); });
     parts.membership->onServerLeaving([this](std::string const& id, std::uint64_t serverIncarnation) { Routing::markLeaving(m_parts->tables.servers, id, serverIncarnation); });
@@ -245,6 +256,37 @@
     publishUsage();
     m_parts->metrics.gauge("hyssopstep_streams").set(static_cast<double>(m_parts->streams.size()));
     m_parts->metrics.gauge("hyssopstep_exchange_bytes").set(static_cast<double>(m_parts->membership->exchangedBytes()));
+    publishTraffic();
+}
+
+void NodeService::mergeServers(std::vector<Peer::ServerEntry> const& servers)
+{
+    m_parts->watcher->mergeServers(servers);
+    // A list read before a server was marked as leaving, by a notice or a peer, does not take the mark back.
+    for (auto& row : m_parts->tables.servers.rows) {
+        if (m_parts->membership->isServerLeaving(row.id, row.incarnation))
+            row.lifecycle = Routing::Lifecycle::Leaving;
+    }
+}
+
+// Gauges of values that only grow, since their owners count them.
+void NodeService::publishTraffic()
+{
+    auto& metrics = m_parts->metrics;
+    auto const publish = [&metrics](std::string const& channel, std::uint64_t calls, std::uint64_t sent, std::uint64_t received) {
+        metrics.gauge("hyssopstep_traffic_calls", { { "channel", channel } }).set(static_cast<double>(calls));
+        metrics.gauge("hyssopstep_traffic_bytes", { { "channel", channel }, { "direction", "sent" } }).set(static_cast<double>(sent));
+        metrics.gauge("hyssopstep_traffic_bytes", { { "channel", channel }, { "direction", "received" } }).set(static_cast<double>(received));
+    };
+    auto const publishPeers = [&publish](std::string const& channel, Peer::PeerTraffic const& traffic) { publish(channel, traffic.calls, traffic.sentBytes, traffic.receivedBytes); };
+    auto const publishHTTP = [&publish](std::string const& channel, HTTP::ClientTraffic const& traffic) { publish(channel, traffic.requests, traffic.sentBytes, traffic.receivedBytes); };
+    publishPeers("peer_control_called", m_parts->peerClient.traffic(Peer::TrafficClass::Control));
+    publishPeers("peer_control_answered", m_parts->peerServer.traffic(Peer::TrafficClass::Control));
+    publishPeers("peer_requests_called", m_parts->peerClient.traffic(Peer::TrafficClass::Requests));
+    publishPeers("peer_requests_answered", m_parts->peerServer.traffic(Peer::TrafficClass::Requests));
+    publishHTTP("platform", m_parts->platformHTTP.traffic());
+    publishHTTP("reports", m_parts->reportHTTP.traffic());
+    publishHTTP("backends", m_parts->backendHTTP.traffic());
 }
 
 void NodeService::moveReplicasFromLostNodes()
@@ -315,6 +357,7 @@
     m_parts->operatorServer.stopAccepting();
     bool const drained = co_await m_parts->clientServer.drained(m_runtime.now() + handOverTime / 2);
     Core::logEvent(Core::LogLevel::Info, "drain_finished", { { "streams_left", remaining }, { "requests_cut_off", drained ? 0 : m_parts->clientServer.requestsInProgress() } });
+    m_parts->platformFeed->stop();
     m_parts->watcher->stop();
     m_parts->membership->stop();
     m_runtime.context().stop();
@@ -358,6 +401,11 @@
     co_return reply;
 }
 
+Core::Awaitable<Peer::FetchPlatformDataReply> NodeService::fetchPlatformData(Peer::FetchPlatformDataRequest request)
+{
+    co_return co_await m_parts->platformFeed->handle(request);
+}
+
 // FIXME: Forward intents to the preferred writer of a shard. Until then every node writes them itself, which is safe but
 // costs a conflict whenever two nodes write one shard at the same time.
 Core::Awaitable<Peer::BeginIntentReply> NodeService::beginIntent(Peer::BeginIntentRequest)
--- a/Services/Node/NodeService.h
+++ b/Services/Node/NodeService.h
@@ -12,6 +12,7 @@
 #include <Node/Gateway.h>
 #include <Node/NodeSettings.h>
 #include <Node/OperatorEndpoint.h>
+#include <Node/PlatformFeed.h>
 #include <memory>
 
 namespace Node {
@@ -41,6 +42,7 @@
     Core::Awaitable<Peer::FindStreamReply> findStream(Peer::FindStreamRequest) override;
     Core::Awaitable<Peer::BeginIntentReply> beginIntent(Peer::BeginIntentRequest) override;
     Core::Awaitable<Peer::FinishIntentReply> finishIntent(Peer::FinishIntentRequest) override;
+    Core::Awaitable<Peer::FetchPlatformDataReply> fetchPlatformData(Peer::FetchPlatformDataRequest) override;
 
 private:
     struct Parts;
@@ -54,6 +56,8 @@
     void tick();
     void moveReplicasFromLostNodes();
     void publishUsage();
+    void mergeServers(std::vector<Peer::ServerEntry> const&);
+    void publishTraffic();
     [[nodiscard]] double shareOf(std::string const& team) const;
     [[nodiscard]] bool isIdle() const;
     [[nodiscard]] OperatorDependencies operatorDependencies();
--- /dev/null
+++ b/Services/Node/PlatformFeed.cpp
@@ -0,0 +1,240 @@
+#include <Node/PlatformFeed.h>
+
+#include <LibCore/Log.h>
+#include <algorithm>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace Node {
+
+using namespace std::chrono_literals;
+using Membership::PlatformDataSource;
+
+static constexpr std::size_t relaySlots = 2;
+// The longest time a peer may have its call held for.
+static constexpr Core::Duration longestWait = 10s;
+
+/// A call of a peer that is held until there is news.
+struct PlatformFeed::Waiter {
+    explicit Waiter(Core::Runtime& runtime)
+        : signal(runtime.context(), Core::asio::steady_timer::time_point::max())
+    {
+    }
+
+    void wake()
+    {
+        woken = true;
+        signal.cancel();
+    }
+
+    Core::asio::steady_timer signal;
+    bool woken { false };
+};
+
+PlatformFeed::PlatformFeed(Core::Runtime& runtime, Platform::Cloud& cloud, Peer::PeerClient& peers, Membership::MembershipService& membership, Core::Random& random, PlatformFeedSettings settings)
+    : m_runtime(runtime)
+    , m_cloud(cloud)
+    , m_peers(peers)
+    , m_membership(membership)
+    , m_random(random)
+    , m_settings(settings)
+{
+    m_data.epoch = random.bits() | 1;
+}
+
+void PlatformFeed::start()
+{
+    m_running = true;
+    m_platformSuccess = m_runtime.now();
+    m_runtime.spawn(readPlatform());
+    m_runtime.spawn(watchNotices());
+    for (std::size_t slot = 0; slot < relaySlots; ++slot)
+        m_runtime.spawn(followPeer(slot));
+}
+
+void PlatformFeed::stop()
+{
+    m_running = false;
+    wakeWaiters();
+}
+
+// Spreads the calls of many nodes over the interval.
+Core::Duration PlatformFeed::jittered(Core::Duration duration)
+{
+    return std::chrono::duration_cast<Core::Duration>(duration * (0.75 + 0.5 * m_random.unit()));
+}
+
+Core::Duration PlatformFeed::currentListInterval() const
+{
+    return Membership::hostListInterval(m_listBytes, m_settings.listBytesPerSecond, m_settings.listInterval);
+}
+
+std::vector<PlatformDataSource> PlatformFeed::sources() const
+{
+    auto const now = m_runtime.now();
+    Membership::PlatformDataAges ages;
+    if (m_data.readAt)
+        ages.list = now - *m_data.readAt;
+    ages.platformSuccess = now - m_platformSuccess;
+    auto const role = m_membership.isRelay() ? Membership::RelayRole::Relay : Membership::RelayRole::Member;
+    return Membership::choosePlatformDataSources(role, ages, m_settings.staleAfter + 2 * currentListInterval());
+}
+
+bool PlatformFeed::uses(PlatformDataSource source) const
+{
+    auto const used = sources();
+    return std::find(used.begin(), used.end(), source) != used.end();
+}
+
+Core::Awaitable<void> PlatformFeed::readPlatform()
+{
+    while (m_running) {
+        if (!uses(PlatformDataSource::Platform)) {
+            co_await m_runtime.sleepFor(jittered(m_settings.retryInterval));
+            continue;
+        }
+        bool const succeeded = co_await readHostList();
+        auto interval = m_settings.listInterval;
+        if (!m_membership.isRelay())
+            interval = m_settings.fallbackInterval;
+        else if (succeeded)
+            interval = currentListInterval();
+        co_await m_runtime.sleepFor(jittered(interval));
+    }
+}
+
+Core::Awaitable<bool> PlatformFeed::readHostList()
+{
+    // Of a host in the platform's JSON form, as measured with the example's names.
+    static constexpr std::size_t bytesPerHost = 260;
+    Core::LastReason reason;
+    auto const askedAt = m_runtime.now();
+    auto const hosts = co_await m_cloud.hosts(askedAt + m_settings.callTimeout, reason);
+    // Without the platform the servers known so far stay in use.
+    if (!hosts)
+        co_return false;
+    m_platformSuccess = m_runtime.now();
+    m_listBytes = hosts->size() * bytesPerHost;
+    std::vector<Peer::ServerEntry> servers;
+    for (auto const& host : *hosts) {
+        if (host.role == Platform::HostRole::Backend)
+            servers.push_back({ host.id, host.endpoint.toString(), host.service, host.version, host.dataCentre, host.zone, host.incarnation, host.state == Platform::HostState::Leaving });
+    }
+    Membership::PlatformDataNews news;
+    news.listAdopted = Membership::adoptServerList(m_data, servers, askedAt);
+    announce(news);
+    co_return true;
+}
+
+Core::Awaitable<void> PlatformFeed::watchNotices()
+{
+    while (m_running) {
+        if (!uses(PlatformDataSource::Platform)) {
+            co_await m_runtime.sleepFor(jittered(m_settings.retryInterval));
+            continue;
+        }
+        // A node that is no relay asks once and does not wait, so that it costs no waiting call.
+        bool const waits = m_membership.isRelay();
+        Core::LastReason reason;
+        auto const deadline = m_runtime.now() + (waits ? m_settings.noticeTimeout : m_settings.callTimeout);
+        auto const list = co_await m_cloud.waitForNotices(m_data.noticeSequence, deadline, reason);
+        if (list) {
+            m_platformSuccess = m_runtime.now();
+            std::vector<Peer::ReclaimNotice> notices;
+            for (auto const& notice : list->notices)
+                notices.push_back({ notice.sequence, notice.hostId, notice.reclaimAtMilliseconds });
+            Membership::PlatformDataNews news;
+            news.notices = Membership::addNotices(m_data, notices, list->sequence);
+            announce(news);
+        }
+        if (!waits)
+            co_await m_runtime.sleepFor(jittered(m_settings.fallbackInterval));
+        else if (!list)
+            co_await m_runtime.sleepFor(jittered(m_settings.listInterval));
+    }
+}
+
+std::optional<Core::Endpoint> PlatformFeed::partner(std::size_t slot)
+{
+    auto const& nodes = m_membership.nodes();
+    auto relays = Membership::relaysOf(nodes, nodes.ownDataCentre);
+    std::erase_if(relays, [&](auto const* row) { return row->id == nodes.ownId; });
+    bool const isCutOff = uses(PlatformDataSource::RemoteRelays);
+    bool const takesLocal = uses(PlatformDataSource::LocalRelays) || (isCutOff && slot == 0);
+    if (takesLocal && slot < relays.size())
+        return relays[slot]->peerEndpoint;
+    if (!isCutOff)
+        return std::nullopt;
+    std::vector<Core::Endpoint> remote;
+    for (auto const& [id, row] : nodes.rows) {
+        if (row.dataCentre == nodes.ownDataCentre || row.liveness == Membership::Liveness::Dead)
+            continue;
+        auto const remoteRelays = Membership::relaysOf(nodes, row.dataCentre);
+        if (std::find(remoteRelays.begin(), remoteRelays.end(), &row) != remoteRelays.end())
+            remote.push_back(row.peerEndpoint);
+    }
+    if (remote.empty())
+        return std::nullopt;
+    return remote[m_random.below(remote.size())];
+}
+
+Core::Awaitable<void> PlatformFeed::followPeer(std::size_t slot)
+{
+    Membership::PlatformDataCursor cursor;
+    std::optional<Core::Endpoint> followed;
+    while (m_running) {
+        auto const endpoint = partner(slot);
+        if (!endpoint) {
+            co_await m_runtime.sleepFor(jittered(m_settings.retryInterval));
+            continue;
+        }
+        if (followed != endpoint)
+            cursor = {};
+        followed = endpoint;
+        auto request = Membership::requestFor(m_data, cursor);
+        request.waitMilliseconds = static_cast<std::uint32_t>(std::chrono::duration_cast<std::chrono::milliseconds>(m_settings.peerWait).count());
+        Core::LastReason reason;
+        auto const deadline = m_runtime.now() + m_settings.peerWait + m_settings.callTimeout;
+        auto const reply = co_await m_peers.fetchPlatformData(*endpoint, request, deadline, reason);
+        if (reply)
+            announce(Membership::mergeReply(m_data, cursor, *reply, m_runtime.now()));
+        // A peer without a list answers at once.
+        if (!reply || !reply->hasList)
+            co_await m_runtime.sleepFor(jittered(m_settings.retryInterval));
+    }
+}
+
+void PlatformFeed::announce(Membership::PlatformDataNews const& news)
+{
+    Membership::expireNotices(m_data, std::chrono::duration_cast<std::chrono::milliseconds>(m_runtime.wallNow().time_since_epoch()).count());
+    if (news.listAdopted && m_onServers)
+        m_onServers(Membership::listedServers(m_data));
+    if (!news.notices.empty() && m_onNotices)
+        m_onNotices(news.notices);
+    if (news.listAdopted || !news.notices.empty())
+        wakeWaiters();
+}
+
+void PlatformFeed::wakeWaiters()
+{
+    for (auto const& weak : std::exchange(m_waiters, {})) {
+        if (auto const waiter = weak.lock())
+            waiter->wake();
+    }
+}
+
+Core::Awaitable<Peer::FetchPlatformDataReply> PlatformFeed::handle(Peer::FetchPlatformDataRequest request)
+{
+    auto const deadline = m_runtime.now() + std::min<Core::Duration>(std::chrono::milliseconds(request.waitMilliseconds), longestWait);
+    while (m_running && m_runtime.now() < deadline && !Membership::hasNews(m_data, request)) {
+        auto const waiter = std::make_shared<Waiter>(m_runtime);
+        m_waiters.push_back(waiter);
+        auto const timer = m_runtime.callAt(deadline, [waiter] { waiter->wake(); });
+        while (!waiter->woken)
+            co_await waiter->signal.async_wait(Core::asio::as_tuple(Core::asio::use_awaitable));
+    }
+    co_return Membership::replyTo(m_data, request, m_runtime.now());
+}
+
+}
--- /dev/null
+++ b/Services/Node/PlatformFeed.h
@@ -0,0 +1,85 @@
+#pragma once
+
+#include <LibCore/Random.h>
+#include <LibCore/Runtime.h>
+#include <LibMembership/MembershipService.h>
+#include <LibMembership/PlatformData.h>
+#include <LibPeer/PeerClient.h>
+#include <LibPlatform/Cloud.h>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace Node {
+
+struct PlatformFeedSettings {
+    Core::Duration callTimeout { std::chrono::milliseconds(500) };
+    Core::Duration noticeTimeout { std::chrono::seconds(20) };
+    /// Between two readings of the platform's host list by a relay, at least.
+    Core::Duration listInterval { std::chrono::seconds(1) };
+    /// Of the platform's host list, on a relay. With a full list of the design size a relay reads it every 48 s.
+    std::size_t listBytesPerSecond { 6000 };
+    /// Between two readings by a node that gets no data from its relays.
+    Core::Duration fallbackInterval { std::chrono::seconds(15) };
+    /// How long a relay may hold a call until it has news.
+    Core::Duration peerWait { std::chrono::seconds(5) };
+    Core::Duration retryInterval { std::chrono::milliseconds(500) };
+    /// The data counts as stale when it is older than this and two readings.
+    Core::Duration staleAfter { std::chrono::seconds(10) };
+
+    bool operator==(PlatformFeedSettings const&) const = default;
+};
+
+/// Brings the platform's list of backend servers and its reclaim notices to this node, and on to nodes that ask. Relays read
+/// them from the platform; other nodes hold a call at each of their two relays, which is answered when there is news. Without
+/// relays that have current data the node asks the platform itself, at a low rate. Without either, the data stays as it is.
+/// Used from the runtime's thread only.
+class PlatformFeed {
+public:
+    /// Precondition: all references outlive the feed, which outlives its tasks.
+    PlatformFeed(Core::Runtime&, Platform::Cloud&, Peer::PeerClient&, Membership::MembershipService&, Core::Random&, PlatformFeedSettings);
+
+    void start();
+    /// Ends the tasks at their next step, and answers the calls of peers that wait.
+    void stop();
+
+    /// Called with the whole list after each change, and each time it was read again.
+    void onServers(std::function<void(std::vector<Peer::ServerEntry> const&)> listener) { m_onServers = std::move(listener); }
+    /// Called with the notices that this node had not seen.
+    void onNotices(std::function<void(std::vector<Peer::ReclaimNotice> const&)> listener) { m_onNotices = std::move(listener); }
+
+    /// Answers a peer's call, after the time it allows or as soon as there is news for it.
+    [[nodiscard]] Core::Awaitable<Peer::FetchPlatformDataReply> handle(Peer::FetchPlatformDataRequest);
+
+private:
+    struct Waiter;
+
+    [[nodiscard]] Core::Awaitable<void> readPlatform();
+    [[nodiscard]] Core::Awaitable<bool> readHostList();
+    [[nodiscard]] Core::Awaitable<void> watchNotices();
+    [[nodiscard]] Core::Awaitable<void> followPeer(std::size_t slot);
+    [[nodiscard]] std::vector<Membership::PlatformDataSource> sources() const;
+    [[nodiscard]] bool uses(Membership::PlatformDataSource) const;
+    [[nodiscard]] std::optional<Core::Endpoint> partner(std::size_t slot);
+    [[nodiscard]] Core::Duration currentListInterval() const;
+    [[nodiscard]] Core::Duration jittered(Core::Duration);
+    void announce(Membership::PlatformDataNews const&);
+    void wakeWaiters();
+
+    Core::Runtime& m_runtime;
+    Platform::Cloud& m_cloud;
+    Peer::PeerClient& m_peers;
+    Membership::MembershipService& m_membership;
+    Core::Random& m_random;
+    PlatformFeedSettings m_settings;
+    Membership::PlatformData m_data;
+    std::size_t m_listBytes { 0 };
+    Core::MonotonicTime m_platformSuccess {};
+    std::vector<std::weak_ptr<Waiter>> m_waiters;
+    std::function<void(std::vector<Peer::ServerEntry> const&)> m_onServers;
+    std::function<void(std::vector<Peer::ReclaimNotice> const&)> m_onNotices;
+    bool m_running { false };
+};
+
+}
--- /dev/null
+++ b/Tests/LibMembership/PlatformDataTest.cpp
@@ -0,0 +1,170 @@
+#include <LibMembership/PlatformData.h>
+
+#include <gmock/gmock.h>
+
+using namespace std::chrono_literals;
+using Membership::PlatformData;
+using Membership::PlatformDataCursor;
+using Peer::ServerEntry;
+using testing::ElementsAre;
+using testing::IsEmpty;
+using testing::SizeIs;
+
+namespace {
+
+Core::MonotonicTime at(Core::Duration sinceStart)
+{
+    return Core::MonotonicTime(1000s) + sinceStart;
+}
+
+ServerEntry server(std::string id, bool leaving = false)
+{
+    return { std::move(id), "127.0.0.1:1", "advisor", "v1", "dc1", "dc1-a", 1, leaving };
+}
+
+PlatformData dataWith(std::uint64_t epoch, std::vector<ServerEntry> const& servers, Core::Duration readAt)
+{
+    PlatformData data;
+    data.epoch = epoch;
+    Membership::adoptServerList(data, servers, at(readAt));
+    return data;
+}
+
+// One call of a node to a relay. Returns the number of rows in the reply.
+std::size_t fetch(PlatformData& node, PlatformDataCursor& cursor, PlatformData const& relay, Core::Duration now)
+{
+    auto const reply = Membership::replyTo(relay, Membership::requestFor(node, cursor), at(now));
+    Membership::mergeReply(node, cursor, reply, at(now));
+    return reply.servers.size() + reply.removedIds.size();
+}
+
+std::vector<std::string> idsOf(PlatformData const& data)
+{
+    std::vector<std::string> ids;
+    for (auto const& entry : Membership::listedServers(data))
+        ids.push_back(entry.id);
+    return ids;
+}
+
+}
+
+// Guards against control traffic that grows with the number of servers while nothing changes.
+TEST(PlatformDataTest, OnlyChangesAreSent)
+{
+    auto relay = dataWith(1, { server("a"), server("b"), server("c") }, 0s);
+    PlatformData node;
+    PlatformDataCursor cursor;
+    EXPECT_EQ(fetch(node, cursor, relay, 1s), 3u);
+    EXPECT_TRUE(Membership::adoptServerList(relay, { server("a"), server("b"), server("c") }, at(2s)));
+    EXPECT_FALSE(Membership::hasNews(relay, Membership::requestFor(node, cursor)));
+    EXPECT_EQ(fetch(node, cursor, relay, 3s), 0u);
+    Membership::adoptServerList(relay, { server("a", true), server("c"), server("d") }, at(4s));
+    EXPECT_TRUE(Membership::hasNews(relay, Membership::requestFor(node, cursor)));
+    EXPECT_EQ(fetch(node, cursor, relay, 5s), 3u);
+    EXPECT_THAT(idsOf(node), ElementsAre("a", "c", "d"));
+    EXPECT_TRUE(node.rows.at("a").entry.leaving);
+    EXPECT_EQ(node.contentHash, relay.contentHash);
+}
+
+// Guards against a whole list for each change of relay.
+TEST(PlatformDataTest, EqualListsOfTwoRelaysAreSentOnce)
+{
+    auto const first = dataWith(1, { server("a"), server("b") }, 0s);
+    auto const second = dataWith(2, { server("a"), server("b") }, 1s);
+    PlatformData node;
+    PlatformDataCursor cursor;
+    EXPECT_EQ(fetch(node, cursor, first, 2s), 2u);
+    PlatformDataCursor otherCursor;
+    EXPECT_EQ(fetch(node, otherCursor, second, 2s), 0u);
+    EXPECT_EQ(otherCursor, (PlatformDataCursor { 2, second.version }));
+}
+
+// Guards against a relay that lags and lists a removed server again, and against its list replacing a newer one.
+TEST(PlatformDataTest, OlderListOfAnotherRelayIsNotAdopted)
+{
+    auto const current = dataWith(1, { server("a"), server("new") }, 10s);
+    auto lagging = dataWith(2, { server("a"), server("removed") }, 0s);
+    PlatformData node;
+    PlatformDataCursor cursor;
+    PlatformDataCursor laggingCursor;
+    fetch(node, cursor, current, 11s);
+    fetch(node, laggingCursor, lagging, 11s);
+    EXPECT_THAT(idsOf(node), ElementsAre("a", "new"));
+    // Nothing is sent again until the other relay reads the list anew.
+    EXPECT_FALSE(Membership::hasNews(lagging, Membership::requestFor(node, laggingCursor)));
+    Membership::adoptServerList(lagging, { server("a"), server("new") }, at(12s));
+    fetch(node, laggingCursor, lagging, 13s);
+    EXPECT_THAT(idsOf(node), ElementsAre("a", "new"));
+    EXPECT_EQ(node.contentHash, lagging.contentHash);
+}
+
+// Guards against a list that stays a mixture of two relays' lists.
+TEST(PlatformDataTest, ChangesOnAnotherBaseLeadToAWholeList)
+{
+    auto const first = dataWith(1, { server("a"), server("b") }, 10s);
+    auto second = dataWith(2, { server("a"), server("c") }, 0s);
+    PlatformData node;
+    PlatformDataCursor cursor;
+    PlatformDataCursor secondCursor;
+    fetch(node, cursor, first, 11s);
+    fetch(node, secondCursor, second, 11s);
+    Membership::adoptServerList(second, { server("a"), server("c"), server("d") }, at(20s));
+    fetch(node, secondCursor, second, 21s);
+    EXPECT_EQ(secondCursor, PlatformDataCursor {});
+    Membership::adoptServerList(second, { server("a"), server("c"), server("d") }, at(22s));
+    fetch(node, secondCursor, second, 23s);
+    EXPECT_THAT(idsOf(node), ElementsAre("a", "c", "d"));
+}
+
+// Guards against a version of an earlier process of the relay, or one whose removals are forgotten, being taken as a base.
+TEST(PlatformDataTest, UnknownVersionGetsTheWholeList)
+{
+    auto relay = dataWith(7, { server("a"), server("b") }, 5s);
+    relay.version = 100;
+    auto node = dataWith(3, { server("a"), server("gone") }, 0s);
+    PlatformDataCursor cursor { 6, 90 };
+    fetch(node, cursor, relay, 6s);
+    EXPECT_THAT(idsOf(node), ElementsAre("a", "b"));
+    relay.forgottenVersion = 95;
+    node = dataWith(3, { server("a"), server("gone") }, 0s);
+    cursor = { 7, 90 };
+    fetch(node, cursor, relay, 6s);
+    EXPECT_THAT(idsOf(node), ElementsAre("a", "b"));
+}
+
+// Guards against a notice that is lost, or acted on twice because two relays pass it on.
+TEST(PlatformDataTest, EachNoticeIsNewOnce)
+{
+    PlatformData relay;
+    Membership::addNotices(relay, { { 4, "a", 1000 }, { 5, "b", 2000 } }, 5);
+    PlatformData node;
+    EXPECT_TRUE(Membership::hasNews(relay, Membership::requestFor(node, {})));
+    PlatformDataCursor cursor;
+    auto const reply = Membership::replyTo(relay, Membership::requestFor(node, cursor), at(0s));
+    EXPECT_FALSE(reply.hasList);
+    EXPECT_THAT(Membership::mergeReply(node, cursor, reply, at(0s)).notices, SizeIs(2));
+    EXPECT_THAT(Membership::mergeReply(node, cursor, reply, at(0s)).notices, IsEmpty());
+    EXPECT_FALSE(Membership::hasNews(relay, Membership::requestFor(node, cursor)));
+    Membership::expireNotices(relay, 62'001);
+    EXPECT_THAT(relay.notices, SizeIs(0));
+    EXPECT_EQ(relay.noticeSequence, 5u);
+}
+
+// Guards against every node polling the platform, and against nodes left without data when their relays have none.
+TEST(PlatformDataTest, SourcesFollowRoleAndAge)
+{
+    using enum Membership::PlatformDataSource;
+    using Membership::RelayRole;
+    EXPECT_THAT(Membership::choosePlatformDataSources(RelayRole::Relay, { 1s, 1s }, 12s), ElementsAre(Platform));
+    EXPECT_THAT(Membership::choosePlatformDataSources(RelayRole::Relay, { 1s, 13s }, 12s), ElementsAre(Platform, RemoteRelays));
+    EXPECT_THAT(Membership::choosePlatformDataSources(RelayRole::Member, { 1s, 1h }, 12s), ElementsAre(LocalRelays));
+    EXPECT_THAT(Membership::choosePlatformDataSources(RelayRole::Member, { 13s, 1h }, 12s), ElementsAre(LocalRelays, Platform));
+    EXPECT_THAT(Membership::choosePlatformDataSources(RelayRole::Member, { std::nullopt, 0s }, 12s), ElementsAre(LocalRelays, Platform));
+}
+
+// Guards against a list that takes more than the relay's share of bytes once the fleet has grown.
+TEST(PlatformDataTest, ListIsReadLessOftenWhenItGrows)
+{
+    EXPECT_EQ(Membership::hostListInterval(2'000, 6'000, 1s), 1s);
+    EXPECT_EQ(Membership::hostListInterval(60'000, 6'000, 1s), 10s);
+}
--- a/Tests/LibPeer/PeerTest.cpp
+++ b/Tests/LibPeer/PeerTest.cpp
@@ -56,6 +56,14 @@
         co_return Peer::FinishIntentReply { Peer::IntentCode::Recorded, "done" };
     }
 
+    Core::Awaitable<Peer::FetchPlatformDataReply> fetchPlatformData(Peer::FetchPlatformDataRequest request) override
+    {
+        fetched = request;
+        co_return platformReply;
+    }
+
+    Peer::FetchPlatformDataRequest fetched;
+    Peer::FetchPlatformDataReply platformReply;
     Core::Duration delay { 0 };
     std::size_t replyBytes { 3 };
     int calls { 0 };
@@ -174,6 +182,29 @@
     ASSERT_TRUE(finished);
     EXPECT_EQ(m_handler.finished, finish);
     EXPECT_EQ(finished->code, Peer::IntentCode::Recorded);
+
+    m_handler.platformReply = { true, true, 5, 6, 7, 8, { { "s1", "127.0.0.1:3", "advisor", "v1", "dc1", "dc1-a", 9, true } }, { "s2" }, { { 10, "h1", -11 } }, 12 };
+    Peer::FetchPlatformDataRequest const fetchData { 1, 2, 3, 4, 5 };
+    auto const platformData = run(m_client->fetchPlatformData(m_endpoint, fetchData, soon(), m_reason));
+    ASSERT_TRUE(platformData) << m_reason.message;
+    EXPECT_EQ(m_handler.fetched, fetchData);
+    EXPECT_EQ(*platformData, m_handler.platformReply);
+}
+
+// Guards against control traffic that is hidden in, or hides, the traffic of requests.
+TEST_F(PeerTest, TrafficIsCountedByClass)
+{
+    ASSERT_TRUE(fetch());
+    auto const control = m_client->traffic(Peer::TrafficClass::Control);
+    EXPECT_EQ(control.calls, 1u);
+    EXPECT_GT(control.sentBytes, 0u);
+    EXPECT_GT(control.receivedBytes, 0u);
+    EXPECT_EQ(m_client->traffic(Peer::TrafficClass::Requests), Peer::PeerTraffic {});
+    auto const found = run(m_client->findStream(m_endpoint, { "b" }, soon(), m_reason));
+    ASSERT_TRUE(found);
+    EXPECT_EQ(m_client->traffic(Peer::TrafficClass::Requests).calls, 1u);
+    EXPECT_EQ(m_client->traffic(Peer::TrafficClass::Control), control);
+    EXPECT_EQ(m_server->traffic(Peer::TrafficClass::Requests).calls, 1u);
 }
 
 // Guards against a connection failure that is reported as possibly executed, and against a client that never tries again.
