--- a/Libraries/LibIntent/IntentJournal.cpp
+++ b/Libraries/LibIntent/IntentJournal.cpp
@@ -200,6 +200,11 @@
     co_return decision;
 }
 
+void IntentJournal::adopt(IntentTicket const& ticket)
+{
+    m_openAttempts.insert(ticket.attemptId);
+}
+
 bool IntentJournal::closeTicket(IntentTicket const& ticket, Core::LastReason& reason)
 {
     if (m_openAttempts.erase(ticket.attemptId) > 0)
--- a/Libraries/LibIntent/IntentJournal.h
+++ b/Libraries/LibIntent/IntentJournal.h
@@ -42,6 +42,10 @@
     /// Records that the outcome is unknown, so that repeated keys learn it without waiting. Fails like finish.
     [[nodiscard]] Core::Awaitable<bool> abandon(IntentTicket, Core::LastReason&);
 
+    /// Opens a ticket that another journal issued, so that it can be ended here when the issuer cannot be reached.
+    /// Precondition: this node asked for the ticket and has not ended it elsewhere for certain.
+    void adopt(IntentTicket const&);
+
     /// Removes objects of buckets whose keys every node refuses as expired, at most maximumBuckets of them per call, and
     /// returns the number of buckets it passed. Several nodes may run it at once; one at a time is cheaper.
     /// Fails with the store's reasons.
--- a/Libraries/LibIntent/IntentShard.cpp
+++ b/Libraries/LibIntent/IntentShard.cpp
@@ -257,7 +257,8 @@
 {
     auto const& current = (round.target == index ? round.content : m_chain[index].content).records.find(operation->record.keyDigest)->second;
     auto const wanted = operation->kind == IntentOperationKind::Finish ? IntentState::Finished : IntentState::Abandoned;
-    if (operation->kind != IntentOperationKind::Release && current.state == wanted) {
+    // A finished record never changes: the writer may give up a claim whose node has recorded the answer by itself.
+    if (current.state == IntentState::Finished || (operation->kind != IntentOperationKind::Release && current.state == wanted)) {
         round.outcomes.push_back({ operation, IntentOperationState::Recorded, {}, std::nullopt, round.target == index });
         return;
     }
--- a/Libraries/LibPeer/Peer.capnp
+++ b/Libraries/LibPeer/Peer.capnp
@@ -102,23 +102,40 @@
 }
 
 struct BeginIntentRequest {
-  key @0 :Text;
-  fingerprint @1 :Text;
-  attemptId @2 :Text;
-  nodeId @3 :Text;
+  claimId @0 :Text;
+  nodeId @1 :Text;
+  team @2 :Text;
+  service @3 :Text;
+  key @4 :Text;
+  fingerprint @5 :Text;
+  timeoutMilliseconds @6 :UInt32;
 }
 
-struct IntentReply {
+struct IntentTicket {
+  bucket @0 :UInt64;
+  shard @1 :UInt32;
+  keyDigest @2 :Text;
+  attemptId @3 :Text;
+}
+
+struct BeginIntentReply {
   code @0 :UInt16;
-  answer @1 :RecordedAnswer;
-  message @2 :Text;
+  ticket @1 :IntentTicket;
+  answer @2 :RecordedAnswer;
+  errorKind @3 :Text;
+  runState @4 :Text;
+  message @5 :Text;
 }
 
 struct FinishIntentRequest {
-  key @0 :Text;
-  fingerprint @1 :Text;
-  attemptId @2 :Text;
-  answer @3 :RecordedAnswer;
+  claimId @0 :Text;
+  outcome @1 :UInt16;
+  answer @2 :RecordedAnswer;
+}
+
+struct FinishIntentReply {
+  code @0 :UInt16;
+  message @1 :Text;
 }
 
 struct ServerEntry {
@@ -165,7 +182,7 @@
   replicate @2 (request :StreamRecords) -> (reply :StreamResults);
   handOver @3 (request :StreamRecords) -> (reply :StreamResults);
   findStream @4 (request :FindStreamRequest) -> (reply :FindStreamReply);
-  beginIntent @5 (request :BeginIntentRequest) -> (reply :IntentReply);
-  finishIntent @6 (request :FinishIntentRequest) -> (reply :IntentReply);
+  beginIntent @5 (request :BeginIntentRequest) -> (reply :BeginIntentReply);
+  finishIntent @6 (request :FinishIntentRequest) -> (reply :FinishIntentReply);
   fetchPlatformData @7 (request :FetchPlatformDataRequest) -> (reply :FetchPlatformDataReply);
 }
--- a/Libraries/LibPeer/Peer.capnp.h
+++ b/Libraries/LibPeer/Peer.capnp.h
@@ -34,8 +34,10 @@
 CAPNP_DECLARE_SCHEMA(947ff26c212c35a9);
 CAPNP_DECLARE_SCHEMA(f90c47726da35404);
 CAPNP_DECLARE_SCHEMA(c169e30f8464a0ff);
-CAPNP_DECLARE_SCHEMA(cf7bd91ad3283121);
+CAPNP_DECLARE_SCHEMA(856084e4fb4413e0);
+CAPNP_DECLARE_SCHEMA(b2275ffd434672dd);
 CAPNP_DECLARE_SCHEMA(be367979e2efa296);
+CAPNP_DECLARE_SCHEMA(882e59799abcd42c);
 CAPNP_DECLARE_SCHEMA(9c0d6640435070e9);
 CAPNP_DECLARE_SCHEMA(94f24f0b8ba3a2cf);
 CAPNP_DECLARE_SCHEMA(84fe8d9ffd3d5781);
@@ -282,22 +284,37 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c169e30f8464a0ff, 0, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(c169e30f8464a0ff, 1, 6)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
   };
 };
 
-struct IntentReply {
-  IntentReply() = delete;
+struct IntentTicket {
+  IntentTicket() = delete;
 
   class Reader;
   class Builder;
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(cf7bd91ad3283121, 1, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(856084e4fb4413e0, 2, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct BeginIntentReply {
+  BeginIntentReply() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(b2275ffd434672dd, 1, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -312,7 +329,22 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(be367979e2efa296, 0, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(be367979e2efa296, 1, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct FinishIntentReply {
+  FinishIntentReply() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(882e59799abcd42c, 1, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -2112,17 +2144,25 @@
   }
 #endif  // !CAPNP_LITE
 
+  inline bool hasClaimId() const;
+  inline  ::capnp::Text::Reader getClaimId() const;
+
+  inline bool hasNodeId() const;
+  inline  ::capnp::Text::Reader getNodeId() const;
+
+  inline bool hasTeam() const;
+  inline  ::capnp::Text::Reader getTeam() const;
+
+  inline bool hasService() const;
+  inline  ::capnp::Text::Reader getService() const;
+
   inline bool hasKey() const;
   inline  ::capnp::Text::Reader getKey() const;
 
   inline bool hasFingerprint() const;
   inline  ::capnp::Text::Reader getFingerprint() const;
 
-  inline bool hasAttemptId() const;
-  inline  ::capnp::Text::Reader getAttemptId() const;
-
-  inline bool hasNodeId() const;
-  inline  ::capnp::Text::Reader getNodeId() const;
+  inline  ::uint32_t getTimeoutMilliseconds() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2152,6 +2192,34 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
+  inline bool hasClaimId();
+  inline  ::capnp::Text::Builder getClaimId();
+  inline void setClaimId( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initClaimId(unsigned int size);
+  inline void adoptClaimId(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownClaimId();
+
+  inline bool hasNodeId();
+  inline  ::capnp::Text::Builder getNodeId();
+  inline void setNodeId( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initNodeId(unsigned int size);
+  inline void adoptNodeId(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownNodeId();
+
+  inline bool hasTeam();
+  inline  ::capnp::Text::Builder getTeam();
+  inline void setTeam( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initTeam(unsigned int size);
+  inline void adoptTeam(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownTeam();
+
+  inline bool hasService();
+  inline  ::capnp::Text::Builder getService();
+  inline void setService( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initService(unsigned int size);
+  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownService();
+
   inline bool hasKey();
   inline  ::capnp::Text::Builder getKey();
   inline void setKey( ::capnp::Text::Reader value);
@@ -2166,19 +2234,8 @@
   inline void adoptFingerprint(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownFingerprint();
 
-  inline bool hasAttemptId();
-  inline  ::capnp::Text::Builder getAttemptId();
-  inline void setAttemptId( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initAttemptId(unsigned int size);
-  inline void adoptAttemptId(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownAttemptId();
-
-  inline bool hasNodeId();
-  inline  ::capnp::Text::Builder getNodeId();
-  inline void setNodeId( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initNodeId(unsigned int size);
-  inline void adoptNodeId(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownNodeId();
+  inline  ::uint32_t getTimeoutMilliseconds();
+  inline void setTimeoutMilliseconds( ::uint32_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2206,9 +2263,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class IntentReply::Reader {
+class IntentTicket::Reader {
 public:
-  typedef IntentReply Reads;
+  typedef IntentTicket Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2223,13 +2280,15 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint16_t getCode() const;
+  inline  ::uint64_t getBucket() const;
 
-  inline bool hasAnswer() const;
-  inline  ::Peer::Wire::RecordedAnswer::Reader getAnswer() const;
+  inline  ::uint32_t getShard() const;
 
-  inline bool hasMessage() const;
-  inline  ::capnp::Text::Reader getMessage() const;
+  inline bool hasKeyDigest() const;
+  inline  ::capnp::Text::Reader getKeyDigest() const;
+
+  inline bool hasAttemptId() const;
+  inline  ::capnp::Text::Reader getAttemptId() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2243,9 +2302,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class IntentReply::Builder {
+class IntentTicket::Builder {
 public:
-  typedef IntentReply Builds;
+  typedef IntentTicket Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2259,22 +2318,25 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint16_t getCode();
-  inline void setCode( ::uint16_t value);
+  inline  ::uint64_t getBucket();
+  inline void setBucket( ::uint64_t value);
 
-  inline bool hasAnswer();
-  inline  ::Peer::Wire::RecordedAnswer::Builder getAnswer();
-  inline void setAnswer( ::Peer::Wire::RecordedAnswer::Reader value);
-  inline  ::Peer::Wire::RecordedAnswer::Builder initAnswer();
-  inline void adoptAnswer(::capnp::Orphan< ::Peer::Wire::RecordedAnswer>&& value);
-  inline ::capnp::Orphan< ::Peer::Wire::RecordedAnswer> disownAnswer();
+  inline  ::uint32_t getShard();
+  inline void setShard( ::uint32_t value);
 
-  inline bool hasMessage();
-  inline  ::capnp::Text::Builder getMessage();
-  inline void setMessage( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initMessage(unsigned int size);
-  inline void adoptMessage(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownMessage();
+  inline bool hasKeyDigest();
+  inline  ::capnp::Text::Builder getKeyDigest();
+  inline void setKeyDigest( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initKeyDigest(unsigned int size);
+  inline void adoptKeyDigest(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownKeyDigest();
+
+  inline bool hasAttemptId();
+  inline  ::capnp::Text::Builder getAttemptId();
+  inline void setAttemptId( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initAttemptId(unsigned int size);
+  inline void adoptAttemptId(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownAttemptId();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2286,15 +2348,14 @@
 };
 
 #if !CAPNP_LITE
-class IntentReply::Pipeline {
+class IntentTicket::Pipeline {
 public:
-  typedef IntentReply Pipelines;
+  typedef IntentTicket Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::Peer::Wire::RecordedAnswer::Pipeline getAnswer();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -2303,9 +2364,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class FinishIntentRequest::Reader {
+class BeginIntentReply::Reader {
 public:
-  typedef FinishIntentRequest Reads;
+  typedef BeginIntentReply Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2320,18 +2381,23 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasKey() const;
-  inline  ::capnp::Text::Reader getKey() const;
-
-  inline bool hasFingerprint() const;
-  inline  ::capnp::Text::Reader getFingerprint() const;
+  inline  ::uint16_t getCode() const;
 
-  inline bool hasAttemptId() const;
-  inline  ::capnp::Text::Reader getAttemptId() const;
+  inline bool hasTicket() const;
+  inline  ::Peer::Wire::IntentTicket::Reader getTicket() const;
 
   inline bool hasAnswer() const;
   inline  ::Peer::Wire::RecordedAnswer::Reader getAnswer() const;
 
+  inline bool hasErrorKind() const;
+  inline  ::capnp::Text::Reader getErrorKind() const;
+
+  inline bool hasRunState() const;
+  inline  ::capnp::Text::Reader getRunState() const;
+
+  inline bool hasMessage() const;
+  inline  ::capnp::Text::Reader getMessage() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2344,9 +2410,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class FinishIntentRequest::Builder {
+class BeginIntentReply::Builder {
 public:
-  typedef FinishIntentRequest Builds;
+  typedef BeginIntentReply Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2360,26 +2426,15 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasKey();
-  inline  ::capnp::Text::Builder getKey();
-  inline void setKey( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initKey(unsigned int size);
-  inline void adoptKey(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownKey();
-
-  inline bool hasFingerprint();
-  inline  ::capnp::Text::Builder getFingerprint();
-  inline void setFingerprint( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initFingerprint(unsigned int size);
-  inline void adoptFingerprint(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownFingerprint();
+  inline  ::uint16_t getCode();
+  inline void setCode( ::uint16_t value);
 
-  inline bool hasAttemptId();
-  inline  ::capnp::Text::Builder getAttemptId();
-  inline void setAttemptId( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initAttemptId(unsigned int size);
-  inline void adoptAttemptId(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownAttemptId();
+  inline bool hasTicket();
+  inline  ::Peer::Wire::IntentTicket::Builder getTicket();
+  inline void setTicket( ::Peer::Wire::IntentTicket::Reader value);
+  inline  ::Peer::Wire::IntentTicket::Builder initTicket();
+  inline void adoptTicket(::capnp::Orphan< ::Peer::Wire::IntentTicket>&& value);
+  inline ::capnp::Orphan< ::Peer::Wire::IntentTicket> disownTicket();
 
   inline bool hasAnswer();
   inline  ::Peer::Wire::RecordedAnswer::Builder getAnswer();
@@ -2388,6 +2443,27 @@
   inline void adoptAnswer(::capnp::Orphan< ::Peer::Wire::RecordedAnswer>&& value);
   inline ::capnp::Orphan< ::Peer::Wire::RecordedAnswer> disownAnswer();
 
+  inline bool hasErrorKind();
+  inline  ::capnp::Text::Builder getErrorKind();
+  inline void setErrorKind( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initErrorKind(unsigned int size);
+  inline void adoptErrorKind(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownErrorKind();
+
+  inline bool hasRunState();
+  inline  ::capnp::Text::Builder getRunState();
+  inline void setRunState( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initRunState(unsigned int size);
+  inline void adoptRunState(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownRunState();
+
+  inline bool hasMessage();
+  inline  ::capnp::Text::Builder getMessage();
+  inline void setMessage( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initMessage(unsigned int size);
+  inline void adoptMessage(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownMessage();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2398,14 +2474,15 @@
 };
 
 #if !CAPNP_LITE
-class FinishIntentRequest::Pipeline {
+class BeginIntentReply::Pipeline {
 public:
-  typedef FinishIntentRequest Pipelines;
+  typedef BeginIntentReply Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::Peer::Wire::IntentTicket::Pipeline getTicket();
   inline  ::Peer::Wire::RecordedAnswer::Pipeline getAnswer();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
@@ -2415,9 +2492,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class ServerEntry::Reader {
+class FinishIntentRequest::Reader {
 public:
-  typedef ServerEntry Reads;
+  typedef FinishIntentRequest Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2432,27 +2509,13 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasId() const;
-  inline  ::capnp::Text::Reader getId() const;
-
-  inline bool hasEndpoint() const;
-  inline  ::capnp::Text::Reader getEndpoint() const;
-
-  inline bool hasService() const;
-  inline  ::capnp::Text::Reader getService() const;
-
-  inline bool hasVersion() const;
-  inline  ::capnp::Text::Reader getVersion() const;
+  inline bool hasClaimId() const;
+  inline  ::capnp::Text::Reader getClaimId() const;
 
-  inline bool hasDataCentre() const;
-  inline  ::capnp::Text::Reader getDataCentre() const;
-
-  inline bool hasZone() const;
-  inline  ::capnp::Text::Reader getZone() const;
-
-  inline  ::uint64_t getIncarnation() const;
+  inline  ::uint16_t getOutcome() const;
 
-  inline bool getLeaving() const;
+  inline bool hasAnswer() const;
+  inline  ::Peer::Wire::RecordedAnswer::Reader getAnswer() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2466,9 +2529,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class ServerEntry::Builder {
+class FinishIntentRequest::Builder {
 public:
-  typedef ServerEntry Builds;
+  typedef FinishIntentRequest Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2482,53 +2545,22 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasId();
-  inline  ::capnp::Text::Builder getId();
-  inline void setId( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initId(unsigned int size);
-  inline void adoptId(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownId();
-
-  inline bool hasEndpoint();
-  inline  ::capnp::Text::Builder getEndpoint();
-  inline void setEndpoint( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initEndpoint(unsigned int size);
-  inline void adoptEndpoint(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownEndpoint();
-
-  inline bool hasService();
-  inline  ::capnp::Text::Builder getService();
-  inline void setService( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initService(unsigned int size);
-  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownService();
-
-  inline bool hasVersion();
-  inline  ::capnp::Text::Builder getVersion();
-  inline void setVersion( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initVersion(unsigned int size);
-  inline void adoptVersion(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownVersion();
-
-  inline bool hasDataCentre();
-  inline  ::capnp::Text::Builder getDataCentre();
-  inline void setDataCentre( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initDataCentre(unsigned int size);
-  inline void adoptDataCentre(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownDataCentre();
-
-  inline bool hasZone();
-  inline  ::capnp::Text::Builder getZone();
-  inline void setZone( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initZone(unsigned int size);
-  inline void adoptZone(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownZone();
+  inline bool hasClaimId();
+  inline  ::capnp::Text::Builder getClaimId();
+  inline void setClaimId( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initClaimId(unsigned int size);
+  inline void adoptClaimId(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownClaimId();
 
-  inline  ::uint64_t getIncarnation();
-  inline void setIncarnation( ::uint64_t value);
+  inline  ::uint16_t getOutcome();
+  inline void setOutcome( ::uint16_t value);
 
-  inline bool getLeaving();
-  inline void setLeaving(bool value);
+  inline bool hasAnswer();
+  inline  ::Peer::Wire::RecordedAnswer::Builder getAnswer();
+  inline void setAnswer( ::Peer::Wire::RecordedAnswer::Reader value);
+  inline  ::Peer::Wire::RecordedAnswer::Builder initAnswer();
+  inline void adoptAnswer(::capnp::Orphan< ::Peer::Wire::RecordedAnswer>&& value);
+  inline ::capnp::Orphan< ::Peer::Wire::RecordedAnswer> disownAnswer();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2540,14 +2572,15 @@
 };
 
 #if !CAPNP_LITE
-class ServerEntry::Pipeline {
+class FinishIntentRequest::Pipeline {
 public:
-  typedef ServerEntry Pipelines;
+  typedef FinishIntentRequest Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::Peer::Wire::RecordedAnswer::Pipeline getAnswer();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -2556,9 +2589,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class ReclaimNotice::Reader {
+class FinishIntentReply::Reader {
 public:
-  typedef ReclaimNotice Reads;
+  typedef FinishIntentReply Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2573,12 +2606,10 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getSequence() const;
-
-  inline bool hasHostId() const;
-  inline  ::capnp::Text::Reader getHostId() const;
+  inline  ::uint16_t getCode() const;
 
-  inline  ::int64_t getReclaimAtMilliseconds() const;
+  inline bool hasMessage() const;
+  inline  ::capnp::Text::Reader getMessage() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2592,9 +2623,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class ReclaimNotice::Builder {
+class FinishIntentReply::Builder {
 public:
-  typedef ReclaimNotice Builds;
+  typedef FinishIntentReply Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2608,11 +2639,240 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getSequence();
-  inline void setSequence( ::uint64_t value);
+  inline  ::uint16_t getCode();
+  inline void setCode( ::uint16_t value);
 
-  inline bool hasHostId();
-  inline  ::capnp::Text::Builder getHostId();
+  inline bool hasMessage();
+  inline  ::capnp::Text::Builder getMessage();
+  inline void setMessage( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initMessage(unsigned int size);
+  inline void adoptMessage(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownMessage();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class FinishIntentReply::Pipeline {
+public:
+  typedef FinishIntentReply Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class ServerEntry::Reader {
+public:
+  typedef ServerEntry Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasId() const;
+  inline  ::capnp::Text::Reader getId() const;
+
+  inline bool hasEndpoint() const;
+  inline  ::capnp::Text::Reader getEndpoint() const;
+
+  inline bool hasService() const;
+  inline  ::capnp::Text::Reader getService() const;
+
+  inline bool hasVersion() const;
+  inline  ::capnp::Text::Reader getVersion() const;
+
+  inline bool hasDataCentre() const;
+  inline  ::capnp::Text::Reader getDataCentre() const;
+
+  inline bool hasZone() const;
+  inline  ::capnp::Text::Reader getZone() const;
+
+  inline  ::uint64_t getIncarnation() const;
+
+  inline bool getLeaving() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class ServerEntry::Builder {
+public:
+  typedef ServerEntry Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasId();
+  inline  ::capnp::Text::Builder getId();
+  inline void setId( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initId(unsigned int size);
+  inline void adoptId(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownId();
+
+  inline bool hasEndpoint();
+  inline  ::capnp::Text::Builder getEndpoint();
+  inline void setEndpoint( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initEndpoint(unsigned int size);
+  inline void adoptEndpoint(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownEndpoint();
+
+  inline bool hasService();
+  inline  ::capnp::Text::Builder getService();
+  inline void setService( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initService(unsigned int size);
+  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownService();
+
+  inline bool hasVersion();
+  inline  ::capnp::Text::Builder getVersion();
+  inline void setVersion( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initVersion(unsigned int size);
+  inline void adoptVersion(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownVersion();
+
+  inline bool hasDataCentre();
+  inline  ::capnp::Text::Builder getDataCentre();
+  inline void setDataCentre( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initDataCentre(unsigned int size);
+  inline void adoptDataCentre(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownDataCentre();
+
+  inline bool hasZone();
+  inline  ::capnp::Text::Builder getZone();
+  inline void setZone( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initZone(unsigned int size);
+  inline void adoptZone(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownZone();
+
+  inline  ::uint64_t getIncarnation();
+  inline void setIncarnation( ::uint64_t value);
+
+  inline bool getLeaving();
+  inline void setLeaving(bool value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class ServerEntry::Pipeline {
+public:
+  typedef ServerEntry Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class ReclaimNotice::Reader {
+public:
+  typedef ReclaimNotice Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getSequence() const;
+
+  inline bool hasHostId() const;
+  inline  ::capnp::Text::Reader getHostId() const;
+
+  inline  ::int64_t getReclaimAtMilliseconds() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class ReclaimNotice::Builder {
+public:
+  typedef ReclaimNotice Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getSequence();
+  inline void setSequence( ::uint64_t value);
+
+  inline bool hasHostId();
+  inline  ::capnp::Text::Builder getHostId();
   inline void setHostId( ::capnp::Text::Reader value);
   inline  ::capnp::Text::Builder initHostId(unsigned int size);
   inline void adoptHostId(::capnp::Orphan< ::capnp::Text>&& value);
@@ -3895,7 +4155,7 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasReply() const;
-  inline  ::Peer::Wire::IntentReply::Reader getReply() const;
+  inline  ::Peer::Wire::BeginIntentReply::Reader getReply() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -3926,11 +4186,11 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasReply();
-  inline  ::Peer::Wire::IntentReply::Builder getReply();
-  inline void setReply( ::Peer::Wire::IntentReply::Reader value);
-  inline  ::Peer::Wire::IntentReply::Builder initReply();
-  inline void adoptReply(::capnp::Orphan< ::Peer::Wire::IntentReply>&& value);
-  inline ::capnp::Orphan< ::Peer::Wire::IntentReply> disownReply();
+  inline  ::Peer::Wire::BeginIntentReply::Builder getReply();
+  inline void setReply( ::Peer::Wire::BeginIntentReply::Reader value);
+  inline  ::Peer::Wire::BeginIntentReply::Builder initReply();
+  inline void adoptReply(::capnp::Orphan< ::Peer::Wire::BeginIntentReply>&& value);
+  inline ::capnp::Orphan< ::Peer::Wire::BeginIntentReply> disownReply();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -3950,7 +4210,7 @@
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::Peer::Wire::IntentReply::Pipeline getReply();
+  inline  ::Peer::Wire::BeginIntentReply::Pipeline getReply();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -4059,7 +4319,7 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasReply() const;
-  inline  ::Peer::Wire::IntentReply::Reader getReply() const;
+  inline  ::Peer::Wire::FinishIntentReply::Reader getReply() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -4090,11 +4350,11 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasReply();
-  inline  ::Peer::Wire::IntentReply::Builder getReply();
-  inline void setReply( ::Peer::Wire::IntentReply::Reader value);
-  inline  ::Peer::Wire::IntentReply::Builder initReply();
-  inline void adoptReply(::capnp::Orphan< ::Peer::Wire::IntentReply>&& value);
-  inline ::capnp::Orphan< ::Peer::Wire::IntentReply> disownReply();
+  inline  ::Peer::Wire::FinishIntentReply::Builder getReply();
+  inline void setReply( ::Peer::Wire::FinishIntentReply::Reader value);
+  inline  ::Peer::Wire::FinishIntentReply::Builder initReply();
+  inline void adoptReply(::capnp::Orphan< ::Peer::Wire::FinishIntentReply>&& value);
+  inline ::capnp::Orphan< ::Peer::Wire::FinishIntentReply> disownReply();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -4114,7 +4374,7 @@
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::Peer::Wire::IntentReply::Pipeline getReply();
+  inline  ::Peer::Wire::FinishIntentReply::Pipeline getReply();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -5743,368 +6003,647 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool BeginIntentRequest::Reader::hasKey() const {
+inline bool BeginIntentRequest::Reader::hasClaimId() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool BeginIntentRequest::Builder::hasKey() {
+inline bool BeginIntentRequest::Builder::hasClaimId() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader BeginIntentRequest::Reader::getKey() const {
+inline  ::capnp::Text::Reader BeginIntentRequest::Reader::getClaimId() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder BeginIntentRequest::Builder::getKey() {
+inline  ::capnp::Text::Builder BeginIntentRequest::Builder::getClaimId() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void BeginIntentRequest::Builder::setKey( ::capnp::Text::Reader value) {
+inline void BeginIntentRequest::Builder::setClaimId( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder BeginIntentRequest::Builder::initKey(unsigned int size) {
+inline  ::capnp::Text::Builder BeginIntentRequest::Builder::initClaimId(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void BeginIntentRequest::Builder::adoptKey(
+inline void BeginIntentRequest::Builder::adoptClaimId(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> BeginIntentRequest::Builder::disownKey() {
+inline ::capnp::Orphan< ::capnp::Text> BeginIntentRequest::Builder::disownClaimId() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool BeginIntentRequest::Reader::hasFingerprint() const {
+inline bool BeginIntentRequest::Reader::hasNodeId() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool BeginIntentRequest::Builder::hasFingerprint() {
+inline bool BeginIntentRequest::Builder::hasNodeId() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader BeginIntentRequest::Reader::getFingerprint() const {
+inline  ::capnp::Text::Reader BeginIntentRequest::Reader::getNodeId() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder BeginIntentRequest::Builder::getFingerprint() {
+inline  ::capnp::Text::Builder BeginIntentRequest::Builder::getNodeId() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void BeginIntentRequest::Builder::setFingerprint( ::capnp::Text::Reader value) {
+inline void BeginIntentRequest::Builder::setNodeId( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder BeginIntentRequest::Builder::initFingerprint(unsigned int size) {
+inline  ::capnp::Text::Builder BeginIntentRequest::Builder::initNodeId(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void BeginIntentRequest::Builder::adoptFingerprint(
+inline void BeginIntentRequest::Builder::adoptNodeId(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> BeginIntentRequest::Builder::disownFingerprint() {
+inline ::capnp::Orphan< ::capnp::Text> BeginIntentRequest::Builder::disownNodeId() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool BeginIntentRequest::Reader::hasAttemptId() const {
+inline bool BeginIntentRequest::Reader::hasTeam() const {
   return !_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool BeginIntentRequest::Builder::hasAttemptId() {
+inline bool BeginIntentRequest::Builder::hasTeam() {
   return !_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader BeginIntentRequest::Reader::getAttemptId() const {
+inline  ::capnp::Text::Reader BeginIntentRequest::Reader::getTeam() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder BeginIntentRequest::Builder::getAttemptId() {
+inline  ::capnp::Text::Builder BeginIntentRequest::Builder::getTeam() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void BeginIntentRequest::Builder::setAttemptId( ::capnp::Text::Reader value) {
+inline void BeginIntentRequest::Builder::setTeam( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder BeginIntentRequest::Builder::initAttemptId(unsigned int size) {
+inline  ::capnp::Text::Builder BeginIntentRequest::Builder::initTeam(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void BeginIntentRequest::Builder::adoptAttemptId(
+inline void BeginIntentRequest::Builder::adoptTeam(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> BeginIntentRequest::Builder::disownAttemptId() {
+inline ::capnp::Orphan< ::capnp::Text> BeginIntentRequest::Builder::disownTeam() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline bool BeginIntentRequest::Reader::hasNodeId() const {
+inline bool BeginIntentRequest::Reader::hasService() const {
   return !_reader.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline bool BeginIntentRequest::Builder::hasNodeId() {
+inline bool BeginIntentRequest::Builder::hasService() {
   return !_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader BeginIntentRequest::Reader::getNodeId() const {
+inline  ::capnp::Text::Reader BeginIntentRequest::Reader::getService() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder BeginIntentRequest::Builder::getNodeId() {
+inline  ::capnp::Text::Builder BeginIntentRequest::Builder::getService() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline void BeginIntentRequest::Builder::setNodeId( ::capnp::Text::Reader value) {
+inline void BeginIntentRequest::Builder::setService( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder BeginIntentRequest::Builder::initNodeId(unsigned int size) {
+inline  ::capnp::Text::Builder BeginIntentRequest::Builder::initService(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS), size);
 }
-inline void BeginIntentRequest::Builder::adoptNodeId(
+inline void BeginIntentRequest::Builder::adoptService(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> BeginIntentRequest::Builder::disownNodeId() {
+inline ::capnp::Orphan< ::capnp::Text> BeginIntentRequest::Builder::disownService() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
-inline  ::uint16_t IntentReply::Reader::getCode() const {
-  return _reader.getDataField< ::uint16_t>(
+inline bool BeginIntentRequest::Reader::hasKey() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool BeginIntentRequest::Builder::hasKey() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader BeginIntentRequest::Reader::getKey() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder BeginIntentRequest::Builder::getKey() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void BeginIntentRequest::Builder::setKey( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder BeginIntentRequest::Builder::initKey(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+}
+inline void BeginIntentRequest::Builder::adoptKey(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> BeginIntentRequest::Builder::disownKey() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
+inline bool BeginIntentRequest::Reader::hasFingerprint() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline bool BeginIntentRequest::Builder::hasFingerprint() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader BeginIntentRequest::Reader::getFingerprint() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder BeginIntentRequest::Builder::getFingerprint() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline void BeginIntentRequest::Builder::setFingerprint( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder BeginIntentRequest::Builder::initFingerprint(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
+}
+inline void BeginIntentRequest::Builder::adoptFingerprint(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> BeginIntentRequest::Builder::disownFingerprint() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t BeginIntentRequest::Reader::getTimeoutMilliseconds() const {
+  return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint16_t IntentReply::Builder::getCode() {
-  return _builder.getDataField< ::uint16_t>(
+inline  ::uint32_t BeginIntentRequest::Builder::getTimeoutMilliseconds() {
+  return _builder.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void IntentReply::Builder::setCode( ::uint16_t value) {
-  _builder.setDataField< ::uint16_t>(
+inline void BeginIntentRequest::Builder::setTimeoutMilliseconds( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool IntentReply::Reader::hasAnswer() const {
+inline  ::uint64_t IntentTicket::Reader::getBucket() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t IntentTicket::Builder::getBucket() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void IntentTicket::Builder::setBucket( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t IntentTicket::Reader::getShard() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t IntentTicket::Builder::getShard() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void IntentTicket::Builder::setShard( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool IntentTicket::Reader::hasKeyDigest() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool IntentReply::Builder::hasAnswer() {
+inline bool IntentTicket::Builder::hasKeyDigest() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::Peer::Wire::RecordedAnswer::Reader IntentReply::Reader::getAnswer() const {
-  return ::capnp::_::PointerHelpers< ::Peer::Wire::RecordedAnswer>::get(_reader.getPointerField(
+inline  ::capnp::Text::Reader IntentTicket::Reader::getKeyDigest() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::Peer::Wire::RecordedAnswer::Builder IntentReply::Builder::getAnswer() {
-  return ::capnp::_::PointerHelpers< ::Peer::Wire::RecordedAnswer>::get(_builder.getPointerField(
+inline  ::capnp::Text::Builder IntentTicket::Builder::getKeyDigest() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-#if !CAPNP_LITE
-inline  ::Peer::Wire::RecordedAnswer::Pipeline IntentReply::Pipeline::getAnswer() {
-  return  ::Peer::Wire::RecordedAnswer::Pipeline(_typeless.getPointerField(0));
-}
-#endif  // !CAPNP_LITE
-inline void IntentReply::Builder::setAnswer( ::Peer::Wire::RecordedAnswer::Reader value) {
-  ::capnp::_::PointerHelpers< ::Peer::Wire::RecordedAnswer>::set(_builder.getPointerField(
+inline void IntentTicket::Builder::setKeyDigest( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::Peer::Wire::RecordedAnswer::Builder IntentReply::Builder::initAnswer() {
-  return ::capnp::_::PointerHelpers< ::Peer::Wire::RecordedAnswer>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder IntentTicket::Builder::initKeyDigest(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void IntentReply::Builder::adoptAnswer(
-    ::capnp::Orphan< ::Peer::Wire::RecordedAnswer>&& value) {
-  ::capnp::_::PointerHelpers< ::Peer::Wire::RecordedAnswer>::adopt(_builder.getPointerField(
+inline void IntentTicket::Builder::adoptKeyDigest(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::Peer::Wire::RecordedAnswer> IntentReply::Builder::disownAnswer() {
-  return ::capnp::_::PointerHelpers< ::Peer::Wire::RecordedAnswer>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::Text> IntentTicket::Builder::disownKeyDigest() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool IntentReply::Reader::hasMessage() const {
+inline bool IntentTicket::Reader::hasAttemptId() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool IntentReply::Builder::hasMessage() {
+inline bool IntentTicket::Builder::hasAttemptId() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader IntentReply::Reader::getMessage() const {
+inline  ::capnp::Text::Reader IntentTicket::Reader::getAttemptId() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder IntentReply::Builder::getMessage() {
+inline  ::capnp::Text::Builder IntentTicket::Builder::getAttemptId() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void IntentReply::Builder::setMessage( ::capnp::Text::Reader value) {
+inline void IntentTicket::Builder::setAttemptId( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder IntentReply::Builder::initMessage(unsigned int size) {
+inline  ::capnp::Text::Builder IntentTicket::Builder::initAttemptId(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void IntentReply::Builder::adoptMessage(
+inline void IntentTicket::Builder::adoptAttemptId(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> IntentReply::Builder::disownMessage() {
+inline ::capnp::Orphan< ::capnp::Text> IntentTicket::Builder::disownAttemptId() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool FinishIntentRequest::Reader::hasKey() const {
+inline  ::uint16_t BeginIntentReply::Reader::getCode() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t BeginIntentReply::Builder::getCode() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void BeginIntentReply::Builder::setCode( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool BeginIntentReply::Reader::hasTicket() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool FinishIntentRequest::Builder::hasKey() {
+inline bool BeginIntentReply::Builder::hasTicket() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader FinishIntentRequest::Reader::getKey() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+inline  ::Peer::Wire::IntentTicket::Reader BeginIntentReply::Reader::getTicket() const {
+  return ::capnp::_::PointerHelpers< ::Peer::Wire::IntentTicket>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder FinishIntentRequest::Builder::getKey() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+inline  ::Peer::Wire::IntentTicket::Builder BeginIntentReply::Builder::getTicket() {
+  return ::capnp::_::PointerHelpers< ::Peer::Wire::IntentTicket>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void FinishIntentRequest::Builder::setKey( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+#if !CAPNP_LITE
+inline  ::Peer::Wire::IntentTicket::Pipeline BeginIntentReply::Pipeline::getTicket() {
+  return  ::Peer::Wire::IntentTicket::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void BeginIntentReply::Builder::setTicket( ::Peer::Wire::IntentTicket::Reader value) {
+  ::capnp::_::PointerHelpers< ::Peer::Wire::IntentTicket>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder FinishIntentRequest::Builder::initKey(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline  ::Peer::Wire::IntentTicket::Builder BeginIntentReply::Builder::initTicket() {
+  return ::capnp::_::PointerHelpers< ::Peer::Wire::IntentTicket>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void FinishIntentRequest::Builder::adoptKey(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+inline void BeginIntentReply::Builder::adoptTicket(
+    ::capnp::Orphan< ::Peer::Wire::IntentTicket>&& value) {
+  ::capnp::_::PointerHelpers< ::Peer::Wire::IntentTicket>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> FinishIntentRequest::Builder::disownKey() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::Peer::Wire::IntentTicket> BeginIntentReply::Builder::disownTicket() {
+  return ::capnp::_::PointerHelpers< ::Peer::Wire::IntentTicket>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool FinishIntentRequest::Reader::hasFingerprint() const {
+inline bool BeginIntentReply::Reader::hasAnswer() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool FinishIntentRequest::Builder::hasFingerprint() {
+inline bool BeginIntentReply::Builder::hasAnswer() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader FinishIntentRequest::Reader::getFingerprint() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+inline  ::Peer::Wire::RecordedAnswer::Reader BeginIntentReply::Reader::getAnswer() const {
+  return ::capnp::_::PointerHelpers< ::Peer::Wire::RecordedAnswer>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder FinishIntentRequest::Builder::getFingerprint() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+inline  ::Peer::Wire::RecordedAnswer::Builder BeginIntentReply::Builder::getAnswer() {
+  return ::capnp::_::PointerHelpers< ::Peer::Wire::RecordedAnswer>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void FinishIntentRequest::Builder::setFingerprint( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+#if !CAPNP_LITE
+inline  ::Peer::Wire::RecordedAnswer::Pipeline BeginIntentReply::Pipeline::getAnswer() {
+  return  ::Peer::Wire::RecordedAnswer::Pipeline(_typeless.getPointerField(1));
+}
+#endif  // !CAPNP_LITE
+inline void BeginIntentReply::Builder::setAnswer( ::Peer::Wire::RecordedAnswer::Reader value) {
+  ::capnp::_::PointerHelpers< ::Peer::Wire::RecordedAnswer>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder FinishIntentRequest::Builder::initFingerprint(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+inline  ::Peer::Wire::RecordedAnswer::Builder BeginIntentReply::Builder::initAnswer() {
+  return ::capnp::_::PointerHelpers< ::Peer::Wire::RecordedAnswer>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void FinishIntentRequest::Builder::adoptFingerprint(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+inline void BeginIntentReply::Builder::adoptAnswer(
+    ::capnp::Orphan< ::Peer::Wire::RecordedAnswer>&& value) {
+  ::capnp::_::PointerHelpers< ::Peer::Wire::RecordedAnswer>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> FinishIntentRequest::Builder::disownFingerprint() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::Peer::Wire::RecordedAnswer> BeginIntentReply::Builder::disownAnswer() {
+  return ::capnp::_::PointerHelpers< ::Peer::Wire::RecordedAnswer>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool FinishIntentRequest::Reader::hasAttemptId() const {
+inline bool BeginIntentReply::Reader::hasErrorKind() const {
   return !_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool FinishIntentRequest::Builder::hasAttemptId() {
+inline bool BeginIntentReply::Builder::hasErrorKind() {
   return !_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader FinishIntentRequest::Reader::getAttemptId() const {
+inline  ::capnp::Text::Reader BeginIntentReply::Reader::getErrorKind() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder FinishIntentRequest::Builder::getAttemptId() {
+inline  ::capnp::Text::Builder BeginIntentReply::Builder::getErrorKind() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void FinishIntentRequest::Builder::setAttemptId( ::capnp::Text::Reader value) {
+inline void BeginIntentReply::Builder::setErrorKind( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder FinishIntentRequest::Builder::initAttemptId(unsigned int size) {
+inline  ::capnp::Text::Builder BeginIntentReply::Builder::initErrorKind(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void FinishIntentRequest::Builder::adoptAttemptId(
+inline void BeginIntentReply::Builder::adoptErrorKind(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> FinishIntentRequest::Builder::disownAttemptId() {
+inline ::capnp::Orphan< ::capnp::Text> BeginIntentReply::Builder::disownErrorKind() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline bool FinishIntentRequest::Reader::hasAnswer() const {
+inline bool BeginIntentReply::Reader::hasRunState() const {
   return !_reader.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline bool FinishIntentRequest::Builder::hasAnswer() {
+inline bool BeginIntentReply::Builder::hasRunState() {
   return !_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
+inline  ::capnp::Text::Reader BeginIntentReply::Reader::getRunState() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder BeginIntentReply::Builder::getRunState() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void BeginIntentReply::Builder::setRunState( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder BeginIntentReply::Builder::initRunState(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void BeginIntentReply::Builder::adoptRunState(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> BeginIntentReply::Builder::disownRunState() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
+inline bool BeginIntentReply::Reader::hasMessage() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool BeginIntentReply::Builder::hasMessage() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader BeginIntentReply::Reader::getMessage() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder BeginIntentReply::Builder::getMessage() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void BeginIntentReply::Builder::setMessage( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder BeginIntentReply::Builder::initMessage(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+}
+inline void BeginIntentReply::Builder::adoptMessage(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> BeginIntentReply::Builder::disownMessage() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
+inline bool FinishIntentRequest::Reader::hasClaimId() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool FinishIntentRequest::Builder::hasClaimId() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader FinishIntentRequest::Reader::getClaimId() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder FinishIntentRequest::Builder::getClaimId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void FinishIntentRequest::Builder::setClaimId( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder FinishIntentRequest::Builder::initClaimId(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void FinishIntentRequest::Builder::adoptClaimId(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> FinishIntentRequest::Builder::disownClaimId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint16_t FinishIntentRequest::Reader::getOutcome() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t FinishIntentRequest::Builder::getOutcome() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void FinishIntentRequest::Builder::setOutcome( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool FinishIntentRequest::Reader::hasAnswer() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool FinishIntentRequest::Builder::hasAnswer() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
 inline  ::Peer::Wire::RecordedAnswer::Reader FinishIntentRequest::Reader::getAnswer() const {
   return ::capnp::_::PointerHelpers< ::Peer::Wire::RecordedAnswer>::get(_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 inline  ::Peer::Wire::RecordedAnswer::Builder FinishIntentRequest::Builder::getAnswer() {
   return ::capnp::_::PointerHelpers< ::Peer::Wire::RecordedAnswer>::get(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
 inline  ::Peer::Wire::RecordedAnswer::Pipeline FinishIntentRequest::Pipeline::getAnswer() {
-  return  ::Peer::Wire::RecordedAnswer::Pipeline(_typeless.getPointerField(3));
+  return  ::Peer::Wire::RecordedAnswer::Pipeline(_typeless.getPointerField(1));
 }
 #endif  // !CAPNP_LITE
 inline void FinishIntentRequest::Builder::setAnswer( ::Peer::Wire::RecordedAnswer::Reader value) {
   ::capnp::_::PointerHelpers< ::Peer::Wire::RecordedAnswer>::set(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
 inline  ::Peer::Wire::RecordedAnswer::Builder FinishIntentRequest::Builder::initAnswer() {
   return ::capnp::_::PointerHelpers< ::Peer::Wire::RecordedAnswer>::init(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 inline void FinishIntentRequest::Builder::adoptAnswer(
     ::capnp::Orphan< ::Peer::Wire::RecordedAnswer>&& value) {
   ::capnp::_::PointerHelpers< ::Peer::Wire::RecordedAnswer>::adopt(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
 inline ::capnp::Orphan< ::Peer::Wire::RecordedAnswer> FinishIntentRequest::Builder::disownAnswer() {
   return ::capnp::_::PointerHelpers< ::Peer::Wire::RecordedAnswer>::disown(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline  ::uint16_t FinishIntentReply::Reader::getCode() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t FinishIntentReply::Builder::getCode() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void FinishIntentReply::Builder::setCode( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool FinishIntentReply::Reader::hasMessage() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool FinishIntentReply::Builder::hasMessage() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader FinishIntentReply::Reader::getMessage() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder FinishIntentReply::Builder::getMessage() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void FinishIntentReply::Builder::setMessage( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder FinishIntentReply::Builder::initMessage(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void FinishIntentReply::Builder::adoptMessage(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> FinishIntentReply::Builder::disownMessage() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool ServerEntry::Reader::hasId() const {
@@ -7136,34 +7675,34 @@
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::Peer::Wire::IntentReply::Reader Node::BeginIntentResults::Reader::getReply() const {
-  return ::capnp::_::PointerHelpers< ::Peer::Wire::IntentReply>::get(_reader.getPointerField(
+inline  ::Peer::Wire::BeginIntentReply::Reader Node::BeginIntentResults::Reader::getReply() const {
+  return ::capnp::_::PointerHelpers< ::Peer::Wire::BeginIntentReply>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::Peer::Wire::IntentReply::Builder Node::BeginIntentResults::Builder::getReply() {
-  return ::capnp::_::PointerHelpers< ::Peer::Wire::IntentReply>::get(_builder.getPointerField(
+inline  ::Peer::Wire::BeginIntentReply::Builder Node::BeginIntentResults::Builder::getReply() {
+  return ::capnp::_::PointerHelpers< ::Peer::Wire::BeginIntentReply>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::Peer::Wire::IntentReply::Pipeline Node::BeginIntentResults::Pipeline::getReply() {
-  return  ::Peer::Wire::IntentReply::Pipeline(_typeless.getPointerField(0));
+inline  ::Peer::Wire::BeginIntentReply::Pipeline Node::BeginIntentResults::Pipeline::getReply() {
+  return  ::Peer::Wire::BeginIntentReply::Pipeline(_typeless.getPointerField(0));
 }
 #endif  // !CAPNP_LITE
-inline void Node::BeginIntentResults::Builder::setReply( ::Peer::Wire::IntentReply::Reader value) {
-  ::capnp::_::PointerHelpers< ::Peer::Wire::IntentReply>::set(_builder.getPointerField(
+inline void Node::BeginIntentResults::Builder::setReply( ::Peer::Wire::BeginIntentReply::Reader value) {
+  ::capnp::_::PointerHelpers< ::Peer::Wire::BeginIntentReply>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::Peer::Wire::IntentReply::Builder Node::BeginIntentResults::Builder::initReply() {
-  return ::capnp::_::PointerHelpers< ::Peer::Wire::IntentReply>::init(_builder.getPointerField(
+inline  ::Peer::Wire::BeginIntentReply::Builder Node::BeginIntentResults::Builder::initReply() {
+  return ::capnp::_::PointerHelpers< ::Peer::Wire::BeginIntentReply>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void Node::BeginIntentResults::Builder::adoptReply(
-    ::capnp::Orphan< ::Peer::Wire::IntentReply>&& value) {
-  ::capnp::_::PointerHelpers< ::Peer::Wire::IntentReply>::adopt(_builder.getPointerField(
+    ::capnp::Orphan< ::Peer::Wire::BeginIntentReply>&& value) {
+  ::capnp::_::PointerHelpers< ::Peer::Wire::BeginIntentReply>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::Peer::Wire::IntentReply> Node::BeginIntentResults::Builder::disownReply() {
-  return ::capnp::_::PointerHelpers< ::Peer::Wire::IntentReply>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::Peer::Wire::BeginIntentReply> Node::BeginIntentResults::Builder::disownReply() {
+  return ::capnp::_::PointerHelpers< ::Peer::Wire::BeginIntentReply>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
@@ -7214,34 +7753,34 @@
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::Peer::Wire::IntentReply::Reader Node::FinishIntentResults::Reader::getReply() const {
-  return ::capnp::_::PointerHelpers< ::Peer::Wire::IntentReply>::get(_reader.getPointerField(
+inline  ::Peer::Wire::FinishIntentReply::Reader Node::FinishIntentResults::Reader::getReply() const {
+  return ::capnp::_::PointerHelpers< ::Peer::Wire::FinishIntentReply>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::Peer::Wire::IntentReply::Builder Node::FinishIntentResults::Builder::getReply() {
-  return ::capnp::_::PointerHelpers< ::Peer::Wire::IntentReply>::get(_builder.getPointerField(
+inline  ::Peer::Wire::FinishIntentReply::Builder Node::FinishIntentResults::Builder::getReply() {
+  return ::capnp::_::PointerHelpers< ::Peer::Wire::FinishIntentReply>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::Peer::Wire::IntentReply::Pipeline Node::FinishIntentResults::Pipeline::getReply() {
-  return  ::Peer::Wire::IntentReply::Pipeline(_typeless.getPointerField(0));
+inline  ::Peer::Wire::FinishIntentReply::Pipeline Node::FinishIntentResults::Pipeline::getReply() {
+  return  ::Peer::Wire::FinishIntentReply::Pipeline(_typeless.getPointerField(0));
 }
 #endif  // !CAPNP_LITE
-inline void Node::FinishIntentResults::Builder::setReply( ::Peer::Wire::IntentReply::Reader value) {
-  ::capnp::_::PointerHelpers< ::Peer::Wire::IntentReply>::set(_builder.getPointerField(
+inline void Node::FinishIntentResults::Builder::setReply( ::Peer::Wire::FinishIntentReply::Reader value) {
+  ::capnp::_::PointerHelpers< ::Peer::Wire::FinishIntentReply>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::Peer::Wire::IntentReply::Builder Node::FinishIntentResults::Builder::initReply() {
-  return ::capnp::_::PointerHelpers< ::Peer::Wire::IntentReply>::init(_builder.getPointerField(
+inline  ::Peer::Wire::FinishIntentReply::Builder Node::FinishIntentResults::Builder::initReply() {
+  return ::capnp::_::PointerHelpers< ::Peer::Wire::FinishIntentReply>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void Node::FinishIntentResults::Builder::adoptReply(
-    ::capnp::Orphan< ::Peer::Wire::IntentReply>&& value) {
-  ::capnp::_::PointerHelpers< ::Peer::Wire::IntentReply>::adopt(_builder.getPointerField(
+    ::capnp::Orphan< ::Peer::Wire::FinishIntentReply>&& value) {
+  ::capnp::_::PointerHelpers< ::Peer::Wire::FinishIntentReply>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::Peer::Wire::IntentReply> Node::FinishIntentResults::Builder::disownReply() {
-  return ::capnp::_::PointerHelpers< ::Peer::Wire::IntentReply>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::Peer::Wire::FinishIntentReply> Node::FinishIntentResults::Builder::disownReply() {
+  return ::capnp::_::PointerHelpers< ::Peer::Wire::FinishIntentReply>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
--- a/Libraries/LibPeer/PeerCodec.cpp
+++ b/Libraries/LibPeer/PeerCodec.cpp
@@ -273,60 +273,76 @@
 
 void encode(BeginIntentRequest const& request, Wire::BeginIntentRequest::Builder builder)
 {
+    builder.setClaimId(toText(request.claimId));
+    builder.setNodeId(toText(request.nodeId));
+    builder.setTeam(toText(request.team));
+    builder.setService(toText(request.service));
     builder.setKey(toText(request.key));
     builder.setFingerprint(toText(request.fingerprint));
-    builder.setAttemptId(toText(request.attemptId));
-    builder.setNodeId(toText(request.nodeId));
+    builder.setTimeoutMilliseconds(request.timeoutMilliseconds);
 }
 
 void decode(Wire::BeginIntentRequest::Reader reader, BeginIntentRequest& request)
 {
-    request = { toString(reader.getKey()), toString(reader.getFingerprint()), toString(reader.getAttemptId()), toString(reader.getNodeId()) };
+    request = { toString(reader.getClaimId()), toString(reader.getNodeId()), toString(reader.getTeam()), toString(reader.getService()), toString(reader.getKey()), toString(reader.getFingerprint()), reader.getTimeoutMilliseconds() };
 }
 
-void encode(BeginIntentReply const& reply, Wire::IntentReply::Builder builder)
+void encode(BeginIntentReply const& reply, Wire::BeginIntentReply::Builder builder)
 {
     builder.setCode(static_cast<std::uint16_t>(reply.code));
+    if (reply.ticket) {
+        auto ticket = builder.initTicket();
+        ticket.setBucket(reply.ticket->bucket);
+        ticket.setShard(reply.ticket->shard);
+        ticket.setKeyDigest(toText(reply.ticket->keyDigest));
+        ticket.setAttemptId(toText(reply.ticket->attemptId));
+    }
     if (reply.answer)
         encode(*reply.answer, builder.initAnswer());
+    builder.setErrorKind(toText(reply.errorKind));
+    builder.setRunState(toText(reply.runState));
     builder.setMessage(toText(reply.message));
 }
 
-void decode(Wire::IntentReply::Reader reader, BeginIntentReply& reply)
+void decode(Wire::BeginIntentReply::Reader reader, BeginIntentReply& reply)
 {
-    reply.code = toEnum(reader.getCode(), IntentCode::Recorded);
+    reply.code = toEnum(reader.getCode(), BeginIntentCode::Undecided);
+    if (reader.hasTicket()) {
+        auto const ticket = reader.getTicket();
+        reply.ticket = IntentTicket { ticket.getBucket(), ticket.getShard(), toString(ticket.getKeyDigest()), toString(ticket.getAttemptId()) };
+    }
     if (reader.hasAnswer())
         decode(reader.getAnswer(), reply.answer.emplace());
+    reply.errorKind = toString(reader.getErrorKind());
+    reply.runState = toString(reader.getRunState());
     reply.message = toString(reader.getMessage());
 }
 
 void encode(FinishIntentRequest const& request, Wire::FinishIntentRequest::Builder builder)
 {
-    builder.setKey(toText(request.key));
-    builder.setFingerprint(toText(request.fingerprint));
-    builder.setAttemptId(toText(request.attemptId));
+    builder.setClaimId(toText(request.claimId));
+    builder.setOutcome(static_cast<std::uint16_t>(request.outcome));
     if (request.answer)
         encode(*request.answer, builder.initAnswer());
 }
 
 void decode(Wire::FinishIntentRequest::Reader reader, FinishIntentRequest& request)
 {
-    request.key = toString(reader.getKey());
-    request.fingerprint = toString(reader.getFingerprint());
-    request.attemptId = toString(reader.getAttemptId());
+    request.claimId = toString(reader.getClaimId());
+    request.outcome = toEnum(reader.getOutcome(), IntentOutcome::Withdraw);
     if (reader.hasAnswer())
         decode(reader.getAnswer(), request.answer.emplace());
 }
 
-void encode(FinishIntentReply const& reply, Wire::IntentReply::Builder builder)
+void encode(FinishIntentReply const& reply, Wire::FinishIntentReply::Builder builder)
 {
     builder.setCode(static_cast<std::uint16_t>(reply.code));
     builder.setMessage(toText(reply.message));
 }
 
-void decode(Wire::IntentReply::Reader reader, FinishIntentReply& reply)
+void decode(Wire::FinishIntentReply::Reader reader, FinishIntentReply& reply)
 {
-    reply = { toEnum(reader.getCode(), IntentCode::Recorded), toString(reader.getMessage()) };
+    reply = { toEnum(reader.getCode(), FinishIntentCode::NotRecorded), toString(reader.getMessage()) };
 }
 
 void encode(FetchPlatformDataRequest const& request, Wire::FetchPlatformDataRequest::Builder builder)
--- a/Libraries/LibPeer/PeerCodec.h
+++ b/Libraries/LibPeer/PeerCodec.h
@@ -19,9 +19,9 @@
 void encode(FindStreamRequest const&, Wire::FindStreamRequest::Builder);
 void encode(FindStreamReply const&, Wire::FindStreamReply::Builder);
 void encode(BeginIntentRequest const&, Wire::BeginIntentRequest::Builder);
-void encode(BeginIntentReply const&, Wire::IntentReply::Builder);
+void encode(BeginIntentReply const&, Wire::BeginIntentReply::Builder);
 void encode(FinishIntentRequest const&, Wire::FinishIntentRequest::Builder);
-void encode(FinishIntentReply const&, Wire::IntentReply::Builder);
+void encode(FinishIntentReply const&, Wire::FinishIntentReply::Builder);
 void encode(FetchPlatformDataRequest const&, Wire::FetchPlatformDataRequest::Builder);
 void encode(FetchPlatformDataReply const&, Wire::FetchPlatformDataReply::Builder);
 
@@ -37,9 +37,9 @@
 void decode(Wire::FindStreamRequest::Reader, FindStreamRequest&);
 void decode(Wire::FindStreamReply::Reader, FindStreamReply&);
 void decode(Wire::BeginIntentRequest::Reader, BeginIntentRequest&);
-void decode(Wire::IntentReply::Reader, BeginIntentReply&);
+void decode(Wire::BeginIntentReply::Reader, BeginIntentReply&);
 void decode(Wire::FinishIntentRequest::Reader, FinishIntentRequest&);
-void decode(Wire::IntentReply::Reader, FinishIntentReply&);
+void decode(Wire::FinishIntentReply::Reader, FinishIntentReply&);
 void decode(Wire::FetchPlatformDataRequest::Reader, FetchPlatformDataRequest&);
 void decode(Wire::FetchPlatformDataReply::Reader, FetchPlatformDataReply&);
 
--- a/Libraries/LibPeer/PeerMessages.h
+++ b/Libraries/LibPeer/PeerMessages.h
@@ -197,58 +197,84 @@
     bool operator==(RecordedAnswer const&) const = default;
 };
 
-/// The answer of the node that writes the intent for another one.
-enum class IntentCode {
-    /// The intent was written; the caller may call the back end.
+/// What the preferred writer of an intent did with a request for it.
+enum class BeginIntentCode {
+    /// The intent was written; the node that asked may call the back end once.
     Run,
     /// The key has a recorded answer.
     Replay,
-    /// Another attempt with this key is running.
-    InProgress,
-    /// The outcome of an earlier attempt cannot be determined.
-    Unknown,
-    /// The key was used with a different fingerprint.
-    KeyReused,
-    /// The key is older than the retention.
-    KeyExpired,
-    /// The key is not a UUIDv7.
-    KeyInvalid,
-    /// The platform could not be reached and nothing was written.
-    StoreUnavailable,
-    /// The answer was recorded, or the intent released.
-    Recorded,
+    /// The key may not run; errorKind, runState and message say why.
+    Refused,
+    /// The writer could not decide in time. Its attempt is withdrawn, and the node that asked decides by itself.
+    Undecided,
 };
 
+/// A request to write the intent for a call that the asking node will make.
 struct BeginIntentRequest {
+    /// Chosen by the asking node; names the request when it is finished or given up.
+    std::string claimId;
+    std::string nodeId;
+    std::string team;
+    std::string service;
     std::string key;
     std::string fingerprint;
-    std::string attemptId;
-    std::string nodeId;
+    std::uint32_t timeoutMilliseconds { 0 };
 
     bool operator==(BeginIntentRequest const&) const = default;
 };
 
+/// Identifies the written intent, so that the asking node can finish it without the writer.
+struct IntentTicket {
+    std::uint64_t bucket { 0 };
+    std::uint32_t shard { 0 };
+    std::string keyDigest;
+    std::string attemptId;
+
+    bool operator==(IntentTicket const&) const = default;
+};
+
 struct BeginIntentReply {
-    IntentCode code { IntentCode::Unknown };
+    BeginIntentCode code { BeginIntentCode::Undecided };
+    /// With Run.
+    std::optional<IntentTicket> ticket;
     /// With Replay.
     std::optional<RecordedAnswer> answer;
+    /// The stable names of the error kind and run state, with Refused.
+    std::string errorKind;
+    std::string runState;
     std::string message;
 
     bool operator==(BeginIntentReply const&) const = default;
 };
 
+enum class IntentOutcome {
+    /// The back end answered.
+    Finish,
+    /// No byte of the call can have reached the back end, and none will.
+    Release,
+    /// The call ended without an answer.
+    Abandon,
+    /// The asking node did not learn whether the intent was written, and will not run the call.
+    Withdraw,
+};
+
 struct FinishIntentRequest {
-    std::string key;
-    std::string fingerprint;
-    std::string attemptId;
-    /// Empty to release the intent; allowed only if no byte of the call can have reached the back end.
+    std::string claimId;
+    IntentOutcome outcome { IntentOutcome::Abandon };
+    /// With Finish.
     std::optional<RecordedAnswer> answer;
 
     bool operator==(FinishIntentRequest const&) const = default;
 };
 
+enum class FinishIntentCode {
+    Recorded,
+    /// The writer does not know the claim, or could not record its end; the asking node records it by itself.
+    NotRecorded,
+};
+
 struct FinishIntentReply {
-    IntentCode code { IntentCode::Unknown };
+    FinishIntentCode code { FinishIntentCode::NotRecorded };
     std::string message;
 
     bool operator==(FinishIntentReply const&) const = default;
@@ -308,5 +334,4 @@
 
     bool operator==(FetchPlatformDataReply const&) const = default;
 };
-
 }
--- /dev/null
+++ b/Services/Node/IntentPeers.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <LibMembership/MembershipService.h>
+#include <LibPeer/PeerClient.h>
+#include <Node/IntentForwarder.h>
+
+namespace Node {
+
+/// Chooses the writers of intents among the nodes of the region by rendezvous rank, and calls them. Used from the runtime's
+/// thread only.
+class IntentPeers final : public IntentWriters {
+public:
+    /// Precondition: the references outlive this object.
+    IntentPeers(Membership::MembershipService const&, Peer::PeerClient&);
+
+    /// The first live node of the region by rank, and the first of another data centre than that one's, which may reach the
+    /// platform when the first cannot.
+    [[nodiscard]] std::vector<std::string> writersFor(std::string const& shardName, std::set<std::string> const& avoidedNodes) const override;
+
+    [[nodiscard]] Core::Awaitable<std::optional<Peer::BeginIntentReply>> beginIntent(std::string nodeId, Peer::BeginIntentRequest, Core::MonotonicTime deadline, Core::LastReason&) override;
+    [[nodiscard]] Core::Awaitable<std::optional<Peer::FinishIntentReply>> finishIntent(std::string nodeId, Peer::FinishIntentRequest, Core::MonotonicTime deadline, Core::LastReason&) override;
+    [[nodiscard]] bool isGone(std::string const& claimant) const override;
+
+private:
+    [[nodiscard]] std::optional<Core::Endpoint> endpointOf(std::string const& nodeId, Core::LastReason&) const;
+
+    Membership::MembershipService const& m_membership;
+    Peer::PeerClient& m_peers;
+};
+
+/// The name of one incarnation of a node in records that outlive it, and whether the node table shows it to be gone.
+[[nodiscard]] std::string claimantName(std::string const& nodeId, std::uint64_t incarnation);
+[[nodiscard]] std::string nodeIdOf(std::string const& claimant);
+[[nodiscard]] bool isClaimantGone(Membership::NodeTable const&, std::string const& claimant);
+
+}
--- a/Services/Node/NodeService.cpp
+++ b/Services/Node/NodeService.cpp
@@ -2,6 +2,7 @@
 
 #include <LibConfiguration/Codec.h>
 #include <LibCore/Log.h>
+#include <Node/IntentPeers.h>
 #include <Node/NodeStatus.h>
 #include <random>
 
@@ -71,6 +72,8 @@
     std::unique_ptr<Configuration::ConfigurationStore> configurationStore;
     std::unique_ptr<Membership::MembershipService> membership;
     std::unique_ptr<Intent::IntentJournal> journal;
+    std::unique_ptr<IntentPeers> intentPeers;
+    std::unique_ptr<IntentForwarder> intents;
     std::unique_ptr<StreamPeers> streamPeers;
     std::unique_ptr<Stream::StreamReplicator> replicator;
     std::unique_ptr<ModelRunner> runner;
@@ -116,16 +119,11 @@
     return true;
 }
 
-// A writer is named <node id>/<incarnation>.
 static Intent::WriterState writerState(Membership::NodeTable const& nodes, std::string const& writer)
 {
-    auto const separator = writer.rfind('/');
-    auto const* row = nodes.find(writer.substr(0, separator));
-    if (!row)
-        return Intent::WriterState::Unknown;
-    // A node that was replaced under the same id is not the writer; its repeats would wait until their deadline.
-    bool const wasReplaced = separator != std::string::npos && std::to_string(row->incarnation) != writer.substr(separator + 1);
-    return wasReplaced || row->liveness == Membership::Liveness::Dead ? Intent::WriterState::Dead : Intent::WriterState::Live;
+    if (isClaimantGone(nodes, writer))
+        return Intent::WriterState::Dead;
+    return nodes.find(nodeIdOf(writer)) ? Intent::WriterState::Live : Intent::WriterState::Unknown;
 }
 
 void NodeService::connectParts()
@@ -140,7 +138,13 @@
 
     Intent::IntentSettings intentSettings;
     intentSettings.writerState = [this](std::string const& writer) { return writerState(m_parts->membership->nodes(), writer); };
-    parts.journal = std::make_unique<Intent::IntentJournal>(m_runtime, *parts.objects, parts.random, parts.metrics, m_settings.nodeId + "/" + std::to_string(incarnation), std::move(intentSettings));
+    parts.journal = std::make_unique<Intent::IntentJournal>(m_runtime, *parts.objects, parts.random, parts.metrics, claimantName(m_settings.nodeId, incarnation), intentSettings);
+    parts.intentPeers = std::make_unique<IntentPeers>(*parts.membership, parts.peerClient);
+    IntentForwarderSettings forwarding;
+    forwarding.nodeId = m_settings.nodeId;
+    forwarding.claimant = claimantName(m_settings.nodeId, incarnation);
+    forwarding.journal = std::move(intentSettings);
+    parts.intents = std::make_unique<IntentForwarder>(m_runtime, *parts.journal, *parts.intentPeers, parts.random, parts.metrics, std::move(forwarding));
 
     parts.streamPeers = std::make_unique<StreamPeers>(*parts.membership, parts.peerClient);
     Stream::ReplicationSettings replication;
@@ -153,7 +157,7 @@
     parts.runner = std::make_unique<ModelRunner>(m_runtime, parts.engines, parts.tables, parts.streams, *parts.replicator, parts.decisions, parts.random, parts.metrics, std::move(runnerSettings));
     parts.runner->onQuarantined([this](Limits::RequestFingerprint fingerprint) { m_parts->membership->quarantine(std::to_string(fingerprint), 1h); });
     parts.takeOver = std::make_unique<StreamTakeOver>(m_runtime, parts.streams, *parts.replicator, *parts.runner, *parts.streamPeers, parts.decisions, m_settings.nodeId);
-    parts.services = std::make_unique<ServiceProxy>(m_runtime, parts.backendHTTP, *parts.journal, parts.tables, parts.decisions, parts.random, parts.metrics, m_settings.nodeId, m_settings.dataCentre);
+    parts.services = std::make_unique<ServiceProxy>(m_runtime, parts.backendHTTP, *parts.intents, parts.tables, parts.decisions, parts.random, parts.metrics, m_settings.nodeId, m_settings.dataCentre);
 
     BackendWatcherSettings watcherSettings;
     watcherSettings.reports.dataCentre = m_settings.dataCentre;
@@ -257,6 +261,7 @@
     Limits::expire(m_parts->tables.quarantine, now);
     m_parts->streams.expire();
     m_parts->takeOver->adoptOrphans();
+    m_parts->intents->expireClaims();
     moveReplicasFromLostNodes();
     publishUsage();
     m_parts->metrics.gauge("hyssopstep_streams").set(static_cast<double>(m_parts->streams.size()));
@@ -342,7 +347,7 @@
 
 bool NodeService::isIdle() const
 {
-    return m_parts->clientServer.requestsInProgress() == 0 && m_parts->journal->openTickets() == 0 && runningStreams(m_parts->streams) == 0;
+    return m_parts->clientServer.requestsInProgress() == 0 && m_parts->intents->openTickets() == 0 && runningStreams(m_parts->streams) == 0;
 }
 
 Core::Awaitable<void> NodeService::runDrain()
@@ -411,20 +416,14 @@
     co_return co_await m_parts->platformFeed->handle(request);
 }
 
-// FIXME: Forward intents to the preferred writer of a shard. Until then every node writes them itself, which is safe but
-// costs a conflict whenever two nodes write one shard at the same time.
-Core::Awaitable<Peer::BeginIntentReply> NodeService::beginIntent(Peer::BeginIntentRequest)
+Core::Awaitable<Peer::BeginIntentReply> NodeService::beginIntent(Peer::BeginIntentRequest request)
 {
-    Peer::BeginIntentReply reply;
-    reply.code = Peer::IntentCode::StoreUnavailable;
-    co_return reply;
+    return m_parts->intents->answer(std::move(request));
 }
 
-Core::Awaitable<Peer::FinishIntentReply> NodeService::finishIntent(Peer::FinishIntentRequest)
+Core::Awaitable<Peer::FinishIntentReply> NodeService::finishIntent(Peer::FinishIntentRequest request)
 {
-    Peer::FinishIntentReply reply;
-    reply.code = Peer::IntentCode::StoreUnavailable;
-    co_return reply;
+    return m_parts->intents->answer(std::move(request));
 }
 
 }
--- a/Services/Node/ServiceProxy.cpp
+++ b/Services/Node/ServiceProxy.cpp
@@ -13,10 +13,10 @@
 
 static constexpr std::string_view attemptHeader = "Hyssopstep-Attempt-Id";
 
-ServiceProxy::ServiceProxy(Core::Runtime& runtime, HTTP::Client& client, Intent::IntentJournal& journal, NodeTables& tables, DecisionLog& decisions, Core::Random& random, Core::Metrics& metrics, std::string nodeId, std::string dataCentre)
+ServiceProxy::ServiceProxy(Core::Runtime& runtime, HTTP::Client& client, IntentForwarder& intents, NodeTables& tables, DecisionLog& decisions, Core::Random& random, Core::Metrics& metrics, std::string nodeId, std::string dataCentre)
     : m_runtime(runtime)
     , m_client(client)
-    , m_journal(journal)
+    , m_intents(intents)
     , m_tables(tables)
     , m_decisions(decisions)
     , m_random(random)
@@ -64,7 +64,7 @@
 {
     if (call.idempotencyKey.empty())
         co_return Core::fail(reason, ErrorKind::IdempotencyKeyRequired, "the call is not idempotent and has no Idempotency-Key");
-    auto decision = co_await m_journal.begin(call.team, call.service, call.idempotencyKey, fingerprintOf(call), call.deadline, reason);
+    auto decision = co_await m_intents.begin(call.team, call.service, call.idempotencyKey, fingerprintOf(call), call.deadline, reason);
     if (!decision)
         co_return std::nullopt;
     m_decisions.add(call.requestId, "intent: " + std::string(Intent::decisionName(decision->kind)));
@@ -109,7 +109,7 @@
     auto recorded = std::make_shared<Core::AsyncEvent>(m_runtime);
     auto finish = [](ServiceProxy& proxy, Intent::IntentTicket openTicket, HTTP::Response answer, std::shared_ptr<Core::AsyncEvent> done) -> Core::Awaitable<void> {
         Core::LastReason reason;
-        bool const kept = co_await proxy.m_journal.finish(openTicket, answerFrom(answer), reason);
+        bool const kept = co_await proxy.m_intents.finish(openTicket, answerFrom(answer), reason);
         if (!kept)
             Core::logEvent(Core::LogLevel::Warning, "answer_not_recorded", { { "attempt_id", openTicket.attemptId }, { "reason", reason.message } });
         done->notifyAll();
@@ -123,7 +123,7 @@
 Core::Awaitable<void> ServiceProxy::release(Intent::IntentTicket ticket)
 {
     Core::LastReason reason;
-    bool const released = co_await m_journal.release(ticket, reason);
+    bool const released = co_await m_intents.release(ticket, reason);
     if (!released)
         Core::logEvent(Core::LogLevel::Warning, "intent_not_released", { { "attempt_id", ticket.attemptId }, { "reason", reason.message } });
 }
@@ -131,7 +131,7 @@
 Core::Awaitable<void> ServiceProxy::abandon(Intent::IntentTicket ticket)
 {
     Core::LastReason reason;
-    bool const abandoned = co_await m_journal.abandon(ticket, reason);
+    bool const abandoned = co_await m_intents.abandon(ticket, reason);
     if (!abandoned)
         Core::logEvent(Core::LogLevel::Warning, "intent_not_abandoned", { { "attempt_id", ticket.attemptId }, { "reason", reason.message } });
 }
--- a/Services/Node/ServiceProxy.h
+++ b/Services/Node/ServiceProxy.h
@@ -5,8 +5,8 @@
 #include <LibCore/Random.h>
 #include <LibHTTP/Client.h>
 #include <LibHTTP/Server.h>
-#include <LibIntent/IntentJournal.h>
 #include <Node/DecisionLog.h>
+#include <Node/IntentForwarder.h>
 #include <Node/NodeTables.h>
 
 namespace Node {
@@ -27,11 +27,11 @@
 };
 
 /// Forwards calls to non-model services: idempotent ones are retried under the budget, the others run at most once by means
-/// of the intent journal. Used from the runtime's thread only.
+/// of recorded intents. Used from the runtime's thread only.
 class ServiceProxy {
 public:
     /// Precondition: all references outlive the proxy, which outlives its tasks.
-    ServiceProxy(Core::Runtime&, HTTP::Client&, Intent::IntentJournal&, NodeTables&, DecisionLog&, Core::Random&, Core::Metrics&, std::string nodeId, std::string dataCentre);
+    ServiceProxy(Core::Runtime&, HTTP::Client&, IntentForwarder&, NodeTables&, DecisionLog&, Core::Random&, Core::Metrics&, std::string nodeId, std::string dataCentre);
 
     /// Returns the back end's answer, or why there is none with its true run state.
     [[nodiscard]] Core::Awaitable<std::optional<HTTP::Response>> call(ServiceCall, Core::LastReason&);
@@ -47,7 +47,7 @@
 
     Core::Runtime& m_runtime;
     HTTP::Client& m_client;
-    Intent::IntentJournal& m_journal;
+    IntentForwarder& m_intents;
     NodeTables& m_tables;
     DecisionLog& m_decisions;
     Core::Random& m_random;
--- a/Tests/LibPeer/PeerTest.cpp
+++ b/Tests/LibPeer/PeerTest.cpp
@@ -45,15 +45,19 @@
             reply.record = records.front();
         co_return reply;
     }
+    static Peer::BeginIntentReply begunReply()
+    {
+        return { Peer::BeginIntentCode::Replay, Peer::IntentTicket { 1, 2, "d", "t" }, Peer::RecordedAnswer { 201, "text/plain", std::string("a\0b", 3) }, "e", "r", "again" };
+    }
     Core::Awaitable<Peer::BeginIntentReply> beginIntent(Peer::BeginIntentRequest request) override
     {
         begun = std::move(request);
-        co_return Peer::BeginIntentReply { Peer::IntentCode::Replay, Peer::RecordedAnswer { 201, "text/plain", std::string("a\0b", 3) }, "again" };
+        co_return begunReply();
     }
     Core::Awaitable<Peer::FinishIntentReply> finishIntent(Peer::FinishIntentRequest request) override
     {
         finished = std::move(request);
-        co_return Peer::FinishIntentReply { Peer::IntentCode::Recorded, "done" };
+        co_return Peer::FinishIntentReply { Peer::FinishIntentCode::Recorded, "done" };
     }
 
     Core::Awaitable<Peer::FetchPlatformDataReply> fetchPlatformData(Peer::FetchPlatformDataRequest request) override
@@ -172,16 +176,16 @@
     ASSERT_TRUE(missing);
     EXPECT_FALSE(missing->record);
 
-    Peer::BeginIntentRequest const begin { "k", "f", "t", "n" };
+    Peer::BeginIntentRequest const begin { "c", "n", "t", "s", "k", "f", 7 };
     auto const begun = run(m_client->beginIntent(m_endpoint, begin, soon(), m_reason));
     ASSERT_TRUE(begun);
     EXPECT_EQ(m_handler.begun, begin);
-    EXPECT_EQ(*begun, (Peer::BeginIntentReply { Peer::IntentCode::Replay, Peer::RecordedAnswer { 201, "text/plain", std::string("a\0b", 3) }, "again" }));
-    Peer::FinishIntentRequest const finish { "k", "f", "t", std::nullopt };
+    EXPECT_EQ(*begun, m_handler.begunReply());
+    Peer::FinishIntentRequest const finish { "c", Peer::IntentOutcome::Release, std::nullopt };
     auto const finished = run(m_client->finishIntent(m_endpoint, finish, soon(), m_reason));
     ASSERT_TRUE(finished);
     EXPECT_EQ(m_handler.finished, finish);
-    EXPECT_EQ(finished->code, Peer::IntentCode::Recorded);
+    EXPECT_EQ(finished->code, Peer::FinishIntentCode::Recorded);
 
     m_handler.platformReply = { true, true, 5, 6, 7, 8, { { "s1", "127.0.0.1:3", "advisor", "v1", "dc1", "dc1-a", 9, true } }, { "s2" }, { { 10, "h1", -11 } }, 12 };
     Peer::FetchPlatformDataRequest const fetchData { 1, 2, 3, 4, 5 };
