Node: Refuse continuations truthfully, and queries that cannot be read

Cause: a refused GET /v1/requests/<id> was reported as not run although the request may have run, and a query with a bad percent escape counted as none, so that ?from=%%% sent the answer again from its first event and ?limit=%%% was ignored.

Change: such refusals are unknown, and a target that is not well-formed gets 400. The configuration tests also delay the way to the platform, so that two operators read the same base and late watch events meet newer generations.

Seen failing: RefusedContinuationsAreUnknown before the change, passing after.

--- a/Libraries/LibHTTP/Message.cpp
+++ b/Libraries/LibHTTP/Message.cpp
@@ -32,6 +32,11 @@
     return std::string_view(target).substr(0, target.find('?'));
 }
 
+bool Request::hasWellFormedTarget() const
+{
+    return boost::urls::parse_origin_form(target).has_value();
+}
+
 std::optional<std::string> Request::queryParameter(std::string_view name) const
 {
     auto const url = boost::urls::parse_origin_form(target);
--- a/Libraries/LibHTTP/Message.h
+++ b/Libraries/LibHTTP/Message.h
@@ -46,7 +46,10 @@
     /// The target without its query.
     [[nodiscard]] std::string_view path() const;
 
-    /// The percent-decoded value of a query parameter.
+    /// Whether path and query are well-formed (RFC 9112, section 3.2.1).
+    [[nodiscard]] bool hasWellFormedTarget() const;
+
+    /// The percent-decoded value of a query parameter. Nothing if the target is not well-formed.
     [[nodiscard]] std::optional<std::string> queryParameter(std::string_view name) const;
 };
 
--- a/Services/Node/Gateway.cpp
+++ b/Services/Node/Gateway.cpp
@@ -35,11 +35,15 @@
         Core::logEvent(Core::LogLevel::Debug, "client_gone", { { "request_id", requestId } });
 }
 
-// A refusal that comes before the request was looked up by its key. The request may be a repeat of one that ran at another node,
-// so nothing can be said of the key.
+// A refusal that comes before the request was looked up. A repeat by key, and a continuation, belong to a request that may have
+// run at another node, so "not run" would be a guess.
 static Core::LastReason withoutLookUp(HTTP::Request const& request, Core::LastReason reason)
 {
-    if (request.headers.find("Idempotency-Key") && reason.runState == RunState::NotRun) {
+    if (reason.runState != RunState::NotRun)
+        return reason;
+    if (request.path().starts_with(requestsPrefix)) {
+        reason.runState = RunState::Unknown;
+    } else if (request.headers.find("Idempotency-Key")) {
         reason.runState = RunState::Unknown;
         reason.message += "; this request was not run, but an earlier one with the same key may have run";
     }
@@ -54,6 +58,12 @@
         co_return;
     }
     Core::LastReason reason;
+    // A query that cannot be read would otherwise count as none, and a continuation would start at the first event.
+    if (!request.hasWellFormedTarget()) {
+        Core::fail(reason, ErrorKind::InvalidRequest, "the request's target is not a well-formed path with a query");
+        co_await refuse(writer, withoutLookUp(request, reason), "");
+        co_return;
+    }
     bool const isContinuation = path.starts_with(requestsPrefix);
     bool const isChat = path == "/v1/chat/completions";
     if (!isContinuation && !isChat && path != "/v1/completions") {
@@ -268,31 +278,31 @@
     auto const admission = authenticate(request, "", reason);
     if (m_node.tables.phase == NodePhase::Starting) {
         (void)checkReady(reason);
-        co_await refuse(writer, reason, requestId);
+        co_await refuse(writer, withoutLookUp(request, reason), requestId);
         co_return;
     }
     if (!admission) {
-        co_await refuse(writer, reason, requestId);
+        co_await refuse(writer, withoutLookUp(request, reason), requestId);
         co_return;
     }
     auto const team = admission->team->name;
     bool const here = co_await m_node.takeOver.bringHere(requestId, SearchScope::All, admission->deadline, reason);
     auto const* stream = m_node.streams.find(requestId);
     if (!here || !stream) {
-        co_await refuse(writer, reason, requestId);
+        co_await refuse(writer, withoutLookUp(request, reason), requestId);
         co_return;
     }
     if (stream->team != team) {
         // Says the same as for an unknown request, so that ids cannot be probed.
         Core::fail(reason, ErrorKind::StreamNotFound, "no node knows request " + requestId, RunState::Unknown);
-        co_await refuse(writer, reason, requestId);
+        co_await refuse(writer, withoutLookUp(request, reason), requestId);
         co_return;
     }
     Stream::StreamPosition from;
     if (auto const eventId = request.queryParameter("from"); eventId && !eventId->empty()) {
         auto const position = Stream::parsePosition(stream->tokens, *eventId, reason);
         if (!position) {
-            co_await refuse(writer, reason, requestId);
+            co_await refuse(writer, withoutLookUp(request, reason), requestId);
             co_return;
         }
         from = *position;
--- a/Services/Node/OperatorEndpoint.cpp
+++ b/Services/Node/OperatorEndpoint.cpp
@@ -107,6 +107,8 @@
 
 Core::Awaitable<HTTP::Response> OperatorEndpoint::respond(HTTP::Request const& request, Core::Endpoint const& peer)
 {
+    if (!request.hasWellFormedTarget())
+        co_return problem(ErrorKind::InvalidRequest, "the request's target is not a well-formed path with a query");
     auto const path = request.path();
     auto const* route = std::find_if(routes.begin(), routes.end(), [&](auto const& candidate) { return candidate.path == path; });
     if (route == routes.end())
--- a/Tests/Integration/BadInputTest.cpp
+++ b/Tests/Integration/BadInputTest.cpp
@@ -101,7 +101,9 @@
         { "key_of_the_future", Port::Client, refund(authorization + "Idempotency-Key: fff00000-0000-7000-8000-000000000000\r\n"), 400, "idempotency_key_invalid", "" },
         { "unknown_operation", Port::Client, message("POST /services/storefront/none", authorization, "{}"), 404, "not_found", "/none" },
         { "foreign_service", Port::Client, message("POST /services/other/refunds", authorization, "{}"), 403, "forbidden", "other" },
-        { "bad_position", Port::Client, message("GET /v1/requests/r0?from=%%%", authorization, ""), 404, "stream_not_found", "" },
+        { "unknown_request", Port::Client, message("GET /v1/requests/r0?from=1-2", authorization, ""), 404, "stream_not_found", "r0" },
+        { "bad_query", Port::Client, message("GET /v1/requests/r0?from=%%%", authorization, ""), 400, "invalid_request", "target" },
+        { "operator_bad_query", Port::Operator, message("GET /operator/audit?limit=%%%", "", ""), 400, "invalid_request", "target" },
         { "operator_no_http", Port::Operator, std::string("\x16\x03\x01\x00", 4) + "TLS?\r\n\r\n", 400, "invalid_request", "" },
         { "operator_headers_too_large", Port::Operator, "GET / HTTP/1.1\r\nA: " + std::string(40'000, 'a') + "\r\n\r\n", 431, "headers_too_large", "" },
         { "operator_body_too_large", Port::Operator, "PUT /operator/desired-state HTTP/1.1\r\nContent-Length: 99999999\r\n\r\n", 413, "request_too_large", "" },
@@ -215,6 +217,22 @@
     std::printf("promise=bad_input inputs=%zu\n", sent);
 }
 
+// Guards against "not run" for a request that ran, told to a client that continues it.
+TEST_F(BadInputTest, RefusedContinuationsAreUnknown)
+{
+    Integration::AnswerReader reader(m_cluster.node(0).client, Integration::chatRequest("hello length=10", true));
+    reader.readAll();
+    ASSERT_TRUE(reader.complete()) << reader.error();
+    auto const path = "GET /v1/requests/" + reader.requestId();
+    auto const withoutKey = exchangeRaw(m_cluster.node(0).client, message(path, "", ""));
+    EXPECT_NE(withoutKey.find("\"run_state\":\"unknown\""), std::string::npos) << withoutKey;
+    for (auto const* position : { "%%%", "none" }) {
+        auto const refused = exchangeRaw(m_cluster.node(0).client, message(path + "?from=" + position, authorization, ""));
+        EXPECT_TRUE(refused.starts_with("HTTP/1.1 400 ")) << refused;
+        EXPECT_NE(refused.find("\"run_state\":\"unknown\""), std::string::npos) << refused;
+    }
+}
+
 // Guards against bytes that stop a process: random ones, and random changes of valid messages, at the three ports of a node.
 TEST_F(BadInputTest, RandomBytesStopNothing)
 {
--- a/Tests/Integration/ConfigurationTest.cpp
+++ b/Tests/Integration/ConfigurationTest.cpp
@@ -195,6 +195,10 @@
     for (unsigned round = 0; round < 8; ++round, ++generation) {
         auto const firstNode = random.below(m_cluster.nodes().size());
         auto const secondNode = (firstNode + 1 + random.below(m_cluster.nodes().size() - 1)) % m_cluster.nodes().size();
+        // The delay on the way to the platform lets both read the same base before either writes.
+        TestSupport::ProxyFaults way;
+        way.delayMs = 10 + 10 * random.below(3);
+        m_cluster.platformProxy().setFaults(way);
         std::array<ApplyAnswer, 2> answers;
         {
             std::jthread const ada([&] { answers[0] = apply(firstNode, 30 + 2 * round, generation, "ada-" + std::to_string(round), "ada"); });
@@ -330,6 +334,22 @@
     expectSpread(nodeIds(), 3, since);
 }
 
+// Guards against a node that goes back when the platform's watch brings an older generation after a peer brought a newer one.
+TEST_F(ConfigurationPromise, LateWatchEventsDoNotRevert)
+{
+    TestSupport::ProxyFaults late;
+    late.delayMs = 400;
+    m_cluster.platformProxy().setFaults(late, 0);
+    ++m_faults;
+    for (unsigned round = 0; round < 6; ++round) {
+        ASSERT_EQ(apply(2 + round % 2, 110 + round, 1 + round, "late-" + std::to_string(round)).generation(), 2 + round);
+        expectSpread(nodeIds(), 2 + round, now());
+    }
+    // The watch of data centre 0 has brought all events once an apply there has been written and read back.
+    ASSERT_EQ(apply(0, 120, 7, "last").generation(), 8u);
+    expectSpread(nodeIds(), 8, now());
+}
+
 // Guards against a spread that depends on quick answers of the platform.
 TEST_F(ConfigurationPromise, SlowPlatformKeepsTheBound)
 {
