LibConfiguration: Report an apply as not run only after a look at the state

Cause: a repeated apply at a node that cannot read the desired state was refused as not run although its first sending may have taken effect, and the command printed only the last node's run state, so that the operator was told nothing of an accepted apply whose answer was lost.

Change: ConfigurationStore::apply is unknown until it has read the state and found the apply id absent. The command keeps "unknown" from any node it asked. StoreTest.ReportsAnUnresolvedWriteAsUnknown demanded "not run" for an outage; it now demands "unknown", and a new test demands "not run" once the apply was seen to be absent.

--- a/Libraries/LibConfiguration/ConfigurationStore.cpp
+++ b/Libraries/LibConfiguration/ConfigurationStore.cpp
@@ -49,9 +49,10 @@
     if (auto const faults = validate(request.desired); !faults.empty())
         co_return Core::fail(reason, Core::ErrorKind::InvalidConfiguration, joinFaults(faults));
 
-    // A write whose answer was lost can still take effect until the object's version is seen to have moved on.
-    auto runState = Core::RunState::NotRun;
-    std::uint64_t pendingVersion = 0;
+    // Before the first read, an earlier sending of this apply may have taken effect. A write whose answer was lost can still take
+    // effect until the object's version is seen to have moved on.
+    auto runState = Core::RunState::Unknown;
+    std::optional<std::uint64_t> pendingVersion;
     for (unsigned attempt = 1; attempt <= maximumAttempts; ++attempt) {
         auto const current = co_await read(deadline, reason);
         if (!current && reason.kind == Core::ErrorKind::InvalidConfiguration)
@@ -59,7 +60,7 @@
         if (current) {
             auto decision = decideApply(current->state, request, std::chrono::duration_cast<std::chrono::milliseconds>(m_runtime.wallNow().time_since_epoch()).count());
             // With the version moved on and the apply id absent, a pending write was refused or will be.
-            if (runState == Core::RunState::Unknown && current->resourceVersion != pendingVersion)
+            if (!pendingVersion || current->resourceVersion != *pendingVersion)
                 runState = Core::RunState::NotRun;
             if (decision.outcome != ApplyOutcome::Accepted)
                 co_return decision;
--- a/Tests/LibConfiguration/ApplyTest.cpp
+++ b/Tests/LibConfiguration/ApplyTest.cpp
@@ -148,13 +148,27 @@
     EXPECT_EQ(m_reason.kind, Core::ErrorKind::StoreUnavailable);
     EXPECT_EQ(m_reason.runState, Core::RunState::Unknown);
 
+    // An earlier sending of the same apply may have taken effect, which only a read can tell.
     FakeObjectStore outage(m_runtime, 1, 0);
     outage.nextFaults.resize(50, StoreFault::NotExecuted);
     EXPECT_FALSE(apply(outage, request(0, "a", 10)));
-    EXPECT_EQ(m_reason.runState, Core::RunState::NotRun);
+    EXPECT_EQ(m_reason.runState, Core::RunState::Unknown);
     EXPECT_EQ(outage.calls, ConfigurationStore::maximumAttempts);
 }
 
+// Guards against "unknown" for an apply that was seen to be absent and whose write was never sent.
+TEST_F(StoreTest, ReportsAnApplySeenToBeAbsentAsNotRun)
+{
+    FakeObjectStore store(m_runtime, 1, 0);
+    ASSERT_TRUE(apply(store, request(0, "first", 10)));
+    store.nextFaults = { StoreFault::None };
+    store.nextFaults.resize(50, StoreFault::NotExecuted);
+    EXPECT_FALSE(apply(store, request(1, "second", 11)));
+    EXPECT_EQ(m_reason.kind, Core::ErrorKind::StoreUnavailable);
+    EXPECT_EQ(m_reason.runState, Core::RunState::NotRun);
+    EXPECT_EQ(store.history.size(), 1U);
+}
+
 // Guards against an invalid state being written, whoever sends it.
 TEST_F(StoreTest, RefusesAnInvalidState)
 {
--- a/Utilities/Hyssopstep/OperatorCall.cpp
+++ b/Utilities/Hyssopstep/OperatorCall.cpp
@@ -28,6 +28,10 @@
         std::fprintf(stderr, "a node answered %u without a JSON object; is this an operator port?\n", response->status);
         return std::nullopt;
     }
+    // The last node's "not run" says nothing of an earlier node whose answer was lost.
+    static constexpr unsigned serviceUnavailable = 503;
+    if (response->status == serviceUnavailable && reason.runState == Core::RunState::Unknown)
+        value.get_object()["run_state"] = "unknown";
     return OperatorAnswer { response->status, std::move(value) };
 }
 
