--- a/Tests/Integration/AtMostOnceTest.cpp
+++ b/Tests/Integration/AtMostOnceTest.cpp
@@ -292,10 +292,11 @@
         for (auto const& node : m_cluster.nodes())
             rows.emplace_back().id = node->id;
         std::vector<Membership::NodeRow const*> pointers;
+        pointers.reserve(rows.size());
         for (auto const& row : rows)
             pointers.push_back(&row);
         while (true) {
-            auto const key = Integration::newKey();
+            auto key = Integration::newKey();
             Core::LastReason reason;
             auto const place = Intent::placeOf("classroom", "storefront", *Intent::parseIntentKey(key, reason), {});
             if (Membership::rendezvousRank(Intent::shardObjectName(place, 0), pointers).front()->id == writer.id)
