LibMembership: Leave idle teams out of the exchanges

Cause: each exchange held the node's usage of every configured team. With 53 teams, idle, a node of 16 sent and received 9.5 KB/s in exchanges and calls for platform data (3.3 KB/s with 8 teams). Change: usage below 0.01 requests/s without tokens is withdrawn instead of spread. Teams that are active everywhere cost as before.

--- a/Libraries/LibMembership/MembershipService.cpp
+++ b/Libraries/LibMembership/MembershipService.cpp
@@ -300,6 +300,12 @@
     auto const& self = m_nodes.own();
     auto const key = rowKey(self.id, self.incarnation);
     auto const hash = teamHash(team);
+    // Every exchange holds all own entries; those of idle teams would make up most of it where there are many teams.
+    static constexpr double idleRequestsPerSecond = 0.01;
+    if (requestsPerSecond < idleRequestsPerSecond && tokensPerSecond <= 0) {
+        m_spread.usage.erase(std::pair(key, hash));
+        return;
+    }
     m_spread.usage[{ key, hash }] = { key, hash, static_cast<std::uint32_t>(self.heartbeat), static_cast<float>(requestsPerSecond), static_cast<float>(tokensPerSecond) };
 }
 
--- a/Libraries/LibMembership/MembershipService.h
+++ b/Libraries/LibMembership/MembershipService.h
@@ -84,7 +84,8 @@
     /// Calls the function for each mark that becomes known.
     void onServerLeaving(std::function<void(std::string const& serverId, std::uint64_t incarnation)> listener);
 
-    /// Sets what this node admitted for a team, per second.
+    /// Sets what this node admitted for a team, per second. Below 0.01 requests and no tokens, the usage is withdrawn: other
+    /// nodes drop it when it is no longer recent.
     void setOwnUsage(std::string_view team, double requestsPerSecond, double tokensPerSecond);
     struct TeamUsage {
         double requestsPerSecond { 0 };
--- a/Tests/LibMembership/FleetTest.cpp
+++ b/Tests/LibMembership/FleetTest.cpp
@@ -120,3 +120,17 @@
     };
     EXPECT_LT(m_fleet.timeUntil([&] { return m_fleet.all(replaced); }, 13s), 13s);
 }
+
+// Guards against exchanges that grow with the number of teams that send nothing, and against usage that outlives its withdrawal.
+TEST_P(FleetTest, IdleTeamsAreNotSpread)
+{
+    m_fleet.build(1, 2);
+    auto& sender = *m_fleet.m_nodes[0]->service;
+    auto const& receiver = *m_fleet.m_nodes[1]->service;
+    sender.setOwnUsage("busy", 2, 0);
+    sender.setOwnUsage("idle", 0.001, 0);
+    EXPECT_LT(m_fleet.timeUntil([&] { return receiver.usageOfOthers("busy").nodes == 1; }, 5s), 5s);
+    EXPECT_EQ(receiver.usageOfOthers("idle").nodes, 0U);
+    sender.setOwnUsage("busy", 0, 0);
+    EXPECT_LT(m_fleet.timeUntil([&] { return receiver.usageOfOthers("busy").nodes == 0; }, 60s), 60s);
+}
