LibMembership: End a watch when the platform ends it

Cause: the platform ends a watch 0.5 s before its deadline, and the relay then asked again for the rest, half of it each time: about 40 calls at the end of each watch of 30 s. Change: an answer without changes ends the watch; the next list and watch follow at once.

--- a/Libraries/LibMembership/MembershipService.cpp
+++ b/Libraries/LibMembership/MembershipService.cpp
@@ -260,6 +260,9 @@
         auto events = co_await m_store.waitForChanges(kind, version, end, reason);
         if (!events)
             co_return false;
+        // The platform ends a watch shortly before its deadline; asking again for ever shorter rests took about 40 calls.
+        if (events->empty())
+            break;
         for (auto& event : *events) {
             version = std::max(version, event.object.resourceVersion);
             if (event.kind == Platform::ObjectEventKind::Put)
