--- a/Meta/capacity.py
+++ b/Meta/capacity.py
@@ -208,8 +208,8 @@
 OVERHEAD = {"peer_control_called": 220 + 6 * 52, "peer_control_answered": 220 + 6 * 52, "platform": 4 * 52, "reports": 4 * 52}
 
 
-def control_bytes(row):
-    return sum(row.get(channel + "_sent", 0) + row.get(channel + "_received", 0) + row.get(channel + "_calls", 0) * overhead for channel, overhead in OVERHEAD.items())
+def control_bytes(row, channels=tuple(OVERHEAD)):
+    return sum(row.get(channel + "_sent", 0) + row.get(channel + "_received", 0) + row.get(channel + "_calls", 0) * OVERHEAD[channel] for channel in channels)
 
 
 def mean(values):
@@ -226,6 +226,7 @@
             "cpuMs": mean(row["cpuMs"] for row in chosen),
             "residentMB": mean(row["residentMB"] for row in chosen),
             "controlBytes": mean(control_bytes(row) for row in chosen),
+            "peerBytes": mean(control_bytes(row, ["peer_control_called", "peer_control_answered"]) for row in chosen),
             "calls": {channel: mean(row.get(channel + "_calls", 0) for row in chosen) for channel in OVERHEAD},
             "channels": {channel: mean(row.get(channel + "_sent", 0) + row.get(channel + "_received", 0) for row in chosen)
                          for channel in ("peer_control_called", "peer_control_answered", "peer_requests_called", "peer_requests_answered", "platform", "reports", "backends")},
@@ -243,7 +244,8 @@
 
 
 def parameters(options):
-    return {name: getattr(options, name) for name in ("nodes", "data_centres", "servers", "teams", "services")}
+    local = options.nodes / options.data_centres
+    return {**{name: getattr(options, name) for name in ("nodes", "data_centres", "servers", "teams", "services")}, "localNodes": local, "remoteNodes": options.nodes - local}
 
 
 def run_fleet(options):
