--- a/Tests/Integration/AtMostOnceTest.cpp
+++ b/Tests/Integration/AtMostOnceTest.cpp
@@ -5,6 +5,7 @@
 #include <boost/json/parse.hpp>
 #include <csignal>
 #include <cstdio>
+#include <cstdlib>
 #include <gtest/gtest.h>
 #include <utility>
 
@@ -18,7 +19,8 @@
 
 namespace {
 
-constexpr std::uint64_t seed = 4711;
+// HYSSOPSTEP_TEST_SEED gives another one.
+std::uint64_t const seed = std::getenv("HYSSOPSTEP_TEST_SEED") ? std::strtoull(std::getenv("HYSSOPSTEP_TEST_SEED"), nullptr, 10) : 4711;
 constexpr unsigned keysPerScenario = 16;
 
 Integration::ClusterOptions clusterOptions()
@@ -190,6 +192,47 @@
                                                       FaultCase { "platform_down", 1, platformFaults(0, true, 0) }, FaultCase { "platform_slow", 1, platformFaults(700, false, 0) }, FaultCase { "platform_slower_than_timeouts", 1, platformFaults(2500, false, 0) }, FaultCase { "platform_loses_write_answers", 6, platformFaults(0, false, 6) }, FaultCase { "data_centre_cut_from_platform", 1, {}, proxyFaults(true, 0, 0) }, FaultCase { "proxy_drops_platform_answers", 10, {}, proxyFaults(false, 0, 10) }, FaultCase { "service_slow", 1, {}, {}, R"({"delayMs":1500})" }, FaultCase { "service_slower_than_deadline", 1, {}, {}, R"({"delayMs":4000})" }, FaultCase { "service_drops_answers", 12, {}, {}, R"({"dropAnswer":true,"requests":12})" }, FaultCase { "service_truncates_answers", 12, {}, {}, R"({"truncateAnswer":true,"requests":12})" }, FaultCase { "service_answers_twice", 1, {}, {}, R"({"answerTwice":true})" }, FaultCase { "service_answers_with_other_attempt", 12, {}, {}, R"({"crossAttempts":true,"requests":12})" }, FaultCase { "service_fails", 1, {}, {}, R"({"fail":true})" }, FaultCase { "platform_slow_and_service_drops_answers", 13, platformFaults(300, false, 0), {}, R"({"dropAnswer":true,"requests":12})" }),
     [](auto const& info) { return std::string(info.param.name); });
 
+// Guards against the same when faults of all kinds follow and overlap each other, with nodes that freeze in between.
+TEST_F(AtMostOnce, HoldsInASeededMixOfFaults)
+{
+    static constexpr unsigned rounds = 2;
+    static constexpr std::array services { "{}", R"({"delayMs":800})", R"({"dropAnswer":true,"requests":4})", R"({"truncateAnswer":true,"requests":4})", R"({"crossAttempts":true,"requests":4})", R"({"fail":true,"requests":4})", R"({"answerTwice":true})" };
+    Core::Random random(seed);
+    std::vector<std::string> all;
+    std::size_t faults = 0;
+    for (unsigned round = 0; round < rounds; ++round) {
+        // One draw for each statement, since the order of evaluation of arguments is not specified.
+        auto const slowMs = random.below(2) * 300;
+        auto const isDown = round > 0 && random.below(3) == 0;
+        auto const lostWriteAnswers = random.below(4);
+        auto const isCut = random.below(3) == 0;
+        auto const delayMs = random.below(2) * 100;
+        auto const cutDataCentre = random.below(2);
+        auto const* service = services[random.below(services.size())];
+        m_cluster.platform().setFaults(platformFaults(slowMs, isDown, lostWriteAnswers));
+        m_cluster.platformProxy().setFaults(proxyFaults(isCut, delayMs, 2), cutDataCentre);
+        setServiceFaults(boost::json::parse(service).as_object());
+        std::printf("round=%u slow_ms=%zu down=%d lost_write_answers=%zu cut=%d delay_ms=%zu data_centre=%zu service=%s\n", round, static_cast<std::size_t>(slowMs), isDown, static_cast<std::size_t>(lostWriteAnswers), isCut, static_cast<std::size_t>(delayMs), static_cast<std::size_t>(cutDataCentre), service);
+        auto& frozen = m_cluster.node(random.below(m_cluster.nodes().size()));
+        frozen.process->sendSignal(SIGSTOP);
+        faults += 4;
+        std::vector<std::jthread> threads;
+        auto const before = m_clients.repliesSoFar();
+        for (auto const& key : newKeys()) {
+            all.push_back(key);
+            threads.emplace_back([this, key, clientSeed = seed + all.size()] { runClient(key, clientSeed); });
+        }
+        // Requests at the frozen node are answered once it wakes.
+        EXPECT_TRUE(waitUntil([&] { return m_clients.repliesSoFar() >= before + keysPerScenario / 2; }));
+        frozen.process->sendSignal(SIGCONT);
+        threads.clear();
+        heal();
+    }
+    check("seeded_mix/before_repair", faults, 10s);
+    settle(all);
+    check("seeded_mix", faults, 10s);
+}
+
 // Guards against a refusal as unknown, and against a lost key, when no connection to the back end came about: the host is gone
 // but still listed, so that no byte was sent.
 TEST_F(AtMostOnce, RefusedConnectionsRunNothing)
