Load: Continue a broken answer at its opaque position

The position of an event is its number and a hash of the tokens so far. The tool kept the number alone, so a node refused each continuation with invalid_request, and the run counted the request as failed.

The test's server now sends positions with a hash and refuses others.

--- a/Tests/LibLoad/LoadRunnerTest.cpp
+++ b/Tests/LibLoad/LoadRunnerTest.cpp
@@ -9,9 +9,15 @@
 
 namespace {
 
+// The nodes' event ids are opaque: a number and a hash of the tokens so far.
+std::string positionAfter(int number)
+{
+    return std::to_string(number) + "-h" + std::to_string(number * 7);
+}
+
 HTTP::ServerSentEvent tokenEvent(int number)
 {
-    return { std::to_string(number), R"({"choices":[{"text":"t "}]})" };
+    return { positionAfter(number), R"({"choices":[{"text":"t "}]})" };
 }
 
 class LoadRunnerTest : public testing::Test {
@@ -96,6 +102,13 @@
 {
     auto const handler = [](HTTP::Request const& request, HTTP::ResponseWriter& writer) -> Awaitable<void> {
         bool const isResume = request.method == "GET";
+        if (isResume && request.queryParameter("from") != positionAfter(3)) {
+            Core::LastReason reason;
+            Core::fail(reason, Core::ErrorKind::InvalidRequest, "not a position");
+            auto problem = HTTP::problemResponse(reason);
+            (void)co_await writer.send(std::move(problem));
+            co_return;
+        }
         int const first = isResume ? std::stoi(request.queryParameter("from").value_or("0")) + 1 : 1;
         int const last = isResume ? 6 : 3;
         HTTP::Headers headers { { "Hyssopstep-Request-Id", "r1" } };
--- a/Utilities/Load/Answer.cpp
+++ b/Utilities/Load/Answer.cpp
@@ -59,10 +59,12 @@
             answer.problem = Core::LastReason { Core::ErrorKind::BackendAnswerInvalid, Core::RunState::Unknown, "an event is neither a completion nor a problem", {} };
         return 0;
     }
-    std::uint64_t number = answer.lastEventId + 1;
+    std::uint64_t number = answer.lastEventNumber + 1;
     std::from_chars(event.id.data(), event.id.data() + event.id.size(), number);
-    answer.sequenceErrors += number == answer.lastEventId + 1 ? 0 : 1;
-    answer.lastEventId = number;
+    answer.sequenceErrors += number == answer.lastEventNumber + 1 ? 0 : 1;
+    answer.lastEventNumber = number;
+    if (!event.id.empty())
+        answer.lastEventId = event.id;
     auto const tokens = countTokens(*text);
     answer.tokens += tokens;
     answer.text += *text;
--- a/Utilities/Load/Answer.h
+++ b/Utilities/Load/Answer.h
@@ -13,8 +13,10 @@
 struct StreamedAnswer {
     std::string text;
     std::uint64_t tokens { 0 };
-    /// The number in the last event's `id:` line, from which a resumed answer continues; counted if there is no such line.
-    std::uint64_t lastEventId { 0 };
+    /// The number at the start of the last event's `id:` line; counted if there is no such line.
+    std::uint64_t lastEventNumber { 0 };
+    /// The last event's whole `id:` line, the opaque position from which a resumed answer continues.
+    std::string lastEventId;
     /// Events whose number does not follow the one before: repeated, missing or out of order.
     std::uint64_t sequenceErrors { 0 };
     bool done { false };
--- a/Utilities/Load/LoadRunner.cpp
+++ b/Utilities/Load/LoadRunner.cpp
@@ -287,7 +287,7 @@
             break;
         co_await m_runtime.sleepFor(resumeDelay);
         ++statisticsOf(call).resumed;
-        request = { "GET", "/v1/requests/" + call.requestId + "?from=" + std::to_string(answer.lastEventId), {}, {} };
+        request = { "GET", "/v1/requests/" + call.requestId + "?from=" + answer.lastEventId, {}, {} };
         if (!call.planned.bearerKey.empty())
             request.headers.set("Authorization", "Bearer " + call.planned.bearerKey);
     }
