Node, Load: Add baselines and an experiment script for the routing policies

Cause: the policies had no figures, and the only baseline, least outstanding requests, kept part of the policy it is compared with: it avoided stragglers, moved answers away from them, and preferred the servers listed first on all nodes.

Change: baselines are free of these; reported_load, fifo and recompute are new ones. The load tool counts the prompt tokens, so that recomputed tokens can be told from necessary ones.

--- a/Libraries/LibRouting/LengthEstimator.h
+++ b/Libraries/LibRouting/LengthEstimator.h
@@ -43,6 +43,14 @@
 /// Corrects an estimate while the request runs: one that has been reached is doubled, up to the maximum. Thread safe.
 [[nodiscard]] std::uint32_t correctedEstimate(std::uint32_t estimate, std::uint32_t generated, std::uint32_t maximumTokens);
 
+/// In which order the engines should start requests.
+enum class Scheduling {
+    /// Those with the fewest tokens still to come first.
+    ShortestFirst,
+    /// First come, first served: all have one priority; the baseline of the measurements.
+    ArrivalOrder,
+};
+
 /// The engine priority (0 most urgent, 9 least) for a request with this many tokens still to come. Thread safe.
 [[nodiscard]] std::uint32_t priorityForRemaining(std::uint32_t remainingTokens);
 
--- a/Libraries/LibRouting/ServerChoice.cpp
+++ b/Libraries/LibRouting/ServerChoice.cpp
@@ -84,7 +84,8 @@
     for (auto& row : table.rows) {
         if (!isUsable(row, request, now))
             continue;
-        (row.pace == Pace::Straggler ? stragglers : normal).push_back(&row);
+        bool const isAvoided = row.pace == Pace::Straggler && request.policy == RoutingPolicy::PredictedTime;
+        (isAvoided ? stragglers : normal).push_back(&row);
     }
     return normal.empty() ? stragglers : normal;
 }
@@ -93,7 +94,7 @@
 {
     // A probe must not make a long request slow.
     static constexpr std::uint32_t longestProbeTokens = 64;
-    if (request.policy == RoutingPolicy::LeastOutstanding || request.expectedTokens > longestProbeTokens)
+    if (request.policy != RoutingPolicy::PredictedTime || request.expectedTokens > longestProbeTokens)
         return nullptr;
     for (auto& row : table.rows) {
         if (isUsable(row, request, now) && isDueProbe(row, now))
@@ -127,9 +128,17 @@
     return candidates;
 }
 
-static Candidate chooseLeastOutstanding(std::vector<ServerRow*> const& rows, PrefixIndex const& prefixes, RoutingRequest const& request, Core::MonotonicTime now)
+static std::uint32_t reportedLoad(ServerRow const& row)
 {
-    auto const least = std::min_element(rows.begin(), rows.end(), [](auto const* left, auto const* right) { return left->outstanding < right->outstanding; });
+    return row.report ? row.report->running + row.report->waiting : 0;
+}
+
+static Candidate chooseBaseline(std::vector<ServerRow*> rows, PrefixIndex const& prefixes, RoutingRequest const& request, Core::MonotonicTime now, Core::Random& random)
+{
+    auto const loadOf = [&](ServerRow const* row) { return request.policy == RoutingPolicy::ReportedLoad ? reportedLoad(*row) : row->outstanding; };
+    // Without it, all nodes would prefer the servers listed first.
+    std::shuffle(rows.begin(), rows.end(), random.engine());
+    auto const least = std::min_element(rows.begin(), rows.end(), [&](auto const* left, auto const* right) { return loadOf(left) < loadOf(right); });
     return rate(*least, prefixes, request, now);
 }
 
@@ -158,8 +167,8 @@
     auto const rows = usableRows(table, request, now);
     if (rows.empty())
         return Core::fail(reason, Core::ErrorKind::NoServerAvailable, "no backend server of service " + request.service + " takes new work");
-    if (request.policy == RoutingPolicy::LeastOutstanding) {
-        auto const least = chooseLeastOutstanding(rows, prefixes, request, now);
+    if (request.policy != RoutingPolicy::PredictedTime) {
+        auto const least = chooseBaseline(rows, prefixes, request, now, random);
         return choiceFrom(least, explain({ least }));
     }
     auto const candidates = sampleCandidates(rows, prefixes, request, now, random);
--- a/Libraries/LibRouting/ServerChoice.h
+++ b/Libraries/LibRouting/ServerChoice.h
@@ -14,8 +14,10 @@
 enum class RoutingPolicy {
     /// The better of two random candidates by predicted time, with the best prefix match as a third.
     PredictedTime,
-    /// The server with the fewest requests of this node in progress; the baseline of the measurements.
+    /// The server with the fewest requests of this node in progress, at random among equals; a baseline of the measurements.
     LeastOutstanding,
+    /// The server with the least reported load, at random among equals; a baseline of the measurements.
+    ReportedLoad,
 };
 
 struct RoutingRequest {
--- /dev/null
+++ b/Meta/experiments.sh
@@ -0,0 +1,227 @@
+#!/usr/bin/env bash
+# Measures a policy against a baseline: real nodes before the stand-ins, loaded by `hyssopstep load`.
+# Usage: Meta/experiments.sh EXPERIMENT OUTPUT_DIRECTORY [SEED...]; EXPERIMENT is prefix, short, straggler or overload.
+# VARIANTS="name ..." restricts the variants, DURATION and DRAIN are in seconds, RATE_FACTOR replaces the experiment's factor on
+# the rates of the mix, LOGS names a directory that keeps the logs. Needs a finished build in the directory BUILD (Build).
+# Writes SEED-VARIANT.json for each run; Meta/summarise-experiment.sh compares them.
+# Ports are chosen by the kernel. Each run has a deployment of its own; only processes that the script started are ended.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+
+experiment=$1
+output=$2
+shift 2
+seeds=("$@")
+[ "${#seeds[@]}" -gt 0 ] || seeds=(1 2 3 4 5)
+duration=${DURATION:-15}
+drain=${DRAIN:-25}
+
+build=${BUILD:-$PWD/Build}
+binary=$build/Utilities/Hyssopstep/hyssopstep
+stand_in=$build/Tests/StandIns/hyssopstep-stand-in
+any=127.0.0.1:0
+data_centres=(be-flanders-1 be-flanders-2 be-flanders-3 be-flanders-4)
+engine_counts=(3 3 2 2)
+# A full batch of 8 gets a token every 20 ms, so ten engines generate at most 4,000 tokens/s.
+engine_flags=(--slots=8 --step_base_us=12000 --step_sequence_us=1000 --prefill_token_us=100)
+rate_factor=1
+mix=Meta/experiments/mixed.yaml
+declare -A variant_flags
+# Runs beside the load; gets the directory of the run.
+during_run() { :; }
+
+case $experiment in
+prefix)
+    mix=Meta/experiments/prefixes.yaml
+    engine_flags+=(--cache_blocks=512 --cache_event_delay_ms=2000 --cache_event_loss_percent=20)
+    variant_flags=(
+        [baseline]="--routing_policy=least_outstanding --attention_state=recompute"
+        [ours]="--routing_policy=predicted_time --attention_state=move"
+    )
+    during_run() { sleep $((duration / 2)) && reclaim be-flanders-4 3000; }
+    ;;
+short)
+    variant_flags=([baseline]="--scheduling=fifo" [ours]="--scheduling=shortest_first")
+    ;;
+straggler)
+    engine_flags+=(--load_lag_ms=1500)
+    variant_flags=([baseline]="--routing_policy=reported_load" [ours]="--routing_policy=predicted_time")
+    during_run() { sleep 3 && slow_down 0 8 $((duration * 1000 / 2)); }
+    ;;
+overload)
+    rate_factor=2.1
+    variant_flags=([baseline]="--shedding=off" [ours]="--shedding=on")
+    ;;
+*)
+    echo "experiments: unknown experiment $experiment" >&2
+    exit 2
+    ;;
+esac
+rate_factor=${RATE_FACTOR:-$rate_factor}
+read -ra variants <<<"${VARIANTS:-baseline ours}"
+
+mkdir -p "$output"
+directory=$(mktemp -d)
+declare -A pids=()
+
+stop_all() {
+    local pid
+    for pid in "${pids[@]}"; do
+        kill "-$1" "$pid" 2>/dev/null || true
+    done
+    for pid in "${pids[@]}"; do
+        wait "$pid" 2>/dev/null || true
+    done
+    pids=()
+}
+
+cleanup() {
+    stop_all KILL
+    rm -rf "$directory"
+}
+trap cleanup EXIT
+
+fail() {
+    echo "experiments: $1" >&2
+    tail -n 5 "$directory"/*.log >&2 || true
+    exit 1
+}
+
+# start NAME COMMAND...: starts a process whose log is NAME.log.
+start() {
+    local name=$1
+    shift
+    "$@" >"$directory/$name.log" 2>&1 &
+    pids[$name]=$!
+}
+
+# endpoints NAME INTERFACE COUNT: waits for the endpoints that the process prints.
+endpoints() {
+    local found
+    for _ in $(seq 1 500); do
+        found=$(sed -n "s/.*event=listening interface=$2 .*endpoint=\([0-9.:]*\).*/\1/p" "$directory/$1.log" 2>/dev/null || true)
+        if [ "$(echo "$found" | grep -c .)" -ge "$3" ]; then
+            echo "$found"
+            return
+        fi
+        sleep 0.05
+    done
+    fail "$1 does not listen on $2"
+}
+
+put() { curl -sSf -X "$1" -H 'Content-Type: application/json' -d "$3" "http://$2" >/dev/null || fail "$2"; }
+
+# reclaim DATA_CENTRE NOTICE_MS: announces the reclaim of its engines and ends them when the time has come.
+reclaim() {
+    put POST "$platform/stand-in/notices" "{\"hostIds\":[$(printf '"language-%s-%s",' "$1" 0 "$1" 1 | sed 's/,$//')],\"noticeMs\":$2}"
+    sleep "$(($2 / 1000))"
+    record "engines-$1"
+    kill -KILL "${pids[engines-$1]}"
+}
+
+# slow_down INDEX FACTOR MS: makes an engine of the first data centre a straggler.
+slow_down() {
+    put PUT "$(sed -n "$(($1 + 1))p" "$directory/engines-${data_centres[0]}.endpoints")/stand-in/faults" "{\"stragglerFactor\":$2,\"stragglerForMs\":$3}"
+}
+
+# record NAME: appends the totals of each engine of the process, unless the record was taken before its end.
+record() {
+    [ ! -e "$directory/$1.totals" ] || return 0
+    local endpoint
+    while read -r endpoint; do
+        curl -sSf "http://$endpoint/stand-in/record" | jq -c .totals
+    done <"$directory/$1.endpoints" >"$directory/$1.totals"
+}
+
+register() { # service data-centre version endpoints...
+    local service=$1 data_centre=$2 version=$3 index=0 endpoint
+    shift 3
+    for endpoint in "$@"; do
+        hosts+="${hosts:+,}{\"id\":\"$service-$data_centre-$index\",\"role\":\"backend\",\"endpoint\":\"$endpoint\",\"service\":\"$service\",\"version\":\"$version\",\"dataCentre\":\"$data_centre\",\"zone\":\"${data_centre}a\",\"machineClass\":\"general\",\"reclaimable\":true,\"state\":\"live\",\"incarnation\":1}"
+        index=$((index + 1))
+    done
+}
+
+start_backends() {
+    local index data_centre
+    hosts=""
+    for index in "${!data_centres[@]}"; do
+        data_centre=${data_centres[$index]}
+        start "engines-$data_centre" "$stand_in" engine --listen=$any --count="${engine_counts[$index]}" "${engine_flags[@]}"
+        start "services-$data_centre" "$stand_in" service --listen=$any --count=1
+    done
+    for index in "${!data_centres[@]}"; do
+        data_centre=${data_centres[$index]}
+        endpoints "engines-$data_centre" engine "${engine_counts[$index]}" >"$directory/engines-$data_centre.endpoints"
+        mapfile -t found <"$directory/engines-$data_centre.endpoints"
+        register language "$data_centre" v3 "${found[@]}"
+        register case-log "$data_centre" "" "$(endpoints "services-$data_centre" service 1)"
+    done
+    put PUT "$platform/stand-in/hosts" "{\"hosts\":[$hosts]}"
+}
+
+start_nodes() { # flags...
+    local data_centre index name seeds=""
+    clients=() operators=()
+    for data_centre in "${data_centres[@]}"; do
+        for index in 1 2; do
+            name="node-$data_centre-$index"
+            start "$name" "$binary" node --node_id="$name" --data_centre="$data_centre" --region=be-flanders --platform="$platform" \
+                --client_listen=$any --operator_listen=$any --peer_listen=$any --seeds="$seeds" "$@"
+            clients+=("$(endpoints "$name" client 1)")
+            operators+=("$(endpoints "$name" operator 1)")
+            seeds+="${seeds:+,}$(endpoints "$name" peer 1)"
+        done
+    done
+    # Ten times the limits, so that teams are refused for lack of capacity only.
+    mkdir -p "$directory/desired"
+    cp Examples/vitrinezorg/*.yaml "$directory/desired"
+    sed -i -E 's/(requestsPerSecond|tokensPerSecond|concurrentRequests): ([0-9]+)/\1: \20/' "$directory/desired/teams.yaml"
+    "$binary" apply -f "$directory/desired" --operator="$(IFS=, && echo "${operators[*]}")" --author=experiments --comment="$experiment" --yes >/dev/null || fail "apply"
+    local operator
+    for operator in "${operators[@]}"; do
+        for _ in $(seq 1 300); do
+            if curl -sf "http://$operator/readyz" >/dev/null && curl -sf "http://$operator/operator/status" | grep -q language-be-flanders-4-1; then
+                continue 2
+            fi
+            sleep 0.1
+        done
+        fail "a node is not ready"
+    done
+}
+
+run() { # seed variant
+    local before after flags data_centre during
+    read -ra flags <<<"${variant_flags[$2]}"
+    start platform "$stand_in" platform --listen=$any
+    platform=$(endpoints platform platform 1)
+    start_backends
+    start_nodes "${flags[@]}"
+    before=$(cut -d' ' -f1 /proc/loadavg)
+    during_run "$directory" &
+    during=$!
+    "$binary" load --mix="$mix" --targets="$(IFS=, && echo "${clients[*]}")" --duration="$duration" --drain="$drain" --seed="$1" \
+        --rate_factor="$rate_factor" --json="$directory/load.json" --trace="$directory/trace" || fail "load"
+    wait "$during" || fail "the events of the run"
+    after=$(cut -d' ' -f1 /proc/loadavg)
+    for data_centre in "${data_centres[@]}"; do
+        record "engines-$data_centre"
+    done
+    jq -s 'group_by(.team) | map({team: .[0].team, ended: length, succeeded: (map(select(has("failure") | not)) | length)})' "$directory/trace" >"$directory/teams.json"
+    jq -n --arg variant "$2" --argjson seed "$1" --arg before "$before" --arg after "$after" --arg experiment "$experiment" \
+        --slurpfile load "$directory/load.json" --slurpfile teams "$directory/teams.json" --slurpfile engines <(cat "$directory"/*.totals) \
+        '{experiment: $experiment, variant: $variant, seed: $seed, loadAverage: [($before | tonumber), ($after | tonumber)], load: $load[0], teams: $teams[0], engines: $engines}' >"$output/$1-$2.json"
+    stop_all KILL
+    if [ -n "${LOGS:-}" ]; then
+        mkdir -p "$LOGS/$1-$2"
+        cp "$directory"/*.log "$directory/trace" "$LOGS/$1-$2"
+    fi
+    rm -rf "${directory:?}"/*
+}
+
+for seed in "${seeds[@]}"; do
+    for variant in "${variants[@]}"; do
+        echo "$experiment seed $seed $variant" >&2
+        run "$seed" "$variant"
+    done
+done
--- a/Meta/install-dependencies.sh
+++ b/Meta/install-dependencies.sh
@@ -3,7 +3,7 @@
 set -euo pipefail
 
 packages=(
-    build-essential cmake ninja-build ccache pkg-config git curl clang-format clang-tidy
+    build-essential cmake ninja-build ccache pkg-config git curl jq clang-format clang-tidy
     libboost1.81-dev libboost-json1.81-dev libboost-url1.81-dev
     libcapnp-dev capnproto libgflags-dev liblog4cxx-dev libyaml-cpp-dev libxxhash-dev libssl-dev
     libgtest-dev libgmock-dev libbenchmark-dev
--- a/Services/Node/ModelRunner.cpp
+++ b/Services/Node/ModelRunner.cpp
@@ -83,8 +83,11 @@
     return { team, model.service, static_cast<std::uint32_t>(model.promptTokens.size()), model.maximumTokens };
 }
 
-static std::uint32_t priorityOf(std::uint32_t expectedTokens, std::size_t generatedTokens)
+static std::uint32_t priorityOf(Routing::Scheduling scheduling, std::uint32_t expectedTokens, std::size_t generatedTokens)
 {
+    static constexpr std::uint32_t onlyPriority = 4;
+    if (scheduling == Routing::Scheduling::ArrivalOrder)
+        return onlyPriority;
     auto const remaining = expectedTokens > generatedTokens ? expectedTokens - generatedTokens : 0;
     return Routing::priorityForRemaining(static_cast<std::uint32_t>(remaining));
 }
@@ -211,7 +214,7 @@
     call.requestId = attempt.requestId;
     call.attemptId = attempt.attemptId;
     call.generatedTokens = stream->tokens;
-    attempt.priority = priorityOf(attempt.expectedTokens, stream->tokens.size());
+    attempt.priority = priorityOf(m_settings.scheduling, attempt.expectedTokens, stream->tokens.size());
     call.priority = attempt.priority;
     call.stateHandle = std::exchange(attempt.stateHandle, "");
 
@@ -332,6 +335,8 @@
         return false;
     if (row->lifecycle == Routing::Lifecycle::Leaving || row->incarnation != attempt.serverIncarnation)
         return true;
+    if (m_settings.policy != Routing::RoutingPolicy::PredictedTime)
+        return false;
     auto const* stream = m_streams.find(attempt.requestId);
     bool const longRest = stream && attempt.expectedTokens > stream->tokens.size() + tokensWorthMoving;
     return row->pace == Routing::Pace::Straggler && longRest && attempt.moves == 0;
@@ -342,6 +347,8 @@
 {
     ++attempt.moves;
     attempt.excludedServers = { attempt.serverId };
+    if (m_settings.attentionState == AttentionState::Recompute)
+        co_return;
     Core::LastReason reason;
     auto state = co_await m_engines.exportState(attempt.endpoint, attempt.attemptId, m_runtime.now() + m_settings.stateCallTimeout, reason);
     m_decisions.add(attempt.requestId, "moves away from " + attempt.serverId + (state ? " with its attention state" : " without its attention state: " + reason.message));
@@ -367,7 +374,7 @@
     if (generated < attempt.expectedTokens)
         co_return;
     attempt.expectedTokens = Routing::correctedEstimate(attempt.expectedTokens, generated, attempt.model.maximumTokens);
-    auto const priority = priorityOf(attempt.expectedTokens, generated);
+    auto const priority = priorityOf(m_settings.scheduling, attempt.expectedTokens, generated);
     if (priority <= attempt.priority)
         co_return;
     attempt.priority = priority;
--- a/Services/Node/ModelRunner.h
+++ b/Services/Node/ModelRunner.h
@@ -12,10 +12,20 @@
 
 namespace Node {
 
+/// How an answer continues at another engine.
+enum class AttentionState {
+    /// With the attention state that the previous engine exported.
+    Move,
+    /// By computing prompt and tokens again; the baseline of the measurements.
+    Recompute,
+};
+
 struct ModelRunnerSettings {
     std::string nodeId;
     std::string dataCentre;
     Routing::RoutingPolicy policy { Routing::RoutingPolicy::PredictedTime };
+    Routing::Scheduling scheduling { Routing::Scheduling::ShortestFirst };
+    AttentionState attentionState { AttentionState::Move };
     /// An engine that sends nothing for this long is given up for this request.
     Core::Duration stallTimeout { std::chrono::seconds(5) };
     /// Between two tries when no server takes the request.
--- a/Services/Node/NodeService.cpp
+++ b/Services/Node/NodeService.cpp
@@ -141,6 +141,8 @@
     runnerSettings.nodeId = m_settings.nodeId;
     runnerSettings.dataCentre = m_settings.dataCentre;
     runnerSettings.policy = m_settings.routingPolicy;
+    runnerSettings.scheduling = m_settings.scheduling;
+    runnerSettings.attentionState = m_settings.attentionState;
     parts.runner = std::make_unique<ModelRunner>(m_runtime, parts.engines, parts.tables, parts.streams, *parts.replicator, parts.decisions, parts.random, parts.metrics, std::move(runnerSettings));
     parts.runner->onQuarantined([this](Limits::RequestFingerprint fingerprint) { m_parts->membership->quarantine(std::to_string(fingerprint), 1h); });
     parts.takeOver = std::make_unique<StreamTakeOver>(m_runtime, parts.streams, *parts.replicator, *parts.runner, *parts.streamPeers, parts.decisions, m_settings.nodeId);
--- a/Services/Node/NodeSettings.cpp
+++ b/Services/Node/NodeSettings.cpp
@@ -14,7 +14,9 @@
 DEFINE_string(platform, "", "IP number and port of the platform's object and cloud API");
 DEFINE_int32(drain_timeout_ms, 300000, "milliseconds that requests in progress get to finish in a graceful stop before they are handed over");
 DEFINE_int32(reclaim_margin_ms, 1500, "milliseconds before an announced reclaim at which requests in progress are handed over");
-DEFINE_string(routing_policy, "predicted_time", "predicted_time, or least_outstanding as a baseline for measurements");
+DEFINE_string(routing_policy, "predicted_time", "predicted_time; least_outstanding and reported_load are baselines for measurements");
+DEFINE_string(scheduling, "shortest_first", "shortest_first; fifo sends one priority for all requests, as a baseline for measurements");
+DEFINE_string(attention_state, "move", "move it when an answer continues at another engine; recompute is a baseline for measurements");
 DEFINE_string(log_level, "info", "debug, info, warning or error");
 
 namespace Node {
@@ -62,8 +64,18 @@
     settings.reclaimMargin = std::chrono::milliseconds(FLAGS_reclaim_margin_ms);
     if (FLAGS_routing_policy == "least_outstanding")
         settings.routingPolicy = Routing::RoutingPolicy::LeastOutstanding;
+    else if (FLAGS_routing_policy == "reported_load")
+        settings.routingPolicy = Routing::RoutingPolicy::ReportedLoad;
     else if (FLAGS_routing_policy != "predicted_time")
-        checker.addFault("routing_policy", FLAGS_routing_policy, "predicted_time or least_outstanding");
+        checker.addFault("routing_policy", FLAGS_routing_policy, "predicted_time, least_outstanding or reported_load");
+    if (FLAGS_scheduling == "fifo")
+        settings.scheduling = Routing::Scheduling::ArrivalOrder;
+    else if (FLAGS_scheduling != "shortest_first")
+        checker.addFault("scheduling", FLAGS_scheduling, "shortest_first or fifo");
+    if (FLAGS_attention_state == "recompute")
+        settings.attentionState = AttentionState::Recompute;
+    else if (FLAGS_attention_state != "move")
+        checker.addFault("attention_state", FLAGS_attention_state, "move or recompute");
     settings.operatorKeyDigest = FLAGS_operator_key_digest;
     faults.insert(faults.end(), checker.faults().begin(), checker.faults().end());
     return settings;
--- a/Services/Node/NodeSettings.h
+++ b/Services/Node/NodeSettings.h
@@ -2,7 +2,9 @@
 
 #include <LibCore/Endpoint.h>
 #include <LibCore/Runtime.h>
+#include <LibRouting/LengthEstimator.h>
 #include <LibRouting/ServerChoice.h>
+#include <Node/ModelRunner.h>
 #include <string>
 #include <vector>
 
@@ -21,6 +23,8 @@
     Core::Duration drainTimeout { std::chrono::minutes(5) };
     Core::Duration reclaimMargin { std::chrono::milliseconds(1500) };
     Routing::RoutingPolicy routingPolicy { Routing::RoutingPolicy::PredictedTime };
+    Routing::Scheduling scheduling { Routing::Scheduling::ShortestFirst };
+    AttentionState attentionState { AttentionState::Move };
     std::string operatorKeyDigest;
 
     bool operator==(NodeSettings const&) const = default;
--- a/Utilities/Load/LoadRunner.cpp
+++ b/Utilities/Load/LoadRunner.cpp
@@ -144,6 +144,8 @@
         statistics.failedTotal.record(microseconds(total));
     } else {
         ++statistics.succeeded;
+        statistics.promptTokens += call.planned.promptTokens;
+        statistics.sharedPrefixTokens += call.planned.sharedPrefixTokens;
         statistics.total.record(microseconds(total));
         auto const deadline = std::chrono::milliseconds(m_mix.classes[call.classIndex].deadlineMs);
         statistics.late += deadline > 0ms && total > deadline ? 1 : 0;
--- a/Utilities/Load/RequestFactory.cpp
+++ b/Utilities/Load/RequestFactory.cpp
@@ -52,11 +52,18 @@
     return text + "length=" + std::to_string(answerTokens);
 }
 
-static std::string modelBody(RequestClass const& requestClass, Team const& team, Core::Random& random)
+static std::uint32_t countWords(std::string const& text)
+{
+    return text.empty() ? 0 : static_cast<std::uint32_t>(std::count(text.begin(), text.end(), ' ')) + 1;
+}
+
+static std::string modelBody(RequestClass const& requestClass, Team const& team, Core::Random& random, PlannedRequest& planned)
 {
     auto const prefix = prefixText(requestClass, team, random);
     auto const answerTokens = drawFrom(requestClass.answerTokens, random);
     auto const prompt = promptText(requestClass, answerTokens, random);
+    planned.sharedPrefixTokens = countWords(prefix);
+    planned.promptTokens = planned.sharedPrefixTokens + countWords(prompt);
     json::object body { { "model", requestClass.service }, { "max_tokens", requestClass.answerTokens.maximum }, { "stream", requestClass.answerMode == AnswerMode::Streamed }, { "seed", random.below(1'000'000'000) } };
     if (requestClass.kind == ClassKind::Completion) {
         body["prompt"] = prefix.empty() ? prompt : prefix + " " + prompt;
@@ -66,6 +73,7 @@
     if (!prefix.empty())
         messages.push_back(json::object { { "role", "system" }, { "content", prefix } });
     messages.push_back(json::object { { "role", "user" }, { "content", prompt } });
+    planned.promptTokens += static_cast<std::uint32_t>(messages.size());
     body["messages"] = std::move(messages);
     return json::serialize(body);
 }
@@ -85,7 +93,7 @@
     if (requestClass.kind != ClassKind::Service) {
         request.method = "POST";
         request.target = requestClass.kind == ClassKind::Chat ? "/v1/chat/completions" : "/v1/completions";
-        request.body = modelBody(requestClass, team, random);
+        request.body = modelBody(requestClass, team, random, planned);
         return planned;
     }
     request.method = requestClass.method;
--- a/Utilities/Load/RequestFactory.h
+++ b/Utilities/Load/RequestFactory.h
@@ -14,6 +14,9 @@
     std::string team;
     std::string idempotencyKey;
     std::string bearerKey;
+    /// Of a model request, with a token for the role of each message; the first sharedPrefixTokens are those of a prefix group.
+    std::uint32_t promptTokens { 0 };
+    std::uint32_t sharedPrefixTokens { 0 };
 
     bool operator==(PlannedRequest const&) const = default;
 };
--- a/Utilities/Load/Statistics.cpp
+++ b/Utilities/Load/Statistics.cpp
@@ -27,6 +27,8 @@
     resumed += other.resumed;
     sequenceErrors += other.sequenceErrors;
     tokens += other.tokens;
+    promptTokens += other.promptTokens;
+    sharedPrefixTokens += other.sharedPrefixTokens;
     total.merge(other.total);
     failedTotal.merge(other.failedTotal);
     firstToken.merge(other.firstToken);
@@ -76,6 +78,8 @@
         { "resumed", statistics.resumed },
         { "sequenceErrors", statistics.sequenceErrors },
         { "tokens", statistics.tokens },
+        { "promptTokens", statistics.promptTokens },
+        { "sharedPrefixTokens", statistics.sharedPrefixTokens },
         { "tokensPerSecond", durationSeconds > 0 ? static_cast<double>(statistics.tokens) / durationSeconds : 0 },
         { "total", toJson(statistics.total) },
         { "failedTotal", toJson(statistics.failedTotal) },
--- a/Utilities/Load/Statistics.h
+++ b/Utilities/Load/Statistics.h
@@ -38,6 +38,9 @@
     std::uint64_t resumed { 0 };
     std::uint64_t sequenceErrors { 0 };
     std::uint64_t tokens { 0 };
+    /// Of the requests that succeeded.
+    std::uint64_t promptTokens { 0 };
+    std::uint64_t sharedPrefixTokens { 0 };
 
     /// Total time of the requests that succeeded, and of those that failed.
     LatencyHistogram total;
