LibRouting: Treat the data centres of a region alike

Cause: a server of another data centre cost 250 ms in the score and was sampled only when the own data centre had fewer than two. The clients' load is spread over the data centres and the servers are not, so three engines got as much as two.

Change: 20 ms, and candidates from all data centres.

Kept, because agreeing on the servers of a prefix needs candidates from all data centres.

--- a/Libraries/LibRouting/ServerChoice.cpp
+++ b/Libraries/LibRouting/ServerChoice.cpp
@@ -10,8 +10,8 @@
 static constexpr std::uint32_t assumedSlots = 16;
 static constexpr double assumedSecondsPerUnit = 0.02;
 static constexpr double prefillSecondsPerToken = 0.0004;
-// A server in another data centre is used only if the own ones are clearly worse.
-static constexpr double otherDataCentrePenaltySeconds = 0.25;
+// The data centres of a region are about 1 ms apart. A larger value keeps the load of a data centre with fewer servers on them.
+static constexpr double otherDataCentrePenaltySeconds = 0.02;
 static constexpr auto probeInterval = 1s;
 static constexpr auto reportLifetime = 5s;
 
@@ -116,8 +116,6 @@
     static constexpr std::size_t randomChoices = 2;
     std::vector<Candidate> candidates;
     std::shuffle(rows.begin(), rows.end(), random.engine());
-    // Servers of the own data centre come first, so that one of them is sampled as long as there is one.
-    std::stable_partition(rows.begin(), rows.end(), [&](auto const* row) { return row->dataCentre == request.dataCentre; });
     for (std::size_t index = 0; index < std::min(randomChoices, rows.size()); ++index)
         candidates.push_back(rate(rows[index], prefixes, request, now));
     auto const best = std::max_element(rows.begin(), rows.end(), [&](auto const* left, auto const* right) {
