LibRouting: Learn the cost of prefill

Of several servers with the same cached prefix the first listed was always the candidate.

Change: the cost is learned from the delay of first tokens, is paid by each request of the batch, and the best of all servers with a part of the prompt is a candidate.

--- a/Libraries/LibRouting/ServerChoice.cpp
+++ b/Libraries/LibRouting/ServerChoice.cpp
@@ -9,7 +9,6 @@
 
 static constexpr std::uint32_t assumedSlots = 16;
 static constexpr double assumedSecondsPerUnit = 0.02;
-static constexpr double prefillSecondsPerToken = 0.0004;
 // The data centres of a region are about 1 ms apart. A larger value keeps the load of a data centre with fewer servers on them.
 static constexpr double otherDataCentrePenaltySeconds = 0.02;
 static constexpr auto probeInterval = 1s;
@@ -37,23 +36,30 @@
     return row.observation.samples > 0 ? row.observation.secondsPerUnit : assumedSecondsPerUnit;
 }
 
-static double predictedWait(ServerRow const& row, RoutingRequest const& request, std::size_t cachedTokens, Core::MonotonicTime now)
+static double prefillSeconds(ServerTable const& table, RoutingRequest const& request, std::size_t cachedTokens)
+{
+    auto const uncached = static_cast<double>(request.promptTokens + request.generatedTokens) - static_cast<double>(cachedTokens);
+    return std::max(uncached, 0.0) * prefillSecondsPerToken(table, request.service);
+}
+
+static double predictedWait(ServerTable const& table, ServerRow const& row, RoutingRequest const& request, std::size_t cachedTokens, Core::MonotonicTime now)
 {
     double const load = estimatedLoad(row, now);
     double const slots = slotsOf(row);
     double const secondsPerRequest = secondsPerUnit(row) * std::max(request.expectedTokens, 1U);
     // Below the number of slots a larger batch still slows each of its members down.
     double const queue = std::max(0.0, load + 1 - slots) * secondsPerRequest / slots;
-    double const uncached = static_cast<double>(request.promptTokens + request.generatedTokens) - static_cast<double>(cachedTokens);
-    return queue + std::max(uncached, 0.0) * prefillSecondsPerToken;
+    return queue + prefillSeconds(table, request, cachedTokens);
 }
 
-static double predictedTotal(ServerRow const& row, RoutingRequest const& request, double wait, Core::MonotonicTime now)
+static double predictedTotal(ServerTable const& table, ServerRow const& row, RoutingRequest const& request, std::size_t cachedTokens, double wait, Core::MonotonicTime now)
 {
     double const occupancy = std::min(1.0, estimatedLoad(row, now) / static_cast<double>(slotsOf(row)));
     double const decode = secondsPerUnit(row) * request.expectedTokens * (1 + occupancy);
     double const distance = row.dataCentre == request.dataCentre ? 0 : otherDataCentrePenaltySeconds;
-    return wait + decode + distance;
+    // While a prompt is prefilled, the other requests of the batch wait for it too.
+    double const others = std::min<double>(estimatedLoad(row, now), slotsOf(row)) * prefillSeconds(table, request, cachedTokens);
+    return wait + decode + distance + others;
 }
 
 static bool isUsable(ServerRow const& row, RoutingRequest const& request, Core::MonotonicTime now)
@@ -103,26 +109,32 @@
     return nullptr;
 }
 
-static Candidate rate(ServerRow* row, PrefixIndex const& prefixes, RoutingRequest const& request, Core::MonotonicTime now)
+static Candidate rate(ServerTable const& table, ServerRow* row, PrefixIndex const& prefixes, RoutingRequest const& request, Core::MonotonicTime now)
 {
     Candidate candidate { row, prefixes.cachedTokens(row->id, request.prefixHashes), 0, 0 };
-    candidate.wait = predictedWait(*row, request, candidate.cachedTokens, now);
-    candidate.score = predictedTotal(*row, request, candidate.wait, now);
+    candidate.wait = predictedWait(table, *row, request, candidate.cachedTokens, now);
+    candidate.score = predictedTotal(table, *row, request, candidate.cachedTokens, candidate.wait, now);
     return candidate;
 }
 
-static std::vector<Candidate> sampleCandidates(std::vector<ServerRow*> rows, PrefixIndex const& prefixes, RoutingRequest const& request, Core::MonotonicTime now, Core::Random& random)
+static std::vector<Candidate> sampleCandidates(ServerTable const& table, std::vector<ServerRow*> rows, PrefixIndex const& prefixes, RoutingRequest const& request, Core::MonotonicTime now, Core::Random& random)
 {
     static constexpr std::size_t randomChoices = 2;
     std::vector<Candidate> candidates;
     std::shuffle(rows.begin(), rows.end(), random.engine());
     for (std::size_t index = 0; index < std::min(randomChoices, rows.size()); ++index)
-        candidates.push_back(rate(rows[index], prefixes, request, now));
-    auto const best = std::max_element(rows.begin(), rows.end(), [&](auto const* left, auto const* right) {
-        return prefixes.cachedTokens(left->id, request.prefixHashes) < prefixes.cachedTokens(right->id, request.prefixHashes);
-    });
-    if (prefixes.cachedTokens((*best)->id, request.prefixHashes) > 0)
-        candidates.push_back(rate(*best, prefixes, request, now));
+        candidates.push_back(rate(table, rows[index], prefixes, request, now));
+    // Of all servers with a part of the prompt in their caches, the best one.
+    std::optional<Candidate> best;
+    for (auto* row : rows) {
+        if (prefixes.cachedTokens(row->id, request.prefixHashes) == 0)
+            continue;
+        auto const candidate = rate(table, row, prefixes, request, now);
+        if (!best || candidate.score < best->score)
+            best = candidate;
+    }
+    if (best)
+        candidates.push_back(*best);
     return candidates;
 }
 
@@ -131,13 +143,13 @@
     return row.report ? row.report->running + row.report->waiting : 0;
 }
 
-static Candidate chooseBaseline(std::vector<ServerRow*> rows, PrefixIndex const& prefixes, RoutingRequest const& request, Core::MonotonicTime now, Core::Random& random)
+static Candidate chooseBaseline(ServerTable const& table, std::vector<ServerRow*> rows, PrefixIndex const& prefixes, RoutingRequest const& request, Core::MonotonicTime now, Core::Random& random)
 {
     auto const loadOf = [&](ServerRow const* row) { return request.policy == RoutingPolicy::ReportedLoad ? reportedLoad(*row) : row->outstanding; };
     // Without it, all nodes would prefer the servers listed first.
     std::shuffle(rows.begin(), rows.end(), random.engine());
     auto const least = std::min_element(rows.begin(), rows.end(), [&](auto const* left, auto const* right) { return loadOf(left) < loadOf(right); });
-    return rate(*least, prefixes, request, now);
+    return rate(table, *least, prefixes, request, now);
 }
 
 static std::string explain(std::vector<Candidate> const& candidates)
@@ -160,16 +172,16 @@
 {
     if (auto* probe = findProbe(table, request, now)) {
         probe->nextProbeAt = now + probeInterval;
-        return choiceFrom(rate(probe, prefixes, request, now), probe->id + " probe of a straggler");
+        return choiceFrom(rate(table, probe, prefixes, request, now), probe->id + " probe of a straggler");
     }
     auto const rows = usableRows(table, request, now);
     if (rows.empty())
         return Core::fail(reason, Core::ErrorKind::NoServerAvailable, "no backend server of service " + request.service + " takes new work");
     if (request.policy != RoutingPolicy::PredictedTime) {
-        auto const least = chooseBaseline(rows, prefixes, request, now, random);
+        auto const least = chooseBaseline(table, rows, prefixes, request, now, random);
         return choiceFrom(least, explain({ least }));
     }
-    auto const candidates = sampleCandidates(rows, prefixes, request, now, random);
+    auto const candidates = sampleCandidates(table, rows, prefixes, request, now, random);
     auto const best = std::min_element(candidates.begin(), candidates.end(), [](auto const& left, auto const& right) { return left.score < right.score; });
     return choiceFrom(*best, explain(candidates));
 }
@@ -180,7 +192,7 @@
     for (auto const& row : table.rows) {
         if (!isUsable(row, request, now))
             continue;
-        auto const wait = predictedWait(row, request, 0, now);
+        auto const wait = predictedWait(table, row, request, 0, now);
         shortest = std::min(shortest.value_or(wait), wait);
     }
     return shortest;
--- a/Libraries/LibRouting/ServerTable.cpp
+++ b/Libraries/LibRouting/ServerTable.cpp
@@ -15,6 +15,7 @@
 static constexpr std::uint32_t minimumSamples = 5;
 static constexpr auto observationLifetime = 10s;
 static constexpr auto probeInterval = 1s;
+static constexpr double assumedPrefillSecondsPerToken = 0.0004;
 static constexpr auto firstAvoidance = 100ms;
 static constexpr auto longestAvoidance = 5s;
 
@@ -95,6 +96,29 @@
     observation.lastAt = now;
 }
 
+void recordPrefill(ServerTable& table, std::string_view service, std::uint32_t tokens, double seconds)
+{
+    static constexpr std::uint32_t shortestPrefill = 128;
+    // The delay also contains waiting for a slot, so that small values say more than large ones.
+    static constexpr double weightDown = 0.2;
+    static constexpr double weightUp = 0.02;
+    if (tokens < shortestPrefill)
+        return;
+    double const measured = std::max(seconds, 0.0) / tokens;
+    auto const found = table.prefillSecondsPerToken.find(service);
+    if (found == table.prefillSecondsPerToken.end()) {
+        table.prefillSecondsPerToken.emplace(service, std::min(measured, assumedPrefillSecondsPerToken));
+        return;
+    }
+    found->second += (measured < found->second ? weightDown : weightUp) * (measured - found->second);
+}
+
+double prefillSecondsPerToken(ServerTable const& table, std::string_view service)
+{
+    auto const found = table.prefillSecondsPerToken.find(service);
+    return found == table.prefillSecondsPerToken.end() ? assumedPrefillSecondsPerToken : found->second;
+}
+
 void recordFailure(ServerRow& row, Core::MonotonicTime now)
 {
     static constexpr std::uint32_t maximumDoublings = 8;
--- a/Libraries/LibRouting/ServerTable.h
+++ b/Libraries/LibRouting/ServerTable.h
@@ -3,6 +3,7 @@
 #include <LibCore/Endpoint.h>
 #include <LibCore/Runtime.h>
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -72,6 +73,8 @@
 /// The backend servers of one node, found by id. Not thread safe.
 struct ServerTable {
     std::vector<ServerRow> rows;
+    /// Seconds of prefill for each token, by model, as observed.
+    std::map<std::string, double, std::less<>> prefillSecondsPerToken;
 
     bool operator==(ServerTable const&) const = default;
 };
@@ -106,6 +109,13 @@
 /// Adds a measured time per token, or per call of a non-model service.
 void recordObservation(ServerRow&, double seconds, Core::MonotonicTime now);
 
+/// Adds a measured prefill: the time to the first token of an attempt that prefilled this many tokens. Short prefills are ignored,
+/// because the waiting time dominates them.
+void recordPrefill(ServerTable&, std::string_view service, std::uint32_t tokens, double seconds);
+
+/// Seconds of prefill for each token of a model; an assumed value until there are measurements.
+[[nodiscard]] double prefillSecondsPerToken(ServerTable const&, std::string_view service);
+
 /// After a connection failure or crash: the server gets no work for a time that doubles up to 5 s.
 void recordFailure(ServerRow&, Core::MonotonicTime now);
 void recordSuccess(ServerRow&);
--- a/Services/Node/ModelRunner.cpp
+++ b/Services/Node/ModelRunner.cpp
@@ -32,6 +32,7 @@
     Core::Endpoint endpoint;
     Core::MonotonicTime lastTokenAt;
     std::size_t tokensOfAttempt { 0 };
+    double firstTokenSeconds { 0 };
     /// Exported from the previous server and imported at one that must then be used.
     std::string stateHandle;
     std::optional<Routing::ServerChoice> importedAt;
@@ -277,8 +278,11 @@
     for (auto const& token : progress.tokens)
         m_streams.appendToken(*stream, token);
     auto* row = Routing::findServer(m_tables.servers, attempt.serverId);
+    auto const elapsed = std::chrono::duration<double>(now - attempt.lastTokenAt).count();
+    if (attempt.tokensOfAttempt == 0)
+        attempt.firstTokenSeconds = elapsed;
     if (row && attempt.tokensOfAttempt > 0) {
-        auto const seconds = std::chrono::duration<double>(now - attempt.lastTokenAt).count() / static_cast<double>(progress.tokens.size());
+        auto const seconds = elapsed / static_cast<double>(progress.tokens.size());
         Routing::recordObservation(*row, seconds, now);
     }
     if (row)
@@ -292,6 +296,8 @@
 {
     auto const* stream = m_streams.find(attempt.requestId);
     m_tables.lengths.recordFinished(lengthHint(stream->team, attempt.model), static_cast<std::uint32_t>(stream->tokens.size()));
+    if (auto const* row = Routing::findServer(m_tables.servers, attempt.serverId); row && row->pace == Routing::Pace::Normal)
+        Routing::recordPrefill(m_tables.servers, attempt.model.service, end.prefilledTokens, attempt.firstTokenSeconds - row->observation.secondsPerUnit);
     Limits::recordFinished(m_tables.quarantine, attempt.fingerprint);
     for (auto const hash : Routing::prefixHashes(attempt.model.promptTokens))
         m_tables.prefixes.recordStored(attempt.serverId, hash);
