LibRouting, Node: Keep long requests and others on different servers

Cause: while an engine prefills the prompt of a report, up to a second, the tags in its batch wait for their first token. The priority does not help, since these already run.

Change: requests that take more than 4 times the engine time of the usual one are long. As many servers as their share of the work says take them first, in an order that all nodes compute alike; the others take the rest.

--- a/Libraries/LibRouting/ServerChoice.cpp
+++ b/Libraries/LibRouting/ServerChoice.cpp
@@ -11,6 +11,8 @@
 static constexpr double assumedSecondsPerUnit = 0.02;
 // The data centres of a region are about 1 ms apart. A larger value keeps the load of a data centre with fewer servers on them.
 static constexpr double otherDataCentrePenaltySeconds = 0.02;
+// What an ordinary request waits on average behind a long prompt, and the other way around.
+static constexpr double misplacedPenaltySeconds = 0.5;
 static constexpr auto probeInterval = 1s;
 static constexpr auto reportLifetime = 5s;
 
@@ -117,20 +119,40 @@
     return candidate;
 }
 
+// A long prompt delays the whole batch while it is prefilled, so long requests and others prefer different servers. Moves the
+// preferred ones to the front and returns their number.
+static std::size_t preferByLength(ServerTable const& table, std::vector<ServerRow*>& rows, RoutingRequest const& request)
+{
+    auto const reserved = serversForLongWork(table, request.service, request.longShare);
+    if (reserved.empty())
+        return rows.size();
+    auto const others = std::stable_partition(rows.begin(), rows.end(), [&](auto const* row) {
+        bool const isReserved = std::find(reserved.begin(), reserved.end(), row->id) != reserved.end();
+        return isReserved == (request.length == WorkLength::Long);
+    });
+    return static_cast<std::size_t>(others - rows.begin());
+}
+
 static std::vector<Candidate> sampleCandidates(ServerTable const& table, std::vector<ServerRow*> rows, PrefixIndex const& prefixes, RoutingRequest const& request, Core::MonotonicTime now, Core::Random& random)
 {
     static constexpr std::size_t randomChoices = 2;
-    std::vector<Candidate> candidates;
     std::shuffle(rows.begin(), rows.end(), random.engine());
-    for (std::size_t index = 0; index < std::min(randomChoices, rows.size()); ++index)
-        candidates.push_back(rate(table, rows[index], prefixes, request, now));
+    auto const preferred = preferByLength(table, rows, request);
+    std::vector<Candidate> candidates;
     // Of all servers with a part of the prompt in their caches, the best one.
     std::optional<Candidate> best;
-    for (auto* row : rows) {
-        if (prefixes.cachedTokens(row->id, request.prefixHashes) == 0)
+    for (std::size_t index = 0; index < rows.size(); ++index) {
+        bool const isPreferred = index < preferred;
+        // One of the others is a candidate too, in case the preferred ones are full.
+        bool const isSampled = isPreferred ? index < randomChoices : index == preferred;
+        bool const hasPrefix = prefixes.cachedTokens(rows[index]->id, request.prefixHashes) > 0;
+        if (!isSampled && !hasPrefix)
             continue;
-        auto const candidate = rate(table, row, prefixes, request, now);
-        if (!best || candidate.score < best->score)
+        auto candidate = rate(table, rows[index], prefixes, request, now);
+        candidate.score += isPreferred ? 0 : misplacedPenaltySeconds;
+        if (isSampled)
+            candidates.push_back(candidate);
+        else if (!best || candidate.score < best->score)
             best = candidate;
     }
     if (best)
--- a/Libraries/LibRouting/ServerChoice.h
+++ b/Libraries/LibRouting/ServerChoice.h
@@ -4,6 +4,7 @@
 #include <LibCore/Random.h>
 #include <LibRouting/PrefixIndex.h>
 #include <LibRouting/ServerTable.h>
+#include <LibRouting/WorkMix.h>
 #include <optional>
 #include <string>
 #include <vector>
@@ -33,6 +34,9 @@
     /// Servers that must not be chosen, for example those of failed attempts.
     std::vector<std::string> excludedServers;
     RoutingPolicy policy { RoutingPolicy::PredictedTime };
+    WorkLength length { WorkLength::Ordinary };
+    /// The share of long requests in the service's work; 0 to treat all servers alike.
+    double longShare { 0 };
 
     bool operator==(RoutingRequest const&) const = default;
 };
--- /dev/null
+++ b/Libraries/LibRouting/WorkMix.cpp
@@ -0,0 +1,69 @@
+#include <LibRouting/WorkMix.h>
+
+#include <algorithm>
+#include <cmath>
+#include <xxhash.h>
+
+namespace Routing {
+
+static constexpr double halfLifeSeconds = 30;
+static constexpr double longRatio = 4;
+// A first long request must not reserve servers before the usual one is known.
+static constexpr double minimumRequests = 5;
+static constexpr double smallestShare = 0.03;
+static constexpr std::size_t fewestServers = 4;
+
+double workSeconds(ServerTable const& table, std::string_view service, std::uint32_t promptTokens, std::uint32_t expectedTokens)
+{
+    static constexpr double assumedSecondsPerToken = 0.0025;
+    double total = 0;
+    std::uint32_t servers = 0;
+    for (auto const& row : table.rows) {
+        if (row.service != service || row.observation.samples == 0 || !row.report || row.pace == Pace::Straggler)
+            continue;
+        total += row.observation.secondsPerUnit / std::max(row.report->running + row.report->freeSlots, 1U);
+        ++servers;
+    }
+    double const secondsPerToken = servers > 0 ? total / servers : assumedSecondsPerToken;
+    return promptTokens * prefillSecondsPerToken(table, service) + expectedTokens * secondsPerToken;
+}
+
+WorkLength recordWork(WorkMix& mix, double seconds, Core::MonotonicTime now)
+{
+    double const elapsed = std::chrono::duration<double>(now - mix.updatedAt).count();
+    double const kept = mix.requests > 0 ? std::exp2(-std::max(elapsed, 0.0) / halfLifeSeconds) : 0;
+    mix.requests *= kept;
+    mix.seconds *= kept;
+    mix.longSeconds *= kept;
+    mix.updatedAt = now;
+    bool const isLong = mix.requests >= minimumRequests && seconds > longRatio * mix.seconds / mix.requests;
+    mix.requests += 1;
+    mix.seconds += seconds;
+    mix.longSeconds += isLong ? seconds : 0;
+    return isLong ? WorkLength::Long : WorkLength::Ordinary;
+}
+
+double longShare(WorkMix const& mix)
+{
+    return mix.seconds > 0 ? mix.longSeconds / mix.seconds : 0;
+}
+
+std::vector<std::string_view> serversForLongWork(ServerTable const& table, std::string_view service, double share)
+{
+    std::vector<std::pair<std::uint64_t, std::string_view>> ranked;
+    for (auto const& row : table.rows) {
+        if (row.service == service && row.lifecycle == Lifecycle::Live)
+            ranked.emplace_back(XXH3_64bits(row.id.data(), row.id.size()), row.id);
+    }
+    if (share < smallestShare || ranked.size() < fewestServers)
+        return {};
+    std::sort(ranked.begin(), ranked.end());
+    auto const wanted = static_cast<std::size_t>(std::lround(share * static_cast<double>(ranked.size())));
+    auto const count = std::clamp<std::size_t>(wanted, 1, ranked.size() - 1);
+    std::vector<std::string_view> servers;
+    for (std::size_t index = 0; index < count; ++index)
+        servers.push_back(ranked[index].second);
+    return servers;
+}
+
+}
--- a/Services/Node/ModelRunner.cpp
+++ b/Services/Node/ModelRunner.cpp
@@ -20,6 +20,7 @@
     Core::MonotonicTime deadline;
     std::uint32_t expectedTokens { 0 };
     std::uint32_t priority { 0 };
+    Routing::WorkLength length { Routing::WorkLength::Ordinary };
     /// Of failed attempts; cleared when no other server is left.
     std::vector<std::string> excludedServers;
     unsigned attempts { 0 };
@@ -124,6 +125,8 @@
     auto const deadlineWall = Core::WallTime(std::chrono::milliseconds(attempt.model.deadlineMilliseconds));
     attempt.deadline = m_runtime.now() + std::chrono::duration_cast<Core::Duration>(deadlineWall - m_runtime.wallNow());
     attempt.expectedTokens = m_tables.lengths.estimate(lengthHint(stream->team, attempt.model));
+    auto const work = Routing::workSeconds(m_tables.servers, attempt.model.service, static_cast<std::uint32_t>(attempt.model.promptTokens.size()), attempt.expectedTokens);
+    attempt.length = Routing::recordWork(m_tables.workMixes[attempt.model.service], work, m_runtime.now());
     retryBudgetFor(m_tables, attempt.model.service).recordRequest(m_runtime.now());
 
     while (servedStream(attempt)) {
@@ -186,6 +189,10 @@
     request.prefixHashes = Routing::prefixHashes(attempt.model.promptTokens);
     request.excludedServers = attempt.excludedServers;
     request.policy = m_settings.policy;
+    request.length = attempt.length;
+    // First come, first served knows no lengths.
+    if (m_settings.scheduling == Routing::Scheduling::ShortestFirst)
+        request.longShare = Routing::longShare(m_tables.workMixes[attempt.model.service]);
     auto apart = request;
     auto const others = serversWithOtherSuspects(attempt);
     apart.excludedServers.insert(apart.excludedServers.end(), others.begin(), others.end());
--- a/Services/Node/NodeTables.h
+++ b/Services/Node/NodeTables.h
@@ -7,6 +7,7 @@
 #include <LibRouting/LengthEstimator.h>
 #include <LibRouting/PrefixIndex.h>
 #include <LibRouting/ServerTable.h>
+#include <LibRouting/WorkMix.h>
 #include <map>
 #include <set>
 #include <string>
@@ -32,6 +33,8 @@
     Routing::ServerTable servers;
     Routing::PrefixIndex prefixes { 200'000 };
     Routing::LengthEstimator lengths;
+    /// By model.
+    std::map<std::string, Routing::WorkMix> workMixes;
     Limits::TeamLimitTable teamLimits;
     Limits::QuarantineTable quarantine;
     std::map<std::string, ServerBatch> batches;
