LibLimits, Node: Refuse teams above their share in an overload

Cause: only requests whose deadline is shorter than the predicted wait were refused.

Change: decideShedding() refuses when the queue is longer than the target of the first token, times what the team is due by its share, divided by what it used.

--- a/Libraries/LibRouting/ServerChoice.cpp
+++ b/Libraries/LibRouting/ServerChoice.cpp
@@ -7,31 +7,12 @@
 
 using namespace std::chrono_literals;
 
-static constexpr std::uint32_t assumedSlots = 16;
 static constexpr double assumedSecondsPerUnit = 0.02;
 // The data centres of a region are about 1 ms apart. A larger value keeps the load of a data centre with fewer servers on them.
 static constexpr double otherDataCentrePenaltySeconds = 0.02;
 // What an ordinary request waits on average behind a long prompt, and the other way around.
 static constexpr double misplacedPenaltySeconds = 0.5;
 static constexpr auto probeInterval = 1s;
-static constexpr auto reportLifetime = 5s;
-
-static std::uint32_t estimatedLoad(ServerRow const& row, Core::MonotonicTime now)
-{
-    if (!row.report || now - row.report->receivedAt > reportLifetime)
-        return row.outstanding;
-    auto const reported = row.report->running + row.report->waiting;
-    // The report does not yet show what this node has sent since.
-    auto const since = static_cast<std::int64_t>(row.outstanding) - row.report->ownOutstandingAtReport;
-    return static_cast<std::uint32_t>(std::max<std::int64_t>(reported + since, row.outstanding));
-}
-
-static std::uint32_t slotsOf(ServerRow const& row)
-{
-    if (!row.report)
-        return assumedSlots;
-    return std::max(row.report->running + row.report->freeSlots, 1U);
-}
 
 static double secondsPerUnit(ServerRow const& row)
 {
--- a/Libraries/LibRouting/ServerTable.cpp
+++ b/Libraries/LibRouting/ServerTable.cpp
@@ -16,6 +16,8 @@
 static constexpr auto observationLifetime = 10s;
 static constexpr auto probeInterval = 1s;
 static constexpr double assumedPrefillSecondsPerToken = 0.0004;
+static constexpr std::uint32_t assumedSlots = 16;
+static constexpr auto reportLifetime = 5s;
 static constexpr auto firstAvoidance = 100ms;
 static constexpr auto longestAvoidance = 5s;
 
@@ -87,6 +89,23 @@
     row.report = report;
 }
 
+std::uint32_t estimatedLoad(ServerRow const& row, Core::MonotonicTime now)
+{
+    if (!row.report || now - row.report->receivedAt > reportLifetime)
+        return row.outstanding;
+    auto const reported = row.report->running + row.report->waiting;
+    // The report does not yet show what this node has sent since.
+    auto const since = static_cast<std::int64_t>(row.outstanding) - row.report->ownOutstandingAtReport;
+    return static_cast<std::uint32_t>(std::max<std::int64_t>(reported + since, row.outstanding));
+}
+
+std::uint32_t slotsOf(ServerRow const& row)
+{
+    if (!row.report)
+        return assumedSlots;
+    return std::max(row.report->running + row.report->freeSlots, 1U);
+}
+
 void recordObservation(ServerRow& row, double seconds, Core::MonotonicTime now)
 {
     auto& observation = row.observation;
--- a/Libraries/LibRouting/ServerTable.h
+++ b/Libraries/LibRouting/ServerTable.h
@@ -106,6 +106,12 @@
 
 void recordReport(ServerRow&, LoadReport report);
 
+/// The requests running or waiting at a server: its last report and what this node sent or finished since.
+[[nodiscard]] std::uint32_t estimatedLoad(ServerRow const&, Core::MonotonicTime now);
+
+/// The number of requests that a server runs at the same time; an assumed value until it reports.
+[[nodiscard]] std::uint32_t slotsOf(ServerRow const&);
+
 /// Adds a measured time per token, or per call of a non-model service.
 void recordObservation(ServerRow&, double seconds, Core::MonotonicTime now);
 
--- a/Libraries/LibRouting/WorkMix.cpp
+++ b/Libraries/LibRouting/WorkMix.cpp
@@ -48,6 +48,18 @@
     return mix.seconds > 0 ? mix.longSeconds / mix.seconds : 0;
 }
 
+double shortestQueueSeconds(ServerTable const& table, WorkMix const& mix, std::string_view service, Core::MonotonicTime now)
+{
+    std::optional<double> fewest;
+    for (auto const& row : table.rows) {
+        if (row.service != service || row.lifecycle == Lifecycle::Leaving || row.avoidUntil > now)
+            continue;
+        auto const waiting = std::max(0.0, static_cast<double>(estimatedLoad(row, now)) - slotsOf(row));
+        fewest = std::min(fewest.value_or(waiting), waiting);
+    }
+    return mix.requests > 0 ? fewest.value_or(0) * mix.seconds / mix.requests : 0;
+}
+
 std::vector<std::string_view> serversForLongWork(ServerTable const& table, std::string_view service, double share)
 {
     std::vector<std::pair<std::uint64_t, std::string_view>> ranked;
--- a/Libraries/LibRouting/WorkMix.h
+++ b/Libraries/LibRouting/WorkMix.h
@@ -34,6 +34,9 @@
 /// The share of long requests in the recent work, from 0 to 1.
 [[nodiscard]] double longShare(WorkMix const&);
 
+/// The seconds that new work of the usual length would wait for a slot, at the server where it is least.
+[[nodiscard]] double shortestQueueSeconds(ServerTable const&, WorkMix const&, std::string_view service, Core::MonotonicTime now);
+
 /// The ids of the servers that take the long requests of a service, so that others do not wait behind these: as many of the
 /// live servers as the share says, in an order that is the same at all nodes. Empty if the share or the number of servers is too
 /// small to separate. Thread safe.
--- a/Services/Node/Gateway.cpp
+++ b/Services/Node/Gateway.cpp
@@ -153,6 +153,29 @@
     return false;
 }
 
+bool Gateway::checkOverload(ModelRequest const& model, Configuration::Team const& team, double work, Core::LastReason& reason)
+{
+    static constexpr double defaultToleratedSeconds = 0.5;
+    static constexpr double millisecondsPerSecond = 1000;
+    auto const now = m_node.runtime.now();
+    auto& admittedWork = m_node.tables.admittedWork[model.service];
+    auto const& desired = m_node.tables.configuration.desired;
+    auto const* service = Configuration::findService(desired, model.service);
+    double const target = service && service->target.firstTokenMilliseconds > 0 ? service->target.firstTokenMilliseconds / millisecondsPerSecond : defaultToleratedSeconds;
+    auto const queue = Routing::shortestQueueSeconds(m_node.tables.servers, m_node.tables.workMixes[model.service], model.service, now);
+    std::map<std::string, double, std::less<>> shares;
+    for (auto const& other : desired.teams)
+        shares.emplace(other.name, other.share);
+    auto const wait = Limits::decideShedding(Limits::shareView(admittedWork, shares, team.name, now), queue, target);
+    if (wait && m_node.shedding == Shedding::ByShare) {
+        Core::fail(reason, ErrorKind::Overloaded, "the queue of " + model.service + " is too long for what team " + team.name + " used of its share");
+        reason.retryAfter = *wait;
+        return false;
+    }
+    Limits::recordAdmittedWork(admittedWork, team.name, work, now);
+    return true;
+}
+
 Core::Awaitable<void> Gateway::serveModel(ModelInterface interface, HTTP::Request const& request, HTTP::ResponseWriter& writer)
 {
     Core::LastReason reason;
@@ -213,6 +236,11 @@
     Limits::recordDemand(m_node.tables.teamLimits, team, now);
     if (!Limits::admit(m_node.tables.teamLimits, team, limit, m_node.share(team), expectedTokens, now, reason))
         co_return false;
+    auto const work = Routing::workSeconds(m_node.tables.servers, model.service, hint.promptTokens, expectedTokens);
+    if (!checkOverload(model, *admission.team, work, reason)) {
+        Limits::release(m_node.tables.teamLimits, team, expectedTokens, 0);
+        co_return false;
+    }
 
     Stream::Stream stream;
     stream.requestId = admission.requestId;
--- a/Services/Node/Gateway.h
+++ b/Services/Node/Gateway.h
@@ -17,6 +17,14 @@
 
 /// The HTTP handler of the client port: authentication, admission, and the responses to clients (docs/clients.md). Used from
 /// the runtime's thread only.
+/// What happens when a model has more work than its servers can do.
+enum class Shedding {
+    /// Teams above their share are refused first.
+    ByShare,
+    /// Requests are refused for their deadline only; the baseline of the measurements.
+    Off,
+};
+
 class Gateway {
 public:
     struct Dependencies {
@@ -34,6 +42,7 @@
         std::function<bool(Limits::RequestFingerprint)> isQuarantinedByPeers;
         std::string nodeId;
         std::string dataCentre;
+        Shedding shedding { Shedding::ByShare };
     };
 
     /// Precondition: all references outlive the gateway, which outlives the server that calls it.
@@ -61,6 +70,7 @@
     [[nodiscard]] std::optional<Admission> authenticate(HTTP::Request const&, std::string_view service, Core::LastReason&) const;
     [[nodiscard]] bool checkReady(Core::LastReason&) const;
     [[nodiscard]] bool checkDeadline(ModelRequest const&, Admission const&, std::uint32_t expectedTokens, Core::LastReason&) const;
+    [[nodiscard]] bool checkOverload(ModelRequest const&, Configuration::Team const&, double work, Core::LastReason&);
     [[nodiscard]] std::string requestIdFor(HTTP::Request const&, std::string const& team);
 
     Dependencies m_node;
--- a/Services/Node/NodeService.cpp
+++ b/Services/Node/NodeService.cpp
@@ -159,7 +159,7 @@
         m_runtime, parts.tables, parts.streams, *parts.replicator, *parts.takeOver, *parts.runner, *parts.services, parts.decisions, parts.random, parts.metrics,
         [this](std::string const& team) { return shareOf(team); },
         [this](Limits::RequestFingerprint fingerprint) { return m_parts->membership->isQuarantined(std::to_string(fingerprint)); },
-        m_settings.nodeId, m_settings.dataCentre
+        m_settings.nodeId, m_settings.dataCentre, m_settings.shedding
     };
     parts.gateway = std::make_unique<Gateway>(std::move(gateway));
     parts.operatorEndpoint = std::make_unique<OperatorEndpoint>(operatorDependencies());
--- a/Services/Node/NodeSettings.cpp
+++ b/Services/Node/NodeSettings.cpp
@@ -17,6 +17,7 @@
 DEFINE_string(routing_policy, "predicted_time", "predicted_time; least_outstanding and reported_load are baselines for measurements");
 DEFINE_string(scheduling, "shortest_first", "shortest_first; fifo sends one priority for all requests, as a baseline for measurements");
 DEFINE_string(attention_state, "move", "move it when an answer continues at another engine; recompute is a baseline for measurements");
+DEFINE_string(shedding, "on", "refuse teams above their share when a model has too much work; off is a baseline for measurements");
 DEFINE_string(log_level, "info", "debug, info, warning or error");
 
 namespace Node {
@@ -76,6 +77,10 @@
         settings.attentionState = AttentionState::Recompute;
     else if (FLAGS_attention_state != "move")
         checker.addFault("attention_state", FLAGS_attention_state, "move or recompute");
+    if (FLAGS_shedding == "off")
+        settings.shedding = Shedding::Off;
+    else if (FLAGS_shedding != "on")
+        checker.addFault("shedding", FLAGS_shedding, "on or off");
     settings.operatorKeyDigest = FLAGS_operator_key_digest;
     faults.insert(faults.end(), checker.faults().begin(), checker.faults().end());
     return settings;
--- a/Services/Node/NodeSettings.h
+++ b/Services/Node/NodeSettings.h
@@ -4,6 +4,7 @@
 #include <LibCore/Runtime.h>
 #include <LibRouting/LengthEstimator.h>
 #include <LibRouting/ServerChoice.h>
+#include <Node/Gateway.h>
 #include <Node/ModelRunner.h>
 #include <string>
 #include <vector>
@@ -25,6 +26,7 @@
     Routing::RoutingPolicy routingPolicy { Routing::RoutingPolicy::PredictedTime };
     Routing::Scheduling scheduling { Routing::Scheduling::ShortestFirst };
     AttentionState attentionState { AttentionState::Move };
+    Shedding shedding { Shedding::ByShare };
     std::string operatorKeyDigest;
 
     bool operator==(NodeSettings const&) const = default;
--- a/Services/Node/NodeTables.h
+++ b/Services/Node/NodeTables.h
@@ -3,6 +3,7 @@
 #include <LibConfiguration/DesiredState.h>
 #include <LibLimits/QuarantineTable.h>
 #include <LibLimits/RetryBudget.h>
+#include <LibLimits/Shedding.h>
 #include <LibLimits/TeamLimitTable.h>
 #include <LibRouting/LengthEstimator.h>
 #include <LibRouting/PrefixIndex.h>
@@ -35,6 +36,8 @@
     Routing::LengthEstimator lengths;
     /// By model.
     std::map<std::string, Routing::WorkMix> workMixes;
+    /// By model.
+    std::map<std::string, Limits::WorkByTeam> admittedWork;
     Limits::TeamLimitTable teamLimits;
     Limits::QuarantineTable quarantine;
     std::map<std::string, ServerBatch> batches;
--- a/Tests/LibLimits/LimitsTest.cpp
+++ b/Tests/LibLimits/LimitsTest.cpp
@@ -1,5 +1,6 @@
 #include <LibLimits/QuarantineTable.h>
 #include <LibLimits/RetryBudget.h>
+#include <LibLimits/Shedding.h>
 #include <LibLimits/TeamLimitTable.h>
 #include <gtest/gtest.h>
 
@@ -47,6 +48,54 @@
     EXPECT_TRUE(Limits::admit(table, "classroom", limit, 0.5, 1, now + *reason.retryAfter, reason));
 }
 
+// Guards against refusing all teams alike in an overload, and against refusing anyone without one.
+TEST(SheddingTest, TeamsAboveTheirShareAreRefusedFirst)
+{
+    std::map<std::string, double, std::less<>> const shares { { "desk", 4 }, { "school", 1 }, { "idle", 5 } };
+    Limits::WorkByTeam work;
+    for (int request = 0; request < 100; ++request)
+        Limits::recordAdmittedWork(work, request % 2 == 0 ? "desk" : "school", 0.1, start);
+    auto const desk = Limits::shareView(work, shares, "desk", start);
+    auto const school = Limits::shareView(work, shares, "school", start);
+    EXPECT_NEAR(desk.partDue, 0.8, 1e-9);
+    EXPECT_NEAR(school.partDue, 0.2, 1e-9);
+    EXPECT_NEAR(school.partOfWork, 0.5, 1e-9);
+    EXPECT_FALSE(Limits::decideShedding(school, 0.1, 0.4));
+    EXPECT_TRUE(Limits::decideShedding(school, 0.5, 0.4));
+    EXPECT_FALSE(Limits::decideShedding(desk, 0.5, 0.4));
+    EXPECT_TRUE(Limits::decideShedding(desk, 0.8, 0.4));
+    EXPECT_FALSE(Limits::decideShedding(Limits::shareView(work, shares, "idle", start), 1.5, 0.4));
+}
+
+// Guards against a Retry-After that is not the time the queue needs to become short enough.
+TEST(SheddingTest, RetryAfterIsTheExcessOfTheQueue)
+{
+    Limits::ShareView const even { 0.5, 0.5 };
+    EXPECT_EQ(Limits::decideShedding(even, 2.5, 0.5), 2000ms);
+    EXPECT_FALSE(Limits::decideShedding(even, 0.5, 0.5));
+}
+
+// Guards against capacity that is divided otherwise than by the shares when all teams ask for more than they are due.
+TEST(SheddingTest, AdmittedWorkFollowsTheShares)
+{
+    std::map<std::string, double, std::less<>> const shares { { "desk", 3 }, { "school", 1 } };
+    Limits::WorkByTeam work;
+    std::map<std::string, int> admitted;
+    double queue = 0;
+    auto now = start;
+    for (int step = 0; step < 20000; ++step, now += 10ms) {
+        queue = std::max(queue - 0.01, 0.0);
+        auto const* const team = step % 2 == 0 ? "desk" : "school";
+        if (Limits::decideShedding(Limits::shareView(work, shares, team, now), queue, 0.4))
+            continue;
+        queue += 0.03;
+        Limits::recordAdmittedWork(work, team, 0.03, now);
+        ++admitted[team];
+    }
+    EXPECT_NEAR(static_cast<double>(admitted["desk"]) / admitted["school"], 3, 0.3);
+    EXPECT_LT(queue, 0.6);
+}
+
 // Guards against retries that multiply an outage.
 TEST(RetryBudgetTest, RetriesAreAShareOfRequests)
 {
