Node: Note a cached prefix at the first token

Cause: a node noted that a server has a prompt in its cache only when the answer had ended, seconds later.

Change: at the first token, when the prompt has been prefilled.

--- a/Services/Node/ModelRunner.cpp
+++ b/Services/Node/ModelRunner.cpp
@@ -286,8 +286,12 @@
         m_streams.appendToken(*stream, token);
     auto* row = Routing::findServer(m_tables.servers, attempt.serverId);
     auto const elapsed = std::chrono::duration<double>(now - attempt.lastTokenAt).count();
-    if (attempt.tokensOfAttempt == 0)
+    if (attempt.tokensOfAttempt == 0) {
         attempt.firstTokenSeconds = elapsed;
+        // The prompt is cached once it is prefilled; the end of a long answer would be much later.
+        for (auto const hash : Routing::prefixHashes(attempt.model.promptTokens))
+            m_tables.prefixes.recordStored(attempt.serverId, hash);
+    }
     if (row && attempt.tokensOfAttempt > 0) {
         auto const seconds = elapsed / static_cast<double>(progress.tokens.size());
         Routing::recordObservation(*row, seconds, now);
@@ -306,8 +310,6 @@
     if (auto const* row = Routing::findServer(m_tables.servers, attempt.serverId); row && row->pace == Routing::Pace::Normal)
         Routing::recordPrefill(m_tables.servers, attempt.model.service, end.prefilledTokens, attempt.firstTokenSeconds - row->observation.secondsPerUnit);
     Limits::recordFinished(m_tables.quarantine, attempt.fingerprint);
-    for (auto const hash : Routing::prefixHashes(attempt.model.promptTokens))
-        m_tables.prefixes.recordStored(attempt.serverId, hash);
     m_metrics.counter("hyssopstep_cached_tokens_total", { { "service", attempt.model.service } }).add(end.cachedTokens);
     m_metrics.counter("hyssopstep_prefilled_tokens_total", { { "service", attempt.model.service } }).add(end.prefilledTokens);
     m_decisions.add(attempt.requestId, "finished at " + attempt.serverId + ": cached=" + std::to_string(end.cachedTokens) + " prefilled=" + std::to_string(end.prefilledTokens));
