LibRouting: Agree on two servers for each prefix

Cause: cache events are late and gappy and are read in the own data centre only, so each node filled other caches with the same prefixes.

Change: two servers by rendezvous hashing of the first blocks are candidates too, with half of the prompt taken as cached.

The tests also cover the learned prefill cost and the separation of long requests.

--- a/Libraries/LibRouting/ServerChoice.cpp
+++ b/Libraries/LibRouting/ServerChoice.cpp
@@ -1,7 +1,11 @@
 #include <LibRouting/ServerChoice.h>
 
 #include <algorithm>
+#include <array>
+#include <bit>
 #include <cstdio>
+#include <span>
+#include <xxhash.h>
 
 namespace Routing {
 
@@ -92,14 +96,49 @@
     return nullptr;
 }
 
-static Candidate rate(ServerTable const& table, ServerRow* row, PrefixIndex const& prefixes, RoutingRequest const& request, Core::MonotonicTime now)
+enum class PrefixHome {
+    Yes,
+    No,
+};
+
+static Candidate rate(ServerTable const& table, ServerRow* row, PrefixIndex const& prefixes, RoutingRequest const& request, Core::MonotonicTime now, PrefixHome home = PrefixHome::No)
 {
     Candidate candidate { row, prefixes.cachedTokens(row->id, request.prefixHashes), 0, 0 };
-    candidate.wait = predictedWait(table, *row, request, candidate.cachedTokens, now);
-    candidate.score = predictedTotal(table, *row, request, candidate.cachedTokens, candidate.wait, now);
+    // A home probably has a part of the prompt from the requests of other nodes, of which this node knows late or never.
+    std::size_t const expected = home == PrefixHome::Yes ? request.promptTokens / 2 : 0;
+    auto const cached = std::max(candidate.cachedTokens, expected);
+    candidate.wait = predictedWait(table, *row, request, cached, now);
+    candidate.score = predictedTotal(table, *row, request, cached, candidate.wait, now);
     return candidate;
 }
 
+/// The servers at which all nodes prefer to compute a prefix, by rendezvous hashing of its first blocks. Two, so that a popular
+/// prefix does not overload one.
+using PrefixHomes = std::array<ServerRow const*, 2>;
+
+// The rows are those that the request prefers.
+static PrefixHomes prefixHomes(std::span<ServerRow* const> rows, RoutingRequest const& request)
+{
+    // The shared part is not known. Short prefixes are shared by most requests that share any.
+    static constexpr std::size_t mostBlocks = 8;
+    PrefixHomes homes {};
+    auto const blocks = std::min(std::bit_floor(request.prefixHashes.size() / 2), mostBlocks);
+    if (blocks == 0)
+        return homes;
+    std::array<std::uint64_t, 2> weights {};
+    for (auto const* row : rows) {
+        auto const weight = XXH3_64bits_withSeed(row->id.data(), row->id.size(), request.prefixHashes[blocks - 1]);
+        if (!homes[0] || weight > weights[0]) {
+            homes = { row, homes[0] };
+            weights = { weight, weights[0] };
+        } else if (!homes[1] || weight > weights[1]) {
+            homes[1] = row;
+            weights[1] = weight;
+        }
+    }
+    return homes;
+}
+
 // A long prompt delays the whole batch while it is prefilled, so long requests and others prefer different servers. Moves the
 // preferred ones to the front and returns their number.
 static std::size_t preferByLength(ServerTable const& table, std::vector<ServerRow*>& rows, RoutingRequest const& request)
@@ -119,6 +158,7 @@
     static constexpr std::size_t randomChoices = 2;
     std::shuffle(rows.begin(), rows.end(), random.engine());
     auto const preferred = preferByLength(table, rows, request);
+    auto const homes = prefixHomes({ rows.data(), preferred }, request);
     std::vector<Candidate> candidates;
     // Of all servers with a part of the prompt in their caches, the best one.
     std::optional<Candidate> best;
@@ -126,10 +166,11 @@
         bool const isPreferred = index < preferred;
         // One of the others is a candidate too, in case the preferred ones are full.
         bool const isSampled = isPreferred ? index < randomChoices : index == preferred;
-        bool const hasPrefix = prefixes.cachedTokens(rows[index]->id, request.prefixHashes) > 0;
+        bool const isHome = rows[index] == homes[0] || rows[index] == homes[1];
+        bool const hasPrefix = isHome || prefixes.cachedTokens(rows[index]->id, request.prefixHashes) > 0;
         if (!isSampled && !hasPrefix)
             continue;
-        auto candidate = rate(table, rows[index], prefixes, request, now);
+        auto candidate = rate(table, rows[index], prefixes, request, now, isHome ? PrefixHome::Yes : PrefixHome::No);
         candidate.score += isPreferred ? 0 : misplacedPenaltySeconds;
         if (isSampled)
             candidates.push_back(candidate);
--- a/Tests/LibRouting/RoutingTest.cpp
+++ b/Tests/LibRouting/RoutingTest.cpp
@@ -108,6 +108,65 @@
     EXPECT_EQ(Routing::findServer(m_table, "s0")->pace, Routing::Pace::Normal);
 }
 
+// Guards against nodes that each fill another server's cache with the same prefix, and against one server for a popular prefix.
+TEST_F(RoutingTest, NodesAgreeOnTheHomesOfAPrefix)
+{
+    addServers(10);
+    auto prefixed = request();
+    prefixed.promptTokens = 640;
+    prefixed.prefixHashes = Routing::prefixHashes(std::vector<std::string>(640, "t"));
+    std::map<std::string, int> counts;
+    for (std::uint64_t node = 0; node < 200; ++node) {
+        Core::Random random { node };
+        ++counts[Routing::chooseServer(m_table, m_prefixes, prefixed, m_now, random, m_reason)->serverId];
+    }
+    EXPECT_EQ(counts.size(), 2u);
+    for (auto const& [id, count] : counts)
+        Routing::findServer(m_table, id)->outstanding = 64;
+    EXPECT_FALSE(counts.contains(choose(prefixed)));
+}
+
+// Guards against short requests that wait while the prompt of a long one is prefilled.
+TEST_F(RoutingTest, LongAndOrdinaryRequestsUseDifferentServers)
+{
+    addServers(10);
+    Routing::WorkMix mix;
+    EXPECT_EQ(Routing::recordWork(mix, 2.0, m_now), Routing::WorkLength::Ordinary);
+    for (int round = 0; round < 300; ++round) {
+        m_now += 100ms;
+        auto const seconds = round % 10 == 0 ? 2.0 : 0.1;
+        EXPECT_EQ(Routing::recordWork(mix, seconds, m_now) == Routing::WorkLength::Long, seconds > 1 && round >= 10) << round;
+    }
+    std::map<std::string, int> longCounts;
+    std::map<std::string, int> counts;
+    for (int round = 0; round < 200; ++round) {
+        auto ordinary = request();
+        ordinary.longShare = Routing::longShare(mix);
+        auto report = ordinary;
+        report.length = Routing::WorkLength::Long;
+        ++counts[choose(ordinary)];
+        ++longCounts[choose(report)];
+    }
+    EXPECT_EQ(longCounts.size() + counts.size(), 10u);
+    EXPECT_NEAR(static_cast<double>(longCounts.size()), 7, 1);
+    for (auto const& [id, count] : counts)
+        EXPECT_FALSE(longCounts.contains(id)) << id;
+    for (auto const& [id, count] : counts)
+        Routing::findServer(m_table, id)->outstanding = 64;
+    auto spilled = request();
+    spilled.longShare = Routing::longShare(mix);
+    EXPECT_TRUE(longCounts.contains(choose(spilled)));
+}
+
+// Guards against waiting times that are taken for the cost of prefill.
+TEST_F(RoutingTest, PrefillCostIsLearnedFromTheShortestDelays)
+{
+    for (int round = 0; round < 200; ++round)
+        Routing::recordPrefill(m_table, "advisor", 500, round % 4 == 0 ? 1.0 : 0.05);
+    EXPECT_GT(Routing::prefillSecondsPerToken(m_table, "advisor"), 0.00009);
+    EXPECT_LT(Routing::prefillSecondsPerToken(m_table, "advisor"), 0.0003);
+}
+
 // Guards against a request that looks short but runs long keeping its urgent priority.
 TEST(LengthEstimatorTest, EstimatesLearnAndAreCorrected)
 {
