Node: Send a short request elsewhere when its first token is late

Cause: a straggler is found by the time between tokens, so nothing moved a request that waited for its first token there.

Change: after the mean delay and four mean deviations, a short request without a token goes to another server, once and within the retry budget. Leaving servers and stragglers are noticed without a token too. Not two attempts at once, since the first token decides the answer and the slower attempt would take a slot.

--- a/Libraries/LibRouting/ServerTable.cpp
+++ b/Libraries/LibRouting/ServerTable.cpp
@@ -1,6 +1,7 @@
 #include <LibRouting/ServerTable.h>
 
 #include <algorithm>
+#include <cmath>
 #include <map>
 
 namespace Routing {
@@ -138,6 +139,27 @@
     return found == table.prefillSecondsPerToken.end() ? assumedPrefillSecondsPerToken : found->second;
 }
 
+void recordDelay(DelayEstimate& estimate, double seconds)
+{
+    static constexpr double weight = 0.05;
+    double const used = std::max(weight, 1.0 / (estimate.samples + 1));
+    double const error = seconds - estimate.meanSeconds;
+    estimate.meanSeconds += used * error;
+    estimate.deviationSeconds += used * ((estimate.samples == 0 ? 0 : std::abs(error)) - estimate.deviationSeconds);
+    ++estimate.samples;
+}
+
+std::optional<double> unusualDelay(DelayEstimate const& estimate)
+{
+    static constexpr std::uint32_t enoughSamples = 10;
+    static constexpr double deviations = 4;
+    // Below it a second attempt costs more than it saves.
+    static constexpr double leastSeconds = 0.2;
+    if (estimate.samples < enoughSamples)
+        return std::nullopt;
+    return std::max(leastSeconds, estimate.meanSeconds + deviations * estimate.deviationSeconds);
+}
+
 void recordFailure(ServerRow& row, Core::MonotonicTime now)
 {
     static constexpr std::uint32_t maximumDoublings = 8;
--- a/Libraries/LibRouting/ServerTable.h
+++ b/Libraries/LibRouting/ServerTable.h
@@ -70,11 +70,22 @@
     bool operator==(ServerRow const&) const = default;
 };
 
+/// Exponentially weighted mean and mean absolute deviation of a delay.
+struct DelayEstimate {
+    double meanSeconds { 0 };
+    double deviationSeconds { 0 };
+    std::uint32_t samples { 0 };
+
+    bool operator==(DelayEstimate const&) const = default;
+};
+
 /// The backend servers of one node, found by id. Not thread safe.
 struct ServerTable {
     std::vector<ServerRow> rows;
     /// Seconds of prefill for each token, by model, as observed.
     std::map<std::string, double, std::less<>> prefillSecondsPerToken;
+    /// Delays of first tokens of ordinary requests, by model.
+    std::map<std::string, DelayEstimate, std::less<>> firstTokenDelays;
 
     bool operator==(ServerTable const&) const = default;
 };
@@ -122,6 +133,11 @@
 /// Seconds of prefill for each token of a model; an assumed value until there are measurements.
 [[nodiscard]] double prefillSecondsPerToken(ServerTable const&, std::string_view service);
 
+void recordDelay(DelayEstimate&, double seconds);
+
+/// The seconds after which a delay is so unusual that another server is likely to be faster; nothing before enough samples.
+[[nodiscard]] std::optional<double> unusualDelay(DelayEstimate const&);
+
 /// After a connection failure or crash: the server gets no work for a time that doubles up to 5 s.
 void recordFailure(ServerRow&, Core::MonotonicTime now);
 void recordSuccess(ServerRow&);
--- a/Services/Node/EngineClient.cpp
+++ b/Services/Node/EngineClient.cpp
@@ -19,16 +19,14 @@
 Core::Awaitable<std::optional<CompletionProgress>> CompletionStream::read(Core::MonotonicTime deadline, Core::LastReason& reason)
 {
     CompletionProgress progress;
-    while (progress.tokens.empty() && !progress.end) {
-        auto const bytes = co_await m_response->readSome(deadline, reason);
-        if (!bytes)
+    auto const bytes = co_await m_response->readSome(deadline, reason);
+    if (!bytes)
+        co_return std::nullopt;
+    if (bytes->empty())
+        co_return Core::fail(reason, ErrorKind::BackendAnswerInvalid, "the completion ended without its last event", RunState::Unknown);
+    for (auto const& event : m_parser.feed(*bytes)) {
+        if (!addEvent(event.data, progress, reason))
             co_return std::nullopt;
-        if (bytes->empty())
-            co_return Core::fail(reason, ErrorKind::BackendAnswerInvalid, "the completion ended without its last event", RunState::Unknown);
-        for (auto const& event : m_parser.feed(*bytes)) {
-            if (!addEvent(event.data, progress, reason))
-                co_return std::nullopt;
-        }
     }
     co_return progress;
 }
--- a/Services/Node/EngineClient.h
+++ b/Services/Node/EngineClient.h
@@ -47,7 +47,7 @@
 public:
     CompletionStream(std::unique_ptr<HTTP::ResponseStream>, std::string attemptId, std::uint64_t firstIndex);
 
-    /// Waits for the next tokens or the end.
+    /// Waits for the next tokens, the end, or a comment that the engine sends while no token is due; then the progress is empty.
     [[nodiscard]] Core::Awaitable<std::optional<CompletionProgress>> read(Core::MonotonicTime deadline, Core::LastReason&);
 
 private:
--- a/Services/Node/ModelRunner.cpp
+++ b/Services/Node/ModelRunner.cpp
@@ -253,7 +253,7 @@
 {
     while (true) {
         // The first token may wait in the engine's queue; later ones may not.
-        auto const stallDeadline = m_runtime.now() + m_settings.stallTimeout * (attempt.tokensOfAttempt > 0 ? 1 : 4);
+        auto const stallDeadline = attempt.lastTokenAt + m_settings.stallTimeout * (attempt.tokensOfAttempt > 0 ? 1 : 4);
         auto const progress = co_await completion.read(std::min(attempt.deadline, stallDeadline), attempt.lastReason);
         auto* stream = servedStream(attempt);
         if (!stream)
@@ -269,8 +269,9 @@
             m_replicator.streamChanged(*stream);
             co_return AttemptOutcome::Ended;
         }
-        m_replicator.streamChanged(*stream);
-        if (shouldMove(attempt))
+        if (!progress->tokens.empty())
+            m_replicator.streamChanged(*stream);
+        if (shouldMove(attempt) || givesUpFirstToken(attempt))
             co_return AttemptOutcome::Moved;
         co_await demoteIfOverdue(attempt);
     }
@@ -288,6 +289,8 @@
     auto const elapsed = std::chrono::duration<double>(now - attempt.lastTokenAt).count();
     if (attempt.tokensOfAttempt == 0) {
         attempt.firstTokenSeconds = elapsed;
+        if (attempt.length == Routing::WorkLength::Ordinary)
+            Routing::recordDelay(m_tables.servers.firstTokenDelays[attempt.model.service], elapsed);
         // The prompt is cached once it is prefilled; the end of a long answer would be much later.
         for (auto const hash : Routing::prefixHashes(attempt.model.promptTokens))
             m_tables.prefixes.recordStored(attempt.serverId, hash);
@@ -357,12 +360,31 @@
     return row->pace == Routing::Pace::Straggler && longRest && attempt.moves == 0;
 }
 
+// A short request whose first token is unusually late is sent to another server, within the retry budget. The first server is
+// probably a straggler that the load reports do not show yet, or busy with a long prompt.
+bool ModelRunner::givesUpFirstToken(Attempt const& attempt)
+{
+    if (m_settings.policy != Routing::RoutingPolicy::PredictedTime || attempt.length == Routing::WorkLength::Long)
+        return false;
+    if (attempt.tokensOfAttempt > 0 || attempt.moves > 0)
+        return false;
+    auto const now = m_runtime.now();
+    auto& delays = m_tables.servers.firstTokenDelays[attempt.model.service];
+    auto const unusual = Routing::unusualDelay(delays);
+    auto const elapsed = std::chrono::duration<double>(now - attempt.lastTokenAt).count();
+    if (!unusual || elapsed < *unusual || !retryBudgetFor(m_tables, attempt.model.service).tryTake(now))
+        return false;
+    Routing::recordDelay(delays, elapsed);
+    m_metrics.counter("hyssopstep_first_tokens_given_up_total", { { "service", attempt.model.service } }).add();
+    return true;
+}
+
 // On failure the rest is generated from the prompt and the tokens so far, at any server.
 Core::Awaitable<void> ModelRunner::moveState(Attempt& attempt)
 {
     ++attempt.moves;
     attempt.excludedServers = { attempt.serverId };
-    if (m_settings.attentionState == AttentionState::Recompute)
+    if (m_settings.attentionState == AttentionState::Recompute || attempt.tokensOfAttempt == 0)
         co_return;
     Core::LastReason reason;
     auto state = co_await m_engines.exportState(attempt.endpoint, attempt.attemptId, m_runtime.now() + m_settings.stateCallTimeout, reason);
--- a/Services/Node/ModelRunner.h
+++ b/Services/Node/ModelRunner.h
@@ -71,6 +71,7 @@
     [[nodiscard]] std::optional<Routing::ServerChoice> choose(Attempt const&, Core::LastReason&);
     [[nodiscard]] bool mayRetry(Attempt&, AttemptOutcome);
     [[nodiscard]] bool shouldMove(Attempt const&) const;
+    [[nodiscard]] bool givesUpFirstToken(Attempt const&);
     void recordTokens(Attempt&, CompletionProgress const&);
     void recordEnd(Attempt&, CompletionEnd const&);
     void recordBroken(Attempt&, Core::LastReason const&);
