LibRouting: Use all engine priorities

Cause: notes and reports of up to 512 tokens had the same priority.

Change: one priority for each power of two of the tokens still to come.

--- a/Libraries/LibRouting/LengthEstimator.cpp
+++ b/Libraries/LibRouting/LengthEstimator.cpp
@@ -1,7 +1,6 @@
 #include <LibRouting/LengthEstimator.h>
 
 #include <algorithm>
-#include <array>
 #include <bit>
 #include <cmath>
 
@@ -56,22 +55,10 @@
 
 std::uint32_t priorityForRemaining(std::uint32_t remainingTokens)
 {
-    struct PriorityClass {
-        std::uint32_t tokensBelow;
-        std::uint32_t priority;
-    };
-    static constexpr std::array priorityClasses {
-        PriorityClass { 32, 0 },
-        PriorityClass { 128, 2 },
-        PriorityClass { 512, 4 },
-        PriorityClass { 2048, 6 },
-    };
-    static constexpr std::uint32_t lowestPriority = 8;
-    for (auto const& priorityClass : priorityClasses) {
-        if (remainingTokens < priorityClass.tokensBelow)
-            return priorityClass.priority;
-    }
-    return lowestPriority;
+    // Below 8 tokens 0, then one for each power of two, so that a note goes before a report.
+    static constexpr int shortestBits = 3;
+    static constexpr int lowestPriority = 9;
+    return static_cast<std::uint32_t>(std::clamp(static_cast<int>(std::bit_width(remainingTokens)) - shortestBits, 0, lowestPriority));
 }
 
 }
