LibLimits, LibRouting: Judge the queue by length when refusing

Cause: the queue was that of the emptiest server, which may be one that a request of this length avoids, and tags were refused, which frees nothing.

Change: the queue is the mean over the servers that the length prefers, and small requests are tolerated longer.

--- a/Libraries/LibLimits/Shedding.cpp
+++ b/Libraries/LibLimits/Shedding.cpp
@@ -43,13 +43,14 @@
     return view;
 }
 
-std::optional<std::chrono::milliseconds> decideShedding(ShareView const& view, double queueSeconds, double toleratedSeconds)
+std::optional<std::chrono::milliseconds> decideShedding(ShareView const& view, double relativeWork, double queueSeconds, double toleratedSeconds)
 {
     // The least lets a team above its share in again before the queue is empty; the most bounds the wait of a small team.
     static constexpr double leastFactor = 0.25;
     static constexpr double mostFactor = 4;
     double const factor = view.partOfWork > 0 ? std::clamp(view.partDue / view.partOfWork, leastFactor, mostFactor) : mostFactor;
-    double const excess = queueSeconds - factor * toleratedSeconds;
+    double const sizeFactor = std::clamp(1 / std::max(relativeWork, 1e-3), 1.0, mostFactor * mostFactor);
+    double const excess = queueSeconds - factor * sizeFactor * toleratedSeconds;
     if (excess <= 0)
         return std::nullopt;
     return std::chrono::ceil<std::chrono::milliseconds>(std::chrono::duration<double>(excess));
--- a/Libraries/LibLimits/Shedding.h
+++ b/Libraries/LibLimits/Shedding.h
@@ -38,8 +38,9 @@
 [[nodiscard]] ShareView shareView(WorkByTeam const&, std::map<std::string, double, std::less<>> const& shares, std::string_view team, Core::MonotonicTime now);
 
 /// Decides whether a request is refused because its service is overloaded. Refusals start when new work would wait longer than
-/// the tolerated time, with the teams that are furthest above their share; a team below its share is refused last. Returns the
-/// time after which the queue is short enough for the team, or nothing if the request is admitted. Thread safe.
-[[nodiscard]] std::optional<std::chrono::milliseconds> decideShedding(ShareView const&, double queueSeconds, double toleratedSeconds);
+/// the tolerated time, with the teams that are furthest above their share; a team below its share is refused last. The relative
+/// work is that of the request compared with the usual one: a small request goes ahead of the queue and frees little when it is
+/// refused, so it is refused last. Returns the time after which the queue is short enough for the team, or nothing if the request is admitted. Thread safe.
+[[nodiscard]] std::optional<std::chrono::milliseconds> decideShedding(ShareView const&, double relativeWork, double queueSeconds, double toleratedSeconds);
 
 }
--- a/Libraries/LibRouting/WorkMix.cpp
+++ b/Libraries/LibRouting/WorkMix.cpp
@@ -28,19 +28,28 @@
     return promptTokens * prefillSecondsPerToken(table, service) + expectedTokens * secondsPerToken;
 }
 
+WorkLength lengthOf(WorkMix const& mix, double seconds)
+{
+    bool const isLong = mix.requests >= minimumRequests && seconds > longRatio * mix.seconds / mix.requests;
+    return isLong ? WorkLength::Long : WorkLength::Ordinary;
+}
+
 WorkLength recordWork(WorkMix& mix, double seconds, Core::MonotonicTime now)
 {
     double const elapsed = std::chrono::duration<double>(now - mix.updatedAt).count();
     double const kept = mix.requests > 0 ? std::exp2(-std::max(elapsed, 0.0) / halfLifeSeconds) : 0;
     mix.requests *= kept;
     mix.seconds *= kept;
+    mix.longRequests *= kept;
     mix.longSeconds *= kept;
     mix.updatedAt = now;
-    bool const isLong = mix.requests >= minimumRequests && seconds > longRatio * mix.seconds / mix.requests;
+    auto const length = lengthOf(mix, seconds);
+    bool const isLong = length == WorkLength::Long;
     mix.requests += 1;
     mix.seconds += seconds;
+    mix.longRequests += isLong ? 1 : 0;
     mix.longSeconds += isLong ? seconds : 0;
-    return isLong ? WorkLength::Long : WorkLength::Ordinary;
+    return length;
 }
 
 double longShare(WorkMix const& mix)
@@ -48,18 +57,6 @@
     return mix.seconds > 0 ? mix.longSeconds / mix.seconds : 0;
 }
 
-double shortestQueueSeconds(ServerTable const& table, WorkMix const& mix, std::string_view service, Core::MonotonicTime now)
-{
-    std::optional<double> fewest;
-    for (auto const& row : table.rows) {
-        if (row.service != service || row.lifecycle == Lifecycle::Leaving || row.avoidUntil > now)
-            continue;
-        auto const waiting = std::max(0.0, static_cast<double>(estimatedLoad(row, now)) - slotsOf(row));
-        fewest = std::min(fewest.value_or(waiting), waiting);
-    }
-    return mix.requests > 0 ? fewest.value_or(0) * mix.seconds / mix.requests : 0;
-}
-
 std::vector<std::string_view> serversForLongWork(ServerTable const& table, std::string_view service, double share)
 {
     std::vector<std::pair<std::uint64_t, std::string_view>> ranked;
@@ -78,4 +75,28 @@
     return servers;
 }
 
+double meanSeconds(WorkMix const& mix, WorkLength length)
+{
+    double const requests = length == WorkLength::Long ? mix.longRequests : mix.requests - mix.longRequests;
+    double const seconds = length == WorkLength::Long ? mix.longSeconds : mix.seconds - mix.longSeconds;
+    return requests > 0 ? seconds / requests : 0;
+}
+
+double queueSeconds(ServerTable const& table, WorkMix const& mix, std::string_view service, WorkLength length, Core::MonotonicTime now)
+{
+    auto const reserved = serversForLongWork(table, service, longShare(mix));
+    double waiting = 0;
+    double servers = 0;
+    for (auto const& row : table.rows) {
+        if (row.service != service || row.lifecycle == Lifecycle::Leaving || row.avoidUntil > now)
+            continue;
+        bool const isReserved = std::find(reserved.begin(), reserved.end(), row.id) != reserved.end();
+        if (!reserved.empty() && isReserved != (length == WorkLength::Long))
+            continue;
+        waiting += std::max(0.0, static_cast<double>(estimatedLoad(row, now)) - slotsOf(row));
+        ++servers;
+    }
+    return servers > 0 ? waiting / servers * meanSeconds(mix, length) : 0;
+}
+
 }
--- a/Libraries/LibRouting/WorkMix.h
+++ b/Libraries/LibRouting/WorkMix.h
@@ -19,6 +19,7 @@
 struct WorkMix {
     double requests { 0 };
     double seconds { 0 };
+    double longRequests { 0 };
     double longSeconds { 0 };
     Core::MonotonicTime updatedAt;
 
@@ -34,8 +35,14 @@
 /// The share of long requests in the recent work, from 0 to 1.
 [[nodiscard]] double longShare(WorkMix const&);
 
-/// The seconds that new work of the usual length would wait for a slot, at the server where it is least.
-[[nodiscard]] double shortestQueueSeconds(ServerTable const&, WorkMix const&, std::string_view service, Core::MonotonicTime now);
+/// Whether a request of this many engine seconds is long compared with the mean of the recent ones.
+[[nodiscard]] WorkLength lengthOf(WorkMix const&, double seconds);
+
+/// The engine time of the usual request of a length, in seconds.
+[[nodiscard]] double meanSeconds(WorkMix const&, WorkLength);
+
+/// The seconds that a request would wait for a slot, as the mean over the servers that its length prefers.
+[[nodiscard]] double queueSeconds(ServerTable const&, WorkMix const&, std::string_view service, WorkLength, Core::MonotonicTime now);
 
 /// The ids of the servers that take the long requests of a service, so that others do not wait behind these: as many of the
 /// live servers as the share says, in an order that is the same at all nodes. Empty if the share or the number of servers is too
--- a/Services/Node/Gateway.cpp
+++ b/Services/Node/Gateway.cpp
@@ -162,11 +162,14 @@
     auto const& desired = m_node.tables.configuration.desired;
     auto const* service = Configuration::findService(desired, model.service);
     double const target = service && service->target.firstTokenMilliseconds > 0 ? service->target.firstTokenMilliseconds / millisecondsPerSecond : defaultToleratedSeconds;
-    auto const queue = Routing::shortestQueueSeconds(m_node.tables.servers, m_node.tables.workMixes[model.service], model.service, now);
+    auto const& mix = m_node.tables.workMixes[model.service];
+    auto const length = Routing::lengthOf(mix, work);
+    auto const queue = Routing::queueSeconds(m_node.tables.servers, mix, model.service, length, now);
+    auto const usual = Routing::meanSeconds(mix, length);
     std::map<std::string, double, std::less<>> shares;
     for (auto const& other : desired.teams)
         shares.emplace(other.name, other.share);
-    auto const wait = Limits::decideShedding(Limits::shareView(admittedWork, shares, team.name, now), queue, target);
+    auto const wait = Limits::decideShedding(Limits::shareView(admittedWork, shares, team.name, now), usual > 0 ? work / usual : 1, queue, target);
     if (wait && m_node.shedding == Shedding::ByShare) {
         Core::fail(reason, ErrorKind::Overloaded, "the queue of " + model.service + " is too long for what team " + team.name + " used of its share");
         reason.retryAfter = *wait;
