--- a/Libraries/LibMembership/MembershipService.h
+++ b/Libraries/LibMembership/MembershipService.h
@@ -44,7 +44,7 @@
     /// Peer endpoints to contact while no other node is known.
     std::vector<Core::Endpoint> seeds;
     Core::Duration tick { std::chrono::milliseconds(100) };
-    Core::Duration exchangeInterval { std::chrono::milliseconds(500) };
+    Core::Duration exchangeInterval { std::chrono::milliseconds(600) };
     Core::Duration remoteExchangeInterval { std::chrono::seconds(4) };
     Core::Duration callTimeout { std::chrono::seconds(1) };
     /// Length of one wait for changes of the configuration object on a relay.
@@ -137,7 +137,8 @@
     Core::MonotonicTime m_nextRemoteExchange {};
     std::size_t m_rowBytes { 0 };
     unsigned m_urgentRounds { 0 };
-    bool m_fetching { false };
+    unsigned m_fetches { 0 };
+    Core::MonotonicTime m_lastFetch {};
     std::uint64_t m_exchangedBytes { 0 };
     /// Odd while running; changes with each start() and stop(), so that old tasks end.
     std::uint64_t m_run { 0 };
--- a/Libraries/LibRouting/ServerChoice.cpp
+++ b/Libraries/LibRouting/ServerChoice.cpp
@@ -159,6 +159,8 @@
 {
     static constexpr std::size_t randomChoices = 2;
     std::shuffle(rows.begin(), rows.end(), random.engine());
+    // In a large data centre only a sample of the servers is asked for its load; a choice between two unknown loads is blind.
+    std::stable_partition(rows.begin(), rows.end(), [&](auto const* row) { return hasRecentReport(*row, now); });
     auto const preferred = preferByLength(table, rows, request);
     double const misplacedPenaltySeconds = request.length == WorkLength::Long ? longMisplacedPenaltySeconds : ordinaryMisplacedPenaltySeconds;
     auto const homes = prefixHomes({ rows.data(), preferred }, request);
--- a/Libraries/LibRouting/ServerTable.cpp
+++ b/Libraries/LibRouting/ServerTable.cpp
@@ -90,10 +90,15 @@
     row.report = report;
 }
 
+bool hasRecentReport(ServerRow const& row, Core::MonotonicTime now)
+{
+    return row.report && now - row.report->receivedAt <= reportLifetime;
+}
+
 std::uint32_t estimatedLoad(ServerRow const& row, Core::MonotonicTime now)
 {
-    if (!row.report || now - row.report->receivedAt > reportLifetime)
-        return row.outstanding;
+    if (!hasRecentReport(row, now))
+        return std::max(row.outstanding, row.assumedLoad);
     auto const reported = row.report->running + row.report->waiting;
     // The report does not yet show what this node has sent since.
     auto const since = static_cast<std::int64_t>(row.outstanding) - row.report->ownOutstandingAtReport;
@@ -103,7 +108,7 @@
 std::uint32_t slotsOf(ServerRow const& row)
 {
     if (!row.report)
-        return assumedSlots;
+        return row.assumedSlots > 0 ? row.assumedSlots : assumedSlots;
     return std::max(row.report->running + row.report->freeSlots, 1U);
 }
 
@@ -175,6 +180,31 @@
     row.avoidUntil = {};
 }
 
+void updateAssumedLoads(ServerTable& table, Core::MonotonicTime now)
+{
+    struct Sum {
+        std::uint32_t servers { 0 };
+        std::uint32_t load { 0 };
+        std::uint32_t slots { 0 };
+    };
+    std::map<std::string_view, Sum> sums;
+    for (auto const& row : table.rows) {
+        if (!hasRecentReport(row, now))
+            continue;
+        auto& sum = sums[row.service];
+        ++sum.servers;
+        sum.load += estimatedLoad(row, now);
+        sum.slots += slotsOf(row);
+    }
+    for (auto& row : table.rows) {
+        auto const found = sums.find(row.service);
+        if (found == sums.end())
+            continue;
+        row.assumedLoad = found->second.load / found->second.servers;
+        row.assumedSlots = found->second.slots / found->second.servers;
+    }
+}
+
 static bool isRecent(Observation const& observation, Core::MonotonicTime now)
 {
     return observation.samples > 0 && now - observation.lastAt <= observationLifetime;
--- a/Libraries/LibRouting/ServerTable.h
+++ b/Libraries/LibRouting/ServerTable.h
@@ -58,6 +58,9 @@
     /// This node's requests in progress at the server.
     std::uint32_t outstanding { 0 };
     std::optional<LoadReport> report;
+    /// The mean of the recent reports of the service, used while this server has none; 0 until there is one.
+    std::uint32_t assumedLoad { 0 };
+    std::uint32_t assumedSlots { 0 };
     Observation observation;
     Pace pace { Pace::Normal };
     Core::MonotonicTime nextProbeAt;
@@ -117,6 +120,8 @@
 
 void recordReport(ServerRow&, LoadReport report);
 
+[[nodiscard]] bool hasRecentReport(ServerRow const&, Core::MonotonicTime now);
+
 /// The requests running or waiting at a server: its last report and what this node sent or finished since.
 [[nodiscard]] std::uint32_t estimatedLoad(ServerRow const&, Core::MonotonicTime now);
 
@@ -142,6 +147,9 @@
 void recordFailure(ServerRow&, Core::MonotonicTime now);
 void recordSuccess(ServerRow&);
 
+/// Updates the load that is assumed of servers without a recent report.
+void updateAssumedLoads(ServerTable&, Core::MonotonicTime now);
+
 /// Compares each server with the median of its peers (same service, recent observations) and updates its pace. A server
 /// without three peers is never a straggler.
 void updatePaces(ServerTable&, Core::MonotonicTime now);
