--- a/Libraries/LibRouting/ServerChoice.cpp
+++ b/Libraries/LibRouting/ServerChoice.cpp
@@ -1,59 +1,54 @@
 #include <LibRouting/ServerChoice.h>
 
 #include <algorithm>
+#include <array>
+#include <bit>
 #include <cstdio>
+#include <span>
+#include <xxhash.h>
 
 namespace Routing {
 
 using namespace std::chrono_literals;
 
-static constexpr std::uint32_t assumedSlots = 16;
 static constexpr double assumedSecondsPerUnit = 0.02;
-static constexpr double prefillSecondsPerToken = 0.0004;
-// A server in another data centre is used only if the own ones are clearly worse.
-static constexpr double otherDataCentrePenaltySeconds = 0.25;
+// The data centres of a region are about 1 ms apart. A larger value keeps the load of a data centre with fewer servers on them.
+static constexpr double otherDataCentrePenaltySeconds = 0.02;
+// An ordinary request may wait this long behind the prompt of a long one.
+static constexpr double ordinaryMisplacedPenaltySeconds = 0.5;
+// A long request delays all others of the server. With 0.5 s too, a fifth of a batch less work was enough to misplace a report.
+static constexpr double longMisplacedPenaltySeconds = 4;
 static constexpr auto probeInterval = 1s;
-static constexpr auto reportLifetime = 5s;
 
-static std::uint32_t estimatedLoad(ServerRow const& row, Core::MonotonicTime now)
-{
-    if (!row.report || now - row.report->receivedAt > reportLifetime)
-        return row.outstanding;
-    auto const reported = row.report->running + row.report->waiting;
-    // The report does not yet show what this node has sent since.
-    auto const since = static_cast<std::int64_t>(row.outstanding) - row.report->ownOutstandingAtReport;
-    return static_cast<std::uint32_t>(std::max<std::int64_t>(reported + since, row.outstanding));
-}
-
-static std::uint32_t slotsOf(ServerRow const& row)
+static double secondsPerUnit(ServerRow const& row)
 {
-    if (!row.report)
-        return assumedSlots;
-    return std::max(row.report->running + row.report->freeSlots, 1U);
+    return row.observation.samples > 0 ? row.observation.secondsPerUnit : assumedSecondsPerUnit;
 }
 
-static double secondsPerUnit(ServerRow const& row)
+static double prefillSeconds(ServerTable const& table, RoutingRequest const& request, std::size_t cachedTokens)
 {
-    return row.observation.samples > 0 ? row.observation.secondsPerUnit : assumedSecondsPerUnit;
+    auto const uncached = static_cast<double>(request.promptTokens + request.generatedTokens) - static_cast<double>(cachedTokens);
+    return std::max(uncached, 0.0) * prefillSecondsPerToken(table, request.service);
 }
 
-static double predictedWait(ServerRow const& row, RoutingRequest const& request, std::size_t cachedTokens, Core::MonotonicTime now)
+static double predictedWait(ServerTable const& table, ServerRow const& row, RoutingRequest const& request, std::size_t cachedTokens, Core::MonotonicTime now)
 {
     double const load = estimatedLoad(row, now);
     double const slots = slotsOf(row);
     double const secondsPerRequest = secondsPerUnit(row) * std::max(request.expectedTokens, 1U);
     // Below the number of slots a larger batch still slows each of its members down.
     double const queue = std::max(0.0, load + 1 - slots) * secondsPerRequest / slots;
-    double const uncached = static_cast<double>(request.promptTokens + request.generatedTokens) - static_cast<double>(cachedTokens);
-    return queue + std::max(uncached, 0.0) * prefillSecondsPerToken;
+    return queue + prefillSeconds(table, request, cachedTokens);
 }
 
-static double predictedTotal(ServerRow const& row, RoutingRequest const& request, double wait, Core::MonotonicTime now)
+static double predictedTotal(ServerTable const& table, ServerRow const& row, RoutingRequest const& request, std::size_t cachedTokens, double wait, Core::MonotonicTime now)
 {
     double const occupancy = std::min(1.0, estimatedLoad(row, now) / static_cast<double>(slotsOf(row)));
     double const decode = secondsPerUnit(row) * request.expectedTokens * (1 + occupancy);
     double const distance = row.dataCentre == request.dataCentre ? 0 : otherDataCentrePenaltySeconds;
-    return wait + decode + distance;
+    // While a prompt is prefilled, the other requests of the batch wait for it too.
+    double const others = std::min<double>(estimatedLoad(row, now), slotsOf(row)) * prefillSeconds(table, request, cachedTokens);
+    return wait + decode + distance + others;
 }
 
 static bool isUsable(ServerRow const& row, RoutingRequest const& request, Core::MonotonicTime now)
@@ -84,7 +79,8 @@
     for (auto& row : table.rows) {
         if (!isUsable(row, request, now))
             continue;
-        (row.pace == Pace::Straggler ? stragglers : normal).push_back(&row);
+        bool const isAvoided = row.pace == Pace::Straggler && request.policy == RoutingPolicy::PredictedTime;
+        (isAvoided ? stragglers : normal).push_back(&row);
     }
     return normal.empty() ? stragglers : normal;
 }
@@ -93,7 +89,7 @@
 {
     // A probe must not make a long request slow.
     static constexpr std::uint32_t longestProbeTokens = 64;
-    if (request.policy == RoutingPolicy::LeastOutstanding || request.expectedTokens > longestProbeTokens)
+    if (request.policy != RoutingPolicy::PredictedTime || request.expectedTokens > longestProbeTokens)
         return nullptr;
     for (auto& row : table.rows) {
         if (isUsable(row, request, now) && isDueProbe(row, now))
@@ -102,37 +98,107 @@
     return nullptr;
 }
 
-static Candidate rate(ServerRow* row, PrefixIndex const& prefixes, RoutingRequest const& request, Core::MonotonicTime now)
+enum class PrefixHome {
+    Yes,
+    No,
+};
+
+static Candidate rate(ServerTable const& table, ServerRow* row, PrefixIndex const& prefixes, RoutingRequest const& request, Core::MonotonicTime now, PrefixHome home = PrefixHome::No)
 {
     Candidate candidate { row, prefixes.cachedTokens(row->id, request.prefixHashes), 0, 0 };
-    candidate.wait = predictedWait(*row, request, candidate.cachedTokens, now);
-    candidate.score = predictedTotal(*row, request, candidate.wait, now);
+    // A home probably has a part of the prompt from the requests of other nodes, of which this node knows late or never.
+    std::size_t const expected = home == PrefixHome::Yes ? request.promptTokens / 2 : 0;
+    auto const cached = std::max(candidate.cachedTokens, expected);
+    candidate.wait = predictedWait(table, *row, request, cached, now);
+    candidate.score = predictedTotal(table, *row, request, cached, candidate.wait, now);
     return candidate;
 }
 
-static std::vector<Candidate> sampleCandidates(std::vector<ServerRow*> rows, PrefixIndex const& prefixes, RoutingRequest const& request, Core::MonotonicTime now, Core::Random& random)
+/// The servers at which all nodes prefer to compute a prefix, by rendezvous hashing of its first blocks. Two, so that a popular
+/// prefix does not overload one.
+using PrefixHomes = std::array<ServerRow const*, 2>;
+
+// The rows are those that the request prefers.
+static PrefixHomes prefixHomes(std::span<ServerRow* const> rows, RoutingRequest const& request)
+{
+    // The shared part is not known. Short prefixes are shared by most requests that share any.
+    static constexpr std::size_t mostBlocks = 8;
+    PrefixHomes homes {};
+    auto const blocks = std::min(std::bit_floor(request.prefixHashes.size() / 2), mostBlocks);
+    if (blocks == 0)
+        return homes;
+    std::array<std::uint64_t, 2> weights {};
+    for (auto const* row : rows) {
+        auto const weight = XXH3_64bits_withSeed(row->id.data(), row->id.size(), request.prefixHashes[blocks - 1]);
+        if (!homes[0] || weight > weights[0]) {
+            homes = { row, homes[0] };
+            weights = { weight, weights[0] };
+        } else if (!homes[1] || weight > weights[1]) {
+            homes[1] = row;
+            weights[1] = weight;
+        }
+    }
+    return homes;
+}
+
+// A long prompt delays the whole batch while it is prefilled, so long requests and others prefer different servers. Moves the
+// preferred ones to the front and returns their number.
+static std::size_t preferByLength(ServerTable const& table, std::vector<ServerRow*>& rows, RoutingRequest const& request)
+{
+    auto const reserved = serversForLongWork(table, request.service, request.longShare);
+    if (reserved.empty())
+        return rows.size();
+    auto const others = std::stable_partition(rows.begin(), rows.end(), [&](auto const* row) {
+        bool const isReserved = std::find(reserved.begin(), reserved.end(), row->id) != reserved.end();
+        return isReserved == (request.length == WorkLength::Long);
+    });
+    return static_cast<std::size_t>(others - rows.begin());
+}
+
+static std::vector<Candidate> sampleCandidates(ServerTable const& table, std::vector<ServerRow*> rows, PrefixIndex const& prefixes, RoutingRequest const& request, Core::MonotonicTime now, Core::Random& random)
 {
     static constexpr std::size_t randomChoices = 2;
-    std::vector<Candidate> candidates;
     std::shuffle(rows.begin(), rows.end(), random.engine());
     // In a large data centre only a sample of the servers is asked for its load; a choice between two unknown loads is blind.
-    std::stable_partition(rows.begin(), rows.end(), [&](auto const* row) { return row->report && now - row->report->receivedAt <= reportLifetime; });
-    // Servers of the own data centre come first, so that one of them is sampled as long as there is one.
-    std::stable_partition(rows.begin(), rows.end(), [&](auto const* row) { return row->dataCentre == request.dataCentre; });
-    for (std::size_t index = 0; index < std::min(randomChoices, rows.size()); ++index)
-        candidates.push_back(rate(rows[index], prefixes, request, now));
-    auto const best = std::max_element(rows.begin(), rows.end(), [&](auto const* left, auto const* right) {
-        return prefixes.cachedTokens(left->id, request.prefixHashes) < prefixes.cachedTokens(right->id, request.prefixHashes);
-    });
-    if (prefixes.cachedTokens((*best)->id, request.prefixHashes) > 0)
-        candidates.push_back(rate(*best, prefixes, request, now));
+    std::stable_partition(rows.begin(), rows.end(), [&](auto const* row) { return hasRecentReport(*row, now); });
+    auto const preferred = preferByLength(table, rows, request);
+    double const misplacedPenaltySeconds = request.length == WorkLength::Long ? longMisplacedPenaltySeconds : ordinaryMisplacedPenaltySeconds;
+    auto const homes = prefixHomes({ rows.data(), preferred }, request);
+    std::vector<Candidate> candidates;
+    // Of all servers with a part of the prompt in their caches, the best one.
+    std::optional<Candidate> best;
+    for (std::size_t index = 0; index < rows.size(); ++index) {
+        bool const isPreferred = index < preferred;
+        // One of the others is a candidate too, in case the preferred ones are full.
+        bool const isSampled = isPreferred ? index < randomChoices : index == preferred;
+        bool const isHome = rows[index] == homes[0] || rows[index] == homes[1];
+        bool const hasPrefix = isHome || prefixes.cachedTokens(rows[index]->id, request.prefixHashes) > 0;
+        if (!isSampled && !hasPrefix)
+            continue;
+        auto candidate = rate(table, rows[index], prefixes, request, now, isHome ? PrefixHome::Yes : PrefixHome::No);
+        candidate.score += isPreferred ? 0 : misplacedPenaltySeconds;
+        if (isSampled)
+            candidates.push_back(candidate);
+        else if (!best || candidate.score < best->score)
+            best = candidate;
+    }
+    if (best)
+        candidates.push_back(*best);
     return candidates;
 }
 
-static Candidate chooseLeastOutstanding(std::vector<ServerRow*> const& rows, PrefixIndex const& prefixes, RoutingRequest const& request, Core::MonotonicTime now)
+static std::uint32_t reportedLoad(ServerRow const& row)
+{
+    return row.report ? row.report->running + row.report->waiting : 0;
+}
+
+static Candidate chooseBaseline(ServerTable const& table, std::vector<ServerRow*> rows, PrefixIndex const& prefixes, RoutingRequest const& request, Core::MonotonicTime now, Core::Random& random)
 {
-    auto const least = std::min_element(rows.begin(), rows.end(), [](auto const* left, auto const* right) { return left->outstanding < right->outstanding; });
-    return rate(*least, prefixes, request, now);
+    auto const loadOf = [&](ServerRow const* row) { return request.policy == RoutingPolicy::ReportedLoad ? reportedLoad(*row) : row->outstanding; };
+    // Without it, all nodes would prefer the servers listed first.
+    std::shuffle(rows.begin(), rows.end(), random.engine());
+    auto const least = std::min_element(rows.begin(), rows.end(), [&](auto const* left, auto const* right) { return loadOf(left) < loadOf(right); });
+    return rate(table, *least, prefixes, request, now);
 }
 
 static std::string explain(std::vector<Candidate> const& candidates)
@@ -155,16 +221,16 @@
 {
     if (auto* probe = findProbe(table, request, now)) {
         probe->nextProbeAt = now + probeInterval;
-        return choiceFrom(rate(probe, prefixes, request, now), probe->id + " probe of a straggler");
+        return choiceFrom(rate(table, probe, prefixes, request, now), probe->id + " probe of a straggler");
     }
     auto const rows = usableRows(table, request, now);
     if (rows.empty())
         return Core::fail(reason, Core::ErrorKind::NoServerAvailable, "no backend server of service " + request.service + " takes new work");
-    if (request.policy == RoutingPolicy::LeastOutstanding) {
-        auto const least = chooseLeastOutstanding(rows, prefixes, request, now);
+    if (request.policy != RoutingPolicy::PredictedTime) {
+        auto const least = chooseBaseline(table, rows, prefixes, request, now, random);
         return choiceFrom(least, explain({ least }));
     }
-    auto const candidates = sampleCandidates(rows, prefixes, request, now, random);
+    auto const candidates = sampleCandidates(table, rows, prefixes, request, now, random);
     auto const best = std::min_element(candidates.begin(), candidates.end(), [](auto const& left, auto const& right) { return left.score < right.score; });
     return choiceFrom(*best, explain(candidates));
 }
@@ -175,7 +241,7 @@
     for (auto const& row : table.rows) {
         if (!isUsable(row, request, now))
             continue;
-        auto const wait = predictedWait(row, request, 0, now);
+        auto const wait = predictedWait(table, row, request, 0, now);
         shortest = std::min(shortest.value_or(wait), wait);
     }
     return shortest;
--- a/Libraries/LibRouting/ServerChoice.h
+++ b/Libraries/LibRouting/ServerChoice.h
@@ -4,6 +4,7 @@
 #include <LibCore/Random.h>
 #include <LibRouting/PrefixIndex.h>
 #include <LibRouting/ServerTable.h>
+#include <LibRouting/WorkMix.h>
 #include <optional>
 #include <string>
 #include <vector>
@@ -14,8 +15,10 @@
 enum class RoutingPolicy {
     /// The better of two random candidates by predicted time, with the best prefix match as a third.
     PredictedTime,
-    /// The server with the fewest requests of this node in progress; the baseline of the measurements.
+    /// The server with the fewest requests of this node in progress, at random among equals; a baseline of the measurements.
     LeastOutstanding,
+    /// The server with the least reported load, at random among equals; a baseline of the measurements.
+    ReportedLoad,
 };
 
 struct RoutingRequest {
@@ -31,6 +34,9 @@
     /// Servers that must not be chosen, for example those of failed attempts.
     std::vector<std::string> excludedServers;
     RoutingPolicy policy { RoutingPolicy::PredictedTime };
+    WorkLength length { WorkLength::Ordinary };
+    /// The share of long requests in the service's work; 0 to treat all servers alike.
+    double longShare { 0 };
 
     bool operator==(RoutingRequest const&) const = default;
 };
--- a/Libraries/LibRouting/ServerTable.cpp
+++ b/Libraries/LibRouting/ServerTable.cpp
@@ -1,6 +1,7 @@
 #include <LibRouting/ServerTable.h>
 
 #include <algorithm>
+#include <cmath>
 #include <map>
 
 namespace Routing {
@@ -15,6 +16,9 @@
 static constexpr std::uint32_t minimumSamples = 5;
 static constexpr auto observationLifetime = 10s;
 static constexpr auto probeInterval = 1s;
+static constexpr double assumedPrefillSecondsPerToken = 0.0004;
+static constexpr std::uint32_t assumedSlots = 16;
+static constexpr auto reportLifetime = 5s;
 static constexpr auto firstAvoidance = 100ms;
 static constexpr auto longestAvoidance = 5s;
 
@@ -86,6 +90,28 @@
     row.report = report;
 }
 
+bool hasRecentReport(ServerRow const& row, Core::MonotonicTime now)
+{
+    return row.report && now - row.report->receivedAt <= reportLifetime;
+}
+
+std::uint32_t estimatedLoad(ServerRow const& row, Core::MonotonicTime now)
+{
+    if (!hasRecentReport(row, now))
+        return std::max(row.outstanding, row.assumedLoad);
+    auto const reported = row.report->running + row.report->waiting;
+    // The report does not yet show what this node has sent since.
+    auto const since = static_cast<std::int64_t>(row.outstanding) - row.report->ownOutstandingAtReport;
+    return static_cast<std::uint32_t>(std::max<std::int64_t>(reported + since, row.outstanding));
+}
+
+std::uint32_t slotsOf(ServerRow const& row)
+{
+    if (!row.report)
+        return row.assumedSlots > 0 ? row.assumedSlots : assumedSlots;
+    return std::max(row.report->running + row.report->freeSlots, 1U);
+}
+
 void recordObservation(ServerRow& row, double seconds, Core::MonotonicTime now)
 {
     auto& observation = row.observation;
@@ -95,6 +121,50 @@
     observation.lastAt = now;
 }
 
+void recordPrefill(ServerTable& table, std::string_view service, std::uint32_t tokens, double seconds)
+{
+    static constexpr std::uint32_t shortestPrefill = 128;
+    // The delay also contains waiting for a slot, so that small values say more than large ones.
+    static constexpr double weightDown = 0.2;
+    static constexpr double weightUp = 0.02;
+    if (tokens < shortestPrefill)
+        return;
+    double const measured = std::max(seconds, 0.0) / tokens;
+    auto const found = table.prefillSecondsPerToken.find(service);
+    if (found == table.prefillSecondsPerToken.end()) {
+        table.prefillSecondsPerToken.emplace(service, std::min(measured, assumedPrefillSecondsPerToken));
+        return;
+    }
+    found->second += (measured < found->second ? weightDown : weightUp) * (measured - found->second);
+}
+
+double prefillSecondsPerToken(ServerTable const& table, std::string_view service)
+{
+    auto const found = table.prefillSecondsPerToken.find(service);
+    return found == table.prefillSecondsPerToken.end() ? assumedPrefillSecondsPerToken : found->second;
+}
+
+void recordDelay(DelayEstimate& estimate, double seconds)
+{
+    static constexpr double weight = 0.05;
+    double const used = std::max(weight, 1.0 / (estimate.samples + 1));
+    double const error = seconds - estimate.meanSeconds;
+    estimate.meanSeconds += used * error;
+    estimate.deviationSeconds += used * ((estimate.samples == 0 ? 0 : std::abs(error)) - estimate.deviationSeconds);
+    ++estimate.samples;
+}
+
+std::optional<double> unusualDelay(DelayEstimate const& estimate)
+{
+    static constexpr std::uint32_t enoughSamples = 10;
+    static constexpr double deviations = 4;
+    // Below it a second attempt costs more than it saves.
+    static constexpr double leastSeconds = 0.2;
+    if (estimate.samples < enoughSamples)
+        return std::nullopt;
+    return std::max(leastSeconds, estimate.meanSeconds + deviations * estimate.deviationSeconds);
+}
+
 void recordFailure(ServerRow& row, Core::MonotonicTime now)
 {
     static constexpr std::uint32_t maximumDoublings = 8;
@@ -110,6 +180,31 @@
     row.avoidUntil = {};
 }
 
+void updateAssumedLoads(ServerTable& table, Core::MonotonicTime now)
+{
+    struct Sum {
+        std::uint32_t servers { 0 };
+        std::uint32_t load { 0 };
+        std::uint32_t slots { 0 };
+    };
+    std::map<std::string_view, Sum> sums;
+    for (auto const& row : table.rows) {
+        if (!hasRecentReport(row, now))
+            continue;
+        auto& sum = sums[row.service];
+        ++sum.servers;
+        sum.load += estimatedLoad(row, now);
+        sum.slots += slotsOf(row);
+    }
+    for (auto& row : table.rows) {
+        auto const found = sums.find(row.service);
+        if (found == sums.end())
+            continue;
+        row.assumedLoad = found->second.load / found->second.servers;
+        row.assumedSlots = found->second.slots / found->second.servers;
+    }
+}
+
 static bool isRecent(Observation const& observation, Core::MonotonicTime now)
 {
     return observation.samples > 0 && now - observation.lastAt <= observationLifetime;
--- a/Libraries/LibRouting/ServerTable.h
+++ b/Libraries/LibRouting/ServerTable.h
@@ -3,6 +3,7 @@
 #include <LibCore/Endpoint.h>
 #include <LibCore/Runtime.h>
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -57,6 +58,9 @@
     /// This node's requests in progress at the server.
     std::uint32_t outstanding { 0 };
     std::optional<LoadReport> report;
+    /// The mean of the recent reports of the service, used while this server has none; 0 until there is one.
+    std::uint32_t assumedLoad { 0 };
+    std::uint32_t assumedSlots { 0 };
     Observation observation;
     Pace pace { Pace::Normal };
     Core::MonotonicTime nextProbeAt;
@@ -69,9 +73,22 @@
     bool operator==(ServerRow const&) const = default;
 };
 
+/// Exponentially weighted mean and mean absolute deviation of a delay.
+struct DelayEstimate {
+    double meanSeconds { 0 };
+    double deviationSeconds { 0 };
+    std::uint32_t samples { 0 };
+
+    bool operator==(DelayEstimate const&) const = default;
+};
+
 /// The backend servers of one node, found by id. Not thread safe.
 struct ServerTable {
     std::vector<ServerRow> rows;
+    /// Seconds of prefill for each token, by model, as observed.
+    std::map<std::string, double, std::less<>> prefillSecondsPerToken;
+    /// Delays of first tokens of ordinary requests, by model.
+    std::map<std::string, DelayEstimate, std::less<>> firstTokenDelays;
 
     bool operator==(ServerTable const&) const = default;
 };
@@ -103,13 +120,36 @@
 
 void recordReport(ServerRow&, LoadReport report);
 
+[[nodiscard]] bool hasRecentReport(ServerRow const&, Core::MonotonicTime now);
+
+/// The requests running or waiting at a server: its last report and what this node sent or finished since.
+[[nodiscard]] std::uint32_t estimatedLoad(ServerRow const&, Core::MonotonicTime now);
+
+/// The number of requests that a server runs at the same time; an assumed value until it reports.
+[[nodiscard]] std::uint32_t slotsOf(ServerRow const&);
+
 /// Adds a measured time per token, or per call of a non-model service.
 void recordObservation(ServerRow&, double seconds, Core::MonotonicTime now);
 
+/// Adds a measured prefill: the time to the first token of an attempt that prefilled this many tokens. Short prefills are ignored,
+/// because the waiting time dominates them.
+void recordPrefill(ServerTable&, std::string_view service, std::uint32_t tokens, double seconds);
+
+/// Seconds of prefill for each token of a model; an assumed value until there are measurements.
+[[nodiscard]] double prefillSecondsPerToken(ServerTable const&, std::string_view service);
+
+void recordDelay(DelayEstimate&, double seconds);
+
+/// The seconds after which a delay is so unusual that another server is likely to be faster; nothing before enough samples.
+[[nodiscard]] std::optional<double> unusualDelay(DelayEstimate const&);
+
 /// After a connection failure or crash: the server gets no work for a time that doubles up to 5 s.
 void recordFailure(ServerRow&, Core::MonotonicTime now);
 void recordSuccess(ServerRow&);
 
+/// Updates the load that is assumed of servers without a recent report.
+void updateAssumedLoads(ServerTable&, Core::MonotonicTime now);
+
 /// Compares each server with the median of its peers (same service, recent observations) and updates its pace. A server
 /// without three peers is never a straggler.
 void updatePaces(ServerTable&, Core::MonotonicTime now);
--- a/Services/Node/Gateway.cpp
+++ b/Services/Node/Gateway.cpp
@@ -174,6 +174,34 @@
     return false;
 }
 
+bool Gateway::checkOverload(ModelRequest const& model, Configuration::Team const& team, double work, Core::LastReason& reason)
+{
+    static constexpr double defaultTargetSeconds = 0.5;
+    // At the target itself, random bursts at 70 % load refused up to 15 of 701 model requests.
+    static constexpr double toleratedTargets = 4;
+    static constexpr double millisecondsPerSecond = 1000;
+    auto const now = m_node.runtime.now();
+    auto& admittedWork = m_node.tables.admittedWork[model.service];
+    auto const& desired = m_node.tables.configuration.desired;
+    auto const* service = Configuration::findService(desired, model.service);
+    double const target = service && service->target.firstTokenMilliseconds > 0 ? service->target.firstTokenMilliseconds / millisecondsPerSecond : defaultTargetSeconds;
+    auto const& mix = m_node.tables.workMixes[model.service];
+    auto const length = Routing::lengthOf(mix, work);
+    auto const queue = Routing::queueSeconds(m_node.tables.servers, mix, model.service, length, now);
+    auto const usual = Routing::meanSeconds(mix, length);
+    std::map<std::string, double, std::less<>> shares;
+    for (auto const& other : desired.teams)
+        shares.emplace(other.name, other.share);
+    auto const wait = Limits::decideShedding(Limits::shareView(admittedWork, shares, team.name, now), usual > 0 ? work / usual : 1, queue, toleratedTargets * target);
+    if (wait && m_node.shedding == Shedding::ByShare) {
+        Core::fail(reason, ErrorKind::Overloaded, "the queue of " + model.service + " is too long for what team " + team.name + " used of its share");
+        reason.retryAfter = *wait;
+        return false;
+    }
+    Limits::recordAdmittedWork(admittedWork, team.name, work, now);
+    return true;
+}
+
 Core::Awaitable<void> Gateway::serveModel(ModelInterface interface, HTTP::Request const& request, HTTP::ResponseWriter& writer)
 {
     Core::LastReason reason;
@@ -234,6 +262,11 @@
     Limits::recordDemand(m_node.tables.teamLimits, team, now);
     if (!Limits::admit(m_node.tables.teamLimits, team, limit, m_node.share(team), expectedTokens, now, reason))
         co_return false;
+    auto const work = Routing::workSeconds(m_node.tables.servers, model.service, hint.promptTokens, expectedTokens);
+    if (!checkOverload(model, *admission.team, work, reason)) {
+        Limits::release(m_node.tables.teamLimits, team, expectedTokens, 0);
+        co_return false;
+    }
 
     Stream::Stream stream;
     stream.requestId = admission.requestId;
--- a/Services/Node/ModelRunner.cpp
+++ b/Services/Node/ModelRunner.cpp
@@ -20,6 +20,7 @@
     Core::MonotonicTime deadline;
     std::uint32_t expectedTokens { 0 };
     std::uint32_t priority { 0 };
+    Routing::WorkLength length { Routing::WorkLength::Ordinary };
     /// Of failed attempts; cleared when no other server is left.
     std::vector<std::string> excludedServers;
     unsigned attempts { 0 };
@@ -32,6 +33,7 @@
     Core::Endpoint endpoint;
     Core::MonotonicTime lastTokenAt;
     std::size_t tokensOfAttempt { 0 };
+    double firstTokenSeconds { 0 };
     /// Exported from the previous server and imported at one that must then be used.
     std::string stateHandle;
     std::optional<Routing::ServerChoice> importedAt;
@@ -83,8 +85,11 @@
     return { team, model.service, static_cast<std::uint32_t>(model.promptTokens.size()), model.maximumTokens };
 }
 
-static std::uint32_t priorityOf(std::uint32_t expectedTokens, std::size_t generatedTokens)
+static std::uint32_t priorityOf(Routing::Scheduling scheduling, std::uint32_t expectedTokens, std::size_t generatedTokens)
 {
+    static constexpr std::uint32_t onlyPriority = 4;
+    if (scheduling == Routing::Scheduling::ArrivalOrder)
+        return onlyPriority;
     auto const remaining = expectedTokens > generatedTokens ? expectedTokens - generatedTokens : 0;
     return Routing::priorityForRemaining(static_cast<std::uint32_t>(remaining));
 }
@@ -120,6 +125,8 @@
     auto const deadlineWall = Core::WallTime(std::chrono::milliseconds(attempt.model.deadlineMilliseconds));
     attempt.deadline = m_runtime.now() + std::chrono::duration_cast<Core::Duration>(deadlineWall - m_runtime.wallNow());
     attempt.expectedTokens = m_tables.lengths.estimate(lengthHint(stream->team, attempt.model));
+    auto const work = Routing::workSeconds(m_tables.servers, attempt.model.service, static_cast<std::uint32_t>(attempt.model.promptTokens.size()), attempt.expectedTokens);
+    attempt.length = Routing::recordWork(m_tables.workMixes[attempt.model.service], work, m_runtime.now());
     retryBudgetFor(m_tables, attempt.model.service).recordRequest(m_runtime.now());
 
     while (servedStream(attempt)) {
@@ -182,6 +189,10 @@
     request.prefixHashes = Routing::prefixHashes(attempt.model.promptTokens);
     request.excludedServers = attempt.excludedServers;
     request.policy = m_settings.policy;
+    request.length = attempt.length;
+    // First come, first served knows no lengths.
+    if (m_settings.scheduling == Routing::Scheduling::ShortestFirst)
+        request.longShare = Routing::longShare(m_tables.workMixes[attempt.model.service]);
     auto apart = request;
     auto const others = serversWithOtherSuspects(attempt);
     apart.excludedServers.insert(apart.excludedServers.end(), others.begin(), others.end());
@@ -211,7 +222,7 @@
     call.requestId = attempt.requestId;
     call.attemptId = attempt.attemptId;
     call.generatedTokens = stream->tokens;
-    attempt.priority = priorityOf(attempt.expectedTokens, stream->tokens.size());
+    attempt.priority = priorityOf(m_settings.scheduling, attempt.expectedTokens, stream->tokens.size());
     call.priority = attempt.priority;
     call.stateHandle = std::exchange(attempt.stateHandle, "");
 
@@ -242,7 +253,7 @@
 {
     while (true) {
         // The first token may wait in the engine's queue; later ones may not.
-        auto const stallDeadline = m_runtime.now() + m_settings.stallTimeout * (attempt.tokensOfAttempt > 0 ? 1 : 4);
+        auto const stallDeadline = attempt.lastTokenAt + m_settings.stallTimeout * (attempt.tokensOfAttempt > 0 ? 1 : 4);
         auto const progress = co_await completion.read(std::min(attempt.deadline, stallDeadline), attempt.lastReason);
         auto* stream = servedStream(attempt);
         if (!stream)
@@ -258,8 +269,9 @@
             m_replicator.streamChanged(*stream);
             co_return AttemptOutcome::Ended;
         }
-        m_replicator.streamChanged(*stream);
-        if (shouldMove(attempt))
+        if (!progress->tokens.empty())
+            m_replicator.streamChanged(*stream);
+        if (shouldMove(attempt) || givesUpFirstToken(attempt))
             co_return AttemptOutcome::Moved;
         co_await demoteIfOverdue(attempt);
     }
@@ -274,8 +286,17 @@
     for (auto const& token : progress.tokens)
         m_streams.appendToken(*stream, token);
     auto* row = Routing::findServer(m_tables.servers, attempt.serverId);
+    auto const elapsed = std::chrono::duration<double>(now - attempt.lastTokenAt).count();
+    if (attempt.tokensOfAttempt == 0) {
+        attempt.firstTokenSeconds = elapsed;
+        if (attempt.length == Routing::WorkLength::Ordinary)
+            Routing::recordDelay(m_tables.servers.firstTokenDelays[attempt.model.service], elapsed);
+        // The prompt is cached once it is prefilled; the end of a long answer would be much later.
+        for (auto const hash : Routing::prefixHashes(attempt.model.promptTokens))
+            m_tables.prefixes.recordStored(attempt.serverId, hash);
+    }
     if (row && attempt.tokensOfAttempt > 0) {
-        auto const seconds = std::chrono::duration<double>(now - attempt.lastTokenAt).count() / static_cast<double>(progress.tokens.size());
+        auto const seconds = elapsed / static_cast<double>(progress.tokens.size());
         Routing::recordObservation(*row, seconds, now);
     }
     if (row)
@@ -289,9 +310,9 @@
 {
     auto const* stream = m_streams.find(attempt.requestId);
     m_tables.lengths.recordFinished(lengthHint(stream->team, attempt.model), static_cast<std::uint32_t>(stream->tokens.size()));
+    if (auto const* row = Routing::findServer(m_tables.servers, attempt.serverId); row && row->pace == Routing::Pace::Normal)
+        Routing::recordPrefill(m_tables.servers, attempt.model.service, end.prefilledTokens, attempt.firstTokenSeconds - row->observation.secondsPerUnit);
     Limits::recordFinished(m_tables.quarantine, attempt.fingerprint);
-    for (auto const hash : Routing::prefixHashes(attempt.model.promptTokens))
-        m_tables.prefixes.recordStored(attempt.serverId, hash);
     m_metrics.counter("hyssopstep_cached_tokens_total", { { "service", attempt.model.service } }).add(end.cachedTokens);
     m_metrics.counter("hyssopstep_prefilled_tokens_total", { { "service", attempt.model.service } }).add(end.prefilledTokens);
     m_decisions.add(attempt.requestId, "finished at " + attempt.serverId + ": cached=" + std::to_string(end.cachedTokens) + " prefilled=" + std::to_string(end.prefilledTokens));
@@ -332,16 +353,39 @@
         return false;
     if (row->lifecycle == Routing::Lifecycle::Leaving || row->incarnation != attempt.serverIncarnation)
         return true;
+    if (m_settings.policy != Routing::RoutingPolicy::PredictedTime)
+        return false;
     auto const* stream = m_streams.find(attempt.requestId);
     bool const longRest = stream && attempt.expectedTokens > stream->tokens.size() + tokensWorthMoving;
     return row->pace == Routing::Pace::Straggler && longRest && attempt.moves == 0;
 }
 
+// A short request whose first token is unusually late is sent to another server, within the retry budget. The first server is
+// probably a straggler that the load reports do not show yet, or busy with a long prompt.
+bool ModelRunner::givesUpFirstToken(Attempt const& attempt)
+{
+    if (m_settings.policy != Routing::RoutingPolicy::PredictedTime || attempt.length == Routing::WorkLength::Long)
+        return false;
+    if (attempt.tokensOfAttempt > 0 || attempt.moves > 0)
+        return false;
+    auto const now = m_runtime.now();
+    auto& delays = m_tables.servers.firstTokenDelays[attempt.model.service];
+    auto const unusual = Routing::unusualDelay(delays);
+    auto const elapsed = std::chrono::duration<double>(now - attempt.lastTokenAt).count();
+    if (!unusual || elapsed < *unusual || !retryBudgetFor(m_tables, attempt.model.service).tryTake(now))
+        return false;
+    Routing::recordDelay(delays, elapsed);
+    m_metrics.counter("hyssopstep_first_tokens_given_up_total", { { "service", attempt.model.service } }).add();
+    return true;
+}
+
 // On failure the rest is generated from the prompt and the tokens so far, at any server.
 Core::Awaitable<void> ModelRunner::moveState(Attempt& attempt)
 {
     ++attempt.moves;
     attempt.excludedServers = { attempt.serverId };
+    if (m_settings.attentionState == AttentionState::Recompute || attempt.tokensOfAttempt == 0)
+        co_return;
     Core::LastReason reason;
     auto state = co_await m_engines.exportState(attempt.endpoint, attempt.attemptId, m_runtime.now() + m_settings.stateCallTimeout, reason);
     m_decisions.add(attempt.requestId, "moves away from " + attempt.serverId + (state ? " with its attention state" : " without its attention state: " + reason.message));
@@ -367,7 +411,7 @@
     if (generated < attempt.expectedTokens)
         co_return;
     attempt.expectedTokens = Routing::correctedEstimate(attempt.expectedTokens, generated, attempt.model.maximumTokens);
-    auto const priority = priorityOf(attempt.expectedTokens, generated);
+    auto const priority = priorityOf(m_settings.scheduling, attempt.expectedTokens, generated);
     if (priority <= attempt.priority)
         co_return;
     attempt.priority = priority;
--- a/Services/Node/NodeService.cpp
+++ b/Services/Node/NodeService.cpp
@@ -154,6 +154,8 @@
     runnerSettings.nodeId = m_settings.nodeId;
     runnerSettings.dataCentre = m_settings.dataCentre;
     runnerSettings.policy = m_settings.routingPolicy;
+    runnerSettings.scheduling = m_settings.scheduling;
+    runnerSettings.attentionState = m_settings.attentionState;
     parts.runner = std::make_unique<ModelRunner>(m_runtime, parts.engines, parts.tables, parts.streams, *parts.replicator, parts.decisions, parts.random, parts.metrics, std::move(runnerSettings));
     parts.runner->onQuarantined([this](Limits::RequestFingerprint fingerprint) { m_parts->membership->quarantine(std::to_string(fingerprint), 1h); });
     parts.takeOver = std::make_unique<StreamTakeOver>(m_runtime, parts.streams, *parts.replicator, *parts.runner, *parts.streamPeers, parts.decisions, m_settings.nodeId);
@@ -177,7 +179,7 @@
         m_runtime, parts.tables, parts.streams, *parts.replicator, *parts.takeOver, *parts.runner, *parts.services, parts.decisions, parts.random, parts.metrics,
         [this](std::string const& team) { return shareOf(team); },
         [this](Limits::RequestFingerprint fingerprint) { return m_parts->membership->isQuarantined(std::to_string(fingerprint)); },
-        m_settings.nodeId, m_settings.dataCentre
+        m_settings.nodeId, m_settings.dataCentre, m_settings.shedding
     };
     parts.gateway = std::make_unique<Gateway>(std::move(gateway));
     parts.operatorEndpoint = std::make_unique<OperatorEndpoint>(operatorDependencies());
@@ -257,6 +259,7 @@
 void NodeService::tick()
 {
     auto const now = m_runtime.now();
+    Routing::updateAssumedLoads(m_parts->tables.servers, now);
     Routing::updatePaces(m_parts->tables.servers, now);
     Limits::expire(m_parts->tables.quarantine, now);
     m_parts->streams.expire();
--- a/Services/Node/NodeTables.h
+++ b/Services/Node/NodeTables.h
@@ -3,10 +3,12 @@
 #include <LibConfiguration/DesiredState.h>
 #include <LibLimits/QuarantineTable.h>
 #include <LibLimits/RetryBudget.h>
+#include <LibLimits/Shedding.h>
 #include <LibLimits/TeamLimitTable.h>
 #include <LibRouting/LengthEstimator.h>
 #include <LibRouting/PrefixIndex.h>
 #include <LibRouting/ServerTable.h>
+#include <LibRouting/WorkMix.h>
 #include <map>
 #include <set>
 #include <string>
@@ -32,6 +34,10 @@
     Routing::ServerTable servers;
     Routing::PrefixIndex prefixes { 200'000 };
     Routing::LengthEstimator lengths;
+    /// By model.
+    std::map<std::string, Routing::WorkMix> workMixes;
+    /// By model.
+    std::map<std::string, Limits::WorkByTeam> admittedWork;
     Limits::TeamLimitTable teamLimits;
     Limits::QuarantineTable quarantine;
     std::map<std::string, ServerBatch> batches;
--- a/Utilities/Load/LoadRunner.cpp
+++ b/Utilities/Load/LoadRunner.cpp
@@ -144,6 +144,8 @@
         statistics.failedTotal.record(microseconds(total));
     } else {
         ++statistics.succeeded;
+        statistics.promptTokens += call.planned.promptTokens;
+        statistics.sharedPrefixTokens += call.planned.sharedPrefixTokens;
         statistics.total.record(microseconds(total));
         auto const deadline = std::chrono::milliseconds(m_mix.classes[call.classIndex].deadlineMs);
         statistics.late += deadline > 0ms && total > deadline ? 1 : 0;
@@ -287,7 +289,7 @@
             break;
         co_await m_runtime.sleepFor(resumeDelay);
         ++statisticsOf(call).resumed;
-        request = { "GET", "/v1/requests/" + call.requestId + "?from=" + std::to_string(answer.lastEventId), {}, {} };
+        request = { "GET", "/v1/requests/" + call.requestId + "?from=" + answer.lastEventId, {}, {} };
         if (!call.planned.bearerKey.empty())
             request.headers.set("Authorization", "Bearer " + call.planned.bearerKey);
     }
