Node: Control the fleet under a lease

Nothing started, drained or commanded hosts. The holder observes the demand from load reports and team usage, plans, writes starts and drains to fleetdecisions/current by one conditional update before it acts, starts and stops hosts and commands engines. The lease and its remaining time are checked before each effect. A start whose answer is lost stays in the record and is not repeated until the host list shows a host that can be its own, or 10 min have passed. Services name the machine classes that can run them; without any, their hosts are left alone. The engine stand-in leaves in the role "leaving".

Trials on a scratch copy, each seen failing for its cause: control without a valid lease (twice), no wait of the successor, a lost start that is forgotten at once or by the next holder, refusals not recorded, hosts stopped while they work, engines not told to leave.

--- a/Libraries/LibConfiguration/DesiredState.h
+++ b/Libraries/LibConfiguration/DesiredState.h
@@ -73,6 +73,8 @@
     /// The least number of backend servers, over all places.
     std::uint32_t minimumServers { 1 };
     std::uint32_t maximumServers { 1 };
+    /// The classes of machines that can run the service. Without any, fleet control leaves its hosts alone.
+    std::vector<std::string> machineClasses;
 
     bool operator==(Service const&) const = default;
 };
--- a/Libraries/LibConfiguration/Schema.h
+++ b/Libraries/LibConfiguration/Schema.h
@@ -110,6 +110,7 @@
     visitor.number("importance", service.importance, { 0, 100, "(higher is more important)" }, Presence::Optional);
     visitor.number("minimumServers", service.minimumServers, { 0, 10000, "servers" }, Presence::Optional);
     visitor.number("maximumServers", service.maximumServers, { 1, 10000, "servers" }, Presence::Optional);
+    visitor.texts("machineClasses", service.machineClasses, nameRule, ListLimit { 256 }, Presence::Optional);
 }
 
 template <typename Visitor>
--- /dev/null
+++ b/Services/Node/FleetController.cpp
@@ -0,0 +1,408 @@
+#include <Node/FleetController.h>
+
+#include <LibCore/Log.h>
+#include <algorithm>
+
+namespace Node {
+
+static Platform::ObjectKey const recordKey { "fleetdecisions", "current" };
+
+FleetController::FleetController(FleetDependencies dependencies, FleetControllerSettings settings)
+    : m_dependencies(std::move(dependencies))
+    , m_runtime(m_dependencies.runtime)
+    , m_settings(settings)
+    , m_keeper(m_runtime, m_dependencies.store, m_dependencies.random, m_dependencies.metrics, "fleet", m_dependencies.nodeId, m_settings.lease)
+    , m_engines(m_dependencies.backends)
+{
+}
+
+void FleetController::start()
+{
+    m_running = true;
+    m_keeper.start();
+    m_runtime.spawn(run());
+}
+
+Core::Awaitable<void> FleetController::stop()
+{
+    m_running = false;
+    co_await m_keeper.stop();
+}
+
+Core::Awaitable<void> FleetController::run()
+{
+    while (m_running) {
+        auto const epoch = m_keeper.lease().epoch();
+        if (epoch && *epoch != m_epoch)
+            beginEpoch(*epoch);
+        if (epoch)
+            co_await runRound();
+        co_await m_runtime.sleepFor(m_settings.planInterval);
+    }
+}
+
+void FleetController::beginEpoch(std::uint64_t epoch)
+{
+    m_epoch = epoch;
+    m_heldSince = m_runtime.now();
+    m_demand = std::make_unique<DemandObserver>(m_settings.demand);
+    m_record.reset();
+    m_unsentStarts.clear();
+    m_firstSeen.clear();
+    m_unreachableSince.clear();
+    m_confirmed.clear();
+    m_sentCommands.clear();
+    m_stoppedAt.clear();
+    m_shortServices.clear();
+    Core::logEvent(Core::LogLevel::Info, "fleet_control_begins", { { "epoch", epoch } });
+}
+
+// Checked right before each effect, since a pause may have come since the last check.
+bool FleetController::mayAct() const
+{
+    return m_running && m_keeper.lease().epoch() == m_epoch && m_keeper.lease().remaining() > m_settings.effectTimeout;
+}
+
+Fleet::LeaseView FleetController::leaseView() const
+{
+    auto const epoch = m_keeper.lease().epoch();
+    if (!m_running || epoch != m_epoch)
+        return {};
+    return { m_epoch, m_keeper.lease().remaining(), m_runtime.now() - m_heldSince };
+}
+
+std::int64_t FleetController::wallMilliseconds() const
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(m_runtime.wallNow().time_since_epoch()).count();
+}
+
+Core::MonotonicTime FleetController::monotonicTime(std::int64_t wall) const
+{
+    return m_runtime.now() - std::chrono::milliseconds(wallMilliseconds() - wall);
+}
+
+void FleetController::logDecision(Fleet::FleetDecision const& decision)
+{
+    Core::logEvent(Core::LogLevel::Info, "fleet_decision", { { "epoch", decision.epoch }, { "subject", decision.subject }, { "decision", decision.text } });
+    m_dependencies.decisions.add(decision.subject, decision.text);
+}
+
+void FleetController::decide(std::string subject, std::string text)
+{
+    Fleet::FleetDecision decision { wallMilliseconds(), m_epoch, std::move(subject), std::move(text) };
+    logDecision(decision);
+    Fleet::addDecision(*m_record, std::move(decision));
+}
+
+Core::Awaitable<void> FleetController::runRound()
+{
+    bool const isLoaded = co_await loadRecord();
+    if (!isLoaded)
+        co_return;
+    Core::LastReason reason;
+    auto const hosts = co_await m_dependencies.cloud.hosts(m_runtime.now() + m_settings.readTimeout, reason);
+    if (!hosts || !mayAct())
+        co_return;
+    plan(*hosts);
+    bool const isWritten = co_await writeRecord();
+    if (!isWritten)
+        co_return;
+    markDrains();
+    co_await startHosts();
+    co_await stopDrainedHosts();
+    commandEngines(*hosts);
+}
+
+Core::Awaitable<bool> FleetController::loadRecord()
+{
+    if (m_record)
+        co_return true;
+    Core::LastReason reason;
+    auto const stored = co_await m_dependencies.store.read(recordKey, m_runtime.now() + m_settings.readTimeout, reason);
+    if (!stored && reason.kind != Core::ErrorKind::NotFound)
+        co_return false;
+    Fleet::FleetRecord record;
+    if (stored) {
+        auto decoded = Fleet::decodeFleetRecord(stored->value, reason);
+        if (!decoded) {
+            Core::logEvent(Core::LogLevel::Error, "fleet_record_unreadable", { { "reason", reason.message } });
+            co_return false;
+        }
+        record = std::move(*decoded);
+    }
+    if (record.epoch > m_epoch || !mayAct())
+        co_return false;
+    m_stored = record;
+    m_storedVersion = stored ? stored->resourceVersion : 0;
+    // Planned in this epoch, but the write's answer was lost, so the calls were never made.
+    std::erase_if(record.starts, [&](auto const& start) { return std::find(m_unsentStarts.begin(), m_unsentStarts.end(), start.token) != m_unsentStarts.end(); });
+    m_unsentStarts.clear();
+    record.epoch = m_epoch;
+    m_record = std::move(record);
+    co_return true;
+}
+
+// Writes the record if it changed. A lost answer is resolved by reading back; if that fails too, the round has no effects
+// and the next one loads the record again.
+Core::Awaitable<bool> FleetController::writeRecord()
+{
+    m_record->writeId = m_stored.writeId;
+    if (*m_record == m_stored)
+        co_return mayAct();
+    m_record->writeId = m_dependencies.nodeId + "." + std::to_string(m_dependencies.random.bits());
+    auto const value = Fleet::encodeFleetRecord(*m_record);
+    auto const deadline = m_runtime.now() + m_settings.readTimeout;
+    Core::LastReason reason;
+    std::optional<std::uint64_t> version;
+    if (m_storedVersion == 0)
+        version = co_await m_dependencies.store.create(recordKey, value, deadline, reason);
+    else
+        version = co_await m_dependencies.store.update(recordKey, value, m_storedVersion, deadline, reason);
+    if (!version && reason.runState != Core::RunState::NotRun) {
+        auto const stored = co_await m_dependencies.store.read(recordKey, m_runtime.now() + m_settings.readTimeout, reason);
+        if (stored && stored->value == value)
+            version = stored->resourceVersion;
+    }
+    if (!version) {
+        Core::logEvent(Core::LogLevel::Warning, "fleet_record_not_written", { { "reason", reason.message } });
+        m_record.reset();
+        co_return false;
+    }
+    m_stored = *m_record;
+    m_storedVersion = *version;
+    co_return mayAct();
+}
+
+Fleet::DrainRecord const* FleetController::findDrain(std::string const& hostId) const
+{
+    auto const found = std::find_if(m_record->drains.begin(), m_record->drains.end(), [&](auto const& drain) { return drain.hostId == hostId; });
+    return found == m_record->drains.end() ? nullptr : &*found;
+}
+
+std::vector<Fleet::FleetHost> FleetController::fleetHosts(std::vector<Platform::Host> const& hosts)
+{
+    std::vector<Fleet::FleetHost> result;
+    for (auto const& host : hosts) {
+        if (host.role != Platform::HostRole::Backend)
+            continue;
+        auto const* service = Configuration::findService(m_dependencies.tables.configuration.desired, host.service);
+        auto const* row = Routing::findServer(m_dependencies.tables.servers, host.id);
+        auto phase = Fleet::HostPhase::Running;
+        // An engine that never reported its load is not serving yet.
+        if (service && service->kind == Configuration::ServiceKind::Model && (!row || !row->report))
+            phase = Fleet::HostPhase::Starting;
+        if (host.state == Platform::HostState::Leaving || (row && row->lifecycle == Routing::Lifecycle::Leaving) || findDrain(host.id))
+            phase = Fleet::HostPhase::Leaving;
+        auto const firstSeen = m_firstSeen.try_emplace(host.id, m_runtime.now()).first->second;
+        result.push_back({ host.id, host.service, Fleet::poolOf(host), phase, firstSeen });
+    }
+    for (auto const& start : m_record->starts)
+        result.push_back({ start.token, start.request.service, Fleet::poolOf(start.request), Fleet::HostPhase::Starting, monotonicTime(start.askedAtMilliseconds) });
+    return result;
+}
+
+void FleetController::plan(std::vector<Platform::Host> const& hosts)
+{
+    for (auto const& decision : Fleet::reconcile(*m_record, hosts, wallMilliseconds(), m_settings.startExpiry))
+        logDecision(decision);
+    auto const& desired = m_dependencies.tables.configuration.desired;
+    m_demand->observe(m_dependencies.tables, hosts, m_dependencies.teamDemand, m_runtime.now());
+    Fleet::FleetInputs inputs { m_demand->demands(desired, m_runtime.now()), desired.places, fleetHosts(hosts), {}, m_runtime.now(), m_settings.policy };
+    for (auto const& refusal : m_record->refusals)
+        inputs.refusals.push_back({ refusal.pool, monotonicTime(refusal.lastAtMilliseconds), refusal.count });
+    auto const plan = Fleet::planFleet(inputs);
+    for (auto const& start : plan.starts) {
+        Fleet::StartRecord record { "start-" + std::to_string(m_epoch) + "-" + std::to_string(++m_nextToken), start.request, wallMilliseconds(), Fleet::StartState::Asked, {}, {} };
+        for (auto const& host : hosts) {
+            if (host.service == start.request.service && Fleet::poolOf(host) == Fleet::poolOf(start.request))
+                record.listedBefore.push_back(host.id);
+        }
+        decide(record.token, "start: " + start.reason);
+        m_unsentStarts.push_back(record.token);
+        m_record->starts.push_back(std::move(record));
+    }
+    for (auto const& drain : plan.drains) {
+        auto const host = std::find_if(hosts.begin(), hosts.end(), [&](auto const& candidate) { return candidate.id == drain.hostId; });
+        if (host == hosts.end())
+            continue;
+        decide(drain.hostId, "drain: " + drain.reason);
+        m_record->drains.push_back({ drain.hostId, host->incarnation, wallMilliseconds(), drain.reason });
+    }
+    // A shortage lasts, so only its beginning is recorded.
+    std::set<std::string> shortServices;
+    for (auto const& shortage : plan.shortages) {
+        shortServices.insert(shortage.service);
+        if (m_shortServices.contains(shortage.service))
+            continue;
+        decide(shortage.service, "shortage: " + shortage.reason);
+    }
+    m_shortServices = std::move(shortServices);
+}
+
+void FleetController::markDrains()
+{
+    for (auto const& drain : m_record->drains)
+        m_dependencies.markLeaving(drain.hostId, drain.incarnation);
+}
+
+Core::Awaitable<void> FleetController::startHosts()
+{
+    auto const tokens = m_unsentStarts;
+    std::set<Fleet::Pool> refused;
+    for (auto const& token : tokens) {
+        auto const find = [&] { return std::find_if(m_record->starts.begin(), m_record->starts.end(), [&](auto const& start) { return start.token == token; }); };
+        auto const pool = Fleet::poolOf(find()->request);
+        if (!mayAct())
+            co_return;
+        if (refused.contains(pool)) {
+            decide(token, "not asked for, since " + Fleet::describe(pool) + " was just refused");
+            m_record->starts.erase(find());
+        } else {
+            co_await startHost(token);
+            bool const isRefused = std::any_of(m_record->refusals.begin(), m_record->refusals.end(), [&](auto const& refusal) { return refusal.pool == pool; });
+            if (isRefused)
+                refused.insert(pool);
+        }
+        std::erase(m_unsentStarts, token);
+    }
+}
+
+Core::Awaitable<void> FleetController::startHost(std::string token)
+{
+    auto const find = [&] { return std::find_if(m_record->starts.begin(), m_record->starts.end(), [&](auto const& start) { return start.token == token; }); };
+    auto const request = find()->request;
+    auto const pool = Fleet::poolOf(request);
+    Core::LastReason reason;
+    auto const id = co_await m_dependencies.cloud.startHost(request, m_runtime.now() + m_settings.effectTimeout, reason);
+    auto const start = find();
+    if (id) {
+        start->state = Fleet::StartState::Granted;
+        start->hostId = *id;
+        Fleet::recordGrant(*m_record, pool);
+        decide(*id, "granted as " + token + ", " + Fleet::describe(pool));
+        co_return;
+    }
+    if (reason.kind == Core::ErrorKind::NoServerAvailable) {
+        Fleet::recordRefusal(*m_record, pool, wallMilliseconds());
+        decide(token, "refused: " + Fleet::describe(pool));
+        m_record->starts.erase(start);
+    } else if (reason.runState == Core::RunState::NotRun) {
+        decide(token, "not asked for: " + reason.message);
+        m_record->starts.erase(start);
+    } else {
+        decide(token, "may have been started, and is not asked for again before the host list shows whether it was: " + reason.message);
+    }
+}
+
+Core::Awaitable<void> FleetController::stopDrainedHosts()
+{
+    auto const drains = m_record->drains;
+    for (auto const& drain : drains) {
+        if (wallMilliseconds() - drain.sinceMilliseconds >= m_settings.drainSettleTime.count())
+            co_await stopIfIdle(drain);
+    }
+}
+
+// A host is stopped only if it was heard to have no work, or was silent for long.
+Core::Awaitable<void> FleetController::stopIfIdle(Fleet::DrainRecord drain)
+{
+    auto const* row = Routing::findServer(m_dependencies.tables.servers, drain.hostId);
+    if (!row || row->outstanding > 0 || !mayAct())
+        co_return;
+    // The host list still shows a stopped host for a while.
+    auto const stopped = m_stoppedAt.find(drain.hostId);
+    if (stopped != m_stoppedAt.end() && m_runtime.now() - stopped->second < m_settings.stopRetryInterval)
+        co_return;
+    auto const endpoint = row->endpoint;
+    auto const* service = Configuration::findService(m_dependencies.tables.configuration.desired, row->service);
+    auto const kind = service && service->kind == Configuration::ServiceKind::Model ? ServerKind::Engine : ServerKind::PlainService;
+    Core::LastReason reason;
+    auto const load = co_await m_engines.load(endpoint, kind, m_runtime.now() + m_settings.effectTimeout, reason);
+    auto const since = m_unreachableSince.try_emplace(drain.hostId, m_runtime.now()).first->second;
+    if (load)
+        m_unreachableSince.erase(drain.hostId);
+    bool const isIdle = load && load->running == 0 && load->waiting == 0 && (load->isLeaving || kind == ServerKind::PlainService);
+    bool const isGone = !load && m_runtime.now() - since >= m_settings.unreachableTime;
+    if (!(isIdle || isGone) || !mayAct())
+        co_return;
+    decide(drain.hostId, isIdle ? "stop: it has no work left" : "stop: it was not reached for long");
+    bool const isStopped = co_await m_dependencies.cloud.stopHost(drain.hostId, m_runtime.now() + m_settings.effectTimeout, reason);
+    m_stoppedAt[drain.hostId] = m_runtime.now();
+    if (!isStopped && reason.kind != Core::ErrorKind::NotFound)
+        decide(drain.hostId, "the stop failed and will be repeated: " + reason.message);
+}
+
+std::vector<Fleet::DesiredEngine> FleetController::desiredEngines(std::vector<Platform::Host> const& hosts) const
+{
+    std::vector<Fleet::DesiredEngine> desired;
+    for (auto const& service : m_dependencies.tables.configuration.desired.services) {
+        if (service.kind != Configuration::ServiceKind::Model || service.machineClasses.empty())
+            continue;
+        std::vector<std::string> versions;
+        auto const first = desired.size();
+        for (auto const& host : hosts) {
+            auto const* row = Routing::findServer(m_dependencies.tables.servers, host.id);
+            if (host.service != service.name || !row)
+                continue;
+            bool const isDrained = findDrain(host.id) != nullptr;
+            // Engines that leave for another reason need no command.
+            if (!isDrained && row->lifecycle == Routing::Lifecycle::Leaving)
+                continue;
+            desired.push_back({ host.id, row->incarnation, std::string(isDrained ? Fleet::leavingRole : Fleet::servingRole), {} });
+            auto const confirmed = m_confirmed.find({ host.id, row->incarnation });
+            versions.push_back(confirmed != m_confirmed.end() && !confirmed->second.version.empty() ? confirmed->second.version : host.version);
+        }
+        auto const assigned = Fleet::assignVersions(service.versions, versions);
+        for (std::size_t index = 0; index < assigned.size(); ++index) {
+            if (desired[first + index].role == Fleet::servingRole)
+                desired[first + index].version = assigned[index];
+        }
+    }
+    return desired;
+}
+
+void FleetController::commandEngines(std::vector<Platform::Host> const& hosts)
+{
+    if (!m_record)
+        return;
+    auto const desired = desiredEngines(hosts);
+    std::vector<Fleet::ReportedEngine> reported;
+    for (auto const& engine : desired) {
+        auto report = m_confirmed[{ engine.serverId, engine.incarnation }];
+        report.serverId = engine.serverId;
+        report.incarnation = engine.incarnation;
+        reported.push_back(std::move(report));
+    }
+    Fleet::CommandPolicy const policy { m_settings.effectTimeout, m_settings.lease.duration, m_settings.fencing };
+    for (auto const& command : Fleet::decideCommands(desired, reported, leaseView(), policy)) {
+        auto& sent = m_sentCommands[{ command.serverId, command.kind }];
+        bool const isRepeated = sent.value == command.value && sent.incarnation == command.incarnation;
+        if (isRepeated && m_runtime.now() - sent.at < m_settings.commandRetryInterval)
+            continue;
+        sent = { command.value, command.incarnation, m_runtime.now() };
+        auto const* row = Routing::findServer(m_dependencies.tables.servers, command.serverId);
+        m_runtime.spawn(sendCommand(row->endpoint, command));
+    }
+}
+
+Core::Awaitable<void> FleetController::sendCommand(Core::Endpoint endpoint, Fleet::EngineCommand command)
+{
+    if (!mayAct())
+        co_return;
+    bool const isRole = command.kind == Fleet::EngineCommandKind::Role;
+    auto const what = std::string(isRole ? "role " : "version ") + command.value;
+    logDecision({ wallMilliseconds(), m_epoch, command.serverId, "command " + what + ": " + command.reason });
+    Core::LastReason reason;
+    bool const isDone = co_await m_engines.send(endpoint, command, m_runtime.now() + m_settings.effectTimeout, reason);
+    if (command.fencingToken != m_epoch)
+        co_return;
+    if (!isDone) {
+        Core::logEvent(Core::LogLevel::Warning, "engine_command_failed", { { "server", command.serverId }, { "command", what }, { "reason", reason.message } });
+        co_return;
+    }
+    auto& confirmed = m_confirmed[{ command.serverId, command.incarnation }];
+    (isRole ? confirmed.role : confirmed.version) = command.value;
+    (isRole ? confirmed.roleEpoch : confirmed.versionEpoch) = m_epoch;
+}
+
+}
--- /dev/null
+++ b/Services/Node/FleetController.h
@@ -0,0 +1,125 @@
+#pragma once
+
+#include <LibFleet/EngineCommands.h>
+#include <LibFleet/FleetPlan.h>
+#include <LibFleet/FleetRecord.h>
+#include <LibFleet/Lease.h>
+#include <LibPlatform/Cloud.h>
+#include <LibPlatform/ObjectStore.h>
+#include <Node/DecisionLog.h>
+#include <Node/DemandObserver.h>
+#include <Node/EngineControl.h>
+#include <map>
+#include <memory>
+#include <set>
+
+namespace Node {
+
+struct FleetControllerSettings {
+    Fleet::LeaseKeeperSettings lease;
+    Core::Duration planInterval { std::chrono::seconds(2) };
+    /// Of one call that starts or stops a host or commands an engine. The lease must outlast it when the call begins.
+    Core::Duration effectTimeout { std::chrono::seconds(1) };
+    /// Of calls that read, and of the write of the record.
+    Core::Duration readTimeout { std::chrono::seconds(2) };
+    Fleet::EngineFencing fencing { Fleet::EngineFencing::Ignored };
+    Fleet::FleetPolicy policy;
+    DemandObserverSettings demand;
+    /// A start that is not listed by then is given up. Must exceed the lag of the host list by far.
+    std::chrono::milliseconds startExpiry { std::chrono::minutes(10) };
+    /// Time for all nodes to hear that a server is leaving, before it can be stopped (I5).
+    std::chrono::milliseconds drainSettleTime { std::chrono::seconds(3) };
+    /// A draining server that cannot be reached for this time has nothing left to finish.
+    std::chrono::milliseconds unreachableTime { std::chrono::minutes(1) };
+    /// Between two stops of a host that is still listed. Should exceed the lag of the host list.
+    Core::Duration stopRetryInterval { std::chrono::seconds(30) };
+    /// Between two sends of the same command.
+    Core::Duration commandRetryInterval { std::chrono::seconds(5) };
+};
+
+/// What the controller acts through and reads. All references outlive it.
+struct FleetDependencies {
+    Core::Runtime& runtime;
+    Platform::ObjectStore& store;
+    Platform::Cloud& cloud;
+    HTTP::Client& backends;
+    NodeTables& tables;
+    DecisionLog& decisions;
+    Core::Random& random;
+    Core::Metrics& metrics;
+    TeamDemand teamDemand;
+    /// Makes a server known as leaving in the data centre.
+    std::function<void(std::string const& serverId, std::uint64_t incarnation)> markLeaving;
+    std::string nodeId;
+};
+
+/// Controls the fleet while this node holds the lease of the role "fleet", and does nothing otherwise: observes the demand,
+/// plans, starts hosts, drains and stops them, and commands engines. Each round writes its changes to the object
+/// fleetdecisions/current by one conditional update before it acts on them, so that the next holder knows of every start that
+/// may have been asked for. Must outlive its tasks, which end some time after stop(). Used from the runtime's thread only.
+class FleetController {
+public:
+    FleetController(FleetDependencies, FleetControllerSettings);
+
+    void start();
+
+    /// Stops at once and releases the lease.
+    [[nodiscard]] Core::Awaitable<void> stop();
+
+private:
+    struct SentCommand {
+        std::string value;
+        std::uint64_t incarnation { 0 };
+        Core::MonotonicTime at;
+    };
+
+    [[nodiscard]] Core::Awaitable<void> run();
+    [[nodiscard]] Core::Awaitable<void> runRound();
+    [[nodiscard]] Core::Awaitable<bool> loadRecord();
+    [[nodiscard]] Core::Awaitable<bool> writeRecord();
+    [[nodiscard]] Core::Awaitable<void> startHosts();
+    [[nodiscard]] Core::Awaitable<void> startHost(std::string token);
+    [[nodiscard]] Core::Awaitable<void> stopDrainedHosts();
+    [[nodiscard]] Core::Awaitable<void> stopIfIdle(Fleet::DrainRecord);
+    [[nodiscard]] Core::Awaitable<void> sendCommand(Core::Endpoint, Fleet::EngineCommand);
+    void beginEpoch(std::uint64_t epoch);
+    void plan(std::vector<Platform::Host> const&);
+    void commandEngines(std::vector<Platform::Host> const&);
+    void markDrains();
+    [[nodiscard]] std::vector<Fleet::FleetHost> fleetHosts(std::vector<Platform::Host> const&);
+    [[nodiscard]] std::vector<Fleet::DesiredEngine> desiredEngines(std::vector<Platform::Host> const&) const;
+    [[nodiscard]] Fleet::DrainRecord const* findDrain(std::string const& hostId) const;
+    [[nodiscard]] bool mayAct() const;
+    [[nodiscard]] Fleet::LeaseView leaseView() const;
+    [[nodiscard]] std::int64_t wallMilliseconds() const;
+    [[nodiscard]] Core::MonotonicTime monotonicTime(std::int64_t wallMilliseconds) const;
+    void decide(std::string subject, std::string text);
+    void logDecision(Fleet::FleetDecision const&);
+
+    FleetDependencies m_dependencies;
+    Core::Runtime& m_runtime;
+    FleetControllerSettings m_settings;
+    Fleet::LeaseKeeper m_keeper;
+    EngineControl m_engines;
+    bool m_running { false };
+
+    // Of the present epoch.
+    std::uint64_t m_epoch { 0 };
+    Core::MonotonicTime m_heldSince;
+    std::unique_ptr<DemandObserver> m_demand;
+    std::optional<Fleet::FleetRecord> m_record;
+    /// As it is in the store, with its version; 0 for none.
+    Fleet::FleetRecord m_stored;
+    std::uint64_t m_storedVersion { 0 };
+    /// Starts of this epoch whose call has not been made.
+    std::vector<std::string> m_unsentStarts;
+    std::map<std::string, Core::MonotonicTime> m_firstSeen;
+    std::map<std::string, Core::MonotonicTime> m_unreachableSince;
+    std::map<std::string, Core::MonotonicTime> m_stoppedAt;
+    std::map<std::pair<std::string, std::uint64_t>, Fleet::ReportedEngine> m_confirmed;
+    std::map<std::pair<std::string, Fleet::EngineCommandKind>, SentCommand> m_sentCommands;
+    std::set<std::string> m_shortServices;
+    std::uint64_t m_nextToken { 0 };
+};
+
+}
--- a/Services/Node/NodeService.cpp
+++ b/Services/Node/NodeService.cpp
@@ -2,6 +2,7 @@
 
 #include <LibConfiguration/Codec.h>
 #include <LibCore/Log.h>
+#include <Node/FleetController.h>
 #include <Node/NodeStatus.h>
 #include <random>
 
@@ -75,6 +76,7 @@
     std::unique_ptr<StreamTakeOver> takeOver;
     std::unique_ptr<ServiceProxy> services;
     std::unique_ptr<BackendWatcher> watcher;
+    std::unique_ptr<FleetController> fleet;
     std::unique_ptr<Gateway> gateway;
     std::unique_ptr<OperatorEndpoint> operatorEndpoint;
 };
@@ -104,6 +106,8 @@
     connectParts();
     m_parts->membership->start();
     m_parts->watcher->start();
+    if (m_parts->fleet)
+        m_parts->fleet->start();
     m_runtime.spawn(runTicks());
     m_runtime.spawn(runGarbageCollection());
     Core::logEvent(Core::LogLevel::Info, "listening", { { "interface", "operator" }, { "endpoint", operators->toString() } });
@@ -153,6 +157,9 @@
     parts.watcher->onReclaim([this](auto const& hostIds, auto reclaimAt) { handleReclaim(hostIds, reclaimAt); });
     parts.membership->onServerLeaving([this](std::string const& id, std::uint64_t serverIncarnation) { Routing::markLeaving(m_parts->tables.servers, id, serverIncarnation); });
 
+    if (m_settings.controlsFleet)
+        connectFleetController();
+
     Gateway::Dependencies gateway {
         m_runtime, parts.tables, parts.streams, *parts.replicator, *parts.takeOver, *parts.runner, *parts.services, parts.decisions, parts.random, parts.metrics,
         [this](std::string const& team) { return shareOf(team); },
@@ -163,6 +170,37 @@
     parts.operatorEndpoint = std::make_unique<OperatorEndpoint>(operatorDependencies());
 }
 
+void NodeService::connectFleetController()
+{
+    auto& parts = *m_parts;
+    FleetControllerSettings settings;
+    settings.lease.duration = m_settings.fleetLease;
+    settings.lease.interval = m_settings.fleetLease * 3 / 10;
+    settings.lease.storeCallTimeout = m_settings.fleetLease / 5;
+    settings.planInterval = m_settings.fleetInterval;
+    settings.effectTimeout = std::min<Core::Duration>(1s, m_settings.fleetLease / 10);
+    settings.commandRetryInterval = m_settings.fleetLease / 2;
+    settings.fencing = m_settings.engineFencing;
+    settings.demand.peakWindow = m_settings.fleetPeakWindow;
+    FleetDependencies dependencies {
+        m_runtime, *parts.objects, *parts.cloud, parts.backendHTTP, parts.tables, parts.decisions, parts.random, parts.metrics,
+        // Usage is known per team and within the data centre; the others are taken to be alike.
+        [this](std::string const& team) {
+            auto const& nodes = m_parts->membership->nodes();
+            auto const local = Membership::nodesOf(nodes, nodes.ownDataCentre, Membership::NodeFilter::NotDead).size();
+            auto const own = Limits::demandOf(m_parts->tables.teamLimits, team, m_runtime.now());
+            auto const sum = own + m_parts->membership->usageOfOthers(team).requestsPerSecond;
+            return sum * static_cast<double>(nodes.rows.size()) / static_cast<double>(std::max<std::size_t>(1, local));
+        },
+        [this](std::string const& id, std::uint64_t incarnation) {
+            Routing::markLeaving(m_parts->tables.servers, id, incarnation);
+            m_parts->membership->markServerLeaving(id, incarnation);
+        },
+        m_settings.nodeId
+    };
+    parts.fleet = std::make_unique<FleetController>(std::move(dependencies), settings);
+}
+
 OperatorDependencies NodeService::operatorDependencies()
 {
     auto& parts = *m_parts;
@@ -305,6 +343,9 @@
     static constexpr auto announcement = 700ms;
     static constexpr auto handOverTime = 1s;
     m_parts->tables.phase = NodePhase::Draining;
+    // The role goes to another node at once.
+    if (m_parts->fleet)
+        m_runtime.spawn(m_parts->fleet->stop());
     m_parts->membership->setLeaving();
     auto const startedAt = m_runtime.now();
     Core::logEvent(Core::LogLevel::Info, "drain_started", { { "streams", runningStreams(m_parts->streams) }, { "requests", m_parts->clientServer.requestsInProgress() } });
--- a/Services/Node/NodeService.h
+++ b/Services/Node/NodeService.h
@@ -52,6 +52,7 @@
     [[nodiscard]] Core::Awaitable<void> runDrain();
     [[nodiscard]] Core::Awaitable<void> runGarbageCollection();
     void tick();
+    void connectFleetController();
     void moveReplicasFromLostNodes();
     void publishUsage();
     [[nodiscard]] double shareOf(std::string const& team) const;
--- a/Services/Node/NodeSettings.cpp
+++ b/Services/Node/NodeSettings.cpp
@@ -15,6 +15,11 @@
 DEFINE_int32(drain_timeout_ms, 300000, "milliseconds that requests in progress get to finish in a graceful stop before they are handed over");
 DEFINE_int32(reclaim_margin_ms, 1500, "milliseconds before an announced reclaim at which requests in progress are handed over");
 DEFINE_string(routing_policy, "predicted_time", "predicted_time, or least_outstanding as a baseline for measurements");
+DEFINE_string(fleet_control, "off", "on: this node is a candidate for fleet control, which starts and stops hosts; off: it is not");
+DEFINE_int32(fleet_lease_ms, 10000, "milliseconds of the fleet lease; the same on all nodes");
+DEFINE_int32(fleet_interval_ms, 2000, "milliseconds between two planning rounds");
+DEFINE_int32(fleet_peak_window_ms, 900000, "milliseconds for which a peak of the demand counts; no host is drained before the demand was observed that long");
+DEFINE_string(engine_fencing, "ignored", "checked if all engines refuse commands with old fencing tokens, else ignored");
 DEFINE_string(log_level, "info", "debug, info, warning or error");
 
 namespace Node {
@@ -64,6 +69,22 @@
         settings.routingPolicy = Routing::RoutingPolicy::LeastOutstanding;
     else if (FLAGS_routing_policy != "predicted_time")
         checker.addFault("routing_policy", FLAGS_routing_policy, "predicted_time or least_outstanding");
+    static constexpr std::int64_t shortestLease = 500;
+    static constexpr std::int64_t minuteInMilliseconds = 60'000;
+    checker.checkRange("fleet_lease_ms", FLAGS_fleet_lease_ms, shortestLease, minuteInMilliseconds, "milliseconds");
+    checker.checkRange("fleet_interval_ms", FLAGS_fleet_interval_ms, 10, minuteInMilliseconds, "milliseconds");
+    checker.checkRange("fleet_peak_window_ms", FLAGS_fleet_peak_window_ms, 0, 24 * hourInMilliseconds, "milliseconds");
+    settings.fleetLease = std::chrono::milliseconds(FLAGS_fleet_lease_ms);
+    settings.fleetInterval = std::chrono::milliseconds(FLAGS_fleet_interval_ms);
+    settings.fleetPeakWindow = std::chrono::milliseconds(FLAGS_fleet_peak_window_ms);
+    if (FLAGS_fleet_control == "on")
+        settings.controlsFleet = true;
+    else if (FLAGS_fleet_control != "off")
+        checker.addFault("fleet_control", FLAGS_fleet_control, "on or off");
+    if (FLAGS_engine_fencing == "checked")
+        settings.engineFencing = Fleet::EngineFencing::Checked;
+    else if (FLAGS_engine_fencing != "ignored")
+        checker.addFault("engine_fencing", FLAGS_engine_fencing, "checked or ignored");
     settings.operatorKeyDigest = FLAGS_operator_key_digest;
     faults.insert(faults.end(), checker.faults().begin(), checker.faults().end());
     return settings;
--- a/Services/Node/NodeSettings.h
+++ b/Services/Node/NodeSettings.h
@@ -2,6 +2,7 @@
 
 #include <LibCore/Endpoint.h>
 #include <LibCore/Runtime.h>
+#include <LibFleet/EngineCommands.h>
 #include <LibRouting/ServerChoice.h>
 #include <string>
 #include <vector>
@@ -22,6 +23,12 @@
     Core::Duration reclaimMargin { std::chrono::milliseconds(1500) };
     Routing::RoutingPolicy routingPolicy { Routing::RoutingPolicy::PredictedTime };
     std::string operatorKeyDigest;
+    /// Whether this node is a candidate for fleet control.
+    bool controlsFleet { false };
+    std::chrono::milliseconds fleetLease { 10000 };
+    std::chrono::milliseconds fleetInterval { 2000 };
+    std::chrono::milliseconds fleetPeakWindow { 900000 };
+    Fleet::EngineFencing engineFencing { Fleet::EngineFencing::Ignored };
 
     bool operator==(NodeSettings const&) const = default;
 };
--- a/Tests/StandIns/Engine.cpp
+++ b/Tests/StandIns/Engine.cpp
@@ -281,6 +281,7 @@
             m_version.clear();
     } else if (name == "role") {
         m_role = textMember(body, "role");
+        m_leaving = m_leaving || m_role == "leaving";
     } else {
         co_return co_await sendError(writer, 400, "there is no such command");
     }
