--- a/Services/Node/NodeService.h
+++ b/Services/Node/NodeService.h
@@ -54,6 +54,7 @@
     [[nodiscard]] Core::Awaitable<void> runDrain();
     [[nodiscard]] Core::Awaitable<void> runGarbageCollection();
     void tick();
+    void connectFleetController();
     void moveReplicasFromLostNodes();
     void publishUsage();
     void mergeServers(std::vector<Peer::ServerEntry> const&);
--- a/Services/Node/NodeSettings.cpp
+++ b/Services/Node/NodeSettings.cpp
@@ -18,6 +18,11 @@
 DEFINE_string(scheduling, "shortest_first", "shortest_first; fifo sends one priority for all requests, as a baseline for measurements");
 DEFINE_string(attention_state, "move", "move it when an answer continues at another engine; recompute is a baseline for measurements");
 DEFINE_string(shedding, "on", "refuse teams above their share when a model has too much work; off is a baseline for measurements");
+DEFINE_string(fleet_control, "off", "on: this node is a candidate for fleet control, which starts and stops hosts; off: it is not");
+DEFINE_int32(fleet_lease_ms, 10000, "milliseconds of the fleet lease; the same on all nodes");
+DEFINE_int32(fleet_interval_ms, 2000, "milliseconds between two planning rounds");
+DEFINE_int32(fleet_peak_window_ms, 900000, "milliseconds for which a peak of the demand counts; no host is drained before the demand was observed that long");
+DEFINE_string(engine_fencing, "ignored", "checked if all engines refuse commands with old fencing tokens, else ignored");
 DEFINE_string(log_level, "info", "debug, info, warning or error");
 
 namespace Node {
@@ -81,6 +86,22 @@
         settings.shedding = Shedding::Off;
     else if (FLAGS_shedding != "on")
         checker.addFault("shedding", FLAGS_shedding, "on or off");
+    static constexpr std::int64_t shortestLease = 500;
+    static constexpr std::int64_t minuteInMilliseconds = 60'000;
+    checker.checkRange("fleet_lease_ms", FLAGS_fleet_lease_ms, shortestLease, minuteInMilliseconds, "milliseconds");
+    checker.checkRange("fleet_interval_ms", FLAGS_fleet_interval_ms, 10, minuteInMilliseconds, "milliseconds");
+    checker.checkRange("fleet_peak_window_ms", FLAGS_fleet_peak_window_ms, 0, 24 * hourInMilliseconds, "milliseconds");
+    settings.fleetLease = std::chrono::milliseconds(FLAGS_fleet_lease_ms);
+    settings.fleetInterval = std::chrono::milliseconds(FLAGS_fleet_interval_ms);
+    settings.fleetPeakWindow = std::chrono::milliseconds(FLAGS_fleet_peak_window_ms);
+    if (FLAGS_fleet_control == "on")
+        settings.controlsFleet = true;
+    else if (FLAGS_fleet_control != "off")
+        checker.addFault("fleet_control", FLAGS_fleet_control, "on or off");
+    if (FLAGS_engine_fencing == "checked")
+        settings.engineFencing = Fleet::EngineFencing::Checked;
+    else if (FLAGS_engine_fencing != "ignored")
+        checker.addFault("engine_fencing", FLAGS_engine_fencing, "checked or ignored");
     settings.operatorKeyDigest = FLAGS_operator_key_digest;
     faults.insert(faults.end(), checker.faults().begin(), checker.faults().end());
     return settings;
--- a/Services/Node/NodeSettings.h
+++ b/Services/Node/NodeSettings.h
@@ -2,6 +2,7 @@
 
 #include <LibCore/Endpoint.h>
 #include <LibCore/Runtime.h>
+#include <LibFleet/EngineCommands.h>
 #include <LibRouting/LengthEstimator.h>
 #include <LibRouting/ServerChoice.h>
 #include <Node/Gateway.h>
@@ -28,6 +29,12 @@
     AttentionState attentionState { AttentionState::Move };
     Shedding shedding { Shedding::ByShare };
     std::string operatorKeyDigest;
+    /// Whether this node is a candidate for fleet control.
+    bool controlsFleet { false };
+    std::chrono::milliseconds fleetLease { 10000 };
+    std::chrono::milliseconds fleetInterval { 2000 };
+    std::chrono::milliseconds fleetPeakWindow { 900000 };
+    Fleet::EngineFencing engineFencing { Fleet::EngineFencing::Ignored };
 
     bool operator==(NodeSettings const&) const = default;
 };
