--- a/Meta/capacity.py
+++ b/Meta/capacity.py
@@ -342,7 +342,7 @@
         if not isinstance(row, dict) or part not in row:
             return None
         row = row[part]
-    return row
+    return max(row) if isinstance(row, list) else row
 
 
 # Solves the normal equations of a least-squares fit by Gauss-Jordan elimination.
