LibStream: Keep an answer through pauses, hand-overs and simultaneous take-overs

A node that was paused chose another replica, or none, and showed the rest of its old run. A stream that once had no replica never got one again. Two nodes that serve a stream in the same epoch could end each other.

A taken-over stream now accepts the copy of whoever serves it in its epoch, and drops tokens beyond the end; equal epochs are ordered by node id; a call that ends long after its deadline is repeated at the same replica; missing replicas are assigned.

--- a/Libraries/LibStream/StreamReplicator.cpp
+++ b/Libraries/LibStream/StreamReplicator.cpp
@@ -89,6 +89,15 @@
     }
 }
 
+void StreamReplicator::assignMissingReplicas()
+{
+    for (auto const& id : m_streams.idsWithRole(StreamRole::Serving)) {
+        auto* stream = m_streams.find(id);
+        if (stream->replicaNodeId.empty() && m_peers.chooseReplica(id, avoidedNodes()))
+            start(*stream);
+    }
+}
+
 Stream* StreamReplicator::findServedWith(std::string const& requestId, std::string const& nodeId)
 {
     auto* stream = m_streams.find(requestId);
@@ -116,6 +125,13 @@
             applyReply(nodeId, request, *reply);
             continue;
         }
+        if (m_runtime.now() > deadline + m_settings.pauseTolerance) {
+            // The replica may have taken the streams over during the pause, and only it can tell; another replica, or none,
+            // would let this node show the rest of its old run.
+            for (auto const& record : request.records)
+                target.dirtyStreams.insert(record.requestId);
+            continue;
+        }
         Core::logEvent(Core::LogLevel::Warning, "replica_failed", { { "replica", nodeId }, { "streams", request.records.size() }, { "reason", reason.message } });
         handleFailure(nodeId, request);
     }
--- a/Libraries/LibStream/StreamReplicator.h
+++ b/Libraries/LibStream/StreamReplicator.h
@@ -28,6 +28,8 @@
     Core::Duration callTimeout { std::chrono::milliseconds(500) };
     /// Between the starts of two calls to one replica; all changes meanwhile travel together.
     Core::Duration minimumInterval { std::chrono::milliseconds(5) };
+    /// A call that ends this long after its deadline shows that the process was paused.
+    Core::Duration pauseTolerance { std::chrono::seconds(1) };
     /// How long a node that failed is not chosen again.
     Core::Duration avoidFailedNode { std::chrono::seconds(3) };
     std::size_t maximumRecordsPerCall { 256 };
@@ -53,6 +55,9 @@
     /// Chooses new replicas for all streams whose replica is one of the nodes, for example before they are reclaimed.
     void moveReplicasFrom(std::set<std::string> const& nodeIds);
 
+    /// Chooses replicas for the streams that have none, once a node can hold them.
+    void assignMissingReplicas();
+
 private:
     struct Target {
         std::set<std::string> dirtyStreams;
--- a/Libraries/LibStream/StreamTable.cpp
+++ b/Libraries/LibStream/StreamTable.cpp
@@ -197,6 +197,22 @@
     stream.tokens.insert(stream.tokens.end(), record.tokens.begin(), record.tokens.end());
 }
 
+// Whether a record with the stream's own epoch is of the node that serves it.
+static bool isOfSameEpoch(Stream const& stream, Peer::StreamRecord const& record)
+{
+    switch (stream.role) {
+    case StreamRole::Serving:
+        // Two nodes took the stream over at the same time. They would end each other's run without an order.
+        return record.originNodeId > stream.originNodeId;
+    case StreamRole::TakenOver:
+        // Nothing is held here but the epoch, and whoever serves the stream in it may choose this node for its copy.
+        return true;
+    case StreamRole::Replica:
+        break;
+    }
+    return record.originNodeId == stream.originNodeId;
+}
+
 Peer::StreamResult StreamTable::apply(Peer::StreamRecord const& record)
 {
     Peer::StreamResult result { record.requestId, Peer::StreamDecision::Accepted, record.epoch, 0 };
@@ -217,8 +233,7 @@
         added.role = StreamRole::Replica;
         stream = &insert(std::move(added));
     }
-    bool const sameOrigin = record.epoch == stream->epoch && record.originNodeId == stream->originNodeId && stream->role == StreamRole::Replica;
-    if (record.epoch <= stream->epoch && !sameOrigin) {
+    if (record.epoch < stream->epoch || (record.epoch == stream->epoch && !isOfSameEpoch(*stream, record))) {
         result.decision = Peer::StreamDecision::EpochTooOld;
         result.epoch = stream->epoch;
         return result;
@@ -238,8 +253,11 @@
         stream->service = record.service;
     }
     mergeTokens(*stream, record);
-    if (record.finished)
+    if (record.finished) {
+        // Tokens held here beyond the end are of a run that was taken over.
+        stream->tokens.resize(record.firstIndex + record.tokens.size());
         readFinishReason(*stream, record.finishReason);
+    }
     result.firstMissingIndex = stream->tokens.size();
     notifyChanged(*stream);
     return result;
--- a/Libraries/LibStream/StreamTable.h
+++ b/Libraries/LibStream/StreamTable.h
@@ -105,7 +105,8 @@
     /// Adds a stream that this node serves. Overloaded if the table is full. Precondition: the id is not in the table.
     [[nodiscard]] Stream* add(Stream, Core::LastReason&);
 
-    /// Applies a record from the node that serves the stream. A record with a higher epoch makes a stream that is served here
+    /// Applies a record from the node that serves the stream. A record with a higher epoch, or of a node with a higher id that
+    /// serves it in the same epoch, makes a stream that is served here
     /// TakenOver by the sender, and never shortens the answer by itself.
     [[nodiscard]] Peer::StreamResult apply(Peer::StreamRecord const&);
 
--- a/Tests/LibStream/StreamTest.cpp
+++ b/Tests/LibStream/StreamTest.cpp
@@ -128,6 +128,65 @@
     advance(600ms);
     EXPECT_EQ(stream.replicaNodeId, "");
     EXPECT_EQ(Stream::visibleTokens(stream), 15u);
+    m_peers.unreachable.clear();
+    advance(3s);
+    m_replicator.assignMissingReplicas();
+    advance(20ms);
+    EXPECT_EQ(stream.replicaNodeId, "b");
+    EXPECT_EQ(m_peers.tables.at("b")->find("r")->tokens, stream.tokens);
+}
+
+// Guards against a node that chooses another replica after a pause of its own, which does not know that the first one took the
+// stream over.
+TEST_F(StreamTest, PauseDoesNotMoveTheReplica)
+{
+    auto& stream = addServed();
+    appendTokens(stream, 5);
+    advance(20ms);
+    m_peers.unreachable = { "b" };
+    appendTokens(stream, 5);
+    advance(20ms);
+    auto& replica = *m_peers.tables.at("b")->find("r");
+    m_peers.tables.at("b")->startServing(replica, 2, "b");
+    // The call under way fails long after its deadline; the replica can be reached again.
+    m_peers.unreachable.clear();
+    m_runtime.advance(8s);
+    m_context.restart();
+    m_context.poll();
+    EXPECT_EQ(stream.replicaNodeId, "b");
+    EXPECT_EQ(Stream::visibleTokens(stream), 5u);
+    advance(20ms);
+    EXPECT_EQ(stream.role, StreamRole::TakenOver);
+    EXPECT_EQ(Stream::visibleTokens(stream), 5u);
+}
+
+// Guards against a successor that gives the answer up because the node it took it over from, which it chose for its copy,
+// refuses the copy.
+TEST_F(StreamTest, FormerOriginHoldsTheCopyOfItsSuccessor)
+{
+    auto& stream = addServed();
+    appendTokens(stream, 8);
+    m_table.markTakenOver(stream, 3, "b");
+    Peer::StreamRecord record { "r", 3, "b", "team", "advisor", "{}", 0, { "t0", "t1" }, false, "" };
+    EXPECT_EQ(m_table.apply(record).decision, StreamDecision::Accepted);
+    EXPECT_EQ(stream.role, StreamRole::Replica);
+    record.finished = true;
+    EXPECT_EQ(m_table.apply(record).decision, StreamDecision::Accepted);
+    EXPECT_EQ(stream.tokens, (std::vector<std::string> { "t0", "t1" }));
+}
+
+// Guards against two nodes that took a stream over in the same epoch and both give it up.
+TEST_F(StreamTest, OneOfTwoServersOfAnEpochGoesOn)
+{
+    auto& stream = addServed();
+    Peer::StreamRecord const record { "r", 1, "b", "team", "advisor", "{}", 0, { "x" }, false, "" };
+    auto& other = *m_peers.tables.at("b");
+    EXPECT_EQ(other.apply(record).decision, StreamDecision::Accepted);
+    other.startServing(*other.find("r"), 1, "b");
+    EXPECT_EQ(other.apply(Stream::wholeRecord(stream)).decision, StreamDecision::EpochTooOld);
+    EXPECT_EQ(m_table.apply(Stream::wholeRecord(*other.find("r"))).decision, StreamDecision::Accepted);
+    EXPECT_EQ(stream.role, StreamRole::Replica);
+    EXPECT_EQ(stream.originNodeId, "b");
 }
 
 // Guards against two nodes answering with different continuations: a node that was paused while its replica took the stream
