Node: Fix the losses that fault tests with real processes found

* Suspects of several nodes met again at the next server.
They wait for a server without other suspects, after a random delay.
* Hand-over waited for a dead successor once for each stream: streams were left at the deadline.
Marks now travel between data centres.
* Exported attention state is used with all the tokens it holds.

The new setting peer_routes names addresses through which peers are reached.

--- a/Libraries/LibLimits/QuarantineTable.cpp
+++ b/Libraries/LibLimits/QuarantineTable.cpp
@@ -7,6 +7,7 @@
 using namespace std::chrono_literals;
 
 static constexpr std::ptrdiff_t crashesToQuarantine = 3;
+static constexpr std::ptrdiff_t weightWithoutProgress = 2;
 // In a wave an innocent request can be part of half of the crashes by chance.
 static constexpr std::ptrdiff_t crashesWithoutWeight = 2;
 static constexpr auto quarantineDuration = 1h;
@@ -25,7 +26,12 @@
     auto const without = std::count_if(table.crashes.begin(), table.crashes.end(), [&](auto const& crash) {
         return !contains(crash, fingerprint) && now - crash.at <= waveWindow;
     });
-    return with >= crashesToQuarantine && with > crashesWithoutWeight * without;
+    std::ptrdiff_t weight = 0;
+    for (auto const& crash : table.crashes) {
+        if (contains(crash, fingerprint))
+            weight += crash.progressed.contains(fingerprint) ? 1 : weightWithoutProgress;
+    }
+    return weight >= crashesToQuarantine * weightWithoutProgress && with > crashesWithoutWeight * without;
 }
 
 std::vector<RequestFingerprint> recordCrash(QuarantineTable& table, ServerCrash crash)
--- a/Libraries/LibLimits/QuarantineTable.h
+++ b/Libraries/LibLimits/QuarantineTable.h
@@ -3,6 +3,7 @@
 #include <LibCore/Runtime.h>
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -17,6 +18,8 @@
     std::string serverId;
     /// This node's requests in the server's batch.
     std::vector<RequestFingerprint> batch;
+    /// Those of them that had generated tokens at the server, and so had run there without harm for a while.
+    std::set<RequestFingerprint> progressed;
 
     bool operator==(ServerCrash const&) const = default;
 };
@@ -31,7 +34,7 @@
 };
 
 /// Records a crash and quarantines the requests of its batch that the evidence is against: at least three crashes within the
-/// hour, and more than twice the crashes of the last half minute that happened without it, which suggest a wave of lost hosts.
+/// hour (six if it had generated tokens before them, since requests of other nodes in the batch may be the cause), and more than twice the crashes of the last half minute that happened without it, which suggest a wave of lost hosts.
 /// Returns the requests quarantined by this crash.
 std::vector<RequestFingerprint> recordCrash(QuarantineTable&, ServerCrash);
 
--- a/Libraries/LibMembership/MembershipService.h
+++ b/Libraries/LibMembership/MembershipService.h
@@ -78,7 +78,7 @@
     /// Announces that this node is leaving. One-way.
     void setLeaving();
 
-    /// Marks an incarnation of a backend server as leaving on all nodes of the data centre. One-way; kept for SpreadLimits::markLifetime.
+    /// Marks an incarnation of a backend server as leaving on all nodes. One-way; kept for SpreadLimits::markLifetime.
     void markServerLeaving(std::string const& serverId, std::uint64_t incarnation);
     [[nodiscard]] bool isServerLeaving(std::string const& serverId, std::uint64_t incarnation) const;
     /// Calls the function for each mark that becomes known.
--- a/Libraries/LibMembership/SpreadState.cpp
+++ b/Libraries/LibMembership/SpreadState.cpp
@@ -309,11 +309,12 @@
     difference.unknownKeys.erase(std::unique(difference.unknownKeys.begin(), difference.unknownKeys.end()), difference.unknownKeys.end());
     result.unknownKeys = std::move(difference.unknownKeys);
 
+    // A data centre that is cut from the platform learns of notices from the nodes of others.
+    for (auto const& mark : message.leavingMarks) {
+        if (addLeavingMark(state, limits, mark, wallMilliseconds))
+            result.newMarks.emplace_back(mark.serverId, mark.incarnation);
+    }
     if (sender.dataCentre == nodes.ownDataCentre) {
-        for (auto const& mark : message.leavingMarks) {
-            if (addLeavingMark(state, limits, mark, wallMilliseconds))
-                result.newMarks.emplace_back(mark.serverId, mark.incarnation);
-        }
         auto const ownKey = keyOf(nodes.own());
         for (auto const& entry : message.usage) {
             if (entry.nodeKey == ownKey || !nodes.idsByKey.contains(entry.nodeKey))
--- a/Libraries/LibPeer/PeerClient.cpp
+++ b/Libraries/LibPeer/PeerClient.cpp
@@ -151,8 +151,9 @@
 
 class PeerClient::Implementation : public std::enable_shared_from_this<Implementation> {
 public:
-    explicit Implementation(Core::Runtime& runtime)
+    Implementation(Core::Runtime& runtime, std::map<std::string, Core::Endpoint> routes)
         : m_runtime(runtime)
+        , m_routes(std::move(routes))
     {
         m_thread.post([this](kj::AsyncIoContext& io) { m_loop = std::make_unique<ClientLoop>(io); });
     }
@@ -223,6 +224,7 @@
     void start(std::uint64_t id, std::string const& address, std::shared_ptr<Request> const&, Method, std::shared_ptr<CallProgress> const&, std::shared_ptr<Reply> const&);
 
     Core::Runtime& m_runtime;
+    std::map<std::string, Core::Endpoint> m_routes;
     TrafficCounters m_traffic;
     std::unordered_map<std::uint64_t, Waiter*> m_waiting;
     std::uint64_t m_nextCall { 0 };
@@ -281,7 +283,9 @@
 {
     auto const self = shared_from_this();
     auto const id = m_nextCall++;
-    auto const address = endpoint.toString();
+    auto const announced = endpoint.toString();
+    auto const route = m_routes.find(announced);
+    auto const address = route == m_routes.end() ? announced : route->second.toString();
     auto const progress = std::make_shared<CallProgress>();
     auto const reply = std::make_shared<Reply>();
     Waiter waiter(m_runtime);
@@ -316,8 +320,8 @@
     co_return Core::fail(reason, Core::ErrorKind::DeadlineExceeded, "peer " + address + " did not answer in time", runState);
 }
 
-PeerClient::PeerClient(Core::Runtime& runtime)
-    : m_implementation(std::make_shared<Implementation>(runtime))
+PeerClient::PeerClient(Core::Runtime& runtime, std::map<std::string, Core::Endpoint> routes)
+    : m_implementation(std::make_shared<Implementation>(runtime, std::move(routes)))
 {
 }
 
--- a/Libraries/LibPeer/PeerClient.h
+++ b/Libraries/LibPeer/PeerClient.h
@@ -5,6 +5,7 @@
 #include <LibCore/Runtime.h>
 #include <LibPeer/PeerMessages.h>
 #include <LibPeer/PeerTraffic.h>
+#include <map>
 #include <memory>
 
 namespace Peer {
@@ -17,8 +18,8 @@
 /// DeadlineExceeded (Unknown) once the runtime's clock reaches the deadline.
 class PeerClient {
 public:
-    /// Precondition: the runtime outlives the client.
-    explicit PeerClient(Core::Runtime&);
+    /// Peers announced at an endpoint in the routes are called at its value. Precondition: the runtime outlives the client.
+    explicit PeerClient(Core::Runtime&, std::map<std::string, Core::Endpoint> routes = {});
     PeerClient(PeerClient const&) = delete;
     PeerClient& operator=(PeerClient const&) = delete;
     ~PeerClient();
--- a/Libraries/LibRouting/ServerTable.h
+++ b/Libraries/LibRouting/ServerTable.h
@@ -15,6 +15,8 @@
     std::uint32_t running { 0 };
     std::uint32_t waiting { 0 };
     std::uint32_t freeSlots { 0 };
+    /// Of the server's process, as it reports it; 0 if it does not.
+    std::uint64_t processIncarnation { 0 };
     Core::MonotonicTime receivedAt;
     /// This node's requests in progress at the server when the report was received.
     std::uint32_t ownOutstandingAtReport { 0 };
--- a/Services/Node/BackendWatcher.cpp
+++ b/Services/Node/BackendWatcher.cpp
@@ -58,6 +58,7 @@
     for (auto const& row : m_tables.servers.rows)
         before.insert(row.id);
     Routing::mergeHostList(m_tables.servers, toListedServers(entries), m_runtime.now());
+    markNoticed();
     for (auto const& row : m_tables.servers.rows)
         before.erase(row.id);
     for (auto const& id : before)
@@ -70,9 +71,9 @@
     std::map<std::int64_t, std::set<std::string>> hostsByTime;
     for (auto const& notice : notices) {
         hostsByTime[notice.reclaimAtMilliseconds].insert(notice.hostId);
-        if (auto const* row = Routing::findServer(m_tables.servers, notice.hostId))
-            noteLeaving(notice.hostId, row->incarnation);
+        m_noticedHosts.insert(notice.hostId);
     }
+    markNoticed();
     for (auto const& [milliseconds, hostIds] : hostsByTime) {
         auto const remaining = Core::WallTime(std::chrono::milliseconds(milliseconds)) - m_runtime.wallNow();
         if (m_onReclaim)
@@ -80,6 +81,15 @@
     }
 }
 
+// The host list may name a server only after its notice has arrived. A reclaimed host does not come back.
+void BackendWatcher::markNoticed()
+{
+    for (auto const& hostId : m_noticedHosts) {
+        if (auto const* row = Routing::findServer(m_tables.servers, hostId))
+            noteLeaving(hostId, row->incarnation);
+    }
+}
+
 void BackendWatcher::noteLeaving(std::string const& serverId, std::uint64_t incarnation)
 {
     if (!Routing::markLeaving(m_tables.servers, serverId, incarnation))
@@ -205,6 +215,7 @@
     report.running = static_cast<std::uint32_t>(numberOr(*body, "running", 0));
     report.waiting = static_cast<std::uint32_t>(numberOr(*body, "waiting", 0));
     report.freeSlots = static_cast<std::uint32_t>(numberOr(*body, "freeSlots", 0));
+    report.processIncarnation = numberOr(*body, "incarnation", 0);
     report.receivedAt = m_runtime.now();
     if (isModel(*row))
         Routing::recordReport(*row, report);
--- a/Services/Node/EngineClient.cpp
+++ b/Services/Node/EngineClient.cpp
@@ -155,13 +155,34 @@
     return field;
 }
 
-Core::Awaitable<std::optional<std::string>> EngineClient::exportState(Core::Endpoint endpoint, std::string attemptId, Core::MonotonicTime deadline, Core::LastReason& reason)
+Core::Awaitable<std::optional<std::uint64_t>> EngineClient::incarnation(Core::Endpoint endpoint, Core::MonotonicTime deadline, Core::LastReason& reason)
+{
+    HTTP::Request request;
+    request.method = "GET";
+    request.target = "/engine/load";
+    auto const response = co_await m_client.send(endpoint, std::move(request), HTTP::ConnectionUse::Fresh, deadline, reason);
+    if (!response)
+        co_return std::nullopt;
+    json::error_code error;
+    auto const value = json::parse(response->body, error);
+    auto const number = error || !value.is_object() ? std::nullopt : numberField(value.get_object(), "incarnation");
+    if (!number)
+        co_return Core::fail(reason, ErrorKind::BackendAnswerInvalid, "the load report has no incarnation", RunState::Unknown);
+    co_return number;
+}
+
+Core::Awaitable<std::optional<ExportedState>> EngineClient::exportState(Core::Endpoint endpoint, std::string attemptId, Core::MonotonicTime deadline, Core::LastReason& reason)
 {
     json::object body;
     body["attemptId"] = attemptId;
     auto request = jsonRequest("/engine/export", body);
     auto const response = co_await m_client.send(endpoint, std::move(request), HTTP::ConnectionUse::Pooled, deadline, reason);
-    co_return fieldOfAnswer(response, "state", reason);
+    auto state = fieldOfAnswer(response, "state", reason);
+    if (!state)
+        co_return std::nullopt;
+    json::error_code error;
+    auto const value = json::parse(response->body, error);
+    co_return ExportedState { std::move(*state), numberField(value.get_object(), "tokens").value_or(0) };
 }
 
 Core::Awaitable<std::optional<std::string>> EngineClient::importState(Core::Endpoint endpoint, std::string state, Core::MonotonicTime deadline, Core::LastReason& reason)
--- a/Services/Node/EngineClient.h
+++ b/Services/Node/EngineClient.h
@@ -41,6 +41,14 @@
     bool operator==(CompletionProgress const&) const = default;
 };
 
+/// The attention state of an attempt after a number of tokens of prompt and answer.
+struct ExportedState {
+    std::string state;
+    std::uint64_t tokens { 0 };
+
+    bool operator==(ExportedState const&) const = default;
+};
+
 /// The events of one completion, checked: those of another attempt, out of order or malformed end it with
 /// BackendAnswerInvalid, repeated ones are skipped. Destroying it cancels the completion at the engine. Not thread safe.
 class CompletionStream {
@@ -68,8 +76,11 @@
     /// Starts a completion. Overloaded (NotRun) if the engine takes no new work; else as HTTP::Client.
     [[nodiscard]] Core::Awaitable<std::unique_ptr<CompletionStream>> complete(Core::Endpoint, ModelRequest, CompletionCall, Core::MonotonicTime deadline, Core::LastReason&);
 
-    /// Exports the attention state of a running attempt.
-    [[nodiscard]] Core::Awaitable<std::optional<std::string>> exportState(Core::Endpoint, std::string attemptId, Core::MonotonicTime deadline, Core::LastReason&);
+    /// The incarnation that an engine reports now.
+    [[nodiscard]] Core::Awaitable<std::optional<std::uint64_t>> incarnation(Core::Endpoint, Core::MonotonicTime deadline, Core::LastReason&);
+
+    /// Exports the attention state of a running attempt, which goes on meanwhile.
+    [[nodiscard]] Core::Awaitable<std::optional<ExportedState>> exportState(Core::Endpoint, std::string attemptId, Core::MonotonicTime deadline, Core::LastReason&);
 
     /// Imports exported state and returns its handle for CompletionCall.
     [[nodiscard]] Core::Awaitable<std::optional<std::string>> importState(Core::Endpoint, std::string state, Core::MonotonicTime deadline, Core::LastReason&);
--- a/Services/Node/Gateway.cpp
+++ b/Services/Node/Gateway.cpp
@@ -235,6 +235,11 @@
     if (!Limits::admit(m_node.tables.teamLimits, team, limit, m_node.share(team), expectedTokens, now, reason))
         co_return false;
 
+    // Another request with the same key may have been added while this one looked for it elsewhere.
+    if (m_node.streams.find(admission.requestId)) {
+        Limits::release(m_node.tables.teamLimits, team, expectedTokens, 0);
+        co_return true;
+    }
     Stream::Stream stream;
     stream.requestId = admission.requestId;
     stream.originNodeId = m_node.nodeId;
@@ -286,6 +291,13 @@
         co_return;
     }
     auto const team = admission->team->name;
+    auto const* known = m_node.streams.find(requestId);
+    if (m_node.tables.phase == NodePhase::Draining && (!known || known->role != Stream::StreamRole::Serving)) {
+        // A node that shuts down takes no stream over.
+        (void)checkReady(reason);
+        co_await refuse(writer, reason, requestId);
+        co_return;
+    }
     bool const here = co_await m_node.takeOver.bringHere(requestId, SearchScope::All, admission->deadline, reason);
     auto const* stream = m_node.streams.find(requestId);
     if (!here || !stream) {
--- a/Services/Node/ModelRunner.cpp
+++ b/Services/Node/ModelRunner.cpp
@@ -29,6 +29,8 @@
     std::string attemptId;
     std::string serverId;
     std::uint64_t serverIncarnation { 0 };
+    /// Of the engine's process, by its load report; 0 if unknown.
+    std::uint64_t processIncarnation { 0 };
     Core::Endpoint endpoint;
     Core::MonotonicTime lastTokenAt;
     std::size_t tokensOfAttempt { 0 };
@@ -133,14 +135,21 @@
             failStream(attempt, reason);
             co_return;
         }
-        if (Limits::isQuarantined(m_tables.quarantine, attempt.fingerprint, m_runtime.now())) {
+        bool const byPeers = m_isQuarantinedByPeers && m_isQuarantinedByPeers(attempt.fingerprint);
+        if (byPeers || Limits::isQuarantined(m_tables.quarantine, attempt.fingerprint, m_runtime.now())) {
             Core::LastReason reason;
             Core::fail(reason, ErrorKind::RequestQuarantined, "the request crashed several backend servers", RunState::Unknown);
             failStream(attempt, reason);
             co_return;
         }
-        if (!mayRetry(attempt, outcome))
-            co_await m_runtime.sleepFor(m_settings.retryDelay);
+        bool const mayRetryNow = mayRetry(attempt, outcome);
+        // A random delay keeps the suspects of different nodes from meeting again at the next server.
+        auto const suspectDelay = outcome == AttemptOutcome::Broken && Limits::isSuspect(m_tables.quarantine, attempt.fingerprint)
+            ? std::chrono::duration_cast<Core::Duration>(m_settings.retryDelay * 3 * m_random.unit())
+            : Core::Duration {};
+        auto const delay = std::max(suspectDelay, mayRetryNow ? Core::Duration {} : m_settings.retryDelay);
+        if (delay > Core::Duration {})
+            co_await m_runtime.sleepFor(delay);
     }
 }
 
@@ -162,7 +171,8 @@
         return servers;
     for (auto const& [serverId, batch] : m_tables.batches) {
         bool const hasSuspect = std::any_of(batch.begin(), batch.end(), [&](auto const& entry) {
-            return entry.second != attempt.fingerprint && Limits::isSuspect(m_tables.quarantine, entry.second);
+            auto const fingerprint = entry.second.fingerprint;
+            return fingerprint != attempt.fingerprint && Limits::isSuspect(m_tables.quarantine, fingerprint);
         });
         if (hasSuspect)
             servers.push_back(serverId);
@@ -185,10 +195,8 @@
     auto apart = request;
     auto const others = serversWithOtherSuspects(attempt);
     apart.excludedServers.insert(apart.excludedServers.end(), others.begin(), others.end());
-    auto choice = Routing::chooseServer(m_tables.servers, m_tables.prefixes, apart, m_runtime.now(), m_random, reason);
-    if (choice || others.empty())
-        return choice;
-    return Routing::chooseServer(m_tables.servers, m_tables.prefixes, request, m_runtime.now(), m_random, reason);
+    // Without a server that is free of other suspects, a suspect waits for one.
+    return Routing::chooseServer(m_tables.servers, m_tables.prefixes, apart, m_runtime.now(), m_random, reason);
 }
 
 Core::Awaitable<ModelRunner::AttemptOutcome> ModelRunner::runAttempt(Attempt& attempt)
@@ -215,13 +223,17 @@
     call.priority = attempt.priority;
     call.stateHandle = std::exchange(attempt.stateHandle, "");
 
-    if (auto* row = Routing::findServer(m_tables.servers, attempt.serverId))
+    if (auto* row = Routing::findServer(m_tables.servers, attempt.serverId)) {
         ++row->outstanding;
-    m_tables.batches[attempt.serverId][attempt.attemptId] = attempt.fingerprint;
+        attempt.processIncarnation = row->report ? row->report->processIncarnation : 0;
+    }
+    m_tables.batches[attempt.serverId][attempt.attemptId] = { attempt.fingerprint, false };
     attempt.lastTokenAt = m_runtime.now();
     attempt.tokensOfAttempt = 0;
     auto outcome = AttemptOutcome::Refused;
-    auto completion = co_await m_engines.complete(attempt.endpoint, attempt.model, call, attempt.deadline, attempt.lastReason);
+    // An engine that hangs must not hold the request until its deadline.
+    auto const headDeadline = std::min(attempt.deadline, m_runtime.now() + m_settings.stallTimeout);
+    auto completion = co_await m_engines.complete(attempt.endpoint, attempt.model, call, headDeadline, attempt.lastReason);
     if (completion) {
         outcome = co_await readCompletion(attempt, *completion);
     } else if (attempt.lastReason.kind == ErrorKind::Overloaded) {
@@ -231,7 +243,9 @@
         outcome = AttemptOutcome::Broken;
     }
     if (outcome == AttemptOutcome::Moved)
-        co_await moveState(attempt);
+        outcome = co_await moveState(attempt, *completion);
+    if (outcome == AttemptOutcome::Broken)
+        co_await checkCrash(attempt);
     if (auto* row = Routing::findServer(m_tables.servers, attempt.serverId); row && row->outstanding > 0)
         --row->outstanding;
     m_tables.batches[attempt.serverId].erase(attempt.attemptId);
@@ -251,20 +265,27 @@
             recordBroken(attempt, attempt.lastReason);
             co_return AttemptOutcome::Broken;
         }
-        recordTokens(attempt, *progress);
-        if (progress->end) {
-            recordEnd(attempt, *progress->end);
-            m_streams.finish(*stream, progress->end->finishReason);
-            m_replicator.streamChanged(*stream);
+        if (takeProgress(attempt, *progress))
             co_return AttemptOutcome::Ended;
-        }
-        m_replicator.streamChanged(*stream);
         if (shouldMove(attempt))
             co_return AttemptOutcome::Moved;
         co_await demoteIfOverdue(attempt);
     }
 }
 
+// Returns whether the answer is complete. Precondition: this node serves the stream.
+bool ModelRunner::takeProgress(Attempt& attempt, CompletionProgress const& progress)
+{
+    auto* stream = servedStream(attempt);
+    recordTokens(attempt, progress);
+    if (progress.end) {
+        recordEnd(attempt, *progress.end);
+        m_streams.finish(*stream, progress.end->finishReason);
+    }
+    m_replicator.streamChanged(*stream);
+    return progress.end.has_value();
+}
+
 void ModelRunner::recordTokens(Attempt& attempt, CompletionProgress const& progress)
 {
     auto* stream = servedStream(attempt);
@@ -282,6 +303,7 @@
         Routing::recordSuccess(*row);
     attempt.lastTokenAt = now;
     attempt.tokensOfAttempt += progress.tokens.size();
+    m_tables.batches[attempt.serverId][attempt.attemptId].progressed = true;
     m_metrics.counter("hyssopstep_tokens_total", { { "service", attempt.model.service } }).add(progress.tokens.size());
 }
 
@@ -299,23 +321,40 @@
 
 void ModelRunner::recordBroken(Attempt& attempt, Core::LastReason const& reason)
 {
-    auto const now = m_runtime.now();
     m_decisions.add(attempt.requestId, "attempt at " + attempt.serverId + " failed: " + reason.message);
     Core::logEvent(Core::LogLevel::Info, "attempt_failed", { { "request_id", attempt.requestId }, { "server", attempt.serverId }, { "kind", Core::answerFor(reason.kind).name }, { "detail", reason.message } });
     attempt.excludedServers.push_back(attempt.serverId);
     if (auto* row = Routing::findServer(m_tables.servers, attempt.serverId))
-        Routing::recordFailure(*row, now);
-    // Only an answer that broke off is a crash; a refused connection or a stall says nothing about the request.
-    bool const brokeOff = reason.kind == ErrorKind::BackendFailed || reason.kind == ErrorKind::BackendAnswerInvalid;
+        Routing::recordFailure(*row, m_runtime.now());
+}
+
+// An answer that broke off, or made no sense, is a crash only if the engine's process is gone. A refused connection or a stall
+// says nothing about the request.
+Core::Awaitable<void> ModelRunner::checkCrash(Attempt& attempt)
+{
+    bool const brokeOff = attempt.lastReason.kind == ErrorKind::BackendFailed || attempt.lastReason.kind == ErrorKind::BackendAnswerInvalid;
     if (!brokeOff)
-        return;
+        co_return;
+    Core::LastReason reason;
+    auto const incarnation = co_await m_engines.incarnation(attempt.endpoint, m_runtime.now() + m_settings.stateCallTimeout, reason);
+    bool const isSameProcess = incarnation && (attempt.processIncarnation == 0 || *incarnation == attempt.processIncarnation);
+    if (!isSameProcess)
+        recordCrash(attempt);
+}
+
+void ModelRunner::recordCrash(Attempt const& attempt)
+{
+    auto const now = m_runtime.now();
     auto const& crashes = m_tables.quarantine.crashes;
     bool const known = std::any_of(crashes.begin(), crashes.end(), [&](auto const& crash) { return crash.serverId == attempt.serverId && now - crash.at < 1s; });
     if (known)
         return;
     Limits::ServerCrash crash { now, attempt.serverId, {} };
-    for (auto const& [attemptId, fingerprint] : m_tables.batches[attempt.serverId])
-        crash.batch.push_back(fingerprint);
+    for (auto const& [attemptId, entry] : m_tables.batches[attempt.serverId]) {
+        crash.batch.push_back(entry.fingerprint);
+        if (entry.progressed)
+            crash.progressed.insert(entry.fingerprint);
+    }
     for (auto const fingerprint : Limits::recordCrash(m_tables.quarantine, std::move(crash))) {
         Core::logEvent(Core::LogLevel::Warning, "request_quarantined", { { "fingerprint", fingerprint }, { "server", attempt.serverId } });
         if (m_onQuarantined)
@@ -330,15 +369,21 @@
     auto const* row = Routing::findServer(m_tables.servers, attempt.serverId);
     if (!row || attempt.moves >= maximumMoves)
         return false;
-    if (row->lifecycle == Routing::Lifecycle::Leaving || row->incarnation != attempt.serverIncarnation)
-        return true;
+    if (row->lifecycle == Routing::Lifecycle::Leaving || row->incarnation != attempt.serverIncarnation) {
+        // Without another server the rest is generated here as long as the server lives.
+        Routing::RoutingRequest others;
+        others.service = attempt.model.service;
+        others.dataCentre = m_settings.dataCentre;
+        others.excludedServers = { attempt.serverId };
+        return Routing::shortestPredictedWait(m_tables.servers, others, m_runtime.now()).has_value();
+    }
     auto const* stream = m_streams.find(attempt.requestId);
     bool const longRest = stream && attempt.expectedTokens > stream->tokens.size() + tokensWorthMoving;
     return row->pace == Routing::Pace::Straggler && longRest && attempt.moves == 0;
 }
 
 // On failure the rest is generated from the prompt and the tokens so far, at any server.
-Core::Awaitable<void> ModelRunner::moveState(Attempt& attempt)
+Core::Awaitable<ModelRunner::AttemptOutcome> ModelRunner::moveState(Attempt& attempt, CompletionStream& completion)
 {
     ++attempt.moves;
     attempt.excludedServers = { attempt.serverId };
@@ -346,16 +391,31 @@
     auto state = co_await m_engines.exportState(attempt.endpoint, attempt.attemptId, m_runtime.now() + m_settings.stateCallTimeout, reason);
     m_decisions.add(attempt.requestId, "moves away from " + attempt.serverId + (state ? " with its attention state" : " without its attention state: " + reason.message));
     if (!state)
-        co_return;
+        co_return AttemptOutcome::Moved;
     auto const choice = choose(attempt, reason);
     if (!choice)
-        co_return;
-    auto handle = co_await m_engines.importState(choice->endpoint, std::move(*state), m_runtime.now() + m_settings.stateCallTimeout, reason);
+        co_return AttemptOutcome::Moved;
+    auto handle = co_await m_engines.importState(choice->endpoint, std::move(state->state), m_runtime.now() + m_settings.stateCallTimeout, reason);
     if (!handle)
-        co_return;
+        co_return AttemptOutcome::Moved;
+    // The state holds tokens that were still on their way when it was exported, and can be used only with all of them.
+    auto const readDeadline = m_runtime.now() + m_settings.stateCallTimeout;
+    while (true) {
+        auto const* stream = servedStream(attempt);
+        if (!stream)
+            co_return AttemptOutcome::Ended;
+        if (attempt.model.promptTokens.size() + stream->tokens.size() >= state->tokens)
+            break;
+        auto const progress = co_await completion.read(readDeadline, reason);
+        if (!progress || !servedStream(attempt))
+            break;
+        if (takeProgress(attempt, *progress))
+            co_return AttemptOutcome::Ended;
+    }
     attempt.stateHandle = std::move(*handle);
     attempt.importedAt = choice;
     m_metrics.counter("hyssopstep_state_moves_total", { { "service", attempt.model.service } }).add();
+    co_return AttemptOutcome::Moved;
 }
 
 Core::Awaitable<void> ModelRunner::demoteIfOverdue(Attempt& attempt)
--- a/Services/Node/ModelRunner.h
+++ b/Services/Node/ModelRunner.h
@@ -37,6 +37,9 @@
     /// Called for each request that was found to crash backend servers.
     void onQuarantined(std::function<void(Limits::RequestFingerprint)> listener) { m_onQuarantined = std::move(listener); }
 
+    /// Whether another node found a request to crash backend servers.
+    void consultPeers(std::function<bool(Limits::RequestFingerprint)> isQuarantined) { m_isQuarantinedByPeers = std::move(isQuarantined); }
+
     /// The fingerprint by which a request is quarantined. Thread safe.
     [[nodiscard]] static Limits::RequestFingerprint fingerprintOf(ModelRequest const&);
 
@@ -55,7 +58,8 @@
     [[nodiscard]] Core::Awaitable<void> run(std::string requestId);
     [[nodiscard]] Core::Awaitable<AttemptOutcome> runAttempt(Attempt&);
     [[nodiscard]] Core::Awaitable<AttemptOutcome> readCompletion(Attempt&, CompletionStream&);
-    [[nodiscard]] Core::Awaitable<void> moveState(Attempt&);
+    [[nodiscard]] Core::Awaitable<AttemptOutcome> moveState(Attempt&, CompletionStream&);
+    [[nodiscard]] Core::Awaitable<void> checkCrash(Attempt&);
     [[nodiscard]] Core::Awaitable<void> demoteIfOverdue(Attempt&);
     [[nodiscard]] Stream::Stream* servedStream(Attempt const&);
     [[nodiscard]] std::optional<Routing::ServerChoice> choose(Attempt const&, Core::LastReason&);
@@ -64,6 +68,8 @@
     void recordTokens(Attempt&, CompletionProgress const&);
     void recordEnd(Attempt&, CompletionEnd const&);
     void recordBroken(Attempt&, Core::LastReason const&);
+    void recordCrash(Attempt const&);
+    [[nodiscard]] bool takeProgress(Attempt&, CompletionProgress const&);
     void failStream(Attempt const&, Core::LastReason const&);
     [[nodiscard]] std::vector<std::string> serversWithOtherSuspects(Attempt const&) const;
     [[nodiscard]] std::string newAttemptId();
@@ -78,6 +84,7 @@
     Core::Metrics& m_metrics;
     ModelRunnerSettings m_settings;
     std::function<void(Limits::RequestFingerprint)> m_onQuarantined;
+    std::function<bool(Limits::RequestFingerprint)> m_isQuarantinedByPeers;
 };
 
 }
--- a/Services/Node/NodeCommand.cpp
+++ b/Services/Node/NodeCommand.cpp
@@ -38,6 +38,7 @@
             { "client_listen", "IP:PORT", "" },
             { "operator_listen", "IP:PORT", "" },
             { "peer_listen", "IP:PORT", "" },
+            { "peer_routes", "IP:PORT=IP:PORT,...", "" },
             { "seeds", "IP:PORT,...", "" },
             { "platform", "IP:PORT", "" },
             { "operator_key_digest", "", "" },
--- a/Services/Node/NodeService.cpp
+++ b/Services/Node/NodeService.cpp
@@ -41,11 +41,12 @@
 
 /// Everything a node consists of, in the order of dependence. Built once the ports are known.
 struct NodeService::Parts {
-    Parts(Core::Runtime& runtime, NodeService& service)
+    Parts(Core::Runtime& runtime, NodeService& service, NodeSettings const& settings)
         : runtime(runtime)
         , clientServer(runtime, clientServerLimits(), [this](auto const& request, auto& writer) { return gateway->handle(request, writer); })
         , operatorServer(runtime, {}, [this](auto const& request, auto& writer) { return operatorEndpoint->handle(request, writer); })
         , peerServer(runtime, service)
+        , peerClient(runtime, settings.peerRoutes)
     {
     }
 
@@ -57,7 +58,7 @@
     HTTP::Server clientServer;
     HTTP::Server operatorServer;
     Peer::PeerServer peerServer;
-    Peer::PeerClient peerClient { runtime };
+    Peer::PeerClient peerClient;
     HTTP::Client platformHTTP { runtime, {} };
     HTTP::Client backendHTTP { runtime, {} };
     // For load reports and cache events, so that they are counted apart from the requests served.
@@ -88,7 +89,7 @@
 NodeService::NodeService(Core::Runtime& runtime, NodeSettings settings)
     : m_runtime(runtime)
     , m_settings(std::move(settings))
-    , m_parts(std::make_unique<Parts>(runtime, *this))
+    , m_parts(std::make_unique<Parts>(runtime, *this, m_settings))
 {
 }
 
@@ -155,6 +156,7 @@
     runnerSettings.dataCentre = m_settings.dataCentre;
     runnerSettings.policy = m_settings.routingPolicy;
     parts.runner = std::make_unique<ModelRunner>(m_runtime, parts.engines, parts.tables, parts.streams, *parts.replicator, parts.decisions, parts.random, parts.metrics, std::move(runnerSettings));
+    parts.runner->consultPeers([this](Limits::RequestFingerprint fingerprint) { return m_parts->membership->isQuarantined(std::to_string(fingerprint)); });
     parts.runner->onQuarantined([this](Limits::RequestFingerprint fingerprint) { m_parts->membership->quarantine(std::to_string(fingerprint), 1h); });
     parts.takeOver = std::make_unique<StreamTakeOver>(m_runtime, parts.streams, *parts.replicator, *parts.runner, *parts.streamPeers, parts.decisions, m_settings.nodeId);
     parts.services = std::make_unique<ServiceProxy>(m_runtime, parts.backendHTTP, *parts.intents, parts.tables, parts.decisions, parts.random, parts.metrics, m_settings.nodeId, m_settings.dataCentre);
@@ -263,6 +265,7 @@
     m_parts->takeOver->adoptOrphans();
     m_parts->intents->expireClaims();
     moveReplicasFromLostNodes();
+    m_parts->replicator->assignMissingReplicas();
     publishUsage();
     m_parts->metrics.gauge("hyssopstep_streams").set(static_cast<double>(m_parts->streams.size()));
     m_parts->metrics.gauge("hyssopstep_exchange_bytes").set(static_cast<double>(m_parts->membership->exchangedBytes()));
--- a/Services/Node/NodeSettings.cpp
+++ b/Services/Node/NodeSettings.cpp
@@ -11,6 +11,7 @@
 DEFINE_string(operator_listen, "127.0.0.1:8081", "IP number and port for operators and metrics");
 DEFINE_string(peer_listen, "127.0.0.1:8082", "IP number and port for other nodes");
 DEFINE_string(seeds, "", "peer endpoints of other nodes, separated by commas, used until nodes are known");
+DEFINE_string(peer_routes, "", "ANNOUNCED=REACHED endpoints separated by commas, for peers that are reached through address translation");
 DEFINE_string(platform, "", "IP number and port of the platform's object and cloud API");
 DEFINE_int32(drain_timeout_ms, 300000, "milliseconds that requests in progress get to finish in a graceful stop before they are handed over");
 DEFINE_int32(reclaim_margin_ms, 1500, "milliseconds before an announced reclaim at which requests in progress are handed over");
@@ -56,6 +57,11 @@
     settings.platform = checkedEndpoint(checker, "platform", FLAGS_platform);
     for (auto const& seed : splitAtCommas(FLAGS_seeds))
         settings.seeds.push_back(checkedEndpoint(checker, "seeds", seed));
+    for (auto const& route : splitAtCommas(FLAGS_peer_routes)) {
+        auto const separator = std::min(route.find('='), route.size());
+        auto const announced = checkedEndpoint(checker, "peer_routes", route.substr(0, separator));
+        settings.peerRoutes[announced.toString()] = checkedEndpoint(checker, "peer_routes", route.substr(std::min(separator + 1, route.size())));
+    }
     checker.checkRange("drain_timeout_ms", FLAGS_drain_timeout_ms, 0, hourInMilliseconds, "milliseconds");
     checker.checkRange("reclaim_margin_ms", FLAGS_reclaim_margin_ms, 0, hourInMilliseconds, "milliseconds");
     settings.drainTimeout = std::chrono::milliseconds(FLAGS_drain_timeout_ms);
--- a/Services/Node/NodeSettings.h
+++ b/Services/Node/NodeSettings.h
@@ -3,6 +3,7 @@
 #include <LibCore/Endpoint.h>
 #include <LibCore/Runtime.h>
 #include <LibRouting/ServerChoice.h>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -17,6 +18,8 @@
     Core::Endpoint operatorListen;
     Core::Endpoint peerListen;
     std::vector<Core::Endpoint> seeds;
+    /// Addresses through which peers are reached that cannot be reached at the endpoint they announce, by that endpoint.
+    std::map<std::string, Core::Endpoint> peerRoutes;
     Core::Endpoint platform;
     Core::Duration drainTimeout { std::chrono::minutes(5) };
     Core::Duration reclaimMargin { std::chrono::milliseconds(1500) };
--- a/Services/Node/NodeTables.h
+++ b/Services/Node/NodeTables.h
@@ -22,8 +22,14 @@
     Draining,
 };
 
+struct BatchEntry {
+    Limits::RequestFingerprint fingerprint { 0 };
+    /// Whether the attempt has generated tokens.
+    bool progressed { false };
+};
+
 /// The requests of this node at one backend server, by attempt id.
-using ServerBatch = std::map<std::string, Limits::RequestFingerprint>;
+using ServerBatch = std::map<std::string, BatchEntry>;
 
 /// The tables of one node, which its systems read and update. Used from the runtime's thread only.
 struct NodeTables {
--- a/Services/Node/StreamPeers.cpp
+++ b/Services/Node/StreamPeers.cpp
@@ -58,10 +58,13 @@
     return row->peerEndpoint;
 }
 
-Stream::OriginLiveness StreamPeers::livenessOf(std::string_view nodeId) const
+Stream::OriginLiveness StreamPeers::livenessOf(std::string_view nodeId, Core::Duration silentFor) const
 {
+    static constexpr auto longestSilence = std::chrono::seconds(10);
     auto const* row = m_membership.nodes().find(nodeId);
-    if (!row || row->liveness == Liveness::Dead)
+    if (!row)
+        return silentFor > longestSilence ? Stream::OriginLiveness::Dead : Stream::OriginLiveness::Suspected;
+    if (row->liveness == Liveness::Dead)
         return Stream::OriginLiveness::Dead;
     return row->liveness == Liveness::Live ? Stream::OriginLiveness::Live : Stream::OriginLiveness::Suspected;
 }
--- a/Services/Node/StreamPeers.h
+++ b/Services/Node/StreamPeers.h
@@ -31,7 +31,9 @@
     /// Nodes that will be reclaimed; they are not chosen any more.
     void excludeReclaimed(std::set<std::string> const& nodeIds) { m_reclaimedNodes.insert(nodeIds.begin(), nodeIds.end()); }
 
-    [[nodiscard]] Stream::OriginLiveness livenessOf(std::string_view nodeId) const;
+    /// A node that is not in the table counts as suspected until nothing was heard of the stream for 10 s: a node that has just
+    /// started holds copies before it knows all rows.
+    [[nodiscard]] Stream::OriginLiveness livenessOf(std::string_view nodeId, Core::Duration silentFor) const;
 
 private:
     [[nodiscard]] std::optional<Core::Endpoint> endpointOf(std::string_view nodeId, Core::LastReason&) const;
--- a/Services/Node/StreamTakeOver.cpp
+++ b/Services/Node/StreamTakeOver.cpp
@@ -36,7 +36,7 @@
 {
     for (auto const& id : m_streams.idsWithRole(StreamRole::Replica)) {
         auto* stream = m_streams.find(id);
-        if (Stream::decideAdoption(*stream, m_peers.livenessOf(stream->originNodeId)) == Stream::AdoptionDecision::TakeOver)
+        if (Stream::decideAdoption(*stream, m_peers.livenessOf(stream->originNodeId, m_runtime.now() - stream->changedAt)) == Stream::AdoptionDecision::TakeOver)
             serve(*stream, stream->epoch + 1, "node " + stream->originNodeId + " is dead");
     }
 }
@@ -56,7 +56,7 @@
     auto holders = m_peers.probableHolders(requestId, scope == SearchScope::All ? maximumHolders : probableCopies);
     // A copy here may be out of date if the node that serves the stream has chosen another replica since.
     auto const* local = m_streams.find(requestId);
-    if (local && local->role == StreamRole::Replica && m_peers.livenessOf(local->originNodeId) != Stream::OriginLiveness::Dead)
+    if (local && local->role == StreamRole::Replica && m_peers.livenessOf(local->originNodeId, m_runtime.now() - local->changedAt) != Stream::OriginLiveness::Dead)
         holders.insert(holders.begin(), local->originNodeId);
     for (auto const& nodeId : holders) {
         if (best && asked >= probableCopies)
@@ -139,6 +139,8 @@
 Peer::HandOverReply StreamTakeOver::accept(Peer::HandOverRequest const& request)
 {
     Peer::HandOverReply reply;
+    // The sender ends soon, but its row may not say so yet.
+    m_replicator.moveReplicasFrom({ request.senderNodeId });
     for (auto const& record : request.records) {
         auto result = m_streams.apply(record);
         if (result.decision == Peer::StreamDecision::Accepted)
@@ -148,9 +150,8 @@
     return reply;
 }
 
-Core::Awaitable<bool> StreamTakeOver::handOver(std::string requestId, Core::MonotonicTime deadline)
+Core::Awaitable<bool> StreamTakeOver::handOver(std::string requestId, std::set<std::string>& excluded, Core::MonotonicTime deadline)
 {
-    std::set<std::string> excluded;
     // Grows with each try, because the answer of an earlier successor may have been lost.
     std::uint64_t epoch = 0;
     while (m_runtime.now() < deadline) {
@@ -185,8 +186,10 @@
 Core::Awaitable<std::size_t> StreamTakeOver::handOverAll(Core::MonotonicTime deadline)
 {
     std::size_t remaining = 0;
+    // Successors that failed; each costs its time-out once and not for every stream.
+    std::set<std::string> excluded;
     for (auto const& id : m_streams.idsWithRole(StreamRole::Serving)) {
-        bool const moved = co_await handOver(id, deadline);
+        bool const moved = co_await handOver(id, excluded, deadline);
         remaining += moved ? 0 : 1;
     }
     co_return remaining;
--- a/Services/Node/StreamTakeOver.h
+++ b/Services/Node/StreamTakeOver.h
@@ -45,7 +45,7 @@
     [[nodiscard]] Core::Awaitable<bool> fence(Copy const&, std::uint64_t epoch, Core::MonotonicTime deadline);
     [[nodiscard]] bool serveCopy(Peer::StreamRecord, std::uint64_t epoch, Core::LastReason&);
     void serve(Stream::Stream&, std::uint64_t epoch, std::string const& cause);
-    [[nodiscard]] Core::Awaitable<bool> handOver(std::string requestId, Core::MonotonicTime deadline);
+    [[nodiscard]] Core::Awaitable<bool> handOver(std::string requestId, std::set<std::string>& excluded, Core::MonotonicTime deadline);
 
     Core::Runtime& m_runtime;
     Stream::StreamTable& m_streams;
