--- a/Tests/Integration/Cluster.cpp
+++ b/Tests/Integration/Cluster.cpp
@@ -90,6 +90,8 @@
     for (unsigned number = 0; number < m_options.dataCentres; ++number)
         startBackends(number);
     registerHosts();
+    if (m_options.peerLinks == PeerLinks::ThroughProxy)
+        reservePeerPorts();
     for (unsigned number = 0; number < m_options.dataCentres; ++number) {
         for (unsigned index = 0; index < m_options.nodesPerDataCentre; ++index)
             addNode("node" + std::to_string(number + 1) + std::string(1, static_cast<char>('a' + index)), dataCentreName(number));
@@ -109,7 +111,24 @@
             servers.push_back({ kind + std::to_string(servers.size()), endpoint, dataCentre });
     };
     startKind("engine", m_options.enginesPerDataCentre, m_options.engineFlags, m_engines);
-    startKind("service", m_options.servicesPerDataCentre, {}, m_services);
+    startKind("service", m_options.servicesPerDataCentre, m_options.serviceFlags, m_services);
+}
+
+void Cluster::reservePeerPorts()
+{
+    static boost::asio::io_context context;
+    std::string listens;
+    std::string targets;
+    for (unsigned index = 0; index < m_options.dataCentres * m_options.nodesPerDataCentre; ++index) {
+        auto& socket = *m_reservedPorts.emplace_back(std::make_unique<boost::asio::ip::tcp::socket>(context, boost::asio::ip::tcp::v4()));
+        socket.set_option(boost::asio::socket_base::reuse_address(true));
+        socket.bind({ boost::asio::ip::address_v4::loopback(), 0 });
+        auto const& endpoint = m_peerEndpoints.emplace_back(Core::Endpoint { "127.0.0.1", socket.local_endpoint().port() });
+        listens += (index > 0 ? "," : "") + anyPort;
+        targets += (index > 0 ? "," : "") + endpoint.toString();
+    }
+    m_peerProxy = std::make_unique<ChildProcess>(std::vector<std::string> { STAND_IN_BINARY, "proxy", "--listen=" + listens, "--target=" + targets });
+    m_peerProxySwitches = std::make_unique<TestSupport::ProxySwitches>(m_peerProxy->endpoint("control"));
 }
 
 void Cluster::registerHosts()
@@ -129,9 +148,18 @@
     auto const number = static_cast<unsigned>(dataCentre.back() - '1');
     std::vector<std::string> arguments {
         HYSSOPSTEP_BINARY, "node", "--node_id=" + id, "--data_centre=" + dataCentre, "--region=us-south",
-        "--client_listen=" + anyPort, "--operator_listen=" + anyPort, "--peer_listen=" + anyPort,
+        "--client_listen=" + anyPort, "--operator_listen=" + anyPort,
         "--platform=" + m_proxy->endpoint("proxy" + std::to_string(number)).toString()
     };
+    auto const index = m_nodes.size();
+    arguments.push_back("--peer_listen=" + (index < m_peerEndpoints.size() ? m_peerEndpoints[index].toString() : anyPort));
+    std::string routes;
+    for (std::size_t other = 0; other < m_peerEndpoints.size(); ++other) {
+        if (other / m_options.nodesPerDataCentre != number)
+            routes += (routes.empty() ? "" : ",") + m_peerEndpoints[other].toString() + "=" + m_peerProxy->endpoint("proxy" + std::to_string(other)).toString();
+    }
+    if (!routes.empty())
+        arguments.push_back("--peer_routes=" + routes);
     std::string seeds;
     for (auto const& node : m_nodes)
         seeds += (seeds.empty() ? "" : ",") + node->peer.toString();
@@ -144,6 +172,7 @@
     node->client = node->process->endpoint("client");
     node->operators = node->process->endpoint("operator");
     node->peer = node->process->endpoint("peer");
+    m_platformSwitches->registerHosts({ { node->id, Platform::HostRole::Entry, node->client, "", "", node->dataCentre, node->dataCentre + "-zone", "small", true, Platform::HostState::Live, 1 } });
     return *m_nodes.emplace_back(std::move(node));
 }
 
@@ -201,6 +230,79 @@
     return executions;
 }
 
+void Cluster::setEngineFaults(json::object const& faults, std::optional<std::size_t> engine) const
+{
+    for (std::size_t index = 0; index < m_engines.size(); ++index) {
+        if (!engine || *engine == index)
+            TestSupport::callStandIn(m_engines[index].endpoint, "PUT", "/stand-in/faults", faults);
+    }
+}
+
+// A crashed engine does not listen until its next incarnation.
+static json::value recordOf(ClusterServer const& server)
+{
+    json::value record;
+    auto const read = [&] {
+        try {
+            record = TestSupport::callStandIn(server.endpoint, "GET", "/stand-in/record");
+            return true;
+        } catch (std::runtime_error const&) {
+            return false;
+        }
+    };
+    if (!TestSupport::waitUntil(read))
+        throw std::runtime_error("no record of " + server.id);
+    return record;
+}
+
+std::vector<EngineAttempt> Cluster::attemptsOf(std::string const& requestId) const
+{
+    std::vector<EngineAttempt> attempts;
+    for (std::size_t index = 0; index < m_engines.size(); ++index) {
+        auto const record = recordOf(m_engines[index]);
+        for (auto const& request : record.at("requests").as_object()) {
+            if (!requestId.empty() && std::string_view(request.key()) != requestId)
+                continue;
+            for (auto const& attempt : request.value().at("attempts").as_array()) {
+                attempts.push_back({ index, std::string(attempt.at("outcome").as_string()), attempt.at("computed").to_number<std::uint64_t>(), attempt.at("prefilled").to_number<std::uint64_t>(),
+                    attempt.at("resumedFrom").to_number<std::uint64_t>(), attempt.at("startedAtMs").to_number<std::int64_t>(), std::string(attempt.at("firstToken").as_string()) });
+            }
+        }
+    }
+    std::stable_sort(attempts.begin(), attempts.end(), [](auto const& left, auto const& right) { return left.startedAtMs < right.startedAtMs; });
+    return attempts;
+}
+
+std::uint64_t Cluster::engineTotal(std::string const& name) const
+{
+    std::uint64_t total = 0;
+    for (auto const& engine : m_engines)
+        total += recordOf(engine).at("totals").at(name).to_number<std::uint64_t>();
+    return total;
+}
+
+std::string Cluster::livenessOf(ClusterNode const& observer, std::string const& nodeId)
+{
+    auto const value = status(observer);
+    if (!value.is_object())
+        return "";
+    for (auto const& row : value.at("nodes").as_array()) {
+        if (row.at("id").as_string() == nodeId)
+            return std::string(row.at("liveness").as_string());
+    }
+    return "";
+}
+
+std::vector<Core::Endpoint> Cluster::clientsExcept(ClusterNode const* excluded) const
+{
+    std::vector<Core::Endpoint> endpoints;
+    for (auto const& node : m_nodes) {
+        if (node.get() != excluded)
+            endpoints.push_back(node->client);
+    }
+    return endpoints;
+}
+
 std::string Cluster::nodeLogs() const
 {
     std::string logs;
@@ -209,7 +311,7 @@
     return logs;
 }
 
-HTTP::Request chatRequest(std::string const& prompt, bool streamed)
+HTTP::Request chatRequest(std::string const& prompt, bool streamed, std::string const& key)
 {
     json::object body {
         { "model", "advisor" },
@@ -217,7 +319,10 @@
         { "max_tokens", 4000 },
         { "stream", streamed },
     };
-    return { "POST", "/v1/chat/completions", { { "Authorization", "Bearer " + std::string(classroomKey) }, { "Content-Type", "application/json" } }, json::serialize(body) };
+    HTTP::Headers headers { { "Authorization", "Bearer " + std::string(classroomKey) }, { "Content-Type", "application/json" } };
+    if (!key.empty())
+        headers.add("Idempotency-Key", key);
+    return { "POST", "/v1/chat/completions", headers, json::serialize(body) };
 }
 
 HTTP::Request refundRequest(std::string const& key, std::string const& body)
@@ -228,7 +333,7 @@
 
 std::string newKey()
 {
-    static Core::Random random(std::random_device {}());
+    thread_local Core::Random random(std::random_device {}());
     return Core::generateUuidV7(random, std::chrono::system_clock::now()).toString();
 }
 
@@ -237,6 +342,14 @@
     open(endpoint, std::move(request));
 }
 
+AnswerReader::AnswerReader(AnswerReader const& other)
+    : m_tokens(other.m_tokens)
+    , m_position(other.m_position)
+    , m_requestId(other.m_requestId)
+    , m_complete(other.m_complete)
+{
+}
+
 bool AnswerReader::open(Core::Endpoint const& endpoint, HTTP::Request request)
 {
     m_parser = {};
@@ -295,7 +408,7 @@
     return open(endpoint, std::move(request));
 }
 
-void AnswerReader::completeAt(std::vector<Core::Endpoint> const& endpoints)
+void AnswerReader::completeAt(std::vector<Core::Endpoint> const& endpoints, std::chrono::milliseconds bound)
 {
     std::size_t next = 0;
     auto const advance = [&] {
@@ -304,7 +417,7 @@
         readAll();
         return m_complete;
     };
-    (void)TestSupport::waitUntil(advance);
+    (void)TestSupport::waitUntil(advance, bound);
 }
 
 }
--- a/Tests/Integration/Cluster.h
+++ b/Tests/Integration/Cluster.h
@@ -7,8 +7,10 @@
 #include <Support/ChildProcess.h>
 #include <Support/StandInSwitches.h>
 #include <Support/WaitUntil.h>
+#include <boost/asio/ip/tcp.hpp>
 #include <boost/json/value.hpp>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -18,13 +20,33 @@
 /// The key of the team "classroom" in testState().
 inline constexpr std::string_view classroomKey = "classroom-key";
 
+/// How the nodes of different data centres reach each other.
+enum class PeerLinks {
+    Direct,
+    /// Through a fault proxy, so that the data centres can be cut from each other.
+    ThroughProxy,
+};
+
 struct ClusterOptions {
     unsigned dataCentres { 2 };
     unsigned nodesPerDataCentre { 2 };
     unsigned enginesPerDataCentre { 2 };
     unsigned servicesPerDataCentre { 1 };
     std::vector<std::string> engineFlags {};
+    std::vector<std::string> serviceFlags {};
     std::vector<std::string> nodeFlags {};
+    PeerLinks peerLinks { PeerLinks::Direct };
+};
+
+/// An attempt at a request as an engine recorded it.
+struct EngineAttempt {
+    std::size_t engine { 0 };
+    std::string outcome;
+    std::uint64_t computed { 0 };
+    std::uint64_t prefilled { 0 };
+    std::uint64_t resumedFrom { 0 };
+    std::int64_t startedAtMs { 0 };
+    std::string firstToken;
 };
 
 /// A backend server or node of the cluster. Several servers share one process.
@@ -69,6 +91,24 @@
     /// Pair n stands between the nodes of data centre n and the platform.
     [[nodiscard]] TestSupport::ProxySwitches const& platformProxy() const { return *m_proxySwitches; }
 
+    /// Cuts all data centres from each other, or joins them. Precondition: PeerLinks::ThroughProxy.
+    void setPeerFaults(TestSupport::ProxyFaults const& faults) const { m_peerProxySwitches->setFaults(faults); }
+
+    /// Sets the fault switches of one engine, or of all.
+    void setEngineFaults(boost::json::object const&, std::optional<std::size_t> engine = {}) const;
+
+    /// The attempts of a request, or of all requests if it is empty, in the order of their start.
+    [[nodiscard]] std::vector<EngineAttempt> attemptsOf(std::string const& requestId) const;
+
+    /// The sum of an entry of the engines' `totals`.
+    [[nodiscard]] std::uint64_t engineTotal(std::string const& name) const;
+
+    /// The liveness of a node as another sees it; empty if it cannot be asked or does not know the node.
+    [[nodiscard]] std::string livenessOf(ClusterNode const& observer, std::string const& nodeId);
+
+    /// Client endpoints of the nodes, without one of them.
+    [[nodiscard]] std::vector<Core::Endpoint> clientsExcept(ClusterNode const*) const;
+
     /// `GET /operator/status` of a node; null if it cannot be reached.
     [[nodiscard]] boost::json::value status(ClusterNode const&);
 
@@ -81,8 +121,14 @@
 private:
     void startBackends(unsigned dataCentre);
     void registerHosts();
+    void reservePeerPorts();
 
     ClusterOptions m_options;
+    /// Bound so that no other process gets the port before the node listens on it.
+    std::vector<std::unique_ptr<boost::asio::ip::tcp::socket>> m_reservedPorts;
+    std::vector<Core::Endpoint> m_peerEndpoints;
+    std::unique_ptr<TestSupport::ChildProcess> m_peerProxy;
+    std::unique_ptr<TestSupport::ProxySwitches> m_peerProxySwitches;
     std::unique_ptr<TestSupport::ChildProcess> m_platform;
     std::unique_ptr<TestSupport::ChildProcess> m_proxy;
     std::unique_ptr<TestSupport::PlatformSwitches> m_platformSwitches;
@@ -96,8 +142,9 @@
 /// The data centre's name by its number, from 0.
 [[nodiscard]] std::string dataCentreName(unsigned number);
 
-/// A chat request of the team "classroom". The prompt decides the answer's length through a token `length=<n>`.
-[[nodiscard]] HTTP::Request chatRequest(std::string const& prompt, bool streamed);
+/// A chat request of the team "classroom". The prompt decides the answer's length through a token `length=<n>`. With an
+/// Idempotency-Key, a repeat joins the same answer.
+[[nodiscard]] HTTP::Request chatRequest(std::string const& prompt, bool streamed, std::string const& key = "");
 
 /// A refund with a key.
 [[nodiscard]] HTTP::Request refundRequest(std::string const& key, std::string const& body = "{\"order\":1}");
@@ -111,6 +158,9 @@
     /// Sends the request. Sets error() if there is no streamed answer.
     AnswerReader(Core::Endpoint const&, HTTP::Request);
 
+    /// A client that was told so far what the other was told, without a connection; the other keeps its own.
+    explicit AnswerReader(AnswerReader const&);
+
     /// Reads until `count` tokens have been received in total, the answer has ended, or the connection has broken.
     void readTokens(std::size_t count);
 
@@ -121,7 +171,7 @@
     bool continueAt(Core::Endpoint const&);
 
     /// Continues at the nodes in turn until the answer is complete or the bound has passed.
-    void completeAt(std::vector<Core::Endpoint> const&);
+    void completeAt(std::vector<Core::Endpoint> const&, std::chrono::milliseconds bound = TestSupport::generousBound);
 
     [[nodiscard]] std::vector<std::string> const& tokens() const { return m_tokens; }
     /// Whether the last event of the answer was received.
@@ -129,6 +179,7 @@
     [[nodiscard]] std::string const& requestId() const { return m_requestId; }
     /// The problem details of a refusal or of an error event.
     [[nodiscard]] std::string const& error() const { return m_error; }
+    [[nodiscard]] bool connected() const { return m_stream != nullptr; }
 
 private:
     bool open(Core::Endpoint const&, HTTP::Request);
--- /dev/null
+++ b/Tests/Integration/LeavingTest.cpp
@@ -0,0 +1,160 @@
+#include <Integration/Figures.h>
+#include <boost/json/value.hpp>
+#include <gtest/gtest.h>
+
+using namespace std::chrono_literals;
+using Integration::Cluster;
+
+namespace {
+
+enum class Word {
+    Notice,
+    /// The server's own load report.
+    Own,
+    /// A node of the other data centre, the only one that still reaches the platform.
+    Peer,
+};
+
+std::int64_t wallMilliseconds()
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
+}
+
+/// Load on all nodes while an engine and a plain server of the first data centre leave.
+class LeavingTest : public testing::Test {
+protected:
+    static constexpr std::int64_t bound = 3000;
+
+    void TearDown() override
+    {
+        if (HasFailure())
+            std::fputs(m_cluster.nodeLogs().c_str(), stderr);
+    }
+
+    /// Keeps the host list as it was before the servers were announced as leaving.
+    void holdHostList() const
+    {
+        auto const lag = static_cast<std::uint64_t>(wallMilliseconds() - m_registeredAt);
+        m_cluster.platform().setFaults({ .hostListLagMs = lag });
+    }
+
+    boost::json::value serviceRecord(std::size_t index) const { return TestSupport::callStandIn(m_cluster.services()[index].endpoint, "GET", "/stand-in/record"); }
+
+    /// When the last attempt or execution started, by the servers' records; 0 if there is none.
+    std::int64_t lastWorkAt(bool atLeaving) const
+    {
+        std::int64_t last = 0;
+        for (auto const& attempt : m_cluster.attemptsOf("")) {
+            if ((attempt.engine == m_leavingEngine) == atLeaving)
+                last = std::max(last, attempt.startedAtMs);
+        }
+        for (std::size_t index = 0; index < m_cluster.services().size(); ++index) {
+            auto const record = serviceRecord(index);
+            for (auto const& execution : record.at("executions").as_array()) {
+                if ((index == m_leavingService) == atLeaving)
+                    last = std::max(last, execution.at("atMs").to_number<std::int64_t>());
+            }
+        }
+        return last;
+    }
+
+    std::uint64_t refusedAtLeaving() const
+    {
+        auto const engine = TestSupport::callStandIn(m_cluster.engines()[m_leavingEngine].endpoint, "GET", "/stand-in/record");
+        return engine.at("totals").at("refused").to_number<std::uint64_t>() + serviceRecord(m_leavingService).at("totals").at("refused").to_number<std::uint64_t>();
+    }
+
+    void run(Word);
+
+    Cluster m_cluster { { .enginesPerDataCentre = 3, .servicesPerDataCentre = 2 } };
+    std::int64_t m_registeredAt { 0 };
+    /// In the first data centre; the plain server is the one that got work.
+    std::size_t m_leavingEngine { 0 };
+    std::size_t m_leavingService { 0 };
+};
+
+void LeavingTest::run(Word word)
+{
+    m_cluster.start();
+    m_registeredAt = wallMilliseconds() - 100;
+    holdHostList();
+    Integration::LoadClients load(m_cluster, { .streamingClients = 6, .wholeClients = 2, .serviceClients = 4, .length = 10, .serviceCalls = Configuration::Idempotency::Idempotent });
+    // Both servers have work before.
+    auto const executions = [&](std::size_t index) { return serviceRecord(index).at("totals").at("executions").to_number<int>(); };
+    ASSERT_TRUE(TestSupport::waitUntil([&] { return executions(0) + executions(1) > 10 && m_cluster.engineTotal("attempts") > 50; }));
+    m_leavingService = executions(0) > executions(1) ? 0 : 1;
+
+    if (word == Word::Peer)
+        m_cluster.platformProxy().setFaults({ .cut = true }, 0);
+    auto const announcedAt = wallMilliseconds();
+    if (word == Word::Own) {
+        TestSupport::callStandIn(m_cluster.engines()[m_leavingEngine].endpoint, "PUT", "/stand-in/faults", boost::json::object { { "leaving", true } });
+        TestSupport::callStandIn(m_cluster.services()[m_leavingService].endpoint, "PUT", "/stand-in/faults", boost::json::object { { "leaving", true } });
+    } else {
+        (void)m_cluster.platform().reclaim({ { m_cluster.engines()[m_leavingEngine].id, m_cluster.services()[m_leavingService].id }, "", "", 60s });
+    }
+    auto const holdUntil = [&](std::int64_t time) {
+        return TestSupport::waitUntil([&] {
+            holdHostList();
+            return wallMilliseconds() > time;
+        });
+    };
+    ASSERT_TRUE(holdUntil(announcedAt + bound));
+    auto const refusedInTime = refusedAtLeaving();
+    // The load goes on for a while in which nothing may start at the servers that leave.
+    ASSERT_TRUE(holdUntil(announcedAt + bound + 1500));
+    auto figures = load.stop();
+    figures.faults = 2;
+    Integration::printFigures("I5", figures);
+    auto const last = lastWorkAt(true);
+    std::printf("figures: last_work_after_announcement_ms=%lld\n", static_cast<long long>(last - announcedAt));
+    EXPECT_GT(last, 0);
+    EXPECT_LE(last, announcedAt + bound);
+    EXPECT_GT(lastWorkAt(false), announcedAt + bound);
+    EXPECT_EQ(refusedAtLeaving(), refusedInTime);
+    EXPECT_EQ(figures.lost, 0u);
+    EXPECT_EQ(figures.wrong, 0u);
+    EXPECT_EQ(figures.cutOff, 0u);
+}
+
+}
+
+// Each guards against new work for a server that leaves, by one of the ways of learning it, while the host list lags (I5).
+TEST_F(LeavingTest, ByNotice)
+{
+    run(Word::Notice);
+}
+
+TEST_F(LeavingTest, ByItsOwnReport)
+{
+    run(Word::Own);
+}
+
+TEST_F(LeavingTest, ByPeersWhileCutFromThePlatform)
+{
+    run(Word::Peer);
+}
+
+// Guards against a node that forgets a notice because its host list does not name the server yet.
+TEST_F(LeavingTest, NodeStartedAfterTheNotice)
+{
+    m_cluster.start();
+    m_registeredAt = wallMilliseconds() - 100;
+    auto const& leaving = m_cluster.engines()[m_leavingEngine];
+    (void)m_cluster.platform().reclaim({ { leaving.id }, "", "", 60s });
+    // As it was before any host existed.
+    m_cluster.platform().setFaults({ .hostListLagMs = 3'600'000 });
+    auto& node = m_cluster.addNode("node3", "dc1");
+    ASSERT_TRUE(TestSupport::waitUntil([&] { return m_cluster.livenessOf(node, "node2a") == "live"; }));
+    auto const isMarked = [&] {
+        holdHostList();
+        auto const status = m_cluster.status(node);
+        for (auto const& server : status.at("servers").as_array()) {
+            if (server.at("id").as_string() == leaving.id)
+                return server.at("leaving").as_bool();
+        }
+        return false;
+    };
+    EXPECT_TRUE(TestSupport::waitUntil(isMarked));
+    Integration::printFigures("I5", { .faults = 1 });
+}
--- /dev/null
+++ b/Tests/Integration/PoisonTest.cpp
@@ -0,0 +1,47 @@
+#include <Integration/Figures.h>
+#include <gtest/gtest.h>
+
+using namespace std::chrono_literals;
+using Integration::AnswerReader;
+
+// Guards against a request that crashes one engine after the other, at every node and each time it is sent again, and against
+// refusing the innocent requests that shared its batches.
+TEST(PoisonTest, CrashingRequestIsStopped)
+{
+    Integration::Cluster cluster { { .enginesPerDataCentre = 3, .servicesPerDataCentre = 0, .engineFlags = { "--crash_token=poison", "--restart_ms=200" } } };
+    cluster.start();
+    Integration::LoadClients load(cluster, { .streamingClients = 6, .wholeClients = 2, .serviceClients = 0 });
+    ASSERT_TRUE(load.waitForAnswers(20));
+    unsigned refused = 0;
+    unsigned sent = 0;
+    std::uint64_t crashesOfFirstRound = 0;
+    for (unsigned round = 0; round < 3; ++round) {
+        for (auto const& node : cluster.nodes()) {
+            ++sent;
+            // While all engines restart, a request is refused as not run.
+            auto const isQuarantined = [&, &client = node->client] {
+                AnswerReader reader(client, Integration::chatRequest("poison length=20", true));
+                reader.readAll();
+                EXPECT_FALSE(reader.complete());
+                return reader.error().find("request_quarantined") != std::string::npos;
+            };
+            refused += TestSupport::waitUntil(isQuarantined) ? 1 : 0;
+        }
+        // Three crashes show the cause to a node; the others may get the request before they hear of it.
+        auto const crashes = cluster.engineTotal("crashes");
+        EXPECT_GE(crashes, 1u);
+        EXPECT_LE(crashes, round == 0 ? 3 * cluster.nodes().size() : crashesOfFirstRound);
+        crashesOfFirstRound = round == 0 ? crashes : crashesOfFirstRound;
+    }
+    EXPECT_TRUE(load.waitForAnswers(20));
+    auto figures = load.stop();
+    figures.faults = cluster.engineTotal("crashes");
+    Integration::printFigures("poison", figures);
+    std::printf("figures: poison_sent=%u crashes=%llu\n", sent, static_cast<unsigned long long>(figures.faults));
+    EXPECT_EQ(refused, sent);
+    EXPECT_EQ(figures.lost, 0u);
+    EXPECT_EQ(figures.wrong, 0u);
+    EXPECT_EQ(figures.cutOff, 0u);
+    if (testing::Test::HasFailure())
+        std::fputs(cluster.nodeLogs().c_str(), stderr);
+}
--- a/Tests/StandIns/Engine.cpp
+++ b/Tests/StandIns/Engine.cpp
@@ -172,6 +172,7 @@
         ++m_refused;
         co_return co_await sendError(writer, 503, m_leaving ? "leaving" : "full");
     }
+    sequence->startedAtMs = unixMilliseconds(m_runtime.wallNow());
     m_attemptsByRequest[sequence->requestId].push_back(sequence);
     auto faults = takeFaults(*sequence);
     wakeUp();
@@ -430,7 +431,7 @@
             computed += sequence->computedTokens;
             prefilled += sequence->prefilledTokens;
             cached += sequence->cachedTokens;
-            list.push_back({ { "attemptId", sequence->attemptId }, { "outcome", outcomeName(sequence->outcome) }, { "computed", sequence->computedTokens }, { "prefilled", sequence->prefilledTokens }, { "cached", sequence->cachedTokens }, { "resumedFrom", sequence->resumedFrom }, { "priority", sequence->priority }, { "firstToken", sequence->firstToken } });
+            list.push_back({ { "attemptId", sequence->attemptId }, { "outcome", outcomeName(sequence->outcome) }, { "computed", sequence->computedTokens }, { "prefilled", sequence->prefilledTokens }, { "cached", sequence->cachedTokens }, { "resumedFrom", sequence->resumedFrom }, { "priority", sequence->priority }, { "firstToken", sequence->firstToken }, { "startedAtMs", sequence->startedAtMs } });
         }
         requests[requestId] = json::object { { "attempts", std::move(list) } };
     }
--- a/Tests/StandIns/EngineSimulator.h
+++ b/Tests/StandIns/EngineSimulator.h
@@ -59,6 +59,8 @@
     /// Tokens whose attention state was imported.
     std::size_t importedTokens { 0 };
 
+    /// When the attempt arrived, in milliseconds since the Unix epoch.
+    std::int64_t startedAtMs { 0 };
     std::uint64_t order { 0 };
     bool priorityChanged { false };
     std::size_t remainingPrefill { 0 };
