LibMembership: Replace a wrong server list although its relay's does not change

Cause: a node that had read a lagging list from the platform refused its relay's list, because that was read earlier, and kept the relay's version as known. The relay's list did not change, so nothing was sent until the wait of 60 s ended, and the node had no servers. LeavingTest.NodeStartedAfterTheNotice showed it. Ruled out: the notice being lost; the node held it, but listed no server. Change: a refused list that differs resets the known version, so that the next reply holds all rows, after one list interval.

--- a/Libraries/LibMembership/PlatformData.cpp
+++ b/Libraries/LibMembership/PlatformData.cpp
@@ -157,10 +157,13 @@
         return news;
     cursor = { reply.epoch, reply.version };
     auto const readAt = now - std::chrono::milliseconds(reply.ageMilliseconds);
-    // A list that is not newer is left alone. Later changes of this peer apply to the own list, and the hash shows whether
-    // they lead to the same one.
-    if (data.readAt && readAt <= *data.readAt)
+    // A list that is not newer is left alone. If it differs, the peer's next one may be right without being a change for the
+    // peer, so all rows are asked for again.
+    if (data.readAt && readAt <= *data.readAt) {
+        if (data.contentHash != reply.contentHash)
+            cursor = {};
         return news;
+    }
     news.listAdopted = true;
     if (reply.complete) {
         adoptServerList(data, reply.servers, readAt);
--- a/Libraries/LibMembership/PlatformData.h
+++ b/Libraries/LibMembership/PlatformData.h
@@ -80,8 +80,8 @@
     bool operator==(PlatformDataNews const&) const = default;
 };
 
-/// Merges a peer's reply. The cursor is reset, so that the next reply holds all rows, if the changes did not lead to the
-/// peer's list; that happens when the lists of two relays differ.
+/// Merges a peer's reply. The cursor is reset, so that the next reply holds all rows, if the list held then differs from the
+/// peer's: the changes led to another one, or the peer's was read earlier and its next one may be the right one.
 PlatformDataNews mergeReply(PlatformData&, PlatformDataCursor&, Peer::FetchPlatformDataReply const&, Core::MonotonicTime now);
 
 /// Where a node gets the platform's data from.
--- a/Services/Node/PlatformFeed.cpp
+++ b/Services/Node/PlatformFeed.cpp
@@ -203,9 +203,11 @@
         if (reply)
             announce(Membership::mergeReply(m_data, cursor, *reply, m_runtime.now()));
         m_remoteFailed = !reply && slot + 1 == relaySlots;
-        // A peer without a list answers at once.
+        // A peer without a list answers at once, and one whose list differs sends all of it.
         if (!reply || !reply->hasList)
             co_await m_runtime.sleepFor(jittered(m_settings.retryInterval));
+        else if (cursor == Membership::PlatformDataCursor {})
+            co_await m_runtime.sleepFor(jittered(currentListInterval()));
     }
 }
 
