Tests: Keep the engine away until the host list has arrived

Cause: the engine restarted after 2 s, and relayed host lists can take longer, so the command that was to fail succeeded and FleetTest.NothingIsDoneWhileThePlatformIsDown waited in vain (3 of 8 runs). Change: the engine stays away for 8 s.

--- a/Tests/Integration/FleetTest.cpp
+++ b/Tests/Integration/FleetTest.cpp
@@ -162,9 +162,9 @@
     start({ "--check_fencing" }, { "--fleet_lease_ms=1000", "--engine_fencing=checked" }, 1);
     auto& first = holderOf(1);
     ASSERT_TRUE(waitUntil([&] { return isCommanded(1); }));
-    // The holder has a command that it cannot deliver yet.
+    // The holder has a command that it cannot deliver yet. The engine stays away for longer than the host list takes to arrive.
     auto const& engine = m_cluster->engines()[0].endpoint;
-    TestSupport::callStandIn(engine, "PUT", "/stand-in/faults", json::object { { "crash", true }, { "restartMs", 2000 } });
+    TestSupport::callStandIn(engine, "PUT", "/stand-in/faults", json::object { { "crash", true }, { "restartMs", 8000 } });
     auto const answers = [&] {
         try {
             return TestSupport::callStandIn(engine, "GET", "/engine/load").is_object();
