Meta: Share the functions that start and stop processes

Cause: the demo and the experiments each had their own copy. Change: Meta/processes.sh, sourced by both.

--- a/Meta/demo.sh
+++ b/Meta/demo.sh
@@ -12,44 +12,8 @@
 binary=$PWD/Build/Utilities/Hyssopstep/hyssopstep
 stand_in=$PWD/Build/Tests/StandIns/hyssopstep-stand-in
 directory=$(mktemp -d)
-pids=()
-
-# Ends only processes that this script started.
-cleanup() {
-    for pid in "${pids[@]}"; do
-        kill -KILL "$pid" 2>/dev/null || true
-    done
-    rm -rf "$directory"
-}
-trap cleanup EXIT
-
-fail() {
-    echo "demo: $1" >&2
-    tail -n 20 "$directory"/*.log >&2 || true
-    exit 1
-}
-
-# start NAME COMMAND...: starts a process whose log is NAME.log.
-start() {
-    local name=$1
-    shift
-    "$@" >"$directory/$name.log" 2>&1 &
-    pids+=("$!")
-}
-
-# endpoints NAME INTERFACE COUNT: waits for the endpoints that the process prints.
-endpoints() {
-    local found
-    for _ in $(seq 1 500); do
-        found=$(sed -n "s/.*event=listening interface=$2 .*endpoint=\([0-9.:]*\).*/\1/p" "$directory/$1.log" 2>/dev/null || true)
-        if [ "$(echo "$found" | grep -c .)" -ge "$3" ]; then
-            echo "$found"
-            return
-        fi
-        sleep 0.05
-    done
-    fail "$1 does not listen on $2"
-}
+script=demo
+. Meta/processes.sh
 
 # until_true MESSAGE COMMAND...: repeats the command until it succeeds.
 until_true() {
@@ -137,8 +101,8 @@
 for pid in "${pids[@]}"; do
     kill -TERM "$pid"
 done
-for pid in "${pids[@]}"; do
-    wait "$pid" || fail "process $pid did not stop gracefully"
+for name in "${!pids[@]}"; do
+    wait "${pids[$name]}" || fail "$name did not stop gracefully"
 done
 pids=()
 echo "demo: done"
