LibMembership: Look peers up in one place

Cause: the nodes that hold streams and those that write intents were looked up by two copies of one function. Change: peerEndpointOf() beside the node table.

--- a/Libraries/LibMembership/NodeTable.cpp
+++ b/Libraries/LibMembership/NodeTable.cpp
@@ -24,6 +24,14 @@
     return rows.at(ownId);
 }
 
+std::optional<Core::Endpoint> peerEndpointOf(NodeTable const& table, std::string_view id, Core::LastReason& reason)
+{
+    auto const* row = table.find(id);
+    if (!row)
+        return Core::fail(reason, Core::ErrorKind::PeerUnreachable, "node " + std::string(id) + " is not known");
+    return row->peerEndpoint;
+}
+
 std::uint64_t rowKey(std::string_view id, std::uint64_t incarnation)
 {
     return XXH3_64bits_withSeed(id.data(), id.size(), incarnation) >> heartbeatBits;
--- a/Libraries/LibMembership/NodeTable.h
+++ b/Libraries/LibMembership/NodeTable.h
@@ -1,10 +1,12 @@
 #pragma once
 
 #include <LibCore/Endpoint.h>
+#include <LibCore/ErrorKind.h>
 #include <LibCore/Random.h>
 #include <LibCore/Runtime.h>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -71,6 +73,9 @@
     [[nodiscard]] NodeRow const& own() const;
 };
 
+/// Where a node answers peers; PeerUnreachable (NotRun) if the table has no such node.
+[[nodiscard]] std::optional<Core::Endpoint> peerEndpointOf(NodeTable const&, std::string_view id, Core::LastReason&);
+
 /// Identifies one incarnation of a node: the lower 36 bits of XXH3. With 410 nodes a collision has a probability of about
 /// 1 in 10^6, and ends with the next start of one of the two nodes.
 [[nodiscard]] std::uint64_t rowKey(std::string_view id, std::uint64_t incarnation);
--- a/Services/Node/IntentPeers.cpp
+++ b/Services/Node/IntentPeers.cpp
@@ -54,17 +54,9 @@
     return writers;
 }
 
-std::optional<Core::Endpoint> IntentPeers::endpointOf(std::string const& nodeId, Core::LastReason& reason) const
-{
-    auto const* row = m_membership.nodes().find(nodeId);
-    if (!row)
-        return Core::fail(reason, Core::ErrorKind::PeerUnreachable, "node " + nodeId + " is not known");
-    return row->peerEndpoint;
-}
-
 Core::Awaitable<std::optional<Peer::BeginIntentReply>> IntentPeers::beginIntent(std::string nodeId, Peer::BeginIntentRequest request, Core::MonotonicTime deadline, Core::LastReason& reason)
 {
-    auto const endpoint = endpointOf(nodeId, reason);
+    auto const endpoint = Membership::peerEndpointOf(m_membership.nodes(), nodeId, reason);
     if (!endpoint)
         co_return std::nullopt;
     co_return co_await m_peers.beginIntent(*endpoint, std::move(request), deadline, reason);
@@ -72,7 +64,7 @@
 
 Core::Awaitable<std::optional<Peer::FinishIntentReply>> IntentPeers::finishIntent(std::string nodeId, Peer::FinishIntentRequest request, Core::MonotonicTime deadline, Core::LastReason& reason)
 {
-    auto const endpoint = endpointOf(nodeId, reason);
+    auto const endpoint = Membership::peerEndpointOf(m_membership.nodes(), nodeId, reason);
     if (!endpoint)
         co_return std::nullopt;
     co_return co_await m_peers.finishIntent(*endpoint, std::move(request), deadline, reason);
--- a/Services/Node/IntentPeers.h
+++ b/Services/Node/IntentPeers.h
@@ -22,8 +22,6 @@
     [[nodiscard]] bool isGone(std::string const& claimant) const override;
 
 private:
-    [[nodiscard]] std::optional<Core::Endpoint> endpointOf(std::string const& nodeId, Core::LastReason&) const;
-
     Membership::MembershipService const& m_membership;
     Peer::PeerClient& m_peers;
 };
--- a/Services/Node/StreamPeers.cpp
+++ b/Services/Node/StreamPeers.cpp
@@ -50,14 +50,6 @@
     return ids;
 }
 
-std::optional<Core::Endpoint> StreamPeers::endpointOf(std::string_view nodeId, Core::LastReason& reason) const
-{
-    auto const* row = m_membership.nodes().find(nodeId);
-    if (!row)
-        return Core::fail(reason, Core::ErrorKind::PeerUnreachable, "node " + std::string(nodeId) + " is not known");
-    return row->peerEndpoint;
-}
-
 Stream::OriginLiveness StreamPeers::livenessOf(std::string_view nodeId, Core::Duration silentFor) const
 {
     static constexpr auto longestSilence = std::chrono::seconds(10);
@@ -71,7 +63,7 @@
 
 Core::Awaitable<std::optional<Peer::ReplicateReply>> StreamPeers::replicate(std::string nodeId, Peer::ReplicateRequest request, Core::MonotonicTime deadline, Core::LastReason& reason)
 {
-    auto const endpoint = endpointOf(nodeId, reason);
+    auto const endpoint = Membership::peerEndpointOf(m_membership.nodes(), nodeId, reason);
     if (!endpoint)
         co_return std::nullopt;
     co_return co_await m_peers.replicate(*endpoint, std::move(request), deadline, reason);
@@ -79,7 +71,7 @@
 
 Core::Awaitable<std::optional<Peer::HandOverReply>> StreamPeers::handOver(std::string nodeId, Peer::HandOverRequest request, Core::MonotonicTime deadline, Core::LastReason& reason)
 {
-    auto const endpoint = endpointOf(nodeId, reason);
+    auto const endpoint = Membership::peerEndpointOf(m_membership.nodes(), nodeId, reason);
     if (!endpoint)
         co_return std::nullopt;
     co_return co_await m_peers.handOver(*endpoint, std::move(request), deadline, reason);
@@ -87,7 +79,7 @@
 
 Core::Awaitable<std::optional<Peer::FindStreamReply>> StreamPeers::findStream(std::string nodeId, std::string requestId, Core::MonotonicTime deadline, Core::LastReason& reason)
 {
-    auto const endpoint = endpointOf(nodeId, reason);
+    auto const endpoint = Membership::peerEndpointOf(m_membership.nodes(), nodeId, reason);
     if (!endpoint)
         co_return std::nullopt;
     Peer::FindStreamRequest request;
--- a/Services/Node/StreamPeers.h
+++ b/Services/Node/StreamPeers.h
@@ -36,7 +36,6 @@
     [[nodiscard]] Stream::OriginLiveness livenessOf(std::string_view nodeId, Core::Duration silentFor) const;
 
 private:
-    [[nodiscard]] std::optional<Core::Endpoint> endpointOf(std::string_view nodeId, Core::LastReason&) const;
     [[nodiscard]] std::vector<Membership::NodeRow const*> otherLiveNodes(std::set<std::string> const& excludedNodes) const;
 
     Membership::MembershipService const& m_membership;
