--- a/Tests/Integration/ConfigurationTest.cpp
+++ b/Tests/Integration/ConfigurationTest.cpp
@@ -185,6 +185,21 @@
     std::chrono::milliseconds m_longestSpread { 0 };
 };
 
+class IsolatedDataCentre : public ConfigurationPromise {
+protected:
+    IsolatedDataCentre()
+        : ConfigurationPromise(options())
+    {
+    }
+
+    static Integration::ClusterOptions options()
+    {
+        auto options = clusterOptions();
+        options.peerLinks = Integration::PeerLinks::ThroughProxy;
+        return options;
+    }
+};
+
 }
 
 // Guards against two operators whose applies both take effect on the same base, so that one change is lost unseen.
@@ -424,3 +439,24 @@
     EXPECT_EQ(state.generation(), generation);
     EXPECT_EQ(state.body.at("desired").at("services").at(0).at("maximumServers"), 211);
 }
+
+// Guards against a data centre that loses its configuration when it is cut off from platform and peers, or does not catch up.
+TEST_F(IsolatedDataCentre, KeepsItsConfigurationAndCatchesUp)
+{
+    TestSupport::ProxyFaults cut;
+    cut.cut = true;
+    m_cluster.platformProxy().setFaults(cut, 1);
+    m_cluster.setPeerFaults(cut);
+    m_faults += 2;
+    auto since = now();
+    ASSERT_EQ(apply(0, 130, 1, "isolated-1").generation(), 2u);
+    ASSERT_EQ(apply(1, 131, 2, "isolated-2").generation(), 3u);
+    expectSpread(nodeIds("dc1"), 3, since);
+    EXPECT_EQ(apply(2, 132, 1, "isolated-3").status, 503u);
+    for (auto const& id : nodeIds("dc2"))
+        EXPECT_EQ(m_watch->of(id), 1u);
+    since = now();
+    m_cluster.platformProxy().pass();
+    m_cluster.setPeerFaults({});
+    expectSpread(nodeIds(), 3, since);
+}
--- a/Tests/Integration/FaultMatrix.cpp
+++ b/Tests/Integration/FaultMatrix.cpp
@@ -146,7 +146,7 @@
     case Fault::TwoOperators:
         return cannotOccur("a request keeps the service it was accepted for");
     case Fault::StartRefused:
-        return notProved("requests while the fleet cannot grow: fleet control is not connected yet");
+        return notProved("requests while the fleet cannot grow: no test with fleet control on");
     case Fault::CrashingRequest:
         if (step == Step::Finishing)
             return cannotOccur("the engine crashes before the first token");
@@ -209,7 +209,7 @@
     case Fault::TwoOperators:
         return cannotOccur("the operation is looked up once, before the intent");
     case Fault::StartRefused:
-        return notProved("calls while the fleet cannot grow: fleet control is not connected yet");
+        return notProved("calls while the fleet cannot grow: no test with fleet control on");
     case Fault::CrashingRequest:
         return cannotOccur("a call is never sent twice, so it cannot crash a second back end");
     default:
@@ -225,6 +225,9 @@
         { { Fault::PlatformDown, Step::ConfigurationApplied }, { "ConfigurationPromise.ApplyInAnOutageChangesNothing" } },
         { { Fault::PlatformSlow, Step::ConfigurationSpread }, { "ConfigurationPromise.SlowPlatformKeepsTheBound" } },
         { { Fault::PlatformCut, Step::ConfigurationSpread }, { "ConfigurationPromise.CutDataCentreLearnsItFromAnother" } },
+        { { Fault::DataCentresCut, Step::ConfigurationSpread }, { "IsolatedDataCentre.KeepsItsConfigurationAndCatchesUp" } },
+        { { Fault::DataCentresCut, Step::ConfigurationInForce }, { "IsolatedDataCentre.KeepsItsConfigurationAndCatchesUp" } },
+        { { Fault::PlatformCut, Step::ConfigurationInForce }, { "IsolatedDataCentre.KeepsItsConfigurationAndCatchesUp" } },
         { { Fault::ProcessFrozen, Step::ConfigurationSpread }, { "ConfigurationPromise.PausedNodesCatchUp" } },
         { { Fault::ProcessFrozen, Step::ConfigurationInForce }, { "ConfigurationPromise.PausedNodesCatchUp" } },
     };
