Node: Continue an answer only from a copy that holds the client's position

Cause: a continuation took the copy with the highest epoch, before the client's position was compared; a copy that lacked tokens the client had seen was then served, and the answer ended as stream_diverged although a better copy existed. Change: copies that do not hold the position are passed over; without a usable one the client gets stream_not_found and can ask again. A malformed position is refused before any node is asked.

--- a/Libraries/LibStream/StreamTable.cpp
+++ b/Libraries/LibStream/StreamTable.cpp
@@ -61,6 +61,17 @@
     return position;
 }
 
+bool holdsPosition(std::vector<std::string> const& tokens, std::string_view eventId)
+{
+    Core::LastReason ignored;
+    return eventId.empty() || parsePosition(tokens, eventId, ignored).has_value();
+}
+
+bool isBetterCopy(Peer::StreamRecord const& left, Peer::StreamRecord const& right)
+{
+    return std::pair(left.epoch, left.tokens.size()) > std::pair(right.epoch, right.tokens.size());
+}
+
 static std::string finishReasonOnWire(Stream const& stream)
 {
     if (stream.phase != StreamPhase::Failed)
--- a/Libraries/LibStream/StreamTable.h
+++ b/Libraries/LibStream/StreamTable.h
@@ -86,6 +86,13 @@
 /// tokens do not reach it yet, InvalidRequest if it is malformed. Thread safe.
 [[nodiscard]] std::optional<StreamPosition> parsePosition(std::vector<std::string> const& tokens, std::string_view eventId, Core::LastReason&);
 
+/// Whether an answer can be continued from these tokens for a client at a position (an event id, empty for the start). Tokens
+/// that do not reach it, or belong to another run, would lose what the client has seen. Thread safe.
+[[nodiscard]] bool holdsPosition(std::vector<std::string> const& tokens, std::string_view eventId);
+
+/// Whether the left copy of a stream is newer: by its epoch, then by its tokens. Thread safe.
+[[nodiscard]] bool isBetterCopy(Peer::StreamRecord const& left, Peer::StreamRecord const& right);
+
 /// The part of the stream that the replica has not acknowledged, as a message; the request only if the replica lacks it.
 [[nodiscard]] Peer::StreamRecord unreplicatedPart(Stream const&);
 
--- a/Services/Node/Gateway.cpp
+++ b/Services/Node/Gateway.cpp
@@ -246,7 +246,7 @@
     if (isRepeatable) {
         // A request with a key may be known here or elsewhere; it is then continued instead of run again.
         Core::LastReason findReason;
-        bool const known = co_await m_node.takeOver.bringHere(admission.requestId, SearchScope::Probable, admission.deadline, findReason);
+        bool const known = co_await m_node.takeOver.bringHere(admission.requestId, "", SearchScope::Probable, admission.deadline, findReason);
         if (known)
             co_return true;
     }
@@ -331,7 +331,13 @@
         co_await refuse(writer, reason, requestId);
         co_return;
     }
-    bool const here = co_await m_node.takeOver.bringHere(requestId, SearchScope::All, admission->deadline, reason);
+    auto const eventId = request.queryParameter("from").value_or("");
+    Core::LastReason formReason;
+    if (!eventId.empty() && !Stream::parsePosition({}, eventId, formReason) && formReason.kind == ErrorKind::InvalidRequest) {
+        co_await refuse(writer, withoutLookUp(request, formReason), requestId);
+        co_return;
+    }
+    bool const here = co_await m_node.takeOver.bringHere(requestId, eventId, SearchScope::All, admission->deadline, reason);
     auto const* stream = m_node.streams.find(requestId);
     if (!here || !stream) {
         co_await refuse(writer, withoutLookUp(request, reason), requestId);
@@ -344,8 +350,8 @@
         co_return;
     }
     Stream::StreamPosition from;
-    if (auto const eventId = request.queryParameter("from"); eventId && !eventId->empty()) {
-        auto const position = Stream::parsePosition(stream->tokens, *eventId, reason);
+    if (!eventId.empty()) {
+        auto const position = Stream::parsePosition(stream->tokens, eventId, reason);
         if (!position) {
             co_await refuse(writer, withoutLookUp(request, reason), requestId);
             co_return;
--- a/Services/Node/StreamTakeOver.cpp
+++ b/Services/Node/StreamTakeOver.cpp
@@ -41,12 +41,7 @@
     }
 }
 
-static bool isBetterCopy(Peer::StreamRecord const& left, Peer::StreamRecord const& right)
-{
-    return std::pair(left.epoch, left.tokens.size()) > std::pair(right.epoch, right.tokens.size());
-}
-
-Core::Awaitable<std::optional<StreamTakeOver::Copy>> StreamTakeOver::findBestCopy(std::string requestId, SearchScope scope, Core::MonotonicTime deadline)
+Core::Awaitable<std::optional<StreamTakeOver::Copy>> StreamTakeOver::findBestCopy(std::string requestId, std::string position, SearchScope scope, Core::MonotonicTime deadline)
 {
     // The holder is nearly always among the first two by rank; the rest is asked after membership changed.
     static constexpr std::size_t maximumHolders = 64;
@@ -64,9 +59,9 @@
         ++asked;
         Core::LastReason reason;
         auto reply = co_await m_peers.findStream(nodeId, requestId, std::min(deadline, m_runtime.now() + peerCallTimeout), reason);
-        if (!reply || !reply->record)
+        if (!reply || !reply->record || !Stream::holdsPosition(reply->record->tokens, position))
             continue;
-        if (!best || isBetterCopy(*reply->record, best->record))
+        if (!best || Stream::isBetterCopy(*reply->record, best->record))
             best = Copy { nodeId, std::move(*reply->record) };
     }
     co_return best;
@@ -104,22 +99,23 @@
     return true;
 }
 
-Core::Awaitable<bool> StreamTakeOver::bringHere(std::string requestId, SearchScope scope, Core::MonotonicTime deadline, Core::LastReason& reason)
+Core::Awaitable<bool> StreamTakeOver::bringHere(std::string requestId, std::string position, SearchScope scope, Core::MonotonicTime deadline, Core::LastReason& reason)
 {
     static constexpr unsigned maximumTries = 4;
     for (unsigned tries = 0; tries < maximumTries && m_runtime.now() < deadline; ++tries) {
         auto* local = m_streams.find(requestId);
         if (local && (local->role == StreamRole::Serving || (local->role == StreamRole::Replica && local->phase != StreamPhase::Running)))
             co_return true;
-        auto copy = co_await findBestCopy(requestId, scope, deadline);
+        auto copy = co_await findBestCopy(requestId, position, scope, deadline);
         local = m_streams.find(requestId);
-        bool const localIsBest = local && local->role == StreamRole::Replica && (!copy || !isBetterCopy(copy->record, Stream::wholeRecord(*local)));
+        bool const localIsUsable = local && local->role == StreamRole::Replica && Stream::holdsPosition(local->tokens, position);
+        bool const localIsBest = localIsUsable && (!copy || !Stream::isBetterCopy(copy->record, Stream::wholeRecord(*local)));
         if (localIsBest) {
             serve(*local, local->epoch + 1, "its client continues here");
             co_return true;
         }
         if (!copy) {
-            Core::fail(reason, ErrorKind::StreamNotFound, "no node knows request " + requestId, Core::RunState::Unknown);
+            Core::fail(reason, ErrorKind::StreamNotFound, "no node knows request " + requestId + (position.empty() ? "" : " up to the event given"), Core::RunState::Unknown);
             co_return false;
         }
         auto const epoch = std::max(copy->record.epoch, local ? local->epoch : 0) + 1;
--- a/Services/Node/StreamTakeOver.h
+++ b/Services/Node/StreamTakeOver.h
@@ -22,9 +22,9 @@
     StreamTakeOver(Core::Runtime&, Stream::StreamTable&, Stream::StreamReplicator&, ModelRunner&, StreamPeers&, DecisionLog&, std::string nodeId);
 
     /// Makes sure that this node serves the stream, or holds its finished answer. The copy with the highest epoch is fenced
-    /// before it is read, so that the node that served the stream can show nothing more. StreamNotFound if no reachable node
-    /// knows it.
-    [[nodiscard]] Core::Awaitable<bool> bringHere(std::string requestId, SearchScope, Core::MonotonicTime deadline, Core::LastReason&);
+    /// before it is read, so that the node that served the stream can show nothing more. Copies that do not hold the client's
+    /// position (an event id, empty for the start) are passed over. StreamNotFound if no reachable node has a usable one.
+    [[nodiscard]] Core::Awaitable<bool> bringHere(std::string requestId, std::string position, SearchScope, Core::MonotonicTime deadline, Core::LastReason&);
 
     /// Takes over the streams whose copy is here and whose node is dead. Run each tick.
     void adoptOrphans();
@@ -41,7 +41,7 @@
         Peer::StreamRecord record;
     };
 
-    [[nodiscard]] Core::Awaitable<std::optional<Copy>> findBestCopy(std::string requestId, SearchScope, Core::MonotonicTime deadline);
+    [[nodiscard]] Core::Awaitable<std::optional<Copy>> findBestCopy(std::string requestId, std::string position, SearchScope, Core::MonotonicTime deadline);
     [[nodiscard]] Core::Awaitable<bool> fence(Copy const&, std::uint64_t epoch, Core::MonotonicTime deadline);
     [[nodiscard]] bool serveCopy(Peer::StreamRecord, std::uint64_t epoch, Core::LastReason&);
     void serve(Stream::Stream&, std::uint64_t epoch, std::string const& cause);
--- a/Tests/LibStream/StreamTest.cpp
+++ b/Tests/LibStream/StreamTest.cpp
@@ -242,6 +242,25 @@
         EXPECT_FALSE(Stream::parsePosition(tokens, text, m_reason)) << text;
 }
 
+// Guards against continuing from a copy that lacks what the client has seen, although its epoch is higher.
+TEST_F(StreamTest, CopyWithoutTheClientsPositionIsNotUsable)
+{
+    std::vector<std::string> const seen { "a", "b" };
+    auto const eventId = Stream::formatPosition(Stream::positionAfter(seen, 2));
+    EXPECT_TRUE(Stream::holdsPosition({ "a", "b", "c" }, eventId));
+    EXPECT_FALSE(Stream::holdsPosition({ "a" }, eventId));
+    EXPECT_FALSE(Stream::holdsPosition({ "a", "x", "c" }, eventId));
+    EXPECT_TRUE(Stream::holdsPosition({}, ""));
+    Peer::StreamRecord shortCopy;
+    shortCopy.epoch = 3;
+    Peer::StreamRecord longCopy;
+    longCopy.epoch = 2;
+    longCopy.tokens = seen;
+    EXPECT_TRUE(Stream::isBetterCopy(shortCopy, longCopy));
+    longCopy.epoch = 3;
+    EXPECT_TRUE(Stream::isBetterCopy(longCopy, shortCopy));
+}
+
 // Guards against losing the reason of a failure at the replica.
 TEST_F(StreamTest, FailureTravelsWithTheRecord)
 {
