Node: Send a call elsewhere when a leaving server refuses it

Cause: a plain server that was leaving refused a call with 503 and no attempt id, which the node took for an invalid answer: the call ended as unknown and its key could never run, although nothing had been executed.

--- a/Services/Node/ServiceProxy.cpp
+++ b/Services/Node/ServiceProxy.cpp
@@ -12,6 +12,7 @@
 using namespace std::chrono_literals;
 
 static constexpr std::string_view attemptHeader = "Hyssopstep-Attempt-Id";
+static constexpr std::string_view notExecutedHeader = "Hyssopstep-Not-Executed";
 
 ServiceProxy::ServiceProxy(Core::Runtime& runtime, HTTP::Client& client, IntentForwarder& intents, NodeTables& tables, DecisionLog& decisions, Core::Random& random, Core::Metrics& metrics, std::string nodeId, std::string dataCentre)
     : m_runtime(runtime)
@@ -182,7 +183,12 @@
     auto* row = Routing::findServer(m_tables.servers, choice->serverId);
     if (row && row->outstanding > 0)
         --row->outstanding;
-    if (response && response->headers.find(attemptHeader) != std::string_view(attemptId)) {
+    static constexpr unsigned serviceUnavailable = 503;
+    if (response && response->status == serviceUnavailable && response->headers.find(notExecutedHeader) == std::string_view(attemptId)) {
+        // The back end names the attempt that it refused, so the refusal cannot be that of another request.
+        Core::fail(reason, ErrorKind::BackendUnreachable, choice->serverId + " takes no new work");
+        response.reset();
+    } else if (response && response->headers.find(attemptHeader) != std::string_view(attemptId)) {
         Core::fail(reason, ErrorKind::BackendAnswerInvalid, "the answer of " + choice->serverId + " belongs to another attempt", RunState::Unknown);
         response.reset();
     }
--- a/Tests/Integration/AtMostOnceTest.cpp
+++ b/Tests/Integration/AtMostOnceTest.cpp
@@ -263,6 +263,24 @@
     check("connections_refused", listed.size());
 }
 
+// Guards against calls that are lost as unknown because a leaving server refused them before the nodes knew that it leaves.
+TEST_F(AtMostOnce, RefusalOfALeavingServerIsNotRun)
+{
+    auto const& leaving = m_cluster.services().front();
+    TestSupport::callStandIn(leaving.endpoint, "PUT", "/stand-in/faults", { { "leaving", true } });
+    std::vector<std::jthread> clients;
+    for (auto const& node : m_cluster.nodes()) {
+        clients.emplace_back([this, &node] {
+            for (int call = 0; call < 6; ++call)
+                EXPECT_TRUE(m_clients.send(*node, Integration::newKey()).isAnswer());
+        });
+    }
+    clients.clear();
+    auto const record = TestSupport::callStandIn(leaving.endpoint, "GET", "/stand-in/record");
+    EXPECT_GT(record.at("totals").at("refused").to_number<int>(), 0);
+    check("leaving_service", 1);
+}
+
 // Guards against "not run" for a key that ran, told by a node that refuses the repeat before it looks at the journal.
 TEST_F(AtMostOnce, DrainingNodeDoesNotClaimNotRun)
 {
--- a/Tests/StandIns/PlainService.cpp
+++ b/Tests/StandIns/PlainService.cpp
@@ -57,7 +57,10 @@
     }
     if (m_leaving) {
         ++m_refused;
-        co_return co_await sendError(writer, 503, "leaving");
+        auto const attemptId = std::string(request.headers.find("Hyssopstep-Attempt-Id").value_or(""));
+        HTTP::Response refusal { 503, { { "Hyssopstep-Not-Executed", attemptId } }, "" };
+        (void)co_await writer.send(std::move(refusal));
+        co_return;
     }
     ++m_running;
     co_await execute(request, writer);
