LibHTTP: Answer the requests that have arrived when a server stops

Cause: closing the listening socket resets the connections in its queue, and an idle connection was closed although a request had arrived on it. GracefulStopTest.RollingRestartUnderLoad saw one request of 302 reset in a run of the whole check. Ruled out: the drain itself; every node logged no request cut off. Change: a stopping server first accepts what is queued, and gives each open connection 250 ms to bring one request, which is answered with Connection: close. drained() waits for the connections too. DrainedWaitsForRequestsInProgress waited a fixed 5 ms for an answer and now waits for it.

--- a/Libraries/LibHTTP/Server.cpp
+++ b/Libraries/LibHTTP/Server.cpp
@@ -48,6 +48,8 @@
     beast::flat_buffer buffer;
     ConnectionState state { ConnectionState::Idle };
     Core::Endpoint peer;
+    /// Closes an idle connection of a server that stops.
+    Core::Timer lingerTimer;
 };
 
 class BeastResponseWriter final : public ResponseWriter {
@@ -154,18 +156,20 @@
 
     void stopAccepting()
     {
-        m_stopping = true;
+        if (std::exchange(m_stopping, true))
+            return;
+        acceptQueuedConnections();
         boost::system::error_code ignored;
         m_acceptor.close(ignored);
         for (auto const& connection : m_connections) {
             if (connection->state == ConnectionState::Idle)
-                connection->close();
+                closeAfterLinger(connection);
         }
     }
 
     Core::Awaitable<bool> drained(Core::MonotonicTime deadline)
     {
-        while (m_requestsInProgress > 0) {
+        while (m_requestsInProgress > 0 || (m_stopping && !m_connections.empty())) {
             // GCC 12 destroys an awaitable that was never created if this co_await is part of the condition.
             bool const hasProgressed = co_await m_progress.waitUntil(deadline);
             if (!hasProgressed)
@@ -191,34 +195,63 @@
     {
         while (!self->m_stopping) {
             auto [error, socket] = co_await self->m_acceptor.async_accept(useTuple);
-            if (self->m_stopping)
+            if (error && self->m_stopping)
                 co_return;
             if (error) {
                 // Out of descriptors, for example; the listen queue holds the callers meanwhile.
                 co_await self->m_runtime.sleepFor(std::chrono::milliseconds(20));
                 continue;
             }
-            if (self->m_connections.size() >= self->m_limits.maximumConnections)
-                continue;
-            boost::system::error_code ignored;
-            socket.set_option(tcp::no_delay(true), ignored);
-            auto connection = std::make_shared<Connection>(std::move(socket));
-            auto const remote = connection->socket.remote_endpoint(ignored);
-            connection->peer = { remote.address().to_string(), remote.port() };
-            self->m_connections.insert(connection);
-            self->m_runtime.spawn(serve(self, connection));
+            self->serveAccepted(std::move(socket));
         }
     }
 
+    void serveAccepted(tcp::socket socket)
+    {
+        if (m_connections.size() >= m_limits.maximumConnections)
+            return;
+        boost::system::error_code ignored;
+        socket.set_option(tcp::no_delay(true), ignored);
+        auto connection = std::make_shared<Connection>(std::move(socket));
+        auto const remote = connection->socket.remote_endpoint(ignored);
+        connection->peer = { remote.address().to_string(), remote.port() };
+        m_connections.insert(connection);
+        m_runtime.spawn(serve(shared_from_this(), connection));
+    }
+
+    // Closing the listening socket resets the connections in its queue, whose callers may have sent a request already.
+    void acceptQueuedConnections()
+    {
+        boost::system::error_code error;
+        m_acceptor.non_blocking(true, error);
+        while (!error) {
+            tcp::socket socket(m_runtime.context());
+            m_acceptor.accept(socket, error);
+            if (!error)
+                serveAccepted(std::move(socket));
+        }
+    }
+
+    // A request may be on its way on an idle connection; it is still answered if it arrives soon.
+    void closeAfterLinger(std::shared_ptr<Connection> const& connection)
+    {
+        static constexpr auto lingerTime = std::chrono::milliseconds(250);
+        connection->lingerTimer = m_runtime.callAt(m_runtime.now() + lingerTime, [weak = std::weak_ptr(connection)] {
+            if (auto const idle = weak.lock())
+                idle->close();
+        });
+    }
+
     static Core::Awaitable<void> serve(std::shared_ptr<Implementation> self, std::shared_ptr<Connection> connection)
     {
-        while (!self->m_stopping) {
-            bool const again = co_await self->serveOne(*connection);
-            if (!again)
-                break;
+        bool again = true;
+        while (again) {
+            again = co_await self->serveOne(*connection);
+            again = again && !self->m_stopping;
         }
         connection->close();
         self->m_connections.erase(connection);
+        self->m_progress.notifyAll();
     }
 
     Core::Awaitable<bool> serveOne(Connection& connection)
@@ -234,6 +267,7 @@
                 co_return false;
         }
         connection.state = ConnectionState::Busy;
+        connection.lingerTimer.cancel();
         bool timedOut = false;
         boost::system::error_code error;
         {
@@ -255,7 +289,7 @@
     {
         auto timer = m_runtime.callAt(m_runtime.now() + m_limits.idleTimeout, [&] { connection.close(); });
         auto [error] = co_await connection.socket.async_wait(tcp::socket::wait_read, useTuple);
-        co_return !error && !m_stopping;
+        co_return !error && connection.socket.is_open();
     }
 
     static Core::Awaitable<boost::system::error_code> readRequest(Connection& connection, Parser& parser)
--- a/Libraries/LibHTTP/Server.h
+++ b/Libraries/LibHTTP/Server.h
@@ -64,10 +64,11 @@
     /// Binds and begins to accept. Port 0 lets the kernel choose. Returns the bound endpoint, or InvalidSetting.
     [[nodiscard]] std::optional<Core::Endpoint> listen(Core::Endpoint const&, Core::LastReason&);
 
-    /// Stops accepting, closes idle connections, and closes each other connection after its current answer.
+    /// Stops accepting. Connections that were established before still get an answer to one request, if it arrives within
+    /// 250 ms, and are closed after it.
     void stopAccepting();
 
-    /// Waits until no request is in progress or the deadline has come. Returns false if the deadline came first.
+    /// Waits until no request is in progress and, after stopAccepting(), no connection is open, or the deadline has come. Returns false if the deadline came first.
     [[nodiscard]] Core::Awaitable<bool> drained(Core::MonotonicTime deadline);
 
     /// Closes every connection at once.
--- a/Tests/LibHTTP/ClientServerTest.cpp
+++ b/Tests/LibHTTP/ClientServerTest.cpp
@@ -2,9 +2,11 @@
 #include <LibHTTP/Problem.h>
 #include <LibHTTP/Server.h>
 #include <LibHTTP/ServerSentEvents.h>
+#include <array>
 #include <boost/asio/connect.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read.hpp>
+#include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 #include <gtest/gtest.h>
 #include <set>
@@ -228,7 +230,45 @@
         EXPECT_FALSE(early);
         bool const drained = co_await server.drained(runtime.now() + 5s);
         EXPECT_TRUE(drained);
-        co_await runtime.sleepFor(5ms);
+        auto const deadline = runtime.now() + 5s;
+        while (!answer && runtime.now() < deadline)
+            co_await runtime.sleepFor(1ms);
         EXPECT_TRUE(answer);
     }(m_runtime, m_endpoint, m_client, *m_server));
 }
+
+// Guards against a graceful stop that resets requests which the kernel has accepted and the server has not yet read: on a new
+// connection in the listen queue, and on an idle connection.
+TEST_F(ClientServerTest, StopAnswersRequestsThatHaveArrived)
+{
+    startServer(echo);
+    boost::asio::io_context clientContext;
+    std::array<boost::asio::ip::tcp::socket, 2> sockets { boost::asio::ip::tcp::socket(clientContext), boost::asio::ip::tcp::socket(clientContext) };
+    auto const send = [&](boost::asio::ip::tcp::socket& socket) {
+        static constexpr std::string_view bytes = "GET /x HTTP/1.1\r\nHost: a\r\n\r\n";
+        boost::asio::write(socket, boost::asio::buffer(bytes));
+    };
+    auto const receive = [](boost::asio::ip::tcp::socket& socket) {
+        std::string answer;
+        boost::system::error_code error;
+        boost::asio::read_until(socket, boost::asio::dynamic_buffer(answer), "GET /x ", error);
+        return error ? error.message() : answer.substr(0, answer.find('\r'));
+    };
+    auto& idle = sockets[0];
+    idle.connect({ boost::asio::ip::make_address(m_endpoint.address), m_endpoint.port });
+    send(idle);
+    run([](Core::Runtime& runtime) -> Awaitable<void> { co_await runtime.sleepFor(50ms); }(m_runtime));
+    EXPECT_EQ(receive(idle), "HTTP/1.1 200 OK");
+
+    auto& queued = sockets[1];
+    queued.connect({ boost::asio::ip::make_address(m_endpoint.address), m_endpoint.port });
+    send(idle);
+    send(queued);
+    m_server->stopAccepting();
+    run([](Core::Runtime& runtime, HTTP::Server& server) -> Awaitable<void> {
+        bool const drained = co_await server.drained(runtime.now() + 5s);
+        EXPECT_TRUE(drained);
+    }(m_runtime, *m_server));
+    EXPECT_EQ(receive(idle), "HTTP/1.1 200 OK");
+    EXPECT_EQ(receive(queued), "HTTP/1.1 200 OK");
+}
