--- a/Libraries/LibForward/ServerOrders.h
+++ b/Libraries/LibForward/ServerOrders.h
@@ -24,6 +24,7 @@
     struct Row {
         std::uint32_t desired { 0 };
         bool isAccepted { false };
+        Core::MonotonicTime orderedAt;
         /// No further order before this time, after a refusal.
         Core::MonotonicTime pausedUntil;
         std::uint32_t refusals { 0 };
@@ -45,20 +46,26 @@
 /// The servers of a service by data centre.
 [[nodiscard]] std::map<std::string, ServerStock> stockOf(std::vector<Routing::ListedServer> const&, std::string const& service);
 
-/// How many servers of each kind to keep in a data centre.
-struct StockTargets {
-    std::uint32_t onDemand { 1 };
-    std::uint32_t reclaimable { 2 };
-    /// On-demand servers while the data centre has no reclaimable ones.
-    std::uint32_t onDemandAlone { 2 };
+/// How a service's servers are bought.
+struct StockPolicy {
+    /// Reclaimable servers in each data centre.
+    std::uint32_t reclaimablePerDataCentre { 3 };
+    /// On-demand servers over all data centres that are kept in any case, so that some serve when all others are taken away.
+    std::uint32_t leastOnDemand { 2 };
+    /// Requests in progress that one server is to run.
+    double requestsPerServer { 10 };
 
-    bool operator==(StockTargets const&) const = default;
+    bool operator==(StockPolicy const&) const = default;
 };
 
-/// Decides the orders for a service: cheap reclaimable servers first, then fewer on-demand servers once the reclaimable ones
-/// serve, and more on-demand servers where the reclaimable ones are taken away. Orders are absolute, so that repeating one
-/// changes nothing. Answers reclaims of whole data centres, one after the other, while the platform refuses new servers.
-[[nodiscard]] std::vector<ServerOrder> decideOrders(Service const&, std::map<std::string, ServerStock> const&, OrderBook const&, StockTargets const&, Core::MonotonicTime now);
+/// The servers that the requests in progress need. Thread safe.
+[[nodiscard]] std::uint32_t neededServers(double requestsInProgress, StockPolicy const&);
+
+/// Decides the orders for a service. Reclaimable servers are bought in every data centre, since they cost a part of the price;
+/// on-demand servers, in the cheapest data centres first, fill up what is needed if the data centre with the most reclaimable
+/// servers lost all of them. On-demand servers go only once the others are registered. Orders are absolute, so that repeating one
+/// changes nothing. Answers reclaims of whole data centres, one after the other, while the platform has no new reclaimable servers.
+[[nodiscard]] std::vector<ServerOrder> decideOrders(Service const&, std::map<std::string, ServerStock> const&, std::uint32_t needed, OrderBook const&, StockPolicy const&, Core::MonotonicTime now);
 
 /// Records the platform's answer to an order.
 void recordOrder(OrderBook&, ServerOrder const&, bool isAccepted, Core::MonotonicTime now);
--- a/Services/Edge/DutyRunner.cpp
+++ b/Services/Edge/DutyRunner.cpp
@@ -235,6 +235,35 @@
     }
 }
 
+std::uint32_t DutyRunner::neededServersOf(std::string const& service, std::map<std::string, Forward::ServerStock> const& stock)
+{
+    // Until traffic was seen for a while, what is there counts as needed.
+    static constexpr Core::Duration observationTime = 4s;
+    static constexpr double weight = 0.2;
+    double inProgress = 0;
+    for (auto const& row : m_tables.servers.rows) {
+        if (row.service == service)
+            inProgress += Routing::requestsInProgress(row);
+    }
+    auto& demand = m_demands[service];
+    auto const now = m_runtime.now();
+    if (demand.observedSince == Core::MonotonicTime {}) {
+        if (inProgress > 0)
+            demand.observedSince = now;
+        demand.requestsInProgress = inProgress;
+        std::uint32_t present = 0;
+        for (auto const& [dataCentre, row] : stock)
+            present += row.onDemand + row.reclaimable;
+        if (demand.presentAtStart == 0 || present < demand.presentAtStart)
+            demand.presentAtStart = present;
+    }
+    // Follows growth faster than decline, since servers take seconds to start.
+    demand.requestsInProgress += (inProgress > demand.requestsInProgress ? 2 * weight : weight / 2) * (inProgress - demand.requestsInProgress);
+    auto const needed = Forward::neededServers(demand.requestsInProgress, m_stockPolicy);
+    bool const isObserved = demand.observedSince != Core::MonotonicTime {} && now - demand.observedSince > observationTime;
+    return isObserved ? needed : demand.presentAtStart;
+}
+
 Core::Awaitable<void> DutyRunner::orderServers()
 {
     if (!m_tables.routes)
@@ -242,7 +271,11 @@
     auto const routes = m_tables.routes;
     auto const servers = Forward::serversInUse(m_tables.directory, m_runtime.now());
     for (auto const& service : routes->services) {
-        auto const orders = Forward::decideOrders(service, Forward::stockOf(servers, service.name), m_orders, {}, m_runtime.now());
+        if (!service.scale)
+            continue;
+        auto const stock = Forward::stockOf(servers, service.name);
+        auto const needed = neededServersOf(service.name, stock);
+        auto const orders = Forward::decideOrders(service, stock, needed, m_orders, m_stockPolicy, m_runtime.now());
         for (auto const& order : orders) {
             auto const holder = fence();
             if (!holder)
--- a/Services/Edge/DutyRunner.h
+++ b/Services/Edge/DutyRunner.h
@@ -30,6 +30,7 @@
     [[nodiscard]] Core::Awaitable<void> orderServers();
     [[nodiscard]] Core::Awaitable<bool> loadRecord(Core::LastReason&);
     [[nodiscard]] Core::Awaitable<bool> recordWindow(std::int64_t window, Forward::TeamCounts const&, Core::LastReason&);
+    [[nodiscard]] std::uint32_t neededServersOf(std::string const& service, std::map<std::string, Forward::ServerStock> const&);
     [[nodiscard]] std::optional<Forward::DutyFence> fence();
     [[nodiscard]] bool clockStoodStill();
     [[nodiscard]] std::int64_t agreedUnixMilliseconds() const;
@@ -56,6 +57,15 @@
     /// The newest window that the platform accepted from this holder.
     std::int64_t m_acceptedWindow { 0 };
     Forward::OrderBook m_orders;
+    Forward::StockPolicy m_stockPolicy;
+
+    /// The requests in progress of a service over all nodes, smoothed.
+    struct Demand {
+        double requestsInProgress { 0 };
+        Core::MonotonicTime observedSince {};
+        std::uint32_t presentAtStart { 0 };
+    };
+    std::map<std::string, Demand> m_demands;
 };
 
 }
--- a/Services/Edge/EdgeService.cpp
+++ b/Services/Edge/EdgeService.cpp
@@ -44,7 +44,7 @@
     , m_serverClient(runtime, serverClientLimits())
     , m_peerClient(runtime, peerClientLimits())
     , m_forwarder({ runtime, m_serverClient, m_platform.requests, m_tables, m_settings, m_random, m_metrics, m_incarnation })
-    , m_feed(runtime, m_platform.store, m_peerClient, m_platform.objects, m_tables, m_settings, m_metrics)
+    , m_feed(runtime, m_platform.store, m_peerClient, m_platform.objects, m_tables, m_random, m_metrics)
     , m_exchange(runtime, m_tables, m_settings, [this] { return ownReport(); })
     , m_clientServer(runtime, {}, [this](auto const& request, auto& writer) { return m_forwarder.handle(request, writer); })
     , m_readyServer(runtime, {}, [this](auto const& request, auto& writer) { return answerReady(request, writer); })
--- a/Services/Edge/StoreFeed.cpp
+++ b/Services/Edge/StoreFeed.cpp
@@ -11,17 +11,19 @@
 using namespace std::chrono_literals;
 namespace json = boost::json;
 
-// Longer waits cost fewer calls; a connection that went silent is noticed after this time.
-static constexpr Core::Duration watchTime = 4500ms;
+// Longer waits cost fewer calls; a watch that went silent is noticed after this time. The time varies, so that the watches of
+// the nodes end at different moments and the first node that reads a change tells the others.
+static constexpr Core::Duration shortestWatch = 1500ms;
+static constexpr std::uint64_t watchSpreadMilliseconds = 1500;
 static constexpr Core::Duration callTimeout = 1000ms;
 
-StoreFeed::StoreFeed(Core::Runtime& runtime, Platform::ObjectStore& store, HTTP::Client& peerClient, Forward::PlatformCodec const& codec, EdgeTables& tables, EdgeSettings const& settings, Core::Metrics& metrics)
+StoreFeed::StoreFeed(Core::Runtime& runtime, Platform::ObjectStore& store, HTTP::Client& peerClient, Forward::PlatformCodec const& codec, EdgeTables& tables, Core::Random& random, Core::Metrics& metrics)
     : m_runtime(runtime)
     , m_store(store)
     , m_peerClient(peerClient)
     , m_codec(codec)
     , m_tables(tables)
-    , m_settings(settings)
+    , m_random(random)
     , m_metrics(metrics)
 {
 }
@@ -70,6 +72,7 @@
             }
             version = listed;
         }
+        auto const watchTime = shortestWatch + std::chrono::milliseconds(m_random.below(watchSpreadMilliseconds));
         auto const changes = co_await m_store.waitForChanges(kindOf(subject), *version, m_runtime.now() + watchTime, reason);
         if (!changes) {
             auto const pause = recordFailure(subject, reason);
--- a/Services/Edge/StoreFeed.h
+++ b/Services/Edge/StoreFeed.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include <Edge/EdgeSettings.h>
 #include <Edge/EdgeTables.h>
 #include <LibCore/Metrics.h>
+#include <LibCore/Random.h>
 #include <LibForward/PlatformCodec.h>
 #include <LibHTTP/Client.h>
 #include <functional>
@@ -14,7 +14,7 @@
 class StoreFeed {
 public:
     /// Precondition: all references outlive the feed, which outlives its tasks.
-    StoreFeed(Core::Runtime&, Platform::ObjectStore&, HTTP::Client& peerClient, Forward::PlatformCodec const&, EdgeTables&, EdgeSettings const&, Core::Metrics&);
+    StoreFeed(Core::Runtime&, Platform::ObjectStore&, HTTP::Client& peerClient, Forward::PlatformCodec const&, EdgeTables&, Core::Random&, Core::Metrics&);
 
     void start();
 
@@ -55,7 +55,7 @@
     HTTP::Client& m_peerClient;
     Forward::PlatformCodec const& m_codec;
     EdgeTables& m_tables;
-    EdgeSettings const& m_settings;
+    Core::Random& m_random;
     Core::Metrics& m_metrics;
     Contact m_configurationContact;
     Contact m_serversContact;
