--- a/Libraries/LibForward/ServerOrders.cpp
+++ b/Libraries/LibForward/ServerOrders.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <cmath>
+#include <functional>
+#include <numeric>
 
 namespace Forward {
 
@@ -27,7 +29,11 @@
 // An order is repeated if its servers are missing after they should have started: the platform took them away again, or had none.
 static constexpr Core::Duration startMargin = 3s;
 
-static void addOrder(std::vector<ServerOrder>& orders, OrderBook const& book, ServerOrder order, std::uint32_t current, Core::Duration bootTime, Core::MonotonicTime now)
+// Longer than a server takes to start, so that one that was just ordered is not given back, and longer than the pause between two
+// reclaims of a series.
+static constexpr Core::Duration surplusTime = 1000ms;
+
+static void addOrder(std::vector<ServerOrder>& orders, OrderBook& book, ServerOrder order, std::uint32_t current, Core::Duration bootTime, Core::MonotonicTime now)
 {
     auto const found = book.rows.find({ order.service, order.dataCentre, order.reclaimable });
     if (found == book.rows.end()) {
@@ -35,8 +41,13 @@
             orders.push_back(std::move(order));
         return;
     }
-    auto const& row = found->second;
-    if (now < row.pausedUntil)
+    auto& row = found->second;
+    bool const isSurplus = !order.reclaimable && row.isAccepted && order.desired < row.desired;
+    if (!isSurplus)
+        row.surplusSince.reset();
+    else if (!row.surplusSince)
+        row.surplusSince = now;
+    if (now < row.pausedUntil || (isSurplus && now - *row.surplusSince < surplusTime))
         return;
     bool const isMissing = current < order.desired && now - row.orderedAt > bootTime + startMargin;
     if (row.isAccepted && row.desired == order.desired && !isMissing)
@@ -44,9 +55,44 @@
     orders.push_back(std::move(order));
 }
 
-std::uint32_t neededServers(double requestsInProgress, StockPolicy const& policy)
+void observeDemand(ServiceDemand& demand, std::uint32_t requestsInProgress, std::map<std::string, ServerStock> const& stock, Core::MonotonicTime now)
+{
+    static constexpr double growthWeight = 0.4;
+    static constexpr double declineWeight = 0.1;
+    std::uint32_t onDemand = 0;
+    for (auto const& [dataCentre, row] : stock)
+        onDemand += row.onDemand;
+    for (auto const& [dataCentre, row] : stock) {
+        if (row.leaving > 0)
+            demand.reclaimedAt[dataCentre] = now;
+    }
+    if (!demand.stockedSince && !stock.empty())
+        demand.stockedSince = now;
+    if (!demand.busySince && requestsInProgress > 0) {
+        demand.busySince = now;
+        demand.requestsInProgress = requestsInProgress;
+    }
+    if (!demand.busySince)
+        demand.onDemandAtStart = std::max(demand.onDemandAtStart, onDemand);
+    bool const grows = requestsInProgress > demand.requestsInProgress;
+    demand.requestsInProgress += (grows ? growthWeight : declineWeight) * (requestsInProgress - demand.requestsInProgress);
+}
+
+std::optional<std::uint32_t> neededServers(ServiceDemand const& demand, StockPolicy const& policy, Core::MonotonicTime now)
 {
-    return static_cast<std::uint32_t>(std::ceil(requestsInProgress / policy.requestsPerServer));
+    // A process that starts sees servers and requests one after the other.
+    static constexpr Core::Duration stockTime = 2500ms;
+    static constexpr Core::Duration requestTime = 4s;
+    if (!demand.stockedSince || now - *demand.stockedSince < stockTime)
+        return std::nullopt;
+    auto const byDemand = static_cast<std::uint32_t>(std::ceil(demand.requestsInProgress / policy.requestsPerServer));
+    if (demand.busySince && now - *demand.busySince >= requestTime)
+        return byDemand;
+    // A process that started among requests in progress knows no number for the time before.
+    bool const startedIdle = !demand.busySince || *demand.busySince - *demand.stockedSince >= stockTime;
+    if (!startedIdle)
+        return std::nullopt;
+    return std::max(byDemand, demand.onDemandAtStart);
 }
 
 // Spreads on-demand servers over the data centres, the cheapest first, one round after the other.
@@ -70,20 +116,29 @@
     return spread;
 }
 
-std::vector<ServerOrder> decideOrders(Service const& service, std::map<std::string, ServerStock> const& stock, std::uint32_t needed, OrderBook const& book, StockPolicy const& policy, Core::MonotonicTime now)
+// The reclaimable servers that stay if one more data centre than were reclaimed lately loses its own, the largest first: reclaims
+// come in series.
+static std::uint32_t survivingReclaimable(std::map<std::string, ServerStock> const& stock, ServiceDemand const& demand, Core::MonotonicTime now)
+{
+    static constexpr Core::Duration seriesTime = 0s;
+    auto const isRecent = [&](auto const& item) { return now - item.second < seriesTime; };
+    auto const losses = 1 + static_cast<std::size_t>(std::count_if(demand.reclaimedAt.begin(), demand.reclaimedAt.end(), isRecent));
+    std::vector<std::uint32_t> counts;
+    for (auto const& [dataCentre, row] : stock)
+        counts.push_back(row.reclaimable);
+    std::sort(counts.begin(), counts.end(), std::greater<>());
+    return std::accumulate(counts.begin() + static_cast<std::ptrdiff_t>(std::min(losses, counts.size())), counts.end(), 0U);
+}
+
+std::vector<ServerOrder> decideOrders(Service const& service, std::map<std::string, ServerStock> const& stock, ServiceDemand const& demand, OrderBook& book, StockPolicy const& policy, Core::MonotonicTime now)
 {
     std::vector<ServerOrder> orders;
     if (!service.scale)
         return orders;
     auto const& range = *service.scale;
-    std::uint32_t reclaimable = 0;
-    std::uint32_t largest = 0;
-    for (auto const& [dataCentre, row] : stock) {
-        reclaimable += row.reclaimable;
-        largest = std::max(largest, row.reclaimable);
-    }
-    auto const surviving = reclaimable - largest;
-    auto const total = std::max(policy.leastOnDemand, needed > surviving ? needed - surviving : 0);
+    auto const needed = neededServers(demand, policy, now);
+    auto const surviving = survivingReclaimable(stock, demand, now);
+    auto const total = std::max(policy.leastOnDemand, needed.value_or(0) > surviving ? *needed - surviving : 0);
     auto const onDemand = spreadOnDemand(range, total);
     for (auto const& [dataCentre, wanted] : onDemand) {
         auto const found = stock.find(dataCentre);
@@ -92,7 +147,8 @@
         // The minimum holds for both kinds together, and reclaimable servers count only once they are there.
         auto const least = current.reclaimable >= range.minimum ? 0 : range.minimum;
         addOrder(orders, book, { service.name, dataCentre, true, wantedReclaimable }, current.reclaimable, range.bootTime, now);
-        addOrder(orders, book, { service.name, dataCentre, false, std::max(wanted, least) }, current.onDemand, range.bootTime, now);
+        if (needed)
+            addOrder(orders, book, { service.name, dataCentre, false, std::max(wanted, least) }, current.onDemand, range.bootTime, now);
     }
     return orders;
 }
--- a/Libraries/LibForward/ServerOrders.h
+++ b/Libraries/LibForward/ServerOrders.h
@@ -28,6 +28,8 @@
         /// No further order before this time, after a refusal.
         Core::MonotonicTime pausedUntil;
         std::uint32_t refusals { 0 };
+        /// Since when fewer servers would do.
+        std::optional<Core::MonotonicTime> surplusSince;
 
         bool operator==(Row const&) const = default;
     };
@@ -49,23 +51,43 @@
 /// How a service's servers are bought.
 struct StockPolicy {
     /// Reclaimable servers in each data centre.
-    std::uint32_t reclaimablePerDataCentre { 3 };
+    std::uint32_t reclaimablePerDataCentre { 4 };
     /// On-demand servers over all data centres that are kept in any case, so that some serve when all others are taken away.
-    std::uint32_t leastOnDemand { 2 };
+    std::uint32_t leastOnDemand { 1 };
     /// Requests in progress that one server is to run.
-    double requestsPerServer { 10 };
+    double requestsPerServer { 18 };
 
     bool operator==(StockPolicy const&) const = default;
 };
 
-/// The servers that the requests in progress need. Thread safe.
-[[nodiscard]] std::uint32_t neededServers(double requestsInProgress, StockPolicy const&);
+/// The requests in progress of a service over all nodes. Every node keeps it, so that a new holder of the duty knows the demand.
+struct ServiceDemand {
+    /// Smoothed; follows growth faster than decline, since servers take seconds to start.
+    double requestsInProgress { 0 };
+    /// When the first request was seen.
+    std::optional<Core::MonotonicTime> busySince;
+    /// When the first servers were seen.
+    std::optional<Core::MonotonicTime> stockedSince;
+    /// The most on-demand servers seen before there were requests.
+    std::uint32_t onDemandAtStart { 0 };
+    /// When reclaimable servers of a data centre were last told to leave.
+    std::map<std::string, Core::MonotonicTime> reclaimedAt;
+
+    bool operator==(ServiceDemand const&) const = default;
+};
+
+/// Takes in the present requests in progress and stock; called about twice a second.
+void observeDemand(ServiceDemand&, std::uint32_t requestsInProgress, std::map<std::string, ServerStock> const&, Core::MonotonicTime now);
+
+/// The servers that the demand needs. Before there are requests, the servers that the deployment started with; nothing while
+/// too little was seen to change the number of on-demand servers. Thread safe.
+[[nodiscard]] std::optional<std::uint32_t> neededServers(ServiceDemand const&, StockPolicy const&, Core::MonotonicTime now);
 
 /// Decides the orders for a service. Reclaimable servers are bought in every data centre, since they cost a part of the price;
-/// on-demand servers, in the cheapest data centres first, fill up what is needed if the data centre with the most reclaimable
-/// servers lost all of them. On-demand servers go only once the others are registered. Orders are absolute, so that repeating one
+/// on-demand servers, in the cheapest data centres first, fill up what is needed if one more data centre than were reclaimed lately
+/// lost all its reclaimable servers. On-demand servers go only once the others are registered and they were not needed for a while. Orders are absolute, so that repeating one
 /// changes nothing. Answers reclaims of whole data centres, one after the other, while the platform has no new reclaimable servers.
-[[nodiscard]] std::vector<ServerOrder> decideOrders(Service const&, std::map<std::string, ServerStock> const&, std::uint32_t needed, OrderBook const&, StockPolicy const&, Core::MonotonicTime now);
+[[nodiscard]] std::vector<ServerOrder> decideOrders(Service const&, std::map<std::string, ServerStock> const&, ServiceDemand const&, OrderBook&, StockPolicy const&, Core::MonotonicTime now);
 
 /// Records the platform's answer to an order.
 void recordOrder(OrderBook&, ServerOrder const&, bool isAccepted, Core::MonotonicTime now);
--- a/Services/Edge/DutyRunner.cpp
+++ b/Services/Edge/DutyRunner.cpp
@@ -50,6 +50,7 @@
 {
     while (!m_stopping) {
         co_await keepLease();
+        observeDemands();
         if (fence()) {
             if (m_settings.reportsUsage)
                 co_await reportUsage();
@@ -235,33 +236,22 @@
     }
 }
 
-std::uint32_t DutyRunner::neededServersOf(std::string const& service, std::map<std::string, Forward::ServerStock> const& stock)
+void DutyRunner::observeDemands()
 {
-    // Until traffic was seen for a while, what is there counts as needed.
-    static constexpr Core::Duration observationTime = 4s;
-    static constexpr double weight = 0.2;
-    double inProgress = 0;
-    for (auto const& row : m_tables.servers.rows) {
-        if (row.service == service)
-            inProgress += Routing::requestsInProgress(row);
-    }
-    auto& demand = m_demands[service];
+    if (!m_tables.routes)
+        return;
     auto const now = m_runtime.now();
-    if (demand.observedSince == Core::MonotonicTime {}) {
-        if (inProgress > 0)
-            demand.observedSince = now;
-        demand.requestsInProgress = inProgress;
-        std::uint32_t present = 0;
-        for (auto const& [dataCentre, row] : stock)
-            present += row.onDemand + row.reclaimable;
-        if (demand.presentAtStart == 0 || present < demand.presentAtStart)
-            demand.presentAtStart = present;
+    auto const servers = Forward::serversInUse(m_tables.directory, now);
+    for (auto const& service : m_tables.routes->services) {
+        if (!service.scale)
+            continue;
+        std::uint32_t inProgress = 0;
+        for (auto const& row : m_tables.servers.rows) {
+            if (row.service == service.name)
+                inProgress += Routing::requestsInProgress(row);
+        }
+        Forward::observeDemand(m_demands[service.name], inProgress, Forward::stockOf(servers, service.name), now);
     }
-    // Follows growth faster than decline, since servers take seconds to start.
-    demand.requestsInProgress += (inProgress > demand.requestsInProgress ? 2 * weight : weight / 2) * (inProgress - demand.requestsInProgress);
-    auto const needed = Forward::neededServers(demand.requestsInProgress, m_stockPolicy);
-    bool const isObserved = demand.observedSince != Core::MonotonicTime {} && now - demand.observedSince > observationTime;
-    return isObserved ? needed : demand.presentAtStart;
 }
 
 Core::Awaitable<void> DutyRunner::orderServers()
@@ -274,8 +264,7 @@
         if (!service.scale)
             continue;
         auto const stock = Forward::stockOf(servers, service.name);
-        auto const needed = neededServersOf(service.name, stock);
-        auto const orders = Forward::decideOrders(service, stock, needed, m_orders, m_stockPolicy, m_runtime.now());
+        auto const orders = Forward::decideOrders(service, stock, m_demands[service.name], m_orders, m_stockPolicy, m_runtime.now());
         for (auto const& order : orders) {
             auto const holder = fence();
             if (!holder)
--- a/Services/Edge/DutyRunner.h
+++ b/Services/Edge/DutyRunner.h
@@ -30,7 +30,7 @@
     [[nodiscard]] Core::Awaitable<void> orderServers();
     [[nodiscard]] Core::Awaitable<bool> loadRecord(Core::LastReason&);
     [[nodiscard]] Core::Awaitable<bool> recordWindow(std::int64_t window, Forward::TeamCounts const&, Core::LastReason&);
-    [[nodiscard]] std::uint32_t neededServersOf(std::string const& service, std::map<std::string, Forward::ServerStock> const&);
+    void observeDemands();
     [[nodiscard]] std::optional<Forward::DutyFence> fence();
     [[nodiscard]] bool clockStoodStill();
     [[nodiscard]] std::int64_t agreedUnixMilliseconds() const;
@@ -59,13 +59,7 @@
     Forward::OrderBook m_orders;
     Forward::StockPolicy m_stockPolicy;
 
-    /// The requests in progress of a service over all nodes, smoothed.
-    struct Demand {
-        double requestsInProgress { 0 };
-        Core::MonotonicTime observedSince {};
-        std::uint32_t presentAtStart { 0 };
-    };
-    std::map<std::string, Demand> m_demands;
+    std::map<std::string, Forward::ServiceDemand> m_demands;
 };
 
 }
