LibRouting: Meet a common prefix at one server

Change: one home for each prefix instead of two, half the weight of a request in progress. Logs go to standard output within a budget and never block; latency histograms; a process that starts again holds requests until it has read the store (150 ms at most).

--- a/Libraries/LibCore/Log.cpp
+++ b/Libraries/LibCore/Log.cpp
@@ -1,12 +1,17 @@
 #include <LibCore/Log.h>
 
 #include <algorithm>
+#include <atomic>
 #include <cstdint>
 #include <cstdio>
 #include <log4cxx/basicconfigurator.h>
 #include <log4cxx/consoleappender.h>
 #include <log4cxx/logger.h>
 #include <log4cxx/patternlayout.h>
+#include <mutex>
+#include <poll.h>
+#include <unistd.h>
+#include <utility>
 
 namespace Core {
 
@@ -81,11 +86,15 @@
     return log4cxx::Level::getError();
 }
 
-void configureLog(LogLevel minimum, std::string const& nodeName)
+static std::atomic<int> logDescriptor { STDERR_FILENO };
+
+void configureLog(LogLevel minimum, std::string const& nodeName, LogStream stream)
 {
     auto const pattern = "time=%d{yyyy-MM-ddTHH:mm:ss.SSS} level=%p node=" + nodeName + " %m%n";
     auto layout = std::make_shared<log4cxx::PatternLayout>(pattern);
-    auto appender = std::make_shared<log4cxx::ConsoleAppender>(layout, log4cxx::ConsoleAppender::getSystemErr());
+    bool const isOutput = stream == LogStream::StandardOutput;
+    auto appender = std::make_shared<log4cxx::ConsoleAppender>(layout, isOutput ? log4cxx::ConsoleAppender::getSystemOut() : log4cxx::ConsoleAppender::getSystemErr());
+    logDescriptor = isOutput ? STDOUT_FILENO : STDERR_FILENO;
     log4cxx::BasicConfigurator::resetConfiguration();
     log4cxx::BasicConfigurator::configure(appender);
     logger()->setLevel(toLog4cxx(minimum));
@@ -133,11 +142,48 @@
     return line;
 }
 
+bool takeLogLine(LogBudget& budget, LogLevel level, std::chrono::steady_clock::time_point now)
+{
+    // A node at the design size handles about ten requests a second, with one line each.
+    static constexpr double linesPerSecond = 200;
+    static constexpr double maximumLines = 1000;
+    static constexpr double reservedLines = 200;
+    double const elapsed = std::chrono::duration<double>(now - budget.filledAt).count();
+    budget.lines = budget.started ? std::min(maximumLines, budget.lines + elapsed * linesPerSecond) : maximumLines;
+    budget.filledAt = now;
+    budget.started = true;
+    double const needed = level == LogLevel::Warning || level == LogLevel::Error ? 1 : reservedLines + 1;
+    if (budget.lines < needed) {
+        ++budget.dropped;
+        return false;
+    }
+    budget.lines -= 1;
+    return true;
+}
+
+// A pipe is writable if it takes at least PIPE_BUF bytes, which is more than a line has.
+static bool takesLine(int descriptor)
+{
+    pollfd entry { .fd = descriptor, .events = POLLOUT, .revents = 0 };
+    return poll(&entry, 1, 0) > 0 && (entry.revents & POLLOUT) != 0;
+}
+
 void logEvent(LogLevel level, std::string_view event, std::vector<LogField> const& fields)
 {
     auto const log4cxxLevel = toLog4cxx(level);
     if (!logger()->isEnabledFor(log4cxxLevel))
         return;
+    static std::mutex mutex;
+    static LogBudget budget;
+    std::scoped_lock const lock(mutex);
+    if (!takeLogLine(budget, level, std::chrono::steady_clock::now()))
+        return;
+    if (!takesLine(logDescriptor)) {
+        ++budget.dropped;
+        return;
+    }
+    if (auto const dropped = std::exchange(budget.dropped, 0); dropped > 0)
+        logger()->forcedLog(toLog4cxx(LogLevel::Warning), formatLogLine("log_lines_dropped", { { "count", std::uint64_t(dropped) } }));
     logger()->forcedLog(log4cxxLevel, formatLogLine(event, fields));
 }
 
--- a/Libraries/LibCore/Metrics.cpp
+++ b/Libraries/LibCore/Metrics.cpp
@@ -1,5 +1,6 @@
 #include <LibCore/Metrics.h>
 
+#include <algorithm>
 #include <array>
 #include <boost/accumulators/accumulators.hpp>
 #include <boost/accumulators/statistics/count.hpp>
@@ -7,6 +8,7 @@
 #include <boost/accumulators/statistics/stats.hpp>
 #include <boost/accumulators/statistics/sum.hpp>
 #include <cstdio>
+#include <numeric>
 
 namespace Core {
 
@@ -78,6 +80,25 @@
     return findOrCreate(m_summaries, name, std::move(labels));
 }
 
+Histogram& Metrics::histogram(std::string_view name, MetricLabels labels)
+{
+    return findOrCreate(m_histograms, name, std::move(labels));
+}
+
+void Histogram::observe(double seconds)
+{
+    auto const bucket = std::lower_bound(bounds.begin(), bounds.end(), seconds) - bounds.begin();
+    if (static_cast<std::size_t>(bucket) < bounds.size())
+        ++m_buckets[static_cast<std::size_t>(bucket)];
+    ++m_count;
+    m_sum += seconds;
+}
+
+std::uint64_t Histogram::cumulativeCount(std::size_t bucket) const
+{
+    return std::accumulate(m_buckets.begin(), m_buckets.begin() + static_cast<std::ptrdiff_t>(bucket) + 1, std::uint64_t(0));
+}
+
 static void appendEscaped(std::string& text, std::string const& value)
 {
     for (char const c : value) {
@@ -147,6 +168,21 @@
         appendSeries(text, key.first + "_sum", key.second, summary->sum());
         appendSeries(text, key.first + "_count", key.second, static_cast<double>(summary->count()));
     }
+    for (auto const& [key, histogram] : m_histograms) {
+        appendType(text, lastName, key.first, "histogram");
+        for (std::size_t bucket = 0; bucket < Histogram::bounds.size(); ++bucket) {
+            auto labels = key.second;
+            char buffer[16];
+            std::snprintf(buffer, sizeof(buffer), "%g", Histogram::bounds[bucket]);
+            labels.emplace_back("le", buffer);
+            appendSeries(text, key.first + "_bucket", labels, static_cast<double>(histogram->cumulativeCount(bucket)));
+        }
+        auto labels = key.second;
+        labels.emplace_back("le", "+Inf");
+        appendSeries(text, key.first + "_bucket", labels, static_cast<double>(histogram->count()));
+        appendSeries(text, key.first + "_sum", key.second, histogram->sum());
+        appendSeries(text, key.first + "_count", key.second, static_cast<double>(histogram->count()));
+    }
     return text;
 }
 
--- a/Libraries/LibCore/Metrics.h
+++ b/Libraries/LibCore/Metrics.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <array>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -52,12 +53,32 @@
     std::unique_ptr<Accumulators> m_accumulators;
 };
 
+/// A distribution over fixed bounds, in seconds, so that the figures of several processes can be added up. Not thread safe.
+class Histogram {
+public:
+    /// Upper bounds of the buckets: around the latency targets of the deployments (0.1 to 1.5 s) and up to the longest deadline.
+    static constexpr std::array<double, 12> bounds { 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.5, 0.8, 1.2, 2, 5, 10 };
+
+    void observe(double seconds);
+    [[nodiscard]] std::uint64_t count() const { return m_count; }
+    [[nodiscard]] double sum() const { return m_sum; }
+
+    /// Observations up to the bound of the bucket.
+    [[nodiscard]] std::uint64_t cumulativeCount(std::size_t bucket) const;
+
+private:
+    std::array<std::uint64_t, bounds.size()> m_buckets {};
+    std::uint64_t m_count { 0 };
+    double m_sum { 0 };
+};
+
 /// The metrics of one process. The references it returns stay valid as long as it lives. Not thread safe.
 class Metrics {
 public:
     [[nodiscard]] Counter& counter(std::string_view name, MetricLabels labels = {});
     [[nodiscard]] Gauge& gauge(std::string_view name, MetricLabels labels = {});
     [[nodiscard]] Summary& summary(std::string_view name, MetricLabels labels = {});
+    [[nodiscard]] Histogram& histogram(std::string_view name, MetricLabels labels = {});
 
     /// Renders all metrics in the Prometheus text format, sorted by name and labels.
     [[nodiscard]] std::string renderText() const;
@@ -68,6 +89,7 @@
     std::map<Key, std::unique_ptr<Counter>> m_counters;
     std::map<Key, std::unique_ptr<Gauge>> m_gauges;
     std::map<Key, std::unique_ptr<Summary>> m_summaries;
+    std::map<Key, std::unique_ptr<Histogram>> m_histograms;
 };
 
 }
--- a/Libraries/LibForward/ServerOrders.cpp
+++ b/Libraries/LibForward/ServerOrders.cpp
@@ -125,6 +125,7 @@
     auto const isRecent = [&](auto const& item) { return now - item.second < seriesTime; };
     auto const losses = 1 + static_cast<std::size_t>(std::count_if(demand.reclaimedAt.begin(), demand.reclaimedAt.end(), isRecent));
     std::vector<std::uint32_t> counts;
+    counts.reserve(stock.size());
     for (auto const& [dataCentre, row] : stock)
         counts.push_back(row.reclaimable);
     std::sort(counts.begin(), counts.end(), std::greater<>());
--- a/Libraries/LibForward/TeamQuota.cpp
+++ b/Libraries/LibForward/TeamQuota.cpp
@@ -47,7 +47,6 @@
     auto& row = position->second;
     if (isNew && table.start == QuotaStart::Empty) {
         row.all = { .filledAt = table.startedAt, .started = true };
-        row.share = row.all;
     }
     row.demand = decayedDemand(row, now) + cost * arrivalWeight;
     row.demandAt = now;
--- a/Libraries/LibForward/TeamQuota.h
+++ b/Libraries/LibForward/TeamQuota.h
@@ -20,7 +20,7 @@
 /// Whether the limits count as unused when a process starts.
 enum class QuotaStart {
     Full,
-    /// The process, or all of them, may have used the limits up just before they were started again.
+    /// The process, or all of them, may have used the limits up just before they were started again. Each node admits its share.
     Empty,
 };
 
--- a/Libraries/LibRouting/Placement.h
+++ b/Libraries/LibRouting/Placement.h
@@ -26,7 +26,7 @@
 /// The costs that the placement adds up, in seconds.
 struct PlacementCosts {
     /// Each request in progress delays the first token of a new one.
-    double perEngineRequest { 0.004 };
+    double perEngineRequest { 0.002 };
     /// A call of a plain service that finds no free slot waits for about one call's work.
     double perPlainRequest { 0.015 };
     /// Prefill of one token that is not cached.
@@ -34,7 +34,7 @@
     /// Bytes between data centres are charged, so that the own data centre goes first among equals.
     double otherDataCentre { 0.006 };
     /// Servers on which a shared prefix is expected to be cached.
-    std::uint32_t homesPerPrefix { 2 };
+    std::uint32_t homesPerPrefix { 1 };
 
     bool operator==(PlacementCosts const&) const = default;
 };
--- a/Services/Edge/EdgeService.cpp
+++ b/Services/Edge/EdgeService.cpp
@@ -41,9 +41,10 @@
     , m_platform(std::move(platform))
     , m_incarnation(startTime(runtime))
     , m_random(m_incarnation ^ Forward::serverHash(m_settings.nodeId) ^ static_cast<std::uint64_t>(getpid()))
+    , m_tables(runtime)
     , m_serverClient(runtime, serverClientLimits())
     , m_peerClient(runtime, peerClientLimits())
-    , m_forwarder({ runtime, m_serverClient, m_platform.requests, m_tables, m_settings, m_random, m_metrics, m_incarnation })
+    , m_forwarder({ runtime, m_serverClient, m_platform.requests, m_tables, m_settings, m_random, m_metrics, m_incarnation, runtime.now() })
     , m_feed(runtime, m_platform.store, m_peerClient, m_platform.objects, m_tables, m_random, m_metrics)
     , m_exchange(runtime, m_tables, m_settings, [this] { return ownReport(); })
     , m_clientServer(runtime, {}, [this](auto const& request, auto& writer) { return m_forwarder.handle(request, writer); })
@@ -99,7 +100,7 @@
 
 bool EdgeService::isReady() const
 {
-    return m_tables.routes && !m_tables.servers.rows.empty() && !m_tables.isDraining;
+    return m_tables.isUsable() && !m_tables.isDraining;
 }
 
 Core::Awaitable<void> EdgeService::answerReady(HTTP::Request const& request, HTTP::ResponseWriter& writer)
@@ -134,6 +135,13 @@
 
 Core::Awaitable<void> EdgeService::answerMetrics(HTTP::Request const&, HTTP::ResponseWriter& writer)
 {
+    auto const traffic = m_serverClient.traffic();
+    m_metrics.gauge("hyssopstep_requests_in_progress").set(static_cast<double>(m_forwarder.requestsInProgress()));
+    m_metrics.gauge("hyssopstep_server_requests").set(static_cast<double>(traffic.requests));
+    m_metrics.gauge("hyssopstep_server_connections_opened").set(static_cast<double>(traffic.newConnections));
+    m_metrics.gauge("hyssopstep_servers").set(static_cast<double>(m_tables.servers.rows.size()));
+    m_metrics.gauge("hyssopstep_peers").set(static_cast<double>(Forward::livePeers(m_tables.peers, m_runtime.now())));
+    m_metrics.gauge("hyssopstep_configuration_version").set(static_cast<double>(m_tables.routes ? m_tables.routes->version : 0));
     HTTP::Response response;
     response.headers.add("Content-Type", "text/plain; version=0.0.4");
     response.body = m_metrics.renderText();
--- a/Services/Edge/EdgeTables.h
+++ b/Services/Edge/EdgeTables.h
@@ -17,6 +17,17 @@
 
 /// All that an edge process knows. Owned by EdgeService; used from the runtime's thread only.
 struct EdgeTables {
+    explicit EdgeTables(Core::Runtime& runtime)
+        : becameUsable(runtime)
+    {
+    }
+
+    /// Whether requests can be placed.
+    [[nodiscard]] bool isUsable() const { return routes && !servers.rows.empty(); }
+
+    /// Notified when the first configuration or the first servers become known.
+    Core::AsyncEvent becameUsable;
+
     /// Null until the first configuration is known. Requests in progress keep the one that they began with.
     std::shared_ptr<Forward::RouteTable const> routes;
     /// The store's value of the configuration in force, for peers that cannot reach the store.
--- a/Services/Edge/RequestForwarder.cpp
+++ b/Services/Edge/RequestForwarder.cpp
@@ -173,10 +173,20 @@
     return true;
 }
 
+// A process that starts again finds requests before it has read the store, which takes some ten milliseconds.
+Core::Awaitable<void> RequestForwarder::waitUntilUsable()
+{
+    static constexpr Core::Duration startTime = 150ms;
+    auto const deadline = m_edge.startedAt + startTime;
+    while (!m_edge.tables.isUsable() && m_edge.runtime.now() < deadline)
+        (void)co_await m_edge.tables.becameUsable.waitUntil(deadline);
+}
+
 Core::Awaitable<void> RequestForwarder::handle(HTTP::Request const& request, HTTP::ResponseWriter& writer)
 {
     Exchange exchange { .request = request, .writer = writer, .arrivedAt = m_edge.runtime.now() };
     Core::LastReason reason;
+    co_await waitUntilUsable();
     if (!admit(exchange, reason)) {
         co_await refuse(exchange, std::move(reason));
         logRequest(exchange);
@@ -478,7 +488,11 @@
     if (!exchange.reason.empty())
         fields.emplace_back("reason", exchange.reason);
     Core::logEvent(Core::LogLevel::Info, "request", fields);
-    m_edge.metrics.counter("hyssopstep_requests_total", { { "outcome", std::string(outcome) } }).add();
+    std::string const routeName = exchange.route ? exchange.route->name : "none";
+    m_edge.metrics.counter("hyssopstep_requests_total", { { "outcome", std::string(outcome) }, { "status", std::to_string(exchange.status) } }).add();
+    m_edge.metrics.histogram("hyssopstep_request_seconds", { { "route", routeName } }).observe(std::chrono::duration<double>(now - exchange.arrivedAt).count());
+    if (exchange.firstEventAt)
+        m_edge.metrics.histogram("hyssopstep_first_event_seconds", { { "route", routeName } }).observe(std::chrono::duration<double>(*exchange.firstEventAt - exchange.arrivedAt).count());
 }
 
 }
--- a/Services/Edge/RequestForwarder.h
+++ b/Services/Edge/RequestForwarder.h
@@ -25,6 +25,7 @@
         Core::Random& random;
         Core::Metrics& metrics;
         std::uint64_t incarnation { 0 };
+        Core::MonotonicTime startedAt;
     };
 
     /// Precondition: all references outlive the forwarder, which outlives the server that calls it.
@@ -41,6 +42,7 @@
     struct Exchange;
     struct Attempt;
 
+    [[nodiscard]] Core::Awaitable<void> waitUntilUsable();
     [[nodiscard]] bool admit(Exchange&, Core::LastReason&);
     [[nodiscard]] Core::Awaitable<void> run(Exchange&);
     [[nodiscard]] Core::Awaitable<Forward::AttemptOutcome> attempt(Exchange&, Core::LastReason&);
--- a/Services/Edge/StoreFeed.cpp
+++ b/Services/Edge/StoreFeed.cpp
@@ -142,6 +142,7 @@
     Core::logEvent(Core::LogLevel::Info, "configuration_changed", { { "version", std::uint64_t(table->version) }, { "previous", std::uint64_t(m_tables.routes ? m_tables.routes->version : 0) }, { "source", source }, { "routes", std::uint64_t(table->routes.size()) } });
     m_tables.routes = std::make_shared<Forward::RouteTable const>(std::move(*table));
     m_tables.routesValue = value;
+    m_tables.becameUsable.notifyAll();
 }
 
 void StoreFeed::offerServer(Platform::StoredObject const& object)
@@ -173,6 +174,8 @@
     auto const now = m_runtime.now();
     auto const before = m_tables.servers.rows.size();
     Routing::mergeHostList(m_tables.servers, Forward::serversInUse(m_tables.directory, now), now);
+    if (before == 0 && !m_tables.servers.rows.empty())
+        m_tables.becameUsable.notifyAll();
     if (m_tables.servers.rows.size() != before)
         Core::logEvent(Core::LogLevel::Info, "servers_changed", { { "servers", std::uint64_t(m_tables.servers.rows.size()) }, { "revision", std::uint64_t(m_tables.serversRevision) } });
 }
--- a/Tests/EdgeService/EdgeServiceTest.cpp
+++ b/Tests/EdgeService/EdgeServiceTest.cpp
@@ -121,8 +121,8 @@
         auto task = [&]() -> Core::Awaitable<std::string> {
             tcp::socket socket(m_loop.runtime().context());
             auto const& endpoint = m_service->settings().clientListen;
-            auto [connectError] = co_await socket.async_connect({ asio::ip::make_address(endpoint.address), endpoint.port }, useTuple);
-            auto [writeError, written] = co_await asio::async_write(socket, asio::buffer(bytes), useTuple);
+            (void)co_await socket.async_connect({ asio::ip::make_address(endpoint.address), endpoint.port }, useTuple);
+            (void)co_await asio::async_write(socket, asio::buffer(bytes), useTuple);
             std::string received;
             while (true) {
                 std::array<char, 4096> buffer {};
@@ -153,8 +153,8 @@
     StandIns::StoreStandIn m_store { m_loop.runtime() };
     Core::Endpoint m_storeEndpoint;
     std::optional<Client> m_client;
-    PlatformAdapter::HeaderCodec const m_requests;
-    PlatformAdapter::StoreCodec const m_objects;
+    PlatformAdapter::HeaderCodec const m_requests {};
+    PlatformAdapter::StoreCodec const m_objects {};
     std::vector<std::unique_ptr<RawServer>> m_servers;
     std::unique_ptr<Edge::EdgeService> m_service;
 };
--- /dev/null
+++ b/Tests/LibCore/LogBudgetTest.cpp
@@ -0,0 +1,23 @@
+#include <LibCore/Log.h>
+#include <gtest/gtest.h>
+
+using namespace std::chrono_literals;
+
+// Guards against a log that grows without bound under load, and against warnings that are lost among request lines.
+TEST(LogBudgetTest, LinesAreBoundedAndWarningsGoLast)
+{
+    Core::LogBudget budget;
+    std::chrono::steady_clock::time_point now { 100s };
+    std::size_t written = 0;
+    for (int i = 0; i < 5000; ++i)
+        written += Core::takeLogLine(budget, Core::LogLevel::Info, now) ? 1 : 0;
+    EXPECT_EQ(written, 800u);
+    EXPECT_EQ(budget.dropped, 4200u);
+    EXPECT_TRUE(Core::takeLogLine(budget, Core::LogLevel::Warning, now));
+    now += 1s;
+    written = 0;
+    for (int i = 0; i < 5000; ++i)
+        written += Core::takeLogLine(budget, Core::LogLevel::Info, now) ? 1 : 0;
+    EXPECT_LE(written, 200u);
+    EXPECT_GT(written, 100u);
+}
--- a/Tests/LibRouting/PlacementTest.cpp
+++ b/Tests/LibRouting/PlacementTest.cpp
@@ -52,7 +52,7 @@
 {
     auto servers = table(9);
     std::map<std::string, int> counts;
-    for (int i = 0; i < 300; ++i) {
+    for (int i = 0; i < 600; ++i) {
         auto const id = place(servers, { .service = "model", .dataCentre = "a", .sharedPrefix = 7, .sharedTokens = 13300 });
         ++Routing::findServer(servers, id)->outstanding;
         ++counts[id];
--- a/Utilities/Load/LoadCommand.cpp
+++ b/Utilities/Load/LoadCommand.cpp
@@ -130,7 +130,7 @@
         std::fputs(parsed.help->c_str(), stdout);
         return Hyssopstep::Success;
     }
-    Core::configureLog(Core::LogLevel::Info, "load");
+    Core::configureLog(Core::LogLevel::Info, "load", Core::LogStream::StandardError);
     auto faults = std::move(parsed.faults);
     Core::SettingChecker checker;
     auto settings = settingsFromFlags(checker);
