Forward: Keep requests from data centres that are cut off

Change: a data centre all of whose nodes fell silent costs 0.4 s more in the placement; a resumable stream that is silent for 1 s continues at another server. Both with tests.

--- a/Libraries/LibForward/PeerTable.cpp
+++ b/Libraries/LibForward/PeerTable.cpp
@@ -87,6 +87,21 @@
     return Limits::nodeShare(view);
 }
 
+bool isProbablyCutOff(PeerTable const& table, std::string const& dataCentre, Core::MonotonicTime now)
+{
+    // Three reports in a row are missing.
+    static constexpr Core::Duration silence = 850ms;
+    bool isKnown = false;
+    for (auto const& [node, row] : table.rows) {
+        if (row.report.dataCentre != dataCentre || row.report.isLeaving)
+            continue;
+        if (now - row.heardAt < silence)
+            return false;
+        isKnown = true;
+    }
+    return isKnown;
+}
+
 std::uint32_t peerLoad(PeerTable const& table, std::uint64_t server, Core::MonotonicTime now)
 {
     std::uint32_t load = 0;
--- a/Libraries/LibForward/PeerTable.h
+++ b/Libraries/LibForward/PeerTable.h
@@ -46,6 +46,10 @@
 /// clients behind a partition.
 [[nodiscard]] double quotaShare(PeerTable const&, std::string const& team, double ownDemand);
 
+/// Whether all nodes of another data centre fell silent at a time while they were not leaving. Answers partitions between data
+/// centres: the reports tell it sooner than requests that time out one server after the other.
+[[nodiscard]] bool isProbablyCutOff(PeerTable const&, std::string const& dataCentre, Core::MonotonicTime now);
+
 /// Requests in progress at a server at all other nodes that are heard.
 [[nodiscard]] std::uint32_t peerLoad(PeerTable const&, std::uint64_t server, Core::MonotonicTime now);
 
--- a/Libraries/LibRouting/Placement.cpp
+++ b/Libraries/LibRouting/Placement.cpp
@@ -44,6 +44,8 @@
         cost = (cost + perRequest) * stragglerFactor + perRequest * engineSlots;
     if (row.dataCentre != request.dataCentre)
         cost += costs.otherDataCentre;
+    if (row.isProbablyCutOff)
+        cost += costs.probablyCutOff;
     return cost;
 }
 
--- a/Libraries/LibRouting/Placement.h
+++ b/Libraries/LibRouting/Placement.h
@@ -33,6 +33,8 @@
     double perUncachedToken { 1.0 / 150000.0 };
     /// Bytes between data centres are charged, so that the own data centre goes first among equals.
     double otherDataCentre { 0.006 };
+    /// A server behind a partition costs a connection attempt that times out.
+    double probablyCutOff { 0.4 };
     /// Servers on which a shared prefix is expected to be cached.
     std::uint32_t homesPerPrefix { 1 };
 
--- a/Libraries/LibRouting/ServerTable.h
+++ b/Libraries/LibRouting/ServerTable.h
@@ -65,6 +65,8 @@
     std::uint32_t outstanding { 0 };
     /// Those of the other nodes, as they last reported them.
     std::uint32_t peerOutstanding { 0 };
+    /// Whether this node is probably cut off from the server's data centre.
+    bool isProbablyCutOff { false };
     std::optional<LoadReport> report;
     /// The mean of the recent reports of the service, used while this server has none; 0 until there is one.
     std::uint32_t assumedLoad { 0 };
--- a/Services/Edge/EdgeService.cpp
+++ b/Services/Edge/EdgeService.cpp
@@ -186,8 +186,10 @@
     auto const now = m_runtime.now();
     m_exchange.tick();
     m_feed.tick();
-    for (auto& row : m_tables.servers.rows)
+    for (auto& row : m_tables.servers.rows) {
         row.peerOutstanding = Forward::peerLoad(m_tables.peers, Forward::serverHash(row.id), now);
+        row.isProbablyCutOff = row.dataCentre != m_settings.dataCentre && Forward::isProbablyCutOff(m_tables.peers, row.dataCentre, now);
+    }
     Routing::updatePaces(m_tables.servers, now);
     Limits::expire(m_tables.quarantine, now);
     // Counts of windows that are reported or too late are of no use.
--- a/Services/Edge/RequestForwarder.cpp
+++ b/Services/Edge/RequestForwarder.cpp
@@ -340,11 +340,20 @@
     co_return failed ? AttemptOutcome::FailureAnswered : AttemptOutcome::Answered;
 }
 
+// A stream that fell silent between two events is continued at another server, if it may be, before its client gives up. Clients
+// wait for two seconds at least; engines pause for some hundred milliseconds when they are loaded.
+Core::MonotonicTime RequestForwarder::stallDeadline(Exchange const& exchange) const
+{
+    static constexpr Core::Duration longestPause = 1s;
+    bool const mayContinue = exchange.route->isResumable && exchange.firstEventAt && exchange.possibleRuns < exchange.route->maximumServers;
+    return mayContinue ? std::min(exchange.deadline, m_edge.runtime.now() + longestPause) : exchange.deadline;
+}
+
 Core::Awaitable<AttemptOutcome> RequestForwarder::passStream(Exchange& exchange, Attempt& attempt, Core::LastReason& reason)
 {
     exchange.events.dropPartial();
     while (true) {
-        auto piece = co_await attempt.stream->readSome(exchange.deadline, reason);
+        auto piece = co_await attempt.stream->readSome(stallDeadline(exchange), reason);
         if (!piece)
             co_return AttemptOutcome::Unknown;
         auto events = exchange.events.feed(*piece);
--- a/Services/Edge/RequestForwarder.h
+++ b/Services/Edge/RequestForwarder.h
@@ -50,6 +50,7 @@
     [[nodiscard]] Core::Awaitable<Forward::AttemptOutcome> readWhole(Exchange&, Attempt&, Core::LastReason&);
     [[nodiscard]] Core::Awaitable<void> finish(Exchange&, Forward::AttemptOutcome, Core::LastReason);
     [[nodiscard]] Core::Awaitable<void> refuse(Exchange&, Core::LastReason);
+    [[nodiscard]] Core::MonotonicTime stallDeadline(Exchange const&) const;
     [[nodiscard]] double ownShare(std::string const& team, double demand) const;
     [[nodiscard]] bool takeRetry(Exchange const&);
     [[nodiscard]] Forward::AttemptHistory historyOf(Exchange const&) const;
--- a/Tests/EdgeService/EdgeServiceTest.cpp
+++ b/Tests/EdgeService/EdgeServiceTest.cpp
@@ -329,6 +329,22 @@
     EXPECT_EQ(response.find("HTTP/1.1", 10), std::string::npos);
 }
 
+// Guards against a client that waits for a server which fell silent in the middle of a stream.
+TEST_F(EdgeServiceTest, ASilentResumableStreamContinuesElsewhere)
+{
+    for (int i = 0; i < 2; ++i) {
+        addServer([](auto const& request) {
+            if (request.find("Last-Event-Id: 1\r\n") != std::string::npos)
+                return Reply { streamHead(attemptIdOf(request)) + chunk(event(2)) + "0\r\n\r\n" };
+            return Reply { .bytes = streamHead(attemptIdOf(request)) + chunk(event(1)), .laterBytes = chunk(event(2)), .pause = 10s };
+        });
+    }
+    start();
+    auto const response = exchange(request("/resume/1", "s", "POST"), 1500ms);
+    EXPECT_NE(response.find(chunk(event(1)) + chunk(event(2)) + "0\r\n\r\n"), std::string::npos) << response;
+    waitFor([&] { return m_servers[0]->abandoned + m_servers[1]->abandoned == 1; });
+}
+
 // Guards against a change that waits for the next poll, and against a configuration that goes back.
 TEST_F(EdgeServiceTest, ConfigurationsAreInForceAtOnceAndNeverGoBack)
 {
--- a/Tests/LibForward/PeerTableTest.cpp
+++ b/Tests/LibForward/PeerTableTest.cpp
@@ -69,6 +69,28 @@
     EXPECT_DOUBLE_EQ(Forward::quotaShare(table, "team", 12.5), 1);
 }
 
+// Load pattern: a data centre is cut off while requests go there.
+TEST(PeerTableTest, ADataCentreWhoseNodesAllFallSilentIsProbablyCutOff)
+{
+    Forward::PeerTable table;
+    Core::MonotonicTime const now { 100s };
+    for (auto const* node : { "a1", "a2", "b1" }) {
+        auto peer = report(node);
+        peer.dataCentre = std::string(1, node[0]);
+        peer.isLeaving = false;
+        (void)Forward::mergeReport(table, peer, 1'000'000, now);
+    }
+    (void)Forward::mergeReport(table, [] { auto peer = report("a2"); peer.dataCentre = "a"; peer.isLeaving = false; return peer; }(), 1'000'000, now + 600ms);
+    EXPECT_FALSE(Forward::isProbablyCutOff(table, "a", now + 900ms));
+    EXPECT_TRUE(Forward::isProbablyCutOff(table, "b", now + 900ms));
+    EXPECT_TRUE(Forward::isProbablyCutOff(table, "a", now + 1500ms));
+    // Nothing is known of a data centre without nodes.
+    EXPECT_FALSE(Forward::isProbablyCutOff(table, "c", now + 1500ms));
+    // A node that stops as planned says nothing of its data centre.
+    (void)Forward::mergeReport(table, [] { auto peer = report("b1"); peer.dataCentre = "b"; return peer; }(), 1'000'000, now);
+    EXPECT_FALSE(Forward::isProbablyCutOff(table, "b", now + 900ms));
+}
+
 // Guards against usage windows that follow a clock that jumped.
 TEST(PeerTableTest, SingleClocksThatJumpDoNotMoveTheAgreedClock)
 {
