--- a/Libraries/LibForward/TeamQuota.cpp
+++ b/Libraries/LibForward/TeamQuota.cpp
@@ -41,7 +41,7 @@
     static constexpr double reservedPart = 0.5;
     // Part of the burst that the share of a node may save up, and part of the rate that is admitted until an excess is paid back.
     static constexpr double shareBurst = 0.25;
-    static constexpr double repaymentRate = 0.85;
+    static constexpr double repaymentRate = 0.95;
     static double const arrivalWeight = std::log(2.0) / demandHalfLifeSeconds;
     auto [position, isNew] = table.rows.try_emplace(team.name);
     auto& row = position->second;
