Edge: Let a few nodes of each data centre read the store

Change: three nodes of each data centre read the store, the others ask a peer when a report names news; reports are sent less often with many nodes, and silence is judged by the sender's interval; reclaimable servers are a part of the platform's maximum, and the requests of a server follow its slots.

--- a/Libraries/LibForward/NodeReport.capnp
+++ b/Libraries/LibForward/NodeReport.capnp
@@ -50,4 +50,8 @@
     leaving @12 :Bool;
     # Whether the node holds the lease for the duties of one node at a time.
     holdsDuties @13 :Bool;
+    # Whether the node reads the platform's store itself, and succeeds.
+    followsStore @14 :Bool;
+    # Time between two reports of the node.
+    intervalMilliseconds @15 :UInt32 = 250;
 }
--- a/Libraries/LibForward/NodeReport.capnp.h
+++ b/Libraries/LibForward/NodeReport.capnp.h
@@ -502,6 +502,10 @@
 
   inline bool getHoldsDuties() const;
 
+  inline bool getFollowsStore() const;
+
+  inline  ::uint32_t getIntervalMilliseconds() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -606,6 +610,12 @@
   inline bool getHoldsDuties();
   inline void setHoldsDuties(bool value);
 
+  inline bool getFollowsStore();
+  inline void setFollowsStore(bool value);
+
+  inline  ::uint32_t getIntervalMilliseconds();
+  inline void setIntervalMilliseconds( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1184,6 +1194,34 @@
       ::capnp::bounded<257>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool NodeReport::Reader::getFollowsStore() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<258>() * ::capnp::ELEMENTS);
+}
+
+inline bool NodeReport::Builder::getFollowsStore() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<258>() * ::capnp::ELEMENTS);
+}
+inline void NodeReport::Builder::setFollowsStore(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<258>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t NodeReport::Reader::getIntervalMilliseconds() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS, 250u);
+}
+
+inline  ::uint32_t NodeReport::Builder::getIntervalMilliseconds() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS, 250u);
+}
+inline void NodeReport::Builder::setIntervalMilliseconds( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS, value, 250u);
+}
+
 }  // namespace
 }  // namespace
 
--- a/Libraries/LibForward/NodeReport.cpp
+++ b/Libraries/LibForward/NodeReport.cpp
@@ -41,6 +41,8 @@
     root.setServersRevision(report.serversRevision);
     root.setLeaving(report.isLeaving);
     root.setHoldsDuties(report.holdsDuties);
+    root.setFollowsStore(report.followsStore);
+    root.setIntervalMilliseconds(static_cast<std::uint32_t>(report.interval.count()));
     auto loads = root.initLoads(static_cast<unsigned>(report.loads.size()));
     unsigned index = 0;
     for (auto const& [server, inProgress] : report.loads) {
@@ -80,6 +82,8 @@
     report.serversRevision = root.getServersRevision();
     report.isLeaving = root.getLeaving();
     report.holdsDuties = root.getHoldsDuties();
+    report.followsStore = root.getFollowsStore();
+    report.interval = std::chrono::milliseconds(root.getIntervalMilliseconds());
     for (auto const load : root.getLoads())
         report.loads[load.getServer()] = load.getInProgress();
     for (auto const demand : root.getDemands())
--- a/Libraries/LibForward/NodeReport.h
+++ b/Libraries/LibForward/NodeReport.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibForward/UsageTable.h>
+#include <chrono>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -43,6 +44,10 @@
     bool isLeaving { false };
     /// Whether it holds the lease for the duties of one node at a time.
     bool holdsDuties { false };
+    /// Whether it reads the platform's store itself, and succeeds.
+    bool followsStore { false };
+    /// Time between two of its reports.
+    std::chrono::milliseconds interval { 250 };
 
     bool operator==(NodeReport const&) const = default;
 };
--- a/Libraries/LibForward/PeerTable.cpp
+++ b/Libraries/LibForward/PeerTable.cpp
@@ -8,7 +8,7 @@
 using namespace std::chrono_literals;
 
 // Four reports may be lost before a node counts as silent.
-static constexpr Core::Duration liveFor = 1200ms;
+static constexpr double liveIntervals = 4.8;
 // Longer than the partitions after which a node still serves its clients.
 static constexpr Core::Duration keptFor = 12s;
 static constexpr Core::Duration candidateFor = 60s;
@@ -64,9 +64,39 @@
     std::erase_if(table.candidates, [&](auto const& item) { return now - item.second > candidateFor; });
 }
 
+static bool isHeardWithin(PeerTable::Row const& row, double intervals, Core::MonotonicTime now)
+{
+    return std::chrono::duration<double>(now - row.heardAt) <= intervals * std::chrono::duration<double>(row.report.interval);
+}
+
 static bool isLive(PeerTable::Row const& row, Core::MonotonicTime now)
 {
-    return now - row.heardAt <= liveFor;
+    return isHeardWithin(row, liveIntervals, now);
+}
+
+std::chrono::milliseconds reportInterval(std::size_t peers)
+{
+    static constexpr std::chrono::milliseconds shortest { 250 };
+    // About 64 reports a second arrive at a node, some 40 KB/s at 60 nodes and 90 servers.
+    static constexpr std::size_t peersAtShortest = 16;
+    return shortest * std::max<std::size_t>(1, (peers + peersAtShortest - 1) / peersAtShortest);
+}
+
+bool shouldFollowStore(PeerTable const& table, std::string const& ownId, std::string const& ownDataCentre, Core::MonotonicTime now)
+{
+    // Two may fail or be cut off at the same time.
+    static constexpr std::size_t followersPerDataCentre = 3;
+    std::size_t ahead = 0;
+    bool hearsFollower = false;
+    auto const own = serverHash(ownId);
+    for (auto const& [node, row] : table.rows) {
+        if (!isLive(row, now) || row.report.isLeaving)
+            continue;
+        hearsFollower = hearsFollower || row.report.followsStore;
+        if (row.report.dataCentre == ownDataCentre && serverHash(node) < own)
+            ++ahead;
+    }
+    return ahead < followersPerDataCentre || !hearsFollower;
 }
 
 std::size_t livePeers(PeerTable const& table, Core::MonotonicTime now)
@@ -90,12 +120,12 @@
 bool isProbablyCutOff(PeerTable const& table, std::string const& dataCentre, Core::MonotonicTime now)
 {
     // Three reports in a row are missing.
-    static constexpr Core::Duration silence = 850ms;
+    static constexpr double silentIntervals = 3.4;
     bool isKnown = false;
     for (auto const& [node, row] : table.rows) {
         if (row.report.dataCentre != dataCentre || row.report.isLeaving)
             continue;
-        if (now - row.heardAt < silence)
+        if (isHeardWithin(row, silentIntervals, now))
             return false;
         isKnown = true;
     }
--- a/Libraries/LibForward/PeerTable.h
+++ b/Libraries/LibForward/PeerTable.h
@@ -39,6 +39,14 @@
 /// Drops nodes that are silent for so long that they are gone, and candidates that nobody names.
 void expirePeers(PeerTable&, Core::MonotonicTime now);
 
+/// Time between two reports of a node. Every node sends to all others, so that with many nodes each sends less often and the number
+/// that arrives at a node stays bounded. Thread safe.
+[[nodiscard]] std::chrono::milliseconds reportInterval(std::size_t peers);
+
+/// Whether a node reads the platform's store itself. A few nodes of each data centre do, the same ones by all tables that agree, and
+/// every node that hears none of them: each call to the store is charged, and its rates do not grow with the nodes.
+[[nodiscard]] bool shouldFollowStore(PeerTable const&, std::string const& ownId, std::string const& ownDataCentre, Core::MonotonicTime now);
+
 /// Nodes heard within the last seconds, this one not included.
 [[nodiscard]] std::size_t livePeers(PeerTable const&, Core::MonotonicTime now);
 
--- a/Libraries/LibForward/ServerOrders.cpp
+++ b/Libraries/LibForward/ServerOrders.cpp
@@ -29,9 +29,8 @@
 // An order is repeated if its servers are missing after they should have started: the platform took them away again, or had none.
 static constexpr Core::Duration startMargin = 3s;
 
-// Longer than a server takes to start, so that one that was just ordered is not given back, and longer than the pause between two
-// reclaims of a series.
-static constexpr Core::Duration surplusTime = 1000ms;
+// On-demand servers that are not needed are kept for this time, so that a moment of less demand gives none back.
+static constexpr Core::Duration surplusTime = 1s;
 
 static void addOrder(std::vector<ServerOrder>& orders, OrderBook& book, ServerOrder order, std::uint32_t current, Core::Duration bootTime, Core::MonotonicTime now)
 {
@@ -78,14 +77,15 @@
     demand.requestsInProgress += (grows ? growthWeight : declineWeight) * (requestsInProgress - demand.requestsInProgress);
 }
 
-std::optional<std::uint32_t> neededServers(ServiceDemand const& demand, StockPolicy const& policy, Core::MonotonicTime now)
+std::optional<std::uint32_t> neededServers(Service const& service, ServiceDemand const& demand, StockPolicy const& policy, Core::MonotonicTime now)
 {
     // A process that starts sees servers and requests one after the other.
     static constexpr Core::Duration stockTime = 2500ms;
     static constexpr Core::Duration requestTime = 4s;
     if (!demand.stockedSince || now - *demand.stockedSince < stockTime)
         return std::nullopt;
-    auto const byDemand = static_cast<std::uint32_t>(std::ceil(demand.requestsInProgress / policy.requestsPerServer));
+    double const perServer = service.engine ? std::min(policy.requestsPerServer, std::max(policy.slotsPerServer * service.engine->slots, 1.0)) : policy.requestsPerServer;
+    auto const byDemand = static_cast<std::uint32_t>(std::ceil(demand.requestsInProgress / perServer));
     if (demand.busySince && now - *demand.busySince >= requestTime)
         return byDemand;
     // A process that started among requests in progress knows no number for the time before.
@@ -138,14 +138,14 @@
     if (!service.scale)
         return orders;
     auto const& range = *service.scale;
-    auto const needed = neededServers(demand, policy, now);
+    auto const needed = neededServers(service, demand, policy, now);
     auto const surviving = survivingReclaimable(stock, demand, now);
     auto const total = std::max(policy.leastOnDemand, needed.value_or(0) > surviving ? *needed - surviving : 0);
     auto const onDemand = spreadOnDemand(range, stock, total);
     for (auto const& [dataCentre, wanted] : onDemand) {
         auto const found = stock.find(dataCentre);
         auto const current = found == stock.end() ? ServerStock {} : found->second;
-        auto const wantedReclaimable = std::min(policy.reclaimablePerDataCentre, range.maximum - wanted);
+        auto const wantedReclaimable = std::min(static_cast<std::uint32_t>(policy.reclaimablePart * range.maximum), range.maximum - wanted);
         // The minimum holds for both kinds together, and reclaimable servers count only once they are there.
         auto const least = current.reclaimable >= range.minimum ? 0 : range.minimum;
         addOrder(orders, book, { service.name, dataCentre, true, wantedReclaimable }, current.reclaimable, range.bootTime, now);
--- a/Libraries/LibForward/ServerOrders.h
+++ b/Libraries/LibForward/ServerOrders.h
@@ -50,12 +50,14 @@
 
 /// How a service's servers are bought.
 struct StockPolicy {
-    /// Reclaimable servers in each data centre.
-    std::uint32_t reclaimablePerDataCentre { 4 };
+    /// Reclaimable servers in each data centre, as a part of the most that the platform allows there. The number stays the same: every
+    /// change empties or fills caches, and they cost a part of the price.
+    double reclaimablePart { 0.67 };
     /// On-demand servers over all data centres that are kept in any case, so that some serve when all others are taken away.
     std::uint32_t leastOnDemand { 1 };
-    /// Requests in progress that one server is to run.
+    /// Requests in progress that one server is to run, and the part of its slots that this may be at most.
     double requestsPerServer { 18 };
+    double slotsPerServer { 0.35 };
 
     bool operator==(StockPolicy const&) const = default;
 };
@@ -81,7 +83,7 @@
 
 /// The servers that the demand needs. Before there are requests, the servers that the deployment started with; nothing while
 /// too little was seen to change the number of on-demand servers. Thread safe.
-[[nodiscard]] std::optional<std::uint32_t> neededServers(ServiceDemand const&, StockPolicy const&, Core::MonotonicTime now);
+[[nodiscard]] std::optional<std::uint32_t> neededServers(Service const&, ServiceDemand const&, StockPolicy const&, Core::MonotonicTime now);
 
 /// Decides the orders for a service. Reclaimable servers are bought in every data centre, since they cost a part of the price;
 /// on-demand servers, in the cheapest data centres first, fill up what is needed if one more data centre than were reclaimed lately
--- a/Libraries/LibForward/TeamQuota.cpp
+++ b/Libraries/LibForward/TeamQuota.cpp
@@ -55,7 +55,9 @@
     double const capacity = std::max(team.burst + usedSlack * tolerance.slack, 1.0);
     // Refills the bucket without taking anything.
     (void)Limits::takeFromBucket(row.all, 0, team.ratePerSecond, capacity, now);
-    bool const isPlenty = row.all.level >= reservedPart * capacity;
+    // With many nodes the reports come too late to tell when the burst is used up.
+    static constexpr std::chrono::milliseconds longestInterval { 500 };
+    bool const isPlenty = tolerance.reportInterval <= longestInterval && row.all.level >= reservedPart * capacity;
     if (!isPlenty) {
         double const rate = team.ratePerSecond * share * (row.all.level < 0 ? repaymentRate : 1);
         auto const wait = Limits::takeFromBucket(row.share, cost, rate, std::max(capacity * shareBurst * share, 1.0), now);
--- a/Libraries/LibForward/TeamQuota.h
+++ b/Libraries/LibForward/TeamQuota.h
@@ -13,6 +13,8 @@
     std::chrono::seconds window { 8 };
     /// Units by which a window may pass the limit.
     double slack { 0 };
+    /// How often the nodes hear of each other's admissions.
+    std::chrono::milliseconds reportInterval { 250 };
 
     bool operator==(QuotaTolerance const&) const = default;
 };
--- a/Services/Edge/EdgeService.cpp
+++ b/Services/Edge/EdgeService.cpp
@@ -45,7 +45,7 @@
     , m_serverClient(runtime, serverClientLimits())
     , m_peerClient(runtime, peerClientLimits())
     , m_forwarder({ runtime, m_serverClient, m_platform.requests, m_tables, m_settings, m_random, m_metrics, m_incarnation, runtime.now() })
-    , m_feed(runtime, m_platform.store, m_peerClient, m_platform.objects, m_tables, m_random, m_metrics)
+    , m_feed(runtime, m_platform.store, m_peerClient, m_platform.objects, m_tables, m_settings, m_random, m_metrics)
     , m_exchange(runtime, m_tables, m_settings, [this] { return ownReport(); })
     , m_clientServer(runtime, {}, [this](auto const& request, auto& writer) { return m_forwarder.handle(request, writer); })
     , m_readyServer(runtime, {}, [this](auto const& request, auto& writer) { return answerReady(request, writer); })
@@ -76,6 +76,8 @@
             return false;
         *endpoint = *bound;
     }
+    m_exchange.onReport([this] { m_feed.askPeers(); });
+    m_feed.onNews([this] { m_exchange.announce(); });
     m_feed.start();
     if (m_duties)
         m_duties->start();
@@ -177,6 +179,8 @@
     for (auto const& [fingerprint, until] : m_tables.quarantine.quarantined)
         report.quarantined.push_back(fingerprint);
     report.isLeaving = m_tables.isDraining;
+    report.followsStore = m_feed.followsStore();
+    report.interval = Forward::reportInterval(m_tables.peers.rows.size());
     report.holdsDuties = m_duties && m_duties->holdsDuties();
     return report;
 }
@@ -233,7 +237,7 @@
     auto const startedAt = m_runtime.now();
     auto const end = startedAt + m_settings.gracePeriod - exitMargin;
     m_clientServer.closeAfterAnswers();
-    m_exchange.tick();
+    m_exchange.announce();
     if (m_duties)
         co_await m_duties->stop();
     co_await m_runtime.sleepUntil(startedAt + rotationTime);
--- a/Services/Edge/PeerExchange.cpp
+++ b/Services/Edge/PeerExchange.cpp
@@ -69,7 +69,9 @@
         Core::logEvent(Core::LogLevel::Info, "peer_heard", { { "peer", report->node }, { "endpoint", report->endpoint } });
     for (auto const& [team, amount] : Forward::newAdmissions(m_tables.peers, *report))
         Forward::chargeQuota(m_tables.quotas, team, amount);
-    (void)Forward::mergeReport(m_tables.peers, std::move(*report), unixTime, now);
+    bool const isTaken = Forward::mergeReport(m_tables.peers, std::move(*report), unixTime, now);
+    if (isTaken && m_listener)
+        m_listener();
 }
 
 void PeerExchange::tick()
@@ -81,6 +83,16 @@
     Forward::expirePeers(m_tables.peers, now);
     if (m_tables.peers.rows.size() < before)
         Core::logEvent(Core::LogLevel::Info, "peer_gone", { { "peers", std::uint64_t(m_tables.peers.rows.size()) } });
+    // A tick may come a little early.
+    static constexpr Core::Duration tolerance = std::chrono::milliseconds(50);
+    if (now - m_sentAt + tolerance < Forward::reportInterval(m_tables.peers.rows.size()))
+        return;
+    m_sentAt = now;
+    announce();
+}
+
+void PeerExchange::announce()
+{
     auto const bytes = Forward::encodeReport(m_source());
     for (auto const& [endpoint, namedAt] : m_tables.peers.candidates) {
         if (endpoint == m_settings.peerListen)
--- a/Services/Edge/PeerExchange.h
+++ b/Services/Edge/PeerExchange.h
@@ -19,9 +19,15 @@
     /// Binds the port and begins to receive. InvalidSetting if the port cannot be bound.
     [[nodiscard]] bool start(Core::LastReason&);
 
-    /// Sends a report to all nodes that may exist, and forgets those that are gone.
+    /// Forgets nodes that are gone, and sends a report if it is time.
     void tick();
 
+    /// Sends a report to all nodes that may exist.
+    void announce();
+
+    /// Called when a report of another node was taken in.
+    void onReport(std::function<void()> listener) { m_listener = std::move(listener); }
+
 private:
     [[nodiscard]] Core::Awaitable<void> receive();
     void take(std::string_view datagram);
@@ -30,6 +36,8 @@
     EdgeTables& m_tables;
     EdgeSettings const& m_settings;
     ReportSource m_source;
+    std::function<void()> m_listener;
+    Core::MonotonicTime m_sentAt {};
     boost::asio::ip::udp::socket m_socket;
     std::array<char, 65536> m_buffer {};
 };
--- a/Services/Edge/StoreFeed.cpp
+++ b/Services/Edge/StoreFeed.cpp
@@ -17,12 +17,13 @@
 static constexpr std::uint64_t watchSpreadMilliseconds = 1500;
 static constexpr Core::Duration callTimeout = 1000ms;
 
-StoreFeed::StoreFeed(Core::Runtime& runtime, Platform::ObjectStore& store, HTTP::Client& peerClient, Forward::PlatformCodec const& codec, EdgeTables& tables, Core::Random& random, Core::Metrics& metrics)
+StoreFeed::StoreFeed(Core::Runtime& runtime, Platform::ObjectStore& store, HTTP::Client& peerClient, Forward::PlatformCodec const& codec, EdgeTables& tables, EdgeSettings const& settings, Core::Random& random, Core::Metrics& metrics)
     : m_runtime(runtime)
     , m_store(store)
     , m_peerClient(peerClient)
     , m_codec(codec)
     , m_tables(tables)
+    , m_settings(settings)
     , m_random(random)
     , m_metrics(metrics)
 {
@@ -63,6 +64,10 @@
     std::optional<std::uint64_t> version;
     while (true) {
         Core::LastReason reason;
+        if (m_tables.isUsable() && !m_isFollower) {
+            co_await waitForTurn();
+            version.reset();
+        }
         if (!version) {
             std::uint64_t listed = 0;
             bool const isListed = co_await list(subject, listed, reason);
@@ -93,13 +98,36 @@
             else if (!isRemoved && event.object.key == m_codec.configurationKey())
                 offerConfiguration(event.object.value, "store");
         }
-        if (subject == Subject::Servers) {
+        if (subject == Subject::Servers && !changes->events.empty()) {
             m_tables.serversRevision = std::max(m_tables.serversRevision, *version);
             applyServers();
+            announceNews();
         }
     }
 }
 
+Core::Awaitable<void> StoreFeed::waitForTurn()
+{
+    static constexpr Core::Duration checkInterval = 250ms;
+    while (!m_isFollower)
+        co_await m_runtime.sleepFor(checkInterval);
+}
+
+bool StoreFeed::followsStore() const
+{
+    // Two watches of the longest time.
+    static constexpr Core::Duration recent = 6s;
+    auto const now = m_runtime.now();
+    auto const isSound = [&](Contact const& contact) { return !contact.isLost && contact.succeededAt != Core::MonotonicTime {} && now - contact.succeededAt < recent; };
+    return m_isFollower && isSound(m_configurationContact) && isSound(m_serversContact);
+}
+
+void StoreFeed::announceNews()
+{
+    if (m_newsListener)
+        m_newsListener();
+}
+
 Core::Duration StoreFeed::recordFailure(Subject subject, Core::LastReason const& reason)
 {
     static constexpr Core::Duration firstPause = 100ms;
@@ -143,6 +171,7 @@
     m_tables.routes = std::make_shared<Forward::RouteTable const>(std::move(*table));
     m_tables.routesValue = value;
     m_tables.becameUsable.notifyAll();
+    announceNews();
 }
 
 void StoreFeed::offerServer(Platform::StoredObject const& object)
@@ -183,6 +212,14 @@
 void StoreFeed::tick()
 {
     applyServers();
+    bool const isFollower = Forward::shouldFollowStore(m_tables.peers, m_settings.nodeId, m_settings.dataCentre, m_runtime.now());
+    if (isFollower != std::exchange(m_isFollower, isFollower))
+        Core::logEvent(Core::LogLevel::Info, isFollower ? "store_followed" : "store_left_to_peers", { { "peers", std::uint64_t(m_tables.peers.rows.size()) } });
+    askPeers();
+}
+
+void StoreFeed::askPeers()
+{
     // The own watch usually brings a change as soon as the peers' watches.
     static constexpr Core::Duration patience = 250ms;
     static constexpr Core::Duration serversInterval = 500ms;
@@ -191,7 +228,7 @@
     Forward::PeerTable::Row const* newest = nullptr;
     Forward::PeerTable::Row const* servers = nullptr;
     for (auto const& [node, row] : m_tables.peers.rows) {
-        if (now - row.heardAt > 1s)
+        if (now - row.heardAt > 4 * row.report.interval)
             continue;
         if (row.report.configurationVersion > (newest ? newest->report.configurationVersion : ownVersion))
             newest = &row;
@@ -205,12 +242,12 @@
     if (m_fetching)
         return;
     Core::LastReason ignored;
-    if (newest && now - *m_behindSince >= patience) {
+    if (newest && (!m_isFollower || now - *m_behindSince >= patience)) {
         if (auto const endpoint = Core::parseEndpoint(newest->report.endpoint, ignored)) {
             m_fetching = true;
             m_runtime.spawn(fetchFromPeer(Subject::Configuration, newest->report.node, *endpoint));
         }
-    } else if (servers && m_serversContact.isLost && now - m_fetchedServersAt >= serversInterval) {
+    } else if (servers && (m_isFollower ? m_serversContact.isLost && now - m_fetchedServersAt >= serversInterval : servers->report.followsStore)) {
         if (auto const endpoint = Core::parseEndpoint(servers->report.endpoint, ignored)) {
             m_fetching = true;
             m_fetchedServersAt = now;
@@ -289,7 +326,7 @@
     }
     json::error_code error;
     auto const value = json::parse(answer->body, error);
-    if (error || !m_serversContact.isLost)
+    if (error || (m_isFollower && !m_serversContact.isLost))
         co_return;
     Platform::JsonFields fields(value);
     auto const revision = fields.number("revision");
--- a/Services/Edge/StoreFeed.h
+++ b/Services/Edge/StoreFeed.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <Edge/EdgeSettings.h>
 #include <Edge/EdgeTables.h>
 #include <LibCore/Metrics.h>
 #include <LibCore/Random.h>
@@ -14,13 +15,23 @@
 class StoreFeed {
 public:
     /// Precondition: all references outlive the feed, which outlives its tasks.
-    StoreFeed(Core::Runtime&, Platform::ObjectStore&, HTTP::Client& peerClient, Forward::PlatformCodec const&, EdgeTables&, Core::Random&, Core::Metrics&);
+    StoreFeed(Core::Runtime&, Platform::ObjectStore&, HTTP::Client& peerClient, Forward::PlatformCodec const&, EdgeTables&, EdgeSettings const&, Core::Random&, Core::Metrics&);
 
     void start();
 
     /// Applies changes that come with time, and asks a peer that knows more.
     void tick();
 
+    /// Asks a peer that knows a newer configuration or, where this node does not read the store, newer servers. Called when a report
+    /// arrives.
+    void askPeers();
+
+    /// Whether this node reads the store itself, and succeeds.
+    [[nodiscard]] bool followsStore() const;
+
+    /// Called when a configuration or servers became known that other nodes may not know.
+    void onNews(std::function<void()> listener) { m_newsListener = std::move(listener); }
+
     /// What other nodes get from this one; nothing if this node does not know it.
     [[nodiscard]] std::optional<std::string> configurationForPeers() const;
     [[nodiscard]] std::string serversForPeers() const;
@@ -39,6 +50,7 @@
     };
 
     [[nodiscard]] Core::Awaitable<void> follow(Subject);
+    [[nodiscard]] Core::Awaitable<void> waitForTurn();
     [[nodiscard]] Core::Awaitable<bool> list(Subject, std::uint64_t& version, Core::LastReason&);
     [[nodiscard]] Core::Awaitable<void> fetchFromPeer(Subject, std::string peer, Core::Endpoint);
     [[nodiscard]] std::string kindOf(Subject) const;
@@ -48,6 +60,7 @@
     void offerServer(Platform::StoredObject const&);
     void replaceServers(std::vector<Platform::StoredObject> const&);
     void applyServers();
+    void announceNews();
     Contact& contactOf(Subject subject) { return subject == Subject::Configuration ? m_configurationContact : m_serversContact; }
 
     Core::Runtime& m_runtime;
@@ -55,6 +68,7 @@
     HTTP::Client& m_peerClient;
     Forward::PlatformCodec const& m_codec;
     EdgeTables& m_tables;
+    EdgeSettings const& m_settings;
     Core::Random& m_random;
     Core::Metrics& m_metrics;
     Contact m_configurationContact;
@@ -62,6 +76,9 @@
     /// When a peer was first seen to know a newer configuration.
     std::optional<Core::MonotonicTime> m_behindSince;
     bool m_fetching { false };
+    /// Whether it is this node's turn to read the store.
+    bool m_isFollower { true };
+    std::function<void()> m_newsListener;
     Core::MonotonicTime m_fetchedServersAt {};
 };
 
--- a/Tests/LibForward/PeerTableTest.cpp
+++ b/Tests/LibForward/PeerTableTest.cpp
@@ -69,6 +69,33 @@
     EXPECT_DOUBLE_EQ(Forward::quotaShare(table, "team", 12.5), 1);
 }
 
+TEST(PeerTableTest, AFewNodesOfADataCentreFollowTheStore)
+{
+    Core::MonotonicTime const now { 100s };
+    std::vector<std::string> followers;
+    auto const tableWithout = [&](std::string const& own) {
+        Forward::PeerTable table;
+        for (int i = 0; i < 15; ++i) {
+            auto peer = report("n" + std::to_string(i));
+            peer.isLeaving = false;
+            peer.followsStore = i == 0;
+            if (peer.node != own)
+                (void)Forward::mergeReport(table, peer, 1'000'000, now);
+        }
+        return table;
+    };
+    for (int i = 1; i < 15; ++i) {
+        auto const own = "n" + std::to_string(i);
+        if (Forward::shouldFollowStore(tableWithout(own), own, "a", now))
+            followers.push_back(own);
+    }
+    EXPECT_GE(followers.size(), 2u);
+    EXPECT_LE(followers.size(), 3u);
+    // A node that hears nobody who reads the store reads it itself, and one that is alone in its data centre does.
+    EXPECT_TRUE(Forward::shouldFollowStore(tableWithout("n14"), "n14", "a", now + 2s));
+    EXPECT_TRUE(Forward::shouldFollowStore(tableWithout("n14"), "n14", "b", now));
+}
+
 // Load pattern: a data centre is cut off while requests go there.
 TEST(PeerTableTest, ADataCentreWhoseNodesAllFallSilentIsProbablyCutOff)
 {
@@ -80,14 +107,16 @@
         peer.isLeaving = false;
         (void)Forward::mergeReport(table, peer, 1'000'000, now);
     }
-    (void)Forward::mergeReport(table, [] { auto peer = report("a2"); peer.dataCentre = "a"; peer.isLeaving = false; return peer; }(), 1'000'000, now + 600ms);
+    (void)Forward::mergeReport(
+        table, [] { auto peer = report("a2"); peer.dataCentre = "a"; peer.isLeaving = false; return peer; }(), 1'000'000, now + 600ms);
     EXPECT_FALSE(Forward::isProbablyCutOff(table, "a", now + 900ms));
     EXPECT_TRUE(Forward::isProbablyCutOff(table, "b", now + 900ms));
     EXPECT_TRUE(Forward::isProbablyCutOff(table, "a", now + 1500ms));
     // Nothing is known of a data centre without nodes.
     EXPECT_FALSE(Forward::isProbablyCutOff(table, "c", now + 1500ms));
     // A node that stops as planned says nothing of its data centre.
-    (void)Forward::mergeReport(table, [] { auto peer = report("b1"); peer.dataCentre = "b"; return peer; }(), 1'000'000, now);
+    (void)Forward::mergeReport(
+        table, [] { auto peer = report("b1"); peer.dataCentre = "b"; return peer; }(), 1'000'000, now);
     EXPECT_FALSE(Forward::isProbablyCutOff(table, "b", now + 900ms));
 }
 
