Edge: Share the retry budget by the nodes that are known

Cause: read in the diff: the budget of a service was sized once, when the first request came, so that nodes that had not heard of each other yet kept a whole slack each; and a server's own failure was replaced by a 502 when the second attempt brought nothing. Tests failed first (AServersFailureIsTheAnswerWhenNoOtherServerDoesBetter: 502 instead of 500).

--- a/Libraries/LibLimits/RetryBudget.cpp
+++ b/Libraries/LibLimits/RetryBudget.cpp
@@ -12,6 +12,13 @@
 {
 }
 
+void RetryBudget::resize(double retriesPerSecond, double maximumLevel)
+{
+    m_retriesPerSecond = retriesPerSecond;
+    m_maximumLevel = maximumLevel;
+    m_level = std::min(m_level, maximumLevel);
+}
+
 void RetryBudget::recordRequest(Core::MonotonicTime now)
 {
     refill(now);
--- a/Libraries/LibLimits/RetryBudget.h
+++ b/Libraries/LibLimits/RetryBudget.h
@@ -15,6 +15,9 @@
     /// level is the number of retries that may be saved up.
     RetryBudget(double share, double retriesPerSecond, double maximumLevel = defaultMaximumLevel);
 
+    /// Changes the constant rate and the maximum level, for example when the number of nodes that share them changes.
+    void resize(double retriesPerSecond, double maximumLevel);
+
     void recordRequest(Core::MonotonicTime now);
 
     /// Takes one retry from the budget. Returns false if none is left.
--- a/Services/Edge/EdgeService.cpp
+++ b/Services/Edge/EdgeService.cpp
@@ -30,6 +30,9 @@
     return limits;
 }
 
+// The platform gives a process 4,100 descriptors, 200 of them for files; the rest is for servers, peers and the store.
+static constexpr std::size_t maximumClientConnections = 3000;
+
 static std::uint64_t startTime(Core::Runtime const& runtime)
 {
     return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(runtime.wallNow().time_since_epoch()).count());
@@ -47,7 +50,7 @@
     , m_forwarder({ runtime, m_serverClient, m_platform.requests, m_tables, m_settings, m_random, m_metrics, m_incarnation, runtime.now() })
     , m_feed(runtime, m_platform.store, m_peerClient, m_platform.objects, m_tables, m_settings, m_random, m_metrics)
     , m_exchange(runtime, m_tables, m_settings, [this] { return ownReport(); })
-    , m_clientServer(runtime, {}, [this](auto const& request, auto& writer) { return m_forwarder.handle(request, writer); })
+    , m_clientServer(runtime, { .maximumConnections = maximumClientConnections }, [this](auto const& request, auto& writer) { return m_forwarder.handle(request, writer); })
     , m_readyServer(runtime, {}, [this](auto const& request, auto& writer) { return answerReady(request, writer); })
     , m_relayServer(runtime, {}, [this](auto const& request, auto& writer) { return answerPeer(request, writer); })
     , m_metricsServer(runtime, {}, [this](auto const& request, auto& writer) { return answerMetrics(request, writer); })
@@ -208,6 +211,7 @@
         serverLimits.maximumBodyBytes = limits.maximumBodyBytes;
         serverLimits.headerTimeout = limits.headerTimeout;
         serverLimits.idleTimeout = limits.idleTimeout;
+        serverLimits.maximumConnections = maximumClientConnections;
         m_clientServer.setLimits(serverLimits);
     }
 }
--- a/Services/Edge/RequestForwarder.cpp
+++ b/Services/Edge/RequestForwarder.cpp
@@ -249,13 +249,15 @@
     static constexpr double usedPart = 0.6;
     auto const& settings = m_edge.settings;
     auto& budgets = m_edge.tables.retryBudgets;
-    auto found = budgets.find(exchange.service);
-    if (found == budgets.end()) {
-        double const nodes = static_cast<double>(m_edge.tables.peers.rows.size()) + 1;
-        double const slack = usedPart * settings.retrySlack / nodes / 2;
-        double const windowSeconds = std::chrono::duration<double>(settings.retryWindow).count();
-        found = budgets.emplace(exchange.service, Limits::RetryBudget(usedPart * settings.retryRatio, slack / windowSeconds, std::max(slack, 1.0))).first;
-    }
+    // Before the first reports arrive, the seeds tell that there are others.
+    auto const& peers = m_edge.tables.peers;
+    double const nodes = static_cast<double>(std::max(peers.rows.size() + 1, peers.candidates.size()));
+    double const slack = usedPart * settings.retrySlack / nodes / 2;
+    double const perSecond = slack / std::chrono::duration<double>(settings.retryWindow).count();
+    double const maximumLevel = std::max(slack, 1.0);
+    auto const [found, isNew] = budgets.try_emplace(exchange.service, usedPart * settings.retryRatio, perSecond, maximumLevel);
+    if (!isNew)
+        found->second.resize(perSecond, maximumLevel);
     if (exchange.attempts == 0) {
         found->second.recordRequest(m_edge.runtime.now());
         return true;
@@ -274,16 +276,14 @@
         auto const next = exchange.triedServers.size() < exchange.attempts ? Forward::NextStep::Finish : Forward::decideNextStep(outcome, historyOf(exchange));
         bool const goesOn = !exchange.cancellation.isCancelled() && !exchange.streamFinished
             && (next == Forward::NextStep::TryAnother || (next == Forward::NextStep::TryAnotherWithinBudget && takeRetry(exchange)));
-        if (goesOn) {
-            exchange.answer.reset();
+        // A server's failure stays the answer unless another attempt brings a better one.
+        if (goesOn)
             continue;
-        }
         co_await finish(exchange, outcome, std::move(reason));
         co_return;
     }
 }
 
-// Streams use their own cancellation; other requests end with an error of the client.
 Core::Awaitable<AttemptOutcome> RequestForwarder::attempt(Exchange& exchange, Core::LastReason& reason)
 {
     auto& tables = m_edge.tables;
--- a/Tests/EdgeService/EdgeServiceTest.cpp
+++ b/Tests/EdgeService/EdgeServiceTest.cpp
@@ -232,6 +232,24 @@
     EXPECT_EQ(arrivals, 3u);
 }
 
+// Guards against a server's own failure being replaced by one of this system.
+TEST_F(EdgeServiceTest, AServersFailureIsTheAnswerWhenNoOtherServerDoesBetter)
+{
+    int arrivals = 0;
+    for (int i = 0; i < 2; ++i) {
+        addServer([&arrivals](auto const& request) {
+            if (++arrivals == 1)
+                return Reply { answer(attemptIdOf(request), "failed", {}, "500 Internal Server Error") };
+            return Reply { .bytes = {}, .ending = Reply::Ending::Reset };
+        });
+    }
+    start();
+    auto const response = exchange(request("/safe/1"));
+    EXPECT_EQ(statusOf(response), "500");
+    EXPECT_NE(response.find("Seal: seal"), std::string::npos);
+    EXPECT_EQ(arrivals, 2);
+}
+
 TEST_F(EdgeServiceTest, WhatNoServerRanIsRefusedWithATimeToComeBack)
 {
     addServer([](auto const& request) { return Reply { answer(attemptIdOf(request), "", "X-Hyssopstep-Not-Executed: 1\r\n", "503 Service Unavailable") }; });
--- a/Tests/LibLimits/LimitsTest.cpp
+++ b/Tests/LibLimits/LimitsTest.cpp
@@ -136,3 +136,15 @@
     EXPECT_FALSE(Limits::isQuarantined(table, 7, start + 7s));
     EXPECT_FALSE(Limits::isQuarantined(table, 8, start + 7s));
 }
+
+// Guards against nodes that keep a whole budget each after they have heard of each other.
+TEST(RetryBudgetTest, ASmallerShareTakesEffectAtOnce)
+{
+    Limits::RetryBudget budget(0.1, 1, 16);
+    Core::MonotonicTime const now { std::chrono::seconds(100) };
+    EXPECT_TRUE(budget.tryTake(now));
+    budget.resize(0.2, 2);
+    EXPECT_TRUE(budget.tryTake(now));
+    EXPECT_TRUE(budget.tryTake(now));
+    EXPECT_FALSE(budget.tryTake(now));
+}
