--- a/Libraries/LibForward/ServerOrders.cpp
+++ b/Libraries/LibForward/ServerOrders.cpp
@@ -2,8 +2,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <functional>
-#include <numeric>
 
 namespace Forward {
 
@@ -17,8 +15,8 @@
             continue;
         auto& row = stock[server.dataCentre];
         if (server.lifecycle == Routing::Lifecycle::Leaving)
-            row.leaving += server.reclaimable ? 1 : 0;
-        else if (server.reclaimable)
+            continue;
+        if (server.reclaimable)
             ++row.reclaimable;
         else
             ++row.onDemand;
@@ -61,10 +59,6 @@
     std::uint32_t onDemand = 0;
     for (auto const& [dataCentre, row] : stock)
         onDemand += row.onDemand;
-    for (auto const& [dataCentre, row] : stock) {
-        if (row.leaving > 0)
-            demand.reclaimedAt[dataCentre] = now;
-    }
     if (!demand.stockedSince && !stock.empty())
         demand.stockedSince = now;
     if (!demand.busySince && requestsInProgress > 0) {
@@ -117,19 +111,16 @@
     return spread;
 }
 
-// The reclaimable servers that stay if one more data centre than were reclaimed lately loses its own, the largest first: reclaims
-// come in series.
-static std::uint32_t survivingReclaimable(std::map<std::string, ServerStock> const& stock, ServiceDemand const& demand, Core::MonotonicTime now)
+// The reclaimable servers that stay if the data centre with the most of them loses its own.
+static std::uint32_t survivingReclaimable(std::map<std::string, ServerStock> const& stock)
 {
-    static constexpr Core::Duration seriesTime = 0s;
-    auto const isRecent = [&](auto const& item) { return now - item.second < seriesTime; };
-    auto const losses = 1 + static_cast<std::size_t>(std::count_if(demand.reclaimedAt.begin(), demand.reclaimedAt.end(), isRecent));
-    std::vector<std::uint32_t> counts;
-    counts.reserve(stock.size());
-    for (auto const& [dataCentre, row] : stock)
-        counts.push_back(row.reclaimable);
-    std::sort(counts.begin(), counts.end(), std::greater<>());
-    return std::accumulate(counts.begin() + static_cast<std::ptrdiff_t>(std::min(losses, counts.size())), counts.end(), 0U);
+    std::uint32_t total = 0;
+    std::uint32_t most = 0;
+    for (auto const& [dataCentre, row] : stock) {
+        total += row.reclaimable;
+        most = std::max(most, row.reclaimable);
+    }
+    return total - most;
 }
 
 std::vector<ServerOrder> decideOrders(Service const& service, std::map<std::string, ServerStock> const& stock, ServiceDemand const& demand, OrderBook& book, StockPolicy const& policy, Core::MonotonicTime now)
@@ -139,7 +130,7 @@
         return orders;
     auto const& range = *service.scale;
     auto const needed = neededServers(service, demand, policy, now);
-    auto const surviving = survivingReclaimable(stock, demand, now);
+    auto const surviving = survivingReclaimable(stock);
     auto const total = std::max(policy.leastOnDemand, needed.value_or(0) > surviving ? *needed - surviving : 0);
     auto const onDemand = spreadOnDemand(range, stock, total);
     for (auto const& [dataCentre, wanted] : onDemand) {
--- a/Libraries/LibForward/ServerOrders.h
+++ b/Libraries/LibForward/ServerOrders.h
@@ -9,12 +9,10 @@
 
 namespace Forward {
 
-/// What the holder of the duty knows of one service's servers in one data centre.
+/// One service's servers in one data centre, without those that leave.
 struct ServerStock {
     std::uint32_t onDemand { 0 };
     std::uint32_t reclaimable { 0 };
-    /// Reclaimable servers that were told to leave.
-    std::uint32_t leaving { 0 };
 
     bool operator==(ServerStock const&) const = default;
 };
@@ -72,8 +70,6 @@
     std::optional<Core::MonotonicTime> stockedSince;
     /// The most on-demand servers seen before there were requests.
     std::uint32_t onDemandAtStart { 0 };
-    /// When reclaimable servers of a data centre were last told to leave.
-    std::map<std::string, Core::MonotonicTime> reclaimedAt;
 
     bool operator==(ServiceDemand const&) const = default;
 };
@@ -86,8 +82,8 @@
 [[nodiscard]] std::optional<std::uint32_t> neededServers(Service const&, ServiceDemand const&, StockPolicy const&, Core::MonotonicTime now);
 
 /// Decides the orders for a service. Reclaimable servers are bought in every data centre, since they cost a part of the price;
-/// on-demand servers, in the cheapest data centres first, fill up what is needed if one more data centre than were reclaimed lately
-/// lost all its reclaimable servers. On-demand servers go only once the others are registered and they were not needed for a while. Orders are absolute, so that repeating one
+/// on-demand servers, in the cheapest data centres first, fill up what is needed if the data centre with the most reclaimable
+/// servers lost all of them. On-demand servers go only once the others are registered and they were not needed for a while. Orders are absolute, so that repeating one
 /// changes nothing. Answers reclaims of whole data centres, one after the other, while the platform has no new reclaimable servers.
 [[nodiscard]] std::vector<ServerOrder> decideOrders(Service const&, std::map<std::string, ServerStock> const&, ServiceDemand const&, OrderBook&, StockPolicy const&, Core::MonotonicTime now);
 
--- a/Tests/LibForward/ServerOrdersTest.cpp
+++ b/Tests/LibForward/ServerOrdersTest.cpp
@@ -25,15 +25,12 @@
             for (auto const& order : Forward::decideOrders(m_service, m_stock, m_demand, m_book, m_policy, m_now))
                 take(order);
             m_fewest = std::min(m_fewest, present());
-            for (auto& [dataCentre, row] : m_stock)
-                row.leaving = 0;
         }
     }
 
     void reclaim(std::string const& dataCentre, Core::Duration time)
     {
-        auto& row = m_stock[dataCentre];
-        row.leaving = std::exchange(row.reclaimable, 0);
+        m_stock[dataCentre].reclaimable = 0;
         m_refusedUntil[dataCentre] = m_now + time;
     }
 
