LibForward: Share admissions between nodes four times a second

Ruled out: overload of servers (places were free) and of the nodes (0.016 of 0.12 cores).

Change: brief reports (loads, changed demands) every 250 ms up to 80 peers, full ones as often as before; shares go by the demand that a node last reported; after a start of all nodes the shares of the burst are paid back.

--- a/Libraries/LibForward/NodeReport.capnp
+++ b/Libraries/LibForward/NodeReport.capnp
@@ -54,4 +54,6 @@
     followsStore @14 :Bool;
     # Time between two reports of the node.
     intervalMilliseconds @15 :UInt32 = 250;
+    # Whether usage, peers, quarantined and some demands are left out; the last full report holds for them.
+    brief @16 :Bool;
 }
--- a/Libraries/LibForward/NodeReport.capnp.h
+++ b/Libraries/LibForward/NodeReport.capnp.h
@@ -506,6 +506,8 @@
 
   inline  ::uint32_t getIntervalMilliseconds() const;
 
+  inline bool getBrief() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -616,6 +618,9 @@
   inline  ::uint32_t getIntervalMilliseconds();
   inline void setIntervalMilliseconds( ::uint32_t value);
 
+  inline bool getBrief();
+  inline void setBrief(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1222,6 +1227,20 @@
       ::capnp::bounded<9>() * ::capnp::ELEMENTS, value, 250u);
 }
 
+inline bool NodeReport::Reader::getBrief() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<259>() * ::capnp::ELEMENTS);
+}
+
+inline bool NodeReport::Builder::getBrief() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<259>() * ::capnp::ELEMENTS);
+}
+inline void NodeReport::Builder::setBrief(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<259>() * ::capnp::ELEMENTS, value);
+}
+
 }  // namespace
 }  // namespace
 
--- a/Libraries/LibForward/NodeReport.cpp
+++ b/Libraries/LibForward/NodeReport.cpp
@@ -13,6 +13,20 @@
     return XXH3_64bits(serverId.data(), serverId.size());
 }
 
+NodeReport briefReport(NodeReport const& report, NodeReport const& before)
+{
+    auto brief = report;
+    brief.isBrief = true;
+    brief.usage.clear();
+    brief.peers.clear();
+    brief.quarantined.clear();
+    std::erase_if(brief.demands, [&](auto const& item) {
+        auto const known = before.demands.find(item.first);
+        return known != before.demands.end() && known->second.admitted == item.second.admitted && known->second.perSecond >= item.second.perSecond;
+    });
+    return brief;
+}
+
 static void encodeUsage(CountsByWindow const& usage, capnp::List<wire::UsageWindow>::Builder windows)
 {
     unsigned index = 0;
@@ -42,6 +56,7 @@
     root.setLeaving(report.isLeaving);
     root.setHoldsDuties(report.holdsDuties);
     root.setFollowsStore(report.followsStore);
+    root.setBrief(report.isBrief);
     root.setIntervalMilliseconds(static_cast<std::uint32_t>(report.interval.count()));
     auto loads = root.initLoads(static_cast<unsigned>(report.loads.size()));
     unsigned index = 0;
@@ -84,6 +99,7 @@
     report.holdsDuties = root.getHoldsDuties();
     report.followsStore = root.getFollowsStore();
     report.interval = std::chrono::milliseconds(root.getIntervalMilliseconds());
+    report.isBrief = root.getBrief();
     for (auto const load : root.getLoads())
         report.loads[load.getServer()] = load.getInProgress();
     for (auto const demand : root.getDemands())
--- a/Libraries/LibForward/NodeReport.h
+++ b/Libraries/LibForward/NodeReport.h
@@ -48,10 +48,16 @@
     bool followsStore { false };
     /// Time between two of its reports.
     std::chrono::milliseconds interval { 250 };
+    /// Whether usage, peers, quarantined requests and some demands are left out.
+    bool isBrief { false };
 
     bool operator==(NodeReport const&) const = default;
 };
 
+/// The part of a report that is sent between full ones: what placement and team limits need at once. Demands that did not grow
+/// since the report before and admitted nothing are left out. Thread safe.
+[[nodiscard]] NodeReport briefReport(NodeReport const&, NodeReport const& before);
+
 /// Names a server in a report. Thread safe.
 [[nodiscard]] std::uint64_t serverHash(std::string_view serverId);
 
--- a/Libraries/LibForward/PeerTable.cpp
+++ b/Libraries/LibForward/PeerTable.cpp
@@ -34,6 +34,17 @@
             table.candidates.try_emplace(std::move(*endpoint), now);
     }
     std::chrono::milliseconds const lead(report.sentAtUnixMilliseconds - ownUnixMilliseconds);
+    if (report.isBrief) {
+        // Without a full report of this start it is not known what was left out.
+        if (found == table.rows.end() || found->second.report.incarnation != report.incarnation)
+            return false;
+        auto& known = found->second.report;
+        report.usage = std::move(known.usage);
+        report.peers = std::move(known.peers);
+        report.quarantined = std::move(known.quarantined);
+        report.demands.merge(known.demands);
+        report.isBrief = false;
+    }
     auto node = report.node;
     table.rows[std::move(node)] = { std::move(report), now, lead };
     return true;
@@ -74,14 +85,26 @@
     return isHeardWithin(row, liveIntervals, now);
 }
 
-std::chrono::milliseconds reportInterval(std::size_t peers)
+static std::chrono::milliseconds intervalFor(std::size_t peers, std::size_t peersAtShortest)
 {
     static constexpr std::chrono::milliseconds shortest { 250 };
-    // About 64 reports a second arrive at a node, some 40 KB/s at 60 nodes and 90 servers.
-    static constexpr std::size_t peersAtShortest = 16;
     return shortest * std::max<std::size_t>(1, (peers + peersAtShortest - 1) / peersAtShortest);
 }
 
+std::chrono::milliseconds reportInterval(std::size_t peers)
+{
+    // About 320 brief reports a second arrive at a node.
+    static constexpr std::size_t peersAtShortest = 80;
+    return intervalFor(peers, peersAtShortest);
+}
+
+std::chrono::milliseconds fullReportInterval(std::size_t peers)
+{
+    // About 64 full reports a second arrive at a node.
+    static constexpr std::size_t peersAtShortest = 16;
+    return std::max(intervalFor(peers, peersAtShortest), reportInterval(peers));
+}
+
 bool shouldFollowStore(PeerTable const& table, std::string const& ownId, std::string const& ownDataCentre, Core::MonotonicTime now)
 {
     // Two may fail or be cut off at the same time.
@@ -104,16 +127,20 @@
     return static_cast<std::size_t>(std::count_if(table.rows.begin(), table.rows.end(), [&](auto const& item) { return isLive(item.second, now); }));
 }
 
-double quotaShare(PeerTable const& table, std::string const& team, double ownDemand)
+static double demandIn(NodeReport const& report, std::string const& team)
+{
+    auto const found = report.demands.find(team);
+    return found == report.demands.end() ? 0 : found->second.perSecond;
+}
+
+double quotaShare(PeerTable const& table, std::string const& team)
 {
     Limits::DemandView view;
-    view.ownDemand = ownDemand;
+    view.ownDemand = demandIn(table.own, team);
     view.nodesInDataCentre = static_cast<std::uint32_t>(table.rows.size() + 1);
     view.nodesInDeployment = view.nodesInDataCentre;
-    for (auto const& [node, row] : table.rows) {
-        auto const found = row.report.demands.find(team);
-        view.otherDemands.push_back(found == row.report.demands.end() ? 0 : found->second.perSecond);
-    }
+    for (auto const& [node, row] : table.rows)
+        view.otherDemands.push_back(demandIn(row.report, team));
     return Limits::nodeShare(view);
 }
 
--- a/Libraries/LibForward/PeerTable.h
+++ b/Libraries/LibForward/PeerTable.h
@@ -12,6 +12,8 @@
 
 /// The other nodes, as far as their reports arrived. Not thread safe.
 struct PeerTable {
+    /// What this node last reported.
+    NodeReport own;
     struct Row {
         NodeReport report;
         Core::MonotonicTime heardAt;
@@ -30,7 +32,8 @@
 /// Adds an endpoint to which reports are sent.
 void addCandidate(PeerTable&, Core::Endpoint, Core::MonotonicTime now);
 
-/// Takes a report in. A report of an earlier start of a node is ignored; returns whether it was taken.
+/// Takes a report in. A report of an earlier start of a node is ignored, and so is a brief one before the first full one; returns
+/// whether it was taken.
 bool mergeReport(PeerTable&, NodeReport, std::int64_t ownUnixMilliseconds, Core::MonotonicTime now);
 
 /// What a report adds to the admissions of its node since the last one, by team. Call before mergeReport().
@@ -43,6 +46,9 @@
 /// that arrives at a node stays bounded. Thread safe.
 [[nodiscard]] std::chrono::milliseconds reportInterval(std::size_t peers);
 
+/// Time between two full reports of a node; those between them are brief. Thread safe.
+[[nodiscard]] std::chrono::milliseconds fullReportInterval(std::size_t peers);
+
 /// Whether a node reads the platform's store itself. A few nodes of each data centre do, the same ones by all tables that agree, and
 /// every node that hears none of them: each call to the store is charged, and its rates do not grow with the nodes.
 [[nodiscard]] bool shouldFollowStore(PeerTable const&, std::string const& ownId, std::string const& ownDataCentre, Core::MonotonicTime now);
@@ -50,9 +56,10 @@
 /// Nodes heard within the last seconds, this one not included.
 [[nodiscard]] std::size_t livePeers(PeerTable const&, Core::MonotonicTime now);
 
-/// This node's share of a team's limit. A node that fell silent keeps its last share for a while, since it may still serve
-/// clients behind a partition.
-[[nodiscard]] double quotaShare(PeerTable const&, std::string const& team, double ownDemand);
+/// This node's share of a team's limit. It goes by the demand that this node last reported, as the others' shares do: a demand that
+/// grows everywhere would otherwise look larger at each node than at all others. A node that fell silent keeps its last share for a
+/// while, since it may still serve clients behind a partition.
+[[nodiscard]] double quotaShare(PeerTable const&, std::string const& team);
 
 /// Whether all nodes of another data centre fell silent at a time while they were not leaving. Answers partitions between data
 /// centres: the reports tell it sooner than requests that time out one server after the other.
--- a/Libraries/LibForward/TeamQuota.cpp
+++ b/Libraries/LibForward/TeamQuota.cpp
@@ -45,14 +45,14 @@
     static double const arrivalWeight = std::log(2.0) / demandHalfLifeSeconds;
     auto [position, isNew] = table.rows.try_emplace(team.name);
     auto& row = position->second;
-    if (isNew && table.start == QuotaStart::Empty) {
-        row.all = { .filledAt = table.startedAt, .started = true };
-    }
     row.demand = decayedDemand(row, now) + cost * arrivalWeight;
     row.demandAt = now;
     if (team.ratePerSecond <= 0)
         return std::nullopt;
     double const capacity = std::max(team.burst + usedSlack * tolerance.slack, 1.0);
+    // What the nodes admit by their shares of the burst when they start again is paid back.
+    if (isNew && table.start == QuotaStart::Empty)
+        row.all = { .level = -shareBurst * capacity, .filledAt = table.startedAt, .started = true };
     // Refills the bucket without taking anything.
     (void)Limits::takeFromBucket(row.all, 0, team.ratePerSecond, capacity, now);
     // With many nodes the reports come too late to tell when the burst is used up.
--- a/Services/Edge/PeerExchange.cpp
+++ b/Services/Edge/PeerExchange.cpp
@@ -9,6 +9,9 @@
 namespace asio = boost::asio;
 using asio::ip::udp;
 
+// A tick may come a little early.
+static constexpr Core::Duration tickTolerance = std::chrono::milliseconds(50);
+
 static constexpr auto useTuple = asio::as_tuple(asio::use_awaitable);
 
 PeerExchange::PeerExchange(Core::Runtime& runtime, EdgeTables& tables, EdgeSettings const& settings, ReportSource source)
@@ -83,17 +86,21 @@
     Forward::expirePeers(m_tables.peers, now);
     if (m_tables.peers.rows.size() < before)
         Core::logEvent(Core::LogLevel::Info, "peer_gone", { { "peers", std::uint64_t(m_tables.peers.rows.size()) } });
-    // A tick may come a little early.
-    static constexpr Core::Duration tolerance = std::chrono::milliseconds(50);
-    if (now - m_sentAt + tolerance < Forward::reportInterval(m_tables.peers.rows.size()))
+    if (now - m_sentAt + tickTolerance < Forward::reportInterval(m_tables.peers.rows.size()))
         return;
-    m_sentAt = now;
     announce();
 }
 
 void PeerExchange::announce()
 {
-    auto const bytes = Forward::encodeReport(m_source());
+    auto const now = m_runtime.now();
+    auto report = m_source();
+    bool const isFull = m_sentAt == Core::MonotonicTime {} || now - m_sentFullAt + tickTolerance >= Forward::fullReportInterval(m_tables.peers.rows.size());
+    auto const bytes = Forward::encodeReport(isFull ? report : Forward::briefReport(report, m_tables.peers.own));
+    m_tables.peers.own = std::move(report);
+    m_sentAt = now;
+    if (isFull)
+        m_sentFullAt = now;
     for (auto const& [endpoint, namedAt] : m_tables.peers.candidates) {
         if (endpoint == m_settings.peerListen)
             continue;
--- a/Services/Edge/PeerExchange.h
+++ b/Services/Edge/PeerExchange.h
@@ -22,7 +22,7 @@
     /// Forgets nodes that are gone, and sends a report if it is time.
     void tick();
 
-    /// Sends a report to all nodes that may exist.
+    /// Sends a report to all nodes that may exist, a full one if it is time.
     void announce();
 
     /// Called when a report of another node was taken in.
@@ -38,6 +38,7 @@
     ReportSource m_source;
     std::function<void()> m_listener;
     Core::MonotonicTime m_sentAt {};
+    Core::MonotonicTime m_sentFullAt {};
     boost::asio::ip::udp::socket m_socket;
     std::array<char, 65536> m_buffer {};
 };
--- a/Tests/LibForward/PeerTableTest.cpp
+++ b/Tests/LibForward/PeerTableTest.cpp
@@ -64,9 +64,52 @@
     EXPECT_EQ(Forward::peerLoad(table, 17, now), 3u);
     EXPECT_EQ(Forward::peerLoad(table, 17, now + 2s), 0u);
     Forward::expirePeers(table, now + 6s);
-    EXPECT_LT(Forward::quotaShare(table, "team", 12.5), 0.6);
+    table.own = report("n2");
+    EXPECT_LT(Forward::quotaShare(table, "team"), 0.6);
     Forward::expirePeers(table, now + 13s);
-    EXPECT_DOUBLE_EQ(Forward::quotaShare(table, "team", 12.5), 1);
+    EXPECT_DOUBLE_EQ(Forward::quotaShare(table, "team"), 1);
+}
+
+// Load pattern: a team's demand grows at all nodes at once. The shares must not add up to more than the limit.
+TEST(PeerTableTest, SharesOfAGrowingDemandAddUpToOne)
+{
+    Core::MonotonicTime const now { 100s };
+    static constexpr int nodes = 20;
+    double sum = 0;
+    for (int own = 0; own < nodes; ++own) {
+        Forward::PeerTable table;
+        for (int i = 0; i < nodes; ++i) {
+            auto peer = report("n" + std::to_string(i));
+            peer.demands["team"].perSecond = static_cast<float>(i % 3);
+            if (i == own)
+                table.own = peer;
+            else
+                (void)Forward::mergeReport(table, peer, 1'000'000, now);
+        }
+        sum += Forward::quotaShare(table, "team");
+    }
+    EXPECT_NEAR(sum, 1, 1e-6);
+}
+
+TEST(PeerTableTest, BriefReportsKeepWhatTheyLeaveOut)
+{
+    Forward::PeerTable table;
+    Core::MonotonicTime const now { 100s };
+    auto const full = report("n1");
+    auto next = full;
+    next.loads = { { 18, 4 } };
+    next.demands["other"] = { 5, 40 };
+    auto const brief = Forward::briefReport(next, full);
+    EXPECT_EQ(brief.demands.size(), 1u);
+    EXPECT_LT(Forward::encodeReport(brief).size(), Forward::encodeReport(next).size());
+    // What a brief report leaves out is known only after a full one of the same start.
+    EXPECT_FALSE(Forward::mergeReport(table, brief, 1'000'000, now));
+    EXPECT_TRUE(Forward::mergeReport(table, full, 1'000'000, now));
+    EXPECT_TRUE(Forward::mergeReport(table, brief, 1'000'000, now));
+    EXPECT_EQ(table.rows.at("n1").report, next);
+    auto restarted = brief;
+    restarted.incarnation = 2;
+    EXPECT_FALSE(Forward::mergeReport(table, restarted, 1'000'000, now));
 }
 
 TEST(PeerTableTest, AFewNodesOfADataCentreFollowTheStore)
--- a/Tests/LibForward/TeamQuotaTest.cpp
+++ b/Tests/LibForward/TeamQuotaTest.cpp
@@ -9,10 +9,13 @@
 
 namespace {
 
-constexpr std::size_t nodeCount = 7;
 constexpr double rate = 400'000;
+// Of the largest teams of the grown deployments.
+constexpr double largeRate = 3'000'000;
+constexpr std::size_t fewNodes = 7;
+constexpr std::size_t manyNodes = 61;
 
-// A team whose requests arrive at nodes with uneven weights; every node hears the others' demand 250 ms late.
+// A team whose requests arrive at nodes with uneven weights; every node hears of the others once in each report interval.
 class QuotaReplay {
 public:
     struct Sent {
@@ -20,39 +23,39 @@
         double cost;
     };
 
-    explicit QuotaReplay(std::uint64_t seed)
+    explicit QuotaReplay(std::uint64_t seed, std::size_t nodes = fewNodes, double limit = rate)
         : m_random(seed)
+        , m_interval(Forward::reportInterval(nodes - 1))
+        , m_tables(nodes)
+        , m_peers(nodes)
     {
         m_team.name = "team";
         m_team.unit = Forward::LimitUnit::Tokens;
-        m_team.ratePerSecond = rate;
-        m_team.burst = rate;
+        m_team.ratePerSecond = limit;
+        m_team.burst = limit;
     }
 
     void run(double demand, Core::Duration time)
     {
-        static constexpr std::array<double, nodeCount> weights { 0.25, 0.2, 0.15, 0.15, 0.1, 0.1, 0.05 };
         static constexpr double meanCost = 17'000;
         auto const end = m_now + time;
-        auto nextExchange = m_now;
         while (m_now < end) {
             m_now += std::chrono::duration_cast<Core::Duration>(std::chrono::duration<double>(meanCost / demand * 2 * m_random.unit()));
-            if (m_now >= nextExchange) {
+            if (m_now >= m_nextExchange) {
                 exchange();
-                nextExchange = m_now + 250ms;
+                m_nextExchange = m_now + m_interval;
             }
-            double point = m_random.unit();
-            std::size_t node = 0;
-            while (node + 1 < nodeCount && point >= weights[node])
-                point -= weights[node++];
-            arrive(node, meanCost * (0.5 + m_random.unit()));
+            arrive(chooseNode(), meanCost * (0.5 + m_random.unit()));
         }
     }
 
+    // The nodes hear each other, as before the first requests.
+    void introduce() { exchange(); }
+
     // All nodes are killed and started again at once.
     void restart()
     {
-        for (std::size_t node = 0; node < nodeCount; ++node) {
+        for (std::size_t node = 0; node < m_tables.size(); ++node) {
             m_tables[node] = { .start = Forward::QuotaStart::Empty, .startedAt = m_now };
             m_peers[node] = {};
         }
@@ -74,11 +77,22 @@
     [[nodiscard]] double refusedShare() const { return static_cast<double>(m_refused) / (m_sent.size() + m_refused); }
 
 private:
+    std::size_t chooseNode()
+    {
+        static constexpr std::array<double, fewNodes> weights { 0.25, 0.2, 0.15, 0.15, 0.1, 0.1, 0.05 };
+        if (m_tables.size() != weights.size())
+            return m_random.below(m_tables.size());
+        double point = m_random.unit();
+        std::size_t node = 0;
+        while (node + 1 < weights.size() && point >= weights[node])
+            point -= weights[node++];
+        return node;
+    }
+
     void arrive(std::size_t node, double cost)
     {
-        auto const demand = Forward::quotaDemand(m_tables[node], "team", m_now);
-        auto const share = Forward::quotaShare(m_peers[node], "team", demand);
-        if (Forward::admitToQuota(m_tables[node], m_team, cost, share, { 8s, 190'000 }, m_now))
+        auto const share = Forward::quotaShare(m_peers[node], "team");
+        if (Forward::admitToQuota(m_tables[node], m_team, cost, share, { 8s, 190'000, m_interval }, m_now))
             ++m_refused;
         else
             m_sent.push_back({ m_now, cost });
@@ -86,12 +100,14 @@
 
     void exchange()
     {
-        for (std::size_t from = 0; from < nodeCount; ++from) {
+        for (std::size_t from = 0; from < m_tables.size(); ++from) {
             Forward::NodeReport report;
             report.node = "n" + std::to_string(from);
             report.endpoint = "127.0.0.1:1";
-            report.demands["team"] = { static_cast<float>(Forward::quotaDemand(m_tables[from], "team", m_now)), m_tables[from].rows["team"].admitted };
-            for (std::size_t to = 0; to < nodeCount; ++to) {
+            if (auto const row = m_tables[from].rows.find("team"); row != m_tables[from].rows.end())
+                report.demands["team"] = { static_cast<float>(Forward::quotaDemand(m_tables[from], "team", m_now)), row->second.admitted };
+            m_peers[from].own = report;
+            for (std::size_t to = 0; to < m_tables.size(); ++to) {
                 if (to == from)
                     continue;
                 for (auto const& [team, amount] : Forward::newAdmissions(m_peers[to], report))
@@ -103,11 +119,13 @@
 
     Core::Random m_random;
     Forward::Team m_team;
-    std::array<Forward::QuotaTable, nodeCount> m_tables;
-    std::array<Forward::PeerTable, nodeCount> m_peers;
+    std::chrono::milliseconds m_interval;
+    std::vector<Forward::QuotaTable> m_tables;
+    std::vector<Forward::PeerTable> m_peers;
     std::vector<Sent> m_sent;
     std::size_t m_refused { 0 };
     Core::MonotonicTime m_now { 100s };
+    Core::MonotonicTime m_nextExchange { 100s };
 };
 
 }
@@ -146,6 +164,30 @@
     }
 }
 
+// The same with many nodes, each of which sees a request of the team only every few seconds (429s on cypress-grow-grown).
+TEST(TeamQuotaTest, ATeamWithinItsLimitIsHardlyRefusedByManyNodes)
+{
+    for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+        QuotaReplay replay(seed, manyNodes);
+        replay.introduce();
+        replay.run(0.55 * rate, 30s);
+        EXPECT_LE(replay.refusedShare(), 0.02) << "seed " << seed;
+    }
+}
+
+// Load pattern: a team sends many times its usual from the first second on and its clients retry, before any node knows the demand at the others
+// (QUOTA on scale-2 of cypress-grow-grown).
+TEST(TeamQuotaTest, ATeamOverItsLimitFromTheStartStaysWithinTheToleranceOfManyNodes)
+{
+    for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+        QuotaReplay replay(seed, manyNodes, largeRate);
+        replay.introduce();
+        replay.run(7 * largeRate, 12s);
+        EXPECT_LE(replay.admittedIn(8s), (largeRate * 8 + largeRate) * 1.1 + 190'000) << "seed " << seed;
+        EXPECT_GE(replay.admittedIn(8s), largeRate * 8 * 0.9) << "seed " << seed;
+    }
+}
+
 TEST(TeamQuotaTest, CostsFollowTheUnit)
 {
     Forward::Team team { .name = "t", .unit = Forward::LimitUnit::Tokens, .plainRequestTokens = 200 };
