LibForward: Ask a node that reads the store for news

Cause: nodes that do not read the store asked the first peer, by name, among those with the highest revision, and only if that peer reads the store. Not the retained removals: those end after 1600 ms.

Change: peerWithNews() ranks peers that read the store first, then the own data centre, since bytes between data centres are charged. A watch that returned news pauses 250 ms, so that changes which come together cost one call.

--- a/Libraries/LibForward/PeerTable.cpp
+++ b/Libraries/LibForward/PeerTable.cpp
@@ -2,6 +2,7 @@
 
 #include <LibLimits/TeamLimitTable.h>
 #include <algorithm>
+#include <tuple>
 
 namespace Forward {
 
@@ -122,6 +123,22 @@
     return ahead < followersPerDataCentre || !hearsFollower;
 }
 
+PeerTable::Row const* peerWithNews(PeerTable const& table, PeerNews news, std::uint64_t known, std::string const& ownDataCentre, Core::MonotonicTime now)
+{
+    auto const newest = [&](PeerTable::Row const& row) {
+        return news == PeerNews::Configuration ? row.report.configurationVersion : row.report.serversRevision;
+    };
+    auto const rank = [&](PeerTable::Row const& row) {
+        return std::tuple(row.report.followsStore, row.report.dataCentre == ownDataCentre, newest(row));
+    };
+    PeerTable::Row const* best = nullptr;
+    for (auto const& [node, row] : table.rows) {
+        if (isLive(row, now) && newest(row) > known && (!best || rank(row) > rank(*best)))
+            best = &row;
+    }
+    return best;
+}
+
 std::size_t livePeers(PeerTable const& table, Core::MonotonicTime now)
 {
     return static_cast<std::size_t>(std::count_if(table.rows.begin(), table.rows.end(), [&](auto const& item) { return isLive(item.second, now); }));
--- a/Libraries/LibForward/PeerTable.h
+++ b/Libraries/LibForward/PeerTable.h
@@ -53,6 +53,17 @@
 /// every node that hears none of them: each call to the store is charged, and its rates do not grow with the nodes.
 [[nodiscard]] bool shouldFollowStore(PeerTable const&, std::string const& ownId, std::string const& ownDataCentre, Core::MonotonicTime now);
 
+/// What a node can ask its peers for.
+enum class PeerNews {
+    Configuration,
+    Servers,
+};
+
+/// The peer to ask for news beyond a version (of the configuration) or revision (of the servers); null if no peer that is heard has
+/// any. A peer that reads the store goes first, since the others learn from such peers, then one of the own data centre, since bytes
+/// between data centres are charged, then the newest. Thread safe.
+[[nodiscard]] PeerTable::Row const* peerWithNews(PeerTable const&, PeerNews, std::uint64_t known, std::string const& ownDataCentre, Core::MonotonicTime now);
+
 /// Nodes heard within the last seconds, this one not included.
 [[nodiscard]] std::size_t livePeers(PeerTable const&, Core::MonotonicTime now);
 
--- a/Services/Edge/StoreFeed.cpp
+++ b/Services/Edge/StoreFeed.cpp
@@ -17,6 +17,9 @@
 static constexpr std::uint64_t watchSpreadMilliseconds = 1500;
 static constexpr Core::Duration callTimeout = 1000ms;
 
+// Each call to the store is charged, and a watch returns with the first of several changes that come together.
+static constexpr Core::Duration pauseAfterNews = 250ms;
+
 StoreFeed::StoreFeed(Core::Runtime& runtime, Platform::ObjectStore& store, HTTP::Client& peerClient, Forward::PlatformCodec const& codec, EdgeTables& tables, EdgeSettings const& settings, Core::Random& random, Core::Metrics& metrics)
     : m_runtime(runtime)
     , m_store(store)
@@ -102,6 +105,7 @@
             m_tables.serversRevision = std::max(m_tables.serversRevision, *version);
             applyServers();
             announceNews();
+            co_await m_runtime.sleepFor(pauseAfterNews);
         }
     }
 }
@@ -224,35 +228,35 @@
     static constexpr Core::Duration serversInterval = 500ms;
     auto const now = m_runtime.now();
     auto const ownVersion = m_tables.routes ? m_tables.routes->version : 0;
-    Forward::PeerTable::Row const* newest = nullptr;
-    Forward::PeerTable::Row const* servers = nullptr;
-    for (auto const& [node, row] : m_tables.peers.rows) {
-        if (now - row.heardAt > 4 * row.report.interval)
-            continue;
-        if (row.report.configurationVersion > (newest ? newest->report.configurationVersion : ownVersion))
-            newest = &row;
-        if (row.report.serversRevision > (servers ? servers->report.serversRevision : m_tables.serversRevision))
-            servers = &row;
-    }
+    auto const* newest = Forward::peerWithNews(m_tables.peers, Forward::PeerNews::Configuration, ownVersion, m_settings.dataCentre, now);
     if (!newest)
         m_behindSince.reset();
     else if (!m_behindSince)
         m_behindSince = now;
     if (m_fetching)
         return;
-    Core::LastReason ignored;
     if (newest && (!m_isFollower || now - *m_behindSince >= patience)) {
-        if (auto const endpoint = Core::parseEndpoint(newest->report.endpoint, ignored)) {
-            m_fetching = true;
-            m_runtime.spawn(fetchFromPeer(Subject::Configuration, newest->report.node, *endpoint));
-        }
-    } else if (servers && (m_isFollower ? m_serversContact.isLost && now - m_fetchedServersAt >= serversInterval : servers->report.followsStore)) {
-        if (auto const endpoint = Core::parseEndpoint(servers->report.endpoint, ignored)) {
-            m_fetching = true;
-            m_fetchedServersAt = now;
-            m_runtime.spawn(fetchFromPeer(Subject::Servers, servers->report.node, *endpoint));
-        }
+        beginFetch(Subject::Configuration, newest->report);
+        return;
+    }
+    if (m_isFollower && (!m_serversContact.isLost || now - m_fetchedServersAt < serversInterval))
+        return;
+    if (auto const* servers = Forward::peerWithNews(m_tables.peers, Forward::PeerNews::Servers, m_tables.serversRevision, m_settings.dataCentre, now)) {
+        m_fetchedServersAt = now;
+        beginFetch(Subject::Servers, servers->report);
+    }
+}
+
+void StoreFeed::beginFetch(Subject subject, Forward::NodeReport const& peer)
+{
+    Core::LastReason reason;
+    auto const endpoint = Core::parseEndpoint(peer.endpoint, reason);
+    if (!endpoint) {
+        Core::logEvent(Core::LogLevel::Warning, "peer_fetch_failed", { { "peer", peer.node }, { "reason", reason.message } });
+        return;
     }
+    m_fetching = true;
+    m_runtime.spawn(fetchFromPeer(subject, peer.node, *endpoint));
 }
 
 std::optional<std::string> StoreFeed::configurationForPeers() const
--- a/Services/Edge/StoreFeed.h
+++ b/Services/Edge/StoreFeed.h
@@ -58,6 +58,7 @@
     [[nodiscard]] Core::Awaitable<void> waitForTurn();
     [[nodiscard]] Core::Awaitable<bool> list(Subject, std::uint64_t& version, Core::LastReason&);
     [[nodiscard]] Core::Awaitable<void> fetchFromPeer(Subject, std::string peer, Core::Endpoint);
+    void beginFetch(Subject, Forward::NodeReport const& peer);
     [[nodiscard]] std::string kindOf(Subject) const;
     [[nodiscard]] Core::Duration recordFailure(Subject, Core::LastReason const&);
     void recordSuccess(Subject);
--- a/Tests/LibForward/PeerTableTest.cpp
+++ b/Tests/LibForward/PeerTableTest.cpp
@@ -91,6 +91,34 @@
     EXPECT_NEAR(sum, 1, 1e-6);
 }
 
+// Load pattern: servers leave while many nodes learn of it from a few that read the store. A node that has just asked one of these has
+// the same revision, but must not be waited for (DRAIN on scale-2 of cypress-grow-grown).
+TEST(PeerTableTest, NewsAreFetchedFromANodeThatReadsTheStore)
+{
+    Core::MonotonicTime const now { 100s };
+    Forward::PeerTable table;
+    auto const add = [&](std::string const& node, std::string const& dataCentre, std::uint64_t revision, bool followsStore) {
+        auto peer = report(node);
+        peer.dataCentre = dataCentre;
+        peer.serversRevision = revision;
+        peer.followsStore = followsStore;
+        (void)Forward::mergeReport(table, peer, 1'000'000, now);
+    };
+    auto const source = [&](std::uint64_t known, Core::MonotonicTime at) {
+        auto const* row = Forward::peerWithNews(table, Forward::PeerNews::Servers, known, "a", at);
+        return row ? row->report.node : std::string();
+    };
+    add("n1", "a", 540, false);
+    EXPECT_EQ(source(530, now), "n1");
+    add("n2", "b", 540, true);
+    EXPECT_EQ(source(530, now), "n2");
+    add("n3", "a", 539, true);
+    EXPECT_EQ(source(530, now), "n3");
+    EXPECT_EQ(source(539, now), "n2");
+    EXPECT_EQ(source(540, now), "");
+    EXPECT_EQ(source(530, now + 5s), "");
+}
+
 TEST(PeerTableTest, BriefReportsKeepWhatTheyLeaveOut)
 {
     Forward::PeerTable table;
