LibForward: Keep no server whose removal came before the store's trouble

Ruled out: a late watch of the servers, which had brought the removal.

Change: only what is removed after the disturbance was first seen may have lapsed with the store.

--- a/Libraries/LibForward/ServerDirectory.cpp
+++ b/Libraries/LibForward/ServerDirectory.cpp
@@ -7,6 +7,13 @@
 
 using namespace std::chrono_literals;
 
+void recordStoreDisturbance(ServerDirectory& directory, Core::MonotonicTime now)
+{
+    if (!directory.storeDisturbedAt || now - *directory.storeDisturbedAt >= registrationTime)
+        directory.storeDisturbedSince = now;
+    directory.storeDisturbedAt = now;
+}
+
 void registerServer(ServerDirectory& directory, Routing::ListedServer server)
 {
     auto id = server.id;
@@ -47,14 +54,16 @@
 std::vector<Routing::ListedServer> serversInUse(ServerDirectory& directory, Core::MonotonicTime now)
 {
     bool const storeWasAway = directory.storeDisturbedAt && now - *directory.storeDisturbedAt < registrationTime;
-    bool const keepsRemoved = storeWasAway || isMassRemoval(directory, now);
+    bool const manyWereRemoved = isMassRemoval(directory, now);
+    // What was removed before the disturbance was removed by a store that worked.
+    auto const mayHaveLapsed = [&](ServerDirectory::Entry const& entry) { return storeWasAway && *entry.removedAt >= directory.storeDisturbedSince; };
     std::erase_if(directory.entries, [&](auto const& item) {
-        Core::Duration const keptFor = storeWasAway ? Core::Duration::max() : Core::Duration(registrationTime);
-        return item.second.removedAt && now - *item.second.removedAt >= keptFor;
+        auto const& entry = item.second;
+        return entry.removedAt && now - *entry.removedAt >= registrationTime && !mayHaveLapsed(entry);
     });
     std::vector<Routing::ListedServer> servers;
     for (auto const& [id, entry] : directory.entries) {
-        if (!entry.removedAt || (keepsRemoved && entry.server.lifecycle == Routing::Lifecycle::Live))
+        if (!entry.removedAt || ((manyWereRemoved || mayHaveLapsed(entry)) && entry.server.lifecycle == Routing::Lifecycle::Live))
             servers.push_back(entry.server);
     }
     return servers;
--- a/Libraries/LibForward/ServerDirectory.h
+++ b/Libraries/LibForward/ServerDirectory.h
@@ -26,10 +26,15 @@
     std::map<std::string, Entry> entries;
     /// When the store was last seen to fail, or answered again after it had failed.
     std::optional<Core::MonotonicTime> storeDisturbedAt;
+    /// When that disturbance was first seen.
+    Core::MonotonicTime storeDisturbedSince {};
 
     bool operator==(ServerDirectory const&) const = default;
 };
 
+/// Records that the store failed, or answered again after it had failed.
+void recordStoreDisturbance(ServerDirectory&, Core::MonotonicTime now);
+
 /// Records an entry as registered.
 void registerServer(ServerDirectory&, Routing::ListedServer);
 
@@ -40,8 +45,8 @@
 void replaceServers(ServerDirectory&, std::vector<Routing::ListedServer> const&, Core::MonotonicTime now);
 
 /// The servers to be used. A removed entry is left out at once in calm times. After an outage of the store, when entries lapse
-/// although their servers live, or when most entries are removed at the same time, removed entries are used until servers have
-/// had the time to register again. Drops entries that are no longer needed.
+/// although their servers live, or when most entries are removed at the same time, entries removed since then are used until servers
+/// have had the time to register again. Drops entries that are no longer needed.
 [[nodiscard]] std::vector<Routing::ListedServer> serversInUse(ServerDirectory&, Core::MonotonicTime now);
 
 }
--- a/Libraries/LibRouting/Placement.cpp
+++ b/Libraries/LibRouting/Placement.cpp
@@ -29,7 +29,7 @@
     return static_cast<std::uint32_t>(ahead);
 }
 
-static double costOf(ServerRow const& row, PlacementRequest const& request, PlacementCosts const& costs, std::uint32_t rank)
+static double costOf(ServerRow const& row, PlacementRequest const& request, PlacementCosts const& costs, std::uint32_t rank, Core::Random& random)
 {
     // A straggler is left to its requests in progress while any other server is near it in cost.
     static constexpr double stragglerFactor = 4;
@@ -37,7 +37,12 @@
     // Engines run many requests at once; plain services few, and each beyond the slots waits.
     static constexpr std::uint32_t engineSlots = 16;
     double const perRequest = row.slots > engineSlots ? costs.perEngineRequest : costs.perPlainRequest / std::max(row.slots, 1U);
-    double cost = load * perRequest;
+    // More than a part of the slots would hide which servers are full.
+    static constexpr double largestPartOfSlots = 0.5;
+    double const unseenRequests = std::min(costs.unseenRequests, largestPartOfSlots * std::max(row.slots, 1U)) * random.unit();
+    double cost = (load + unseenRequests) * perRequest;
+    if (row.slots > engineSlots && load > row.slots)
+        cost += (load - row.slots) * costs.perWaitingEngineRequest;
     if (request.sharedPrefix != 0 && rank >= costs.homesPerPrefix)
         cost += request.sharedTokens * costs.perUncachedToken;
     if (row.pace == Pace::Straggler)
@@ -49,7 +54,7 @@
     return cost;
 }
 
-std::optional<Placement> placeRequest(ServerTable const& table, PlacementRequest const& request, PlacementCosts const& costs, Core::MonotonicTime now, Core::LastReason& reason)
+std::optional<Placement> placeRequest(ServerTable const& table, PlacementRequest const& request, PlacementCosts const& costs, Core::Random& random, Core::MonotonicTime now, Core::LastReason& reason)
 {
     std::vector<ServerRow const*> candidates;
     for (auto const& row : table.rows) {
@@ -63,7 +68,7 @@
         if (someAreSound && row->avoidUntil > now)
             continue;
         auto const rank = request.sharedPrefix == 0 ? 0 : homeRank(candidates, *row, request.sharedPrefix);
-        auto const cost = costOf(*row, request, costs, rank);
+        auto const cost = costOf(*row, request, costs, rank, random);
         bool const isTie = best && cost == best->cost;
         if (best && (cost > best->cost || (isTie && homeWeight(request.sharedPrefix, row->id) < homeWeight(request.sharedPrefix, best->serverId))))
             continue;
--- a/Libraries/LibRouting/Placement.h
+++ b/Libraries/LibRouting/Placement.h
@@ -27,6 +27,11 @@
 struct PlacementCosts {
     /// Each request in progress delays the first token of a new one.
     double perEngineRequest { 0.002 };
+    /// A request that finds no free slot at an engine waits until one of those in progress ends.
+    double perWaitingEngineRequest { 0.04 };
+    /// The other nodes' requests that may have come since their last reports, for each server: costs vary by so many requests, so that
+    /// nodes with the same reports do not choose the same server.
+    double unseenRequests { 0 };
     /// A call of a plain service that finds no free slot waits for about one call's work.
     double perPlainRequest { 0.015 };
     /// Prefill of one token that is not cached.
@@ -60,7 +65,7 @@
 /// Chooses the server with the least predicted delay for a request. Every node ranks the homes of a prefix by the same
 /// rendezvous hash, so that requests with a common prefix meet at the same few servers without messages, and leave them once
 /// the load there costs more than reading the prefix again. Answers many prompts that share long beginnings, from nodes that
-/// each see a small part of them. Fails with NoServerAvailable (RunState::NotRun). Thread safe.
-[[nodiscard]] std::optional<Placement> placeRequest(ServerTable const&, PlacementRequest const&, PlacementCosts const&, Core::MonotonicTime now, Core::LastReason&);
+/// each see a small part of them, and short requests that many nodes place by the same reports. Fails with NoServerAvailable (RunState::NotRun). Thread safe.
+[[nodiscard]] std::optional<Placement> placeRequest(ServerTable const&, PlacementRequest const&, PlacementCosts const&, Core::Random&, Core::MonotonicTime now, Core::LastReason&);
 
 }
--- a/Services/Edge/EdgeService.cpp
+++ b/Services/Edge/EdgeService.cpp
@@ -197,6 +197,9 @@
         row.peerOutstanding = Forward::peerLoad(m_tables.peers, Forward::serverHash(row.id), now);
         row.isProbablyCutOff = row.dataCentre != m_settings.dataCentre && Forward::isProbablyCutOff(m_tables.peers, row.dataCentre, now);
     }
+    // Of the requests that another node places between two of its reports, this part goes to servers that cost the same here.
+    static constexpr double unseenRequestsPerPeer = 0.25;
+    m_tables.placementCosts.unseenRequests = unseenRequestsPerPeer * static_cast<double>(Forward::livePeers(m_tables.peers, now));
     Routing::updatePaces(m_tables.servers, now);
     Limits::expire(m_tables.quarantine, now);
     // Counts of windows that are reported or too late are of no use.
--- a/Services/Edge/RequestForwarder.cpp
+++ b/Services/Edge/RequestForwarder.cpp
@@ -289,7 +289,7 @@
     auto& tables = m_edge.tables;
     ++exchange.attempts;
     Routing::PlacementRequest const placementRequest { exchange.service, m_edge.settings.dataCentre, exchange.sharedPrefix, exchange.sharedTokens, exchange.triedServers };
-    auto placement = Routing::placeRequest(tables.servers, placementRequest, tables.placementCosts, m_edge.runtime.now(), reason);
+    auto placement = Routing::placeRequest(tables.servers, placementRequest, tables.placementCosts, m_edge.random, m_edge.runtime.now(), reason);
     if (!placement)
         co_return AttemptOutcome::NotSent;
     exchange.triedServers.push_back(placement->serverId);
--- a/Services/Edge/StoreFeed.cpp
+++ b/Services/Edge/StoreFeed.cpp
@@ -141,7 +141,7 @@
         Core::logEvent(Core::LogLevel::Info, "store_history_gone", { { "kind", kindOf(subject) } });
         return firstPause;
     }
-    m_tables.directory.storeDisturbedAt = m_runtime.now();
+    Forward::recordStoreDisturbance(m_tables.directory, m_runtime.now());
     if (!std::exchange(contact.isLost, true))
         Core::logEvent(Core::LogLevel::Warning, "dependency_lost", { { "dependency", "store" }, { "kind", kindOf(subject) }, { "reason", reason.message } });
     auto const pause = std::min<Core::Duration>(firstPause * (1 << std::min(contact.failures, 3U)), longestStorePause);
@@ -156,7 +156,7 @@
     contact.succeededAt = m_runtime.now();
     if (!std::exchange(contact.isLost, false))
         return;
-    m_tables.directory.storeDisturbedAt = m_runtime.now();
+    Forward::recordStoreDisturbance(m_tables.directory, m_runtime.now());
     Core::logEvent(Core::LogLevel::Info, "dependency_regained", { { "dependency", "store" }, { "kind", kindOf(subject) } });
 }
 
--- a/Tests/LibForward/ServerDirectoryTest.cpp
+++ b/Tests/LibForward/ServerDirectoryTest.cpp
@@ -31,7 +31,7 @@
 // Guards against good servers being thrown away because the store was away and their entries lapsed.
 TEST_F(ServerDirectoryTest, EntriesThatLapsedWithTheStoreAreKeptUntilTheyCanBeBack)
 {
-    m_directory.storeDisturbedAt = m_now;
+    Forward::recordStoreDisturbance(m_directory, m_now);
     Forward::replaceServers(m_directory, {}, m_now);
     EXPECT_EQ(inUse(), 6u);
     m_now += 1s;
@@ -55,15 +55,29 @@
 // restored (seen on scale-2 of cypress-grow: a request 2.2 s after the removal).
 TEST_F(ServerDirectoryTest, TheOwnDisturbanceDoesNotKeepAServerForTwoSeconds)
 {
-    m_directory.storeDisturbedAt = m_now;
+    Forward::recordStoreDisturbance(m_directory, m_now);
     Forward::unregisterServer(m_directory, "s1", m_now);
     m_now += 1900ms;
     EXPECT_EQ(inUse(), 5u);
 }
 
+// A server that had left was used again when another watch of the node fell silent a second later (DRAIN on scale-2 of
+// cypress-grow-grown: a request 3.6 s after the removal).
+TEST_F(ServerDirectoryTest, ADisturbanceDoesNotBringBackWhatWasRemovedBefore)
+{
+    Forward::unregisterServer(m_directory, "s1", m_now);
+    m_now += 1300ms;
+    EXPECT_EQ(inUse(), 5u);
+    Forward::recordStoreDisturbance(m_directory, m_now);
+    EXPECT_EQ(inUse(), 5u);
+    m_now += 1s;
+    Forward::recordStoreDisturbance(m_directory, m_now);
+    EXPECT_EQ(inUse(), 5u);
+}
+
 TEST_F(ServerDirectoryTest, AServerThatSaidThatItLeavesIsNotKept)
 {
-    m_directory.storeDisturbedAt = m_now;
+    Forward::recordStoreDisturbance(m_directory, m_now);
     Forward::registerServer(m_directory, { .id = "s1", .service = "model", .lifecycle = Routing::Lifecycle::Leaving });
     Forward::unregisterServer(m_directory, "s1", m_now);
     EXPECT_EQ(inUse(), 5u);
--- a/Tests/LibRouting/PlacementTest.cpp
+++ b/Tests/LibRouting/PlacementTest.cpp
@@ -26,10 +26,143 @@
 std::string place(Routing::ServerTable const& servers, Routing::PlacementRequest const& request)
 {
     Core::LastReason reason;
-    auto const placement = Routing::placeRequest(servers, request, {}, now, reason);
+    Core::Random random(1);
+    auto const placement = Routing::placeRequest(servers, request, {}, random, now, reason);
     return placement ? placement->serverId : "none";
 }
 
+// Many nodes place requests by each other's reports, which come four times a second. Each request holds a slot of an engine, longer
+// if its shared beginning is not cached there, and waits for one if there is none.
+class PlacementReplay {
+public:
+    PlacementReplay(std::uint64_t seed, Routing::PlacementCosts costs)
+        : m_random(seed)
+        , m_costs(costs)
+        , m_views(nodeCount)
+        , m_engines(serverCount)
+    {
+        Routing::ServerTable servers;
+        for (std::size_t i = 0; i < serverCount; ++i) {
+            Routing::ServerRow row;
+            row.id = "s" + std::to_string(i);
+            row.service = "model";
+            row.dataCentre = dataCentreOf(i);
+            row.slots = slots;
+            servers.rows.push_back(row);
+        }
+        for (auto& view : m_views)
+            view = servers;
+    }
+
+    /// Mean wait for a slot, in seconds, after the caches are filled.
+    double meanWait()
+    {
+        static constexpr double arrivalsPerSecond = 720;
+        static constexpr double warmUpSeconds = 8;
+        static constexpr double endSeconds = 16;
+        double time = 0;
+        double nextReport = 0;
+        double waited = 0;
+        std::size_t measured = 0;
+        while (time < endSeconds) {
+            time += 2 * m_random.unit() / arrivalsPerSecond;
+            finishUntil(time);
+            if (time >= nextReport) {
+                report();
+                nextReport = time + 0.25;
+            }
+            auto const wait = arrive(time);
+            if (time >= warmUpSeconds) {
+                waited += wait;
+                ++measured;
+            }
+        }
+        return waited / static_cast<double>(measured);
+    }
+
+private:
+    static constexpr std::size_t nodeCount = 60;
+    static constexpr std::size_t serverCount = 64;
+    static constexpr std::uint32_t slots = 24;
+
+    struct Engine {
+        /// The times at which the requests in progress end.
+        std::multiset<double> ends;
+        std::set<std::uint64_t> cached;
+    };
+
+    struct Run {
+        std::size_t node;
+        std::size_t server;
+    };
+
+    static std::string dataCentreOf(std::size_t index) { return std::string(1, static_cast<char>('a' + index % 4)); }
+
+    void finishUntil(double time)
+    {
+        while (!m_runs.empty() && m_runs.begin()->first <= time) {
+            auto const& run = m_runs.begin()->second;
+            --m_views[run.node].rows[run.server].outstanding;
+            m_engines[run.server].ends.erase(m_engines[run.server].ends.begin());
+            m_runs.erase(m_runs.begin());
+        }
+    }
+
+    void report()
+    {
+        for (std::size_t server = 0; server < serverCount; ++server) {
+            std::uint32_t all = 0;
+            for (auto const& view : m_views)
+                all += view.rows[server].outstanding;
+            for (auto& view : m_views)
+                view.rows[server].peerOutstanding = all - view.rows[server].outstanding;
+        }
+    }
+
+    double arrive(double time)
+    {
+        static constexpr double prefillSecondsPerToken = 1.0 / 157'000;
+        auto const node = m_random.below(nodeCount);
+        bool const isLong = m_random.unit() < 0.6;
+        auto const prefix = isLong ? 1 + m_random.below(1400) : 10'000 + m_random.below(1700);
+        std::uint32_t const sharedTokens = isLong ? 13'300 : 350;
+        Routing::PlacementRequest const request { .service = "model", .dataCentre = dataCentreOf(node), .sharedPrefix = prefix, .sharedTokens = sharedTokens };
+        Core::LastReason reason;
+        auto const placement = Routing::placeRequest(m_views[node], request, m_costs, m_random, now, reason);
+        auto const server = static_cast<std::size_t>(std::stoul(placement->serverId.substr(1)));
+        auto& engine = m_engines[server];
+        double start = time;
+        if (engine.ends.size() >= slots)
+            start = *std::next(engine.ends.begin(), static_cast<std::ptrdiff_t>(engine.ends.size() - slots));
+        double seconds = 0.5 + 1.4 * m_random.unit();
+        if (engine.cached.insert(prefix).second)
+            seconds += sharedTokens * prefillSecondsPerToken;
+        engine.ends.insert(start + seconds);
+        ++m_views[node].rows[server].outstanding;
+        m_runs.emplace(start + seconds, Run { node, server });
+        return start - time;
+    }
+
+    Core::Random m_random;
+    Routing::PlacementCosts m_costs;
+    std::vector<Routing::ServerTable> m_views;
+    std::vector<Engine> m_engines;
+    std::multimap<double, Run> m_runs;
+};
+
+}
+
+// Load pattern: most slots are taken, and many nodes place requests by the same reports (late first events on cypress-grow-grown).
+TEST(PlacementTest, NodesWithTheSameReportsDoNotChooseTheSameServer)
+{
+    for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+        Routing::PlacementCosts costs;
+        auto const byReportsAlone = PlacementReplay(seed, costs).meanWait();
+        costs.unseenRequests = 15;
+        auto const spread = PlacementReplay(seed, costs).meanWait();
+        EXPECT_LT(spread, byReportsAlone / 2) << "seed " << seed;
+        EXPECT_LT(spread, 0.015) << "seed " << seed;
+    }
 }
 
 // Load pattern: requests with long common beginnings, each seen by another node. Without messages, they must meet at few servers.
