LibForward: Assume many nodes until the first reports after a start of all

Cause: after a kill of all processes each node took a tenth of every limit as its share until it had heard the others.

--- a/Libraries/LibForward/PeerTable.cpp
+++ b/Libraries/LibForward/PeerTable.cpp
@@ -47,6 +47,8 @@
         report.isBrief = false;
     }
     auto node = report.node;
+    if (found == table.rows.end())
+        table.grewAt = now;
     table.rows[std::move(node)] = { std::move(report), now, lead };
     return true;
 }
--- a/Libraries/LibForward/PeerTable.h
+++ b/Libraries/LibForward/PeerTable.h
@@ -23,6 +23,8 @@
         bool operator==(Row const&) const = default;
     };
     std::map<std::string, Row> rows;
+    /// When a node was last heard for the first time.
+    Core::MonotonicTime grewAt;
     /// Endpoints of nodes that may exist, from settings, the store and reports, with the time they were last named.
     std::map<Core::Endpoint, Core::MonotonicTime> candidates;
 
--- a/Libraries/LibForward/TeamQuota.h
+++ b/Libraries/LibForward/TeamQuota.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibForward/PeerTable.h>
 #include <LibForward/RequestCodec.h>
 #include <LibForward/RouteTable.h>
 #include <LibLimits/TeamLimitTable.h>
@@ -54,6 +55,10 @@
 /// The team's recent demand at this node, in units a second.
 [[nodiscard]] double quotaDemand(QuotaTable const&, std::string_view team, Core::MonotonicTime now);
 
+/// The share of a team's limit by which this node admits. When all nodes have started again none knows how many there are until their
+/// first reports have come; until then it assumes many.
+[[nodiscard]] double admissionShare(QuotaTable const&, PeerTable const&, std::string const& team, Core::MonotonicTime now);
+
 /// Takes in what another node admitted since its last report.
 void chargeQuota(QuotaTable&, std::string_view team, double admittedElsewhere);
 
--- a/Services/Edge/PeerExchange.cpp
+++ b/Services/Edge/PeerExchange.cpp
@@ -95,7 +95,9 @@
 {
     auto const now = m_runtime.now();
     auto report = m_source();
-    bool const isFull = m_sentAt == Core::MonotonicTime {} || now - m_sentFullAt + tickTolerance >= Forward::fullReportInterval(m_tables.peers.rows.size());
+    // Nodes that have just started learn of the others from full reports.
+    bool const hasGrown = m_tables.peers.grewAt >= m_sentFullAt;
+    bool const isFull = m_sentAt == Core::MonotonicTime {} || hasGrown || now - m_sentFullAt + tickTolerance >= Forward::fullReportInterval(m_tables.peers.rows.size());
     auto const bytes = Forward::encodeReport(isFull ? report : Forward::briefReport(report, m_tables.peers.own));
     m_tables.peers.own = std::move(report);
     m_sentAt = now;
--- a/Services/Edge/RequestForwarder.cpp
+++ b/Services/Edge/RequestForwarder.cpp
@@ -140,16 +140,6 @@
     }
 }
 
-// A node that has just started has not heard the others yet.
-double RequestForwarder::ownShare(std::string const& team) const
-{
-    static constexpr Core::Duration introductionTime = 1s;
-    static constexpr double shareOfStranger = 0.1;
-    auto const& tables = m_edge.tables;
-    bool const isNew = tables.quotas.start == Forward::QuotaStart::Empty && m_edge.runtime.now() - tables.quotas.startedAt < introductionTime;
-    return isNew ? shareOfStranger : Forward::quotaShare(tables.peers, team);
-}
-
 bool RequestForwarder::admit(Exchange& exchange, Core::LastReason& reason)
 {
     auto& tables = m_edge.tables;
@@ -184,7 +174,7 @@
     if (exchange.team) {
         auto const cost = Forward::quotaCost(*exchange.team, exchange.attributes.tokens);
         auto const demand = Forward::quotaDemand(tables.quotas, exchange.team->name, now);
-        auto const share = ownShare(exchange.team->name);
+        auto const share = Forward::admissionShare(tables.quotas, tables.peers, exchange.team->name, now);
         auto const wait = Forward::admitToQuota(tables.quotas, *exchange.team, cost, share, { m_edge.settings.quotaWindow, m_edge.settings.quotaSlack, Forward::reportInterval(tables.peers.rows.size()) }, now);
         if (wait) {
             Core::fail(reason, ErrorKind::TeamLimitExceeded, "the team's limit is used up; share " + std::to_string(share) + ", demand here " + std::to_string(static_cast<std::uint64_t>(demand)) + " a second, cost " + std::to_string(static_cast<std::uint64_t>(cost)));
--- a/Services/Edge/RequestForwarder.h
+++ b/Services/Edge/RequestForwarder.h
@@ -51,7 +51,6 @@
     [[nodiscard]] Core::Awaitable<void> finish(Exchange&, Forward::AttemptOutcome, Core::LastReason);
     [[nodiscard]] Core::Awaitable<void> refuse(Exchange&, Core::LastReason);
     [[nodiscard]] Core::MonotonicTime stallDeadline(Exchange const&) const;
-    [[nodiscard]] double ownShare(std::string const& team) const;
     [[nodiscard]] bool takeRetry(Exchange const&);
     [[nodiscard]] Forward::AttemptHistory historyOf(Exchange const&) const;
     void recordStart(Exchange&);
--- a/Tests/LibForward/TeamQuotaTest.cpp
+++ b/Tests/LibForward/TeamQuotaTest.cpp
@@ -12,8 +12,11 @@
 constexpr double rate = 400'000;
 // Of the largest teams of the grown deployments.
 constexpr double largeRate = 3'000'000;
+constexpr double mediumRate = 1'200'000;
 constexpr std::size_t fewNodes = 7;
 constexpr std::size_t manyNodes = 61;
+// Nodes that start know only a few others, which tell them of the rest.
+constexpr auto introductionTime = 400ms;
 
 // A team whose requests arrive at nodes with uneven weights; every node hears of the others once in each report interval.
 class QuotaReplay {
@@ -59,7 +62,7 @@
             m_tables[node] = { .start = Forward::QuotaStart::Empty, .startedAt = m_now };
             m_peers[node] = {};
         }
-        exchange();
+        m_nextExchange = m_now + introductionTime;
     }
 
     [[nodiscard]] double admittedIn(Core::Duration window) const
@@ -91,7 +94,7 @@
 
     void arrive(std::size_t node, double cost)
     {
-        auto const share = Forward::quotaShare(m_peers[node], "team");
+        auto const share = Forward::admissionShare(m_tables[node], m_peers[node], "team", m_now);
         if (Forward::admitToQuota(m_tables[node], m_team, cost, share, { 8s, 190'000, m_interval }, m_now))
             ++m_refused;
         else
@@ -154,6 +157,22 @@
     }
 }
 
+// The same with many nodes, each of which may admit a request before it hears of the others (QUOTA on trouble-3 of
+// vzl-showlog-grown).
+TEST(TeamQuotaTest, ManyNodesThatStartAgainDoNotGrantTheBurstAgain)
+{
+    for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+        QuotaReplay replay(seed, manyNodes, mediumRate);
+        replay.introduce();
+        replay.run(0.55 * mediumRate, 3s);
+        replay.run(4 * mediumRate, 4s);
+        replay.restart();
+        replay.run(4 * mediumRate, 6s);
+        EXPECT_LE(replay.admittedIn(8s), (mediumRate * 8 + mediumRate) * 1.1 + 190'000) << "seed " << seed;
+        EXPECT_GE(replay.admittedIn(8s), mediumRate * 8 * 0.9) << "seed " << seed;
+    }
+}
+
 // Load pattern: a team at half of its limit, whose requests are few at each node. What it is due must not be refused.
 TEST(TeamQuotaTest, ATeamWithinItsLimitIsHardlyRefused)
 {
--- a/Tests/Soak/SoakRun.cpp
+++ b/Tests/Soak/SoakRun.cpp
@@ -343,7 +343,7 @@
             bool const hasEnded = co_await waitForEnd(node, gracePeriod + 1s);
             if (isPlannedStop && !hasEnded)
                 report("n" + std::to_string(fault.target) + " did not stop within its grace period");
-            else if (isPlannedStop && node.process->waitForExit() != 0)
+            else if (isPlannedStop && node.process->waitForExit() != 0 && hasStarted(node))
                 report("n" + std::to_string(fault.target) + " stopped with exit code " + std::to_string(node.process->waitForExit().value_or(0)));
             (void)node.process->sendSignal(SIGKILL);
             (void)co_await waitForEnd(node, 1s);
@@ -353,6 +353,9 @@
         node.isChanging = false;
     }
 
+    // A process that is stopped before it serves anything may end by the signal.
+    static bool hasStarted(Node const& node) { return node.process->log().find("event=started") != std::string::npos; }
+
     Core::Awaitable<bool> waitForEnd(Node& node, Core::Duration bound)
     {
         auto const deadline = m_runtime.now() + bound;
--- a/Tests/Soak/SoakTest.cpp
+++ b/Tests/Soak/SoakTest.cpp
@@ -18,5 +18,8 @@
         std::fprintf(stderr, "%s\n", result.logs.c_str());
 }
 
-// A short run in CI: planned work only (3) and all faults (1, 2).
-INSTANTIATE_TEST_SUITE_P(Short, SoakTest, testing::Values(1, 2, 3));
+// A short run in CI.
+INSTANTIATE_TEST_SUITE_P(Short, SoakTest, testing::Values(1, 2));
+
+// Seeds that failed once; docs/soak.md names the causes.
+INSTANTIATE_TEST_SUITE_P(Regression, SoakTest, testing::Values(3, 49, 51));
