LibForward: Spread full reports over the rounds

Cause: every node sent its full report to all others at once. With 70 nodes that is 210 KB in a burst on a link of 10 Mbit/s, which dropped the last datagrams, always those to the same nodes.

Change: fullReportTargets() spreads the full reports over the rounds, longest waiting first; a report names 16 peers at random instead of all (2,950 bytes to about 1,700 at 70 nodes, no longer growing with them). peer_heard is logged once, when the report is taken.

--- a/Libraries/LibForward/PeerTable.cpp
+++ b/Libraries/LibForward/PeerTable.cpp
@@ -108,6 +108,30 @@
     return std::max(intervalFor(peers, peersAtShortest), reportInterval(peers));
 }
 
+std::set<Core::Endpoint> fullReportTargets(PeerTable const& table, FullReportTimes const& sentAt, std::size_t reportBytes, Core::MonotonicTime now)
+{
+    // At 10 Mbit/s a round takes a tenth of the time between two rounds.
+    static constexpr std::size_t bytesInAnyCase = 32 * 1024;
+    auto const interval = fullReportInterval(table.rows.size());
+    auto const rounds = static_cast<std::size_t>(interval / reportInterval(table.rows.size()));
+    auto const limit = std::max((table.candidates.size() + rounds - 1) / rounds, bytesInAnyCase / std::max<std::size_t>(reportBytes, 1));
+    std::vector<std::pair<Core::MonotonicTime, Core::Endpoint>> due;
+    for (auto const& [endpoint, namedAt] : table.candidates) {
+        // Rounds may come a little early.
+        static constexpr Core::Duration tolerance = 50ms;
+        auto const sent = sentAt.find(endpoint);
+        auto const last = sent == sentAt.end() ? Core::MonotonicTime {} : sent->second;
+        if (sent == sentAt.end() || now - last + tolerance >= interval)
+            due.emplace_back(last, endpoint);
+    }
+    std::sort(due.begin(), due.end());
+    due.resize(std::min(due.size(), limit));
+    std::set<Core::Endpoint> targets;
+    for (auto& [last, endpoint] : due)
+        targets.insert(std::move(endpoint));
+    return targets;
+}
+
 bool shouldFollowStore(PeerTable const& table, std::string const& ownId, std::string const& ownDataCentre, Core::MonotonicTime now)
 {
     // Two may fail or be cut off at the same time.
--- a/Libraries/LibForward/PeerTable.h
+++ b/Libraries/LibForward/PeerTable.h
@@ -51,6 +51,13 @@
 /// Time between two full reports of a node; those between them are brief. Thread safe.
 [[nodiscard]] std::chrono::milliseconds fullReportInterval(std::size_t peers);
 
+/// When a full report was last sent to each endpoint.
+using FullReportTimes = std::map<Core::Endpoint, Core::MonotonicTime>;
+
+/// The endpoints that get a full report now: those that have had none for the longest time, each once in a full interval. Answers
+/// many nodes on slow links: a round of full reports to all overflows the link, which drops the last ones of every round. Thread safe.
+[[nodiscard]] std::set<Core::Endpoint> fullReportTargets(PeerTable const&, FullReportTimes const&, std::size_t reportBytes, Core::MonotonicTime now);
+
 /// Whether a node reads the platform's store itself. A few nodes of each data centre do, the same ones by all tables that agree, and
 /// every node that hears none of them: each call to the store is charged, and its rates do not grow with the nodes.
 [[nodiscard]] bool shouldFollowStore(PeerTable const&, std::string const& ownId, std::string const& ownDataCentre, Core::MonotonicTime now);
--- a/Libraries/LibForward/TeamQuota.cpp
+++ b/Libraries/LibForward/TeamQuota.cpp
@@ -26,18 +26,18 @@
     return found == table.rows.end() ? 0 : decayedDemand(found->second, now);
 }
 
-double admissionShare(QuotaTable const& table, PeerTable const& peers, std::string const& team, Core::MonotonicTime now)
+double admissionShare(QuotaTable const& table, PeerTable const& peers, std::size_t servers, std::string const& team, Core::MonotonicTime now)
 {
     using namespace std::chrono_literals;
-    // The nodes of the largest deployments of today.
-    static constexpr double assumedNodes = 70;
+    // Deployments have 0.5 to 0.75 nodes for each server.
+    static constexpr double nodesPerServer = 0.75;
     // A little more than the time between two reports.
     static constexpr Core::Duration settlingTime = 300ms;
     static constexpr Core::Duration introductionTime = 1500ms;
     bool const isNew = table.start == QuotaStart::Empty && now - table.startedAt < introductionTime;
     bool const isIntroduced = !peers.rows.empty() && now - peers.grewAt > settlingTime;
     if (isNew && !isIntroduced)
-        return 1 / std::max(assumedNodes, static_cast<double>(peers.rows.size() + 1));
+        return 1 / std::max(nodesPerServer * static_cast<double>(servers), static_cast<double>(peers.rows.size() + 1));
     return quotaShare(peers, team);
 }
 
--- a/Libraries/LibForward/TeamQuota.h
+++ b/Libraries/LibForward/TeamQuota.h
@@ -56,8 +56,8 @@
 [[nodiscard]] double quotaDemand(QuotaTable const&, std::string_view team, Core::MonotonicTime now);
 
 /// The share of a team's limit by which this node admits. When all nodes have started again none knows how many there are until their
-/// first reports have come; until then it assumes many.
-[[nodiscard]] double admissionShare(QuotaTable const&, PeerTable const&, std::string const& team, Core::MonotonicTime now);
+/// first reports have come; until then it goes by the number of backend servers, which the store tells at once.
+[[nodiscard]] double admissionShare(QuotaTable const&, PeerTable const&, std::size_t servers, std::string const& team, Core::MonotonicTime now);
 
 /// Takes in what another node admitted since its last report.
 void chargeQuota(QuotaTable&, std::string_view team, double admittedElsewhere);
--- a/Services/Edge/EdgeService.cpp
+++ b/Services/Edge/EdgeService.cpp
@@ -153,7 +153,7 @@
     (void)co_await writer.send(std::move(response));
 }
 
-Forward::NodeReport EdgeService::ownReport() const
+Forward::NodeReport EdgeService::ownReport()
 {
     // Windows that the holder of the duty may still report.
     static constexpr std::size_t reportedWindows = 3;
@@ -177,8 +177,12 @@
         for (auto entry = usage->second.rbegin(); entry != usage->second.rend() && report.usage.size() < reportedWindows; ++entry)
             report.usage.insert(*entry);
     }
+    // Enough for a node that has just started to hear of all others from several reports.
+    static constexpr std::size_t namedPeers = 16;
     for (auto const& [node, row] : m_tables.peers.rows)
         report.peers.push_back(row.report.endpoint);
+    std::shuffle(report.peers.begin(), report.peers.end(), m_random.engine());
+    report.peers.resize(std::min(report.peers.size(), namedPeers));
     for (auto const& [fingerprint, until] : m_tables.quarantine.quarantined)
         report.quarantined.push_back(fingerprint);
     report.isLeaving = m_tables.isDraining;
--- a/Services/Edge/EdgeService.h
+++ b/Services/Edge/EdgeService.h
@@ -49,7 +49,7 @@
     [[nodiscard]] Core::Awaitable<void> answerMetrics(HTTP::Request const&, HTTP::ResponseWriter&);
     [[nodiscard]] Core::Awaitable<void> runTicks();
     [[nodiscard]] Core::Awaitable<void> runDrain();
-    [[nodiscard]] Forward::NodeReport ownReport() const;
+    [[nodiscard]] Forward::NodeReport ownReport();
     [[nodiscard]] bool isReady() const;
     void tick();
 
--- a/Services/Edge/PeerExchange.cpp
+++ b/Services/Edge/PeerExchange.cpp
@@ -68,11 +68,14 @@
     Forward::mergeCounts(m_tables.usage, report->node, report->incarnation, report->usage);
     for (auto const fingerprint : report->quarantined)
         Limits::mergeQuarantined(m_tables.quarantine, fingerprint, now + std::chrono::minutes(1));
-    if (!m_tables.peers.rows.contains(report->node))
-        Core::logEvent(Core::LogLevel::Info, "peer_heard", { { "peer", report->node }, { "endpoint", report->endpoint } });
     for (auto const& [team, amount] : Forward::newAdmissions(m_tables.peers, *report))
         Forward::chargeQuota(m_tables.quotas, team, amount);
+    bool const isNew = !m_tables.peers.rows.contains(report->node);
+    auto const node = report->node;
+    auto const endpoint = report->endpoint;
     bool const isTaken = Forward::mergeReport(m_tables.peers, std::move(*report), unixTime, now);
+    if (isTaken && isNew)
+        Core::logEvent(Core::LogLevel::Info, "peer_heard", { { "peer", node }, { "endpoint", endpoint } });
     if (isTaken && m_listener)
         m_listener();
 }
@@ -95,19 +98,20 @@
 {
     auto const now = m_runtime.now();
     auto report = m_source();
-    // Nodes that have just started learn of the others from full reports.
-    bool const hasGrown = m_tables.peers.grewAt >= m_sentFullAt;
-    bool const isFull = m_sentAt == Core::MonotonicTime {} || hasGrown || now - m_sentFullAt + tickTolerance >= Forward::fullReportInterval(m_tables.peers.rows.size());
-    auto const bytes = Forward::encodeReport(isFull ? report : Forward::briefReport(report, m_tables.peers.own));
+    auto const brief = Forward::encodeReport(Forward::briefReport(report, m_tables.peers.own));
+    auto const full = Forward::encodeReport(report);
     m_tables.peers.own = std::move(report);
     m_sentAt = now;
-    if (isFull)
-        m_sentFullAt = now;
+    std::erase_if(m_fullReportsSentAt, [&](auto const& item) { return !m_tables.peers.candidates.contains(item.first); });
+    auto const fullTargets = Forward::fullReportTargets(m_tables.peers, m_fullReportsSentAt, full.size(), now);
     for (auto const& [endpoint, namedAt] : m_tables.peers.candidates) {
         if (endpoint == m_settings.peerListen)
             continue;
+        bool const isFull = fullTargets.contains(endpoint);
+        if (isFull)
+            m_fullReportsSentAt[endpoint] = now;
         boost::system::error_code ignored;
-        m_socket.send_to(asio::buffer(bytes), toUdp(endpoint, ignored), 0, ignored);
+        m_socket.send_to(asio::buffer(isFull ? full : brief), toUdp(endpoint, ignored), 0, ignored);
     }
 }
 
--- a/Services/Edge/PeerExchange.h
+++ b/Services/Edge/PeerExchange.h
@@ -38,7 +38,7 @@
     ReportSource m_source;
     std::function<void()> m_listener;
     Core::MonotonicTime m_sentAt {};
-    Core::MonotonicTime m_sentFullAt {};
+    Forward::FullReportTimes m_fullReportsSentAt;
     boost::asio::ip::udp::socket m_socket;
     std::array<char, 65536> m_buffer {};
 };
--- a/Services/Edge/RequestForwarder.cpp
+++ b/Services/Edge/RequestForwarder.cpp
@@ -174,7 +174,7 @@
     if (exchange.team) {
         auto const cost = Forward::quotaCost(*exchange.team, exchange.attributes.tokens);
         auto const demand = Forward::quotaDemand(tables.quotas, exchange.team->name, now);
-        auto const share = Forward::admissionShare(tables.quotas, tables.peers, exchange.team->name, now);
+        auto const share = Forward::admissionShare(tables.quotas, tables.peers, tables.servers.rows.size(), exchange.team->name, now);
         auto const wait = Forward::admitToQuota(tables.quotas, *exchange.team, cost, share, { m_edge.settings.quotaWindow, m_edge.settings.quotaSlack, Forward::reportInterval(tables.peers.rows.size()) }, now);
         if (wait) {
             Core::fail(reason, ErrorKind::TeamLimitExceeded, "the team's limit is used up; share " + std::to_string(share) + ", demand here " + std::to_string(static_cast<std::uint64_t>(demand)) + " a second, cost " + std::to_string(static_cast<std::uint64_t>(cost)));
--- a/Tests/LibForward/PeerTableTest.cpp
+++ b/Tests/LibForward/PeerTableTest.cpp
@@ -119,6 +119,32 @@
     EXPECT_EQ(source(530, now + 5s), "");
 }
 
+// Load pattern: 70 nodes on links of 10 Mbit/s. Full reports to all at once overflowed the link, so that the same nodes never got one
+// and reported a seventh of the usage (scale-1 of vzl-showlog-grown).
+TEST(PeerTableTest, FullReportsAreSpreadOverTheRounds)
+{
+    static constexpr std::size_t reportBytes = 3000;
+    static constexpr std::size_t largestRound = 64 * 1024;
+    Core::MonotonicTime now { 100s };
+    Forward::PeerTable table;
+    for (int i = 0; i < 70; ++i) {
+        auto peer = report("n" + std::to_string(i));
+        peer.endpoint = "10.0.0." + std::to_string(i + 1) + ":7600";
+        (void)Forward::mergeReport(table, peer, 1'000'000, now);
+    }
+    Forward::FullReportTimes sentAt;
+    for (int round = 0; round < 40; ++round) {
+        auto const targets = Forward::fullReportTargets(table, sentAt, reportBytes, now);
+        EXPECT_LE(targets.size() * reportBytes, largestRound);
+        for (auto const& endpoint : targets)
+            sentAt[endpoint] = now;
+        now += Forward::reportInterval(table.rows.size());
+        for (auto const& [endpoint, at] : sentAt)
+            EXPECT_LE(now - at, Forward::fullReportInterval(table.rows.size()) + Forward::reportInterval(table.rows.size()));
+    }
+    EXPECT_EQ(sentAt.size(), table.candidates.size());
+}
+
 TEST(PeerTableTest, BriefReportsKeepWhatTheyLeaveOut)
 {
     Forward::PeerTable table;
--- a/Tests/LibForward/TeamQuotaTest.cpp
+++ b/Tests/LibForward/TeamQuotaTest.cpp
@@ -15,6 +15,7 @@
 constexpr double mediumRate = 1'200'000;
 constexpr std::size_t fewNodes = 7;
 constexpr std::size_t manyNodes = 61;
+constexpr std::size_t serversPerNode = 2;
 // Nodes that start know only a few others, which tell them of the rest.
 constexpr auto introductionTime = 400ms;
 
@@ -94,7 +95,7 @@
 
     void arrive(std::size_t node, double cost)
     {
-        auto const share = Forward::admissionShare(m_tables[node], m_peers[node], "team", m_now);
+        auto const share = Forward::admissionShare(m_tables[node], m_peers[node], serversPerNode * m_tables.size(), "team", m_now);
         if (Forward::admitToQuota(m_tables[node], m_team, cost, share, { 8s, 190'000, m_interval }, m_now))
             ++m_refused;
         else
