LibForward: Keep one generated file for the report's schema

capnp writes NodeReport.capnp.c++, which was committed beside the older NodeReport.capnp.cpp that is compiled; only the reflection data of the new field was missing there. The schema says how to rename it.

--- a/Libraries/LibForward/NodeReport.capnp
+++ b/Libraries/LibForward/NodeReport.capnp
@@ -4,7 +4,7 @@
 $Cxx.namespace("Forward::wire");
 
 # What a node tells the others a few times a second, in one datagram. Counts only grow, so that a lost datagram costs nothing.
-# Generate the C++ code with `capnp compile -oc++ NodeReport.capnp` after a change.
+# Generate the C++ code with `capnp compile -oc++ NodeReport.capnp` after a change, and rename the file that ends in c++ to cpp.
 
 struct ServerLoad {
     # XXH3 of the server's id.
