LibHTTP: Serve the next request on a connection that was promised to stay open

Cause: during a planned stop, a connection whose response was in progress was closed right after it, although the response, begun before the stop, had announced that the connection stays open. A client that had sent its next request already got a reset.

The new test fails before ("End of file" instead of the second response) and passes after.

--- a/Libraries/LibHTTP/Server.cpp
+++ b/Libraries/LibHTTP/Server.cpp
@@ -309,7 +309,9 @@
         bool keepAlive = true;
         while (keepAlive) {
             keepAlive = co_await self->serveRequest(*connection);
-            keepAlive = keepAlive && !self->m_stopping;
+            // The client was told that the connection stays open, and may have sent its next request already.
+            if (keepAlive && self->m_stopping)
+                self->closeAfterLinger(connection);
         }
         connection->close();
         self->m_connections.erase(connection);
@@ -488,7 +490,7 @@
         }
         --m_requestsInProgress;
         m_progress.notifyAll();
-        co_return writer.isComplete() && writer.keepsAlive() && !m_stopping;
+        co_return writer.isComplete() && writer.keepsAlive();
     }
 
     Core::Runtime& m_runtime;
--- a/Tests/LibHTTP/ClientServerTest.cpp
+++ b/Tests/LibHTTP/ClientServerTest.cpp
@@ -272,3 +272,36 @@
     EXPECT_EQ(receive(idle), "HTTP/1.1 200 OK");
     EXPECT_EQ(receive(queued), "HTTP/1.1 200 OK");
 }
+
+// Guards against a graceful shutdown that resets the next request on a connection whose last response, begun before the shutdown,
+// announced that the connection stays open. The client sends it before it can see that the connection is closed.
+TEST_F(ClientServerTest, StopAcceptingServesTheNextRequestAfterAResponseInProgress)
+{
+    startServer([&](HTTP::Request const& request, HTTP::ResponseWriter& writer) -> Awaitable<void> {
+        if (request.target == "/stream") {
+            (void)co_await writer.begin(200, {});
+            m_server->stopAccepting();
+            (void)co_await writer.write("first");
+            (void)co_await writer.finish();
+            co_return;
+        }
+        co_await echo(request, writer);
+    });
+    boost::asio::io_context clientContext;
+    boost::asio::ip::tcp::socket socket(clientContext);
+    socket.connect({ boost::asio::ip::make_address(m_endpoint.address), m_endpoint.port });
+    auto const runServer = [&] { run([](Core::Runtime& runtime) -> Awaitable<void> { co_await runtime.sleepFor(50ms); }(m_runtime)); };
+    auto const exchange = [&](std::string const& target, std::string const& end) {
+        boost::system::error_code errorCode;
+        boost::asio::write(socket, boost::asio::buffer("GET " + target + " HTTP/1.1\r\nHost: a\r\n\r\n"), errorCode);
+        runServer();
+        std::string response;
+        if (!errorCode)
+            boost::asio::read_until(socket, boost::asio::dynamic_buffer(response), end, errorCode);
+        return errorCode ? errorCode.message() : response.substr(0, response.find("\r\n\r\n") + 2);
+    };
+    EXPECT_EQ(exchange("/stream", "0\r\n\r\n").find("Connection: close"), std::string::npos);
+    auto const next = exchange("/x", "GET /x ");
+    EXPECT_TRUE(next.starts_with("HTTP/1.1 200 OK")) << next;
+    EXPECT_NE(next.find("Connection: close"), std::string::npos) << next;
+}
