LibRouting: Take the cost of waiting from the work, not from the number of slots

Cause: a server with more than 16 slots counted as an engine, others as a plain service whose requests cost 15 ms divided by the slots.

Change: the request says whether tokens are generated. Ruled out: a lower threshold, since plain services have 6 slots and engines may have fewer than 12.

The new test places a request at a full home with 12, 16 and 24 slots; before, it stayed there with 12 and 16.

--- a/Libraries/LibRouting/Placement.cpp
+++ b/Libraries/LibRouting/Placement.cpp
@@ -69,19 +69,20 @@
     // A straggler gets no new requests while the cost of any other server is comparable.
     static constexpr double stragglerFactor = 4;
     auto const load = requestsInProgress(row);
-    // Engines run many requests concurrently; plain services run few, and each request beyond the slots waits.
-    static constexpr std::uint32_t engineSlots = 16;
-    double const perRequest = row.slots > engineSlots ? costs.perEngineRequest : costs.perPlainRequest / std::max(row.slots, 1U);
+    // Requests that a straggler is assumed to have in progress.
+    static constexpr std::uint32_t stragglerRequests = 16;
+    bool const isGeneration = request.work == WorkKind::Generation;
+    double const perRequest = isGeneration ? costs.perEngineRequest : costs.perPlainRequest / std::max(row.slots, 1U);
     // A larger random part would hide which servers are full.
     static constexpr double maximumSlotFraction = 0.5;
     double const unreportedRequests = std::min(costs.unreportedRequests, maximumSlotFraction * std::max(row.slots, 1U)) * random.unit();
     double cost = (load + unreportedRequests) * perRequest;
-    if (row.slots > engineSlots && load > row.slots)
-        cost += (load - row.slots) * costs.perWaitingEngineRequest;
+    if (isGeneration && row.slots > 0 && load >= row.slots)
+        cost += (load + 1 - row.slots) * costs.perWaitingEngineRequest;
     if (request.sharedPrefixHash != 0 && homeRank >= costs.homesPerPrefix)
         cost += request.sharedTokens * costs.perUncachedToken;
     if (row.stragglerState == StragglerState::Straggler)
-        cost = (cost + perRequest) * stragglerFactor + perRequest * engineSlots;
+        cost = (cost + perRequest) * stragglerFactor + perRequest * stragglerRequests;
     if (row.dataCentre != request.dataCentre)
         cost += costs.crossDataCentre;
     if (row.isPartitionSuspected)
--- a/Libraries/LibRouting/Placement.h
+++ b/Libraries/LibRouting/Placement.h
@@ -10,6 +10,14 @@
 
 namespace Routing {
 
+/// What a server does for a request.
+enum class WorkKind {
+    /// An engine generates tokens for many requests in one batch, and each request beyond its slots waits until one ends.
+    Generation,
+    /// A plain service works on each request by itself.
+    Call,
+};
+
 /// The properties of a request that placement depends on.
 struct PlacementRequest {
     std::string service;
@@ -19,6 +27,7 @@
     std::uint32_t sharedTokens { 0 };
     /// Servers that must not be chosen, for example those of failed attempts.
     std::vector<std::string> excludedServers;
+    WorkKind work { WorkKind::Generation };
 
     bool operator==(PlacementRequest const&) const = default;
 };
--- a/Tests/LibRouting/PlacementTest.cpp
+++ b/Tests/LibRouting/PlacementTest.cpp
@@ -194,6 +194,21 @@
     EXPECT_EQ(counts.size(), 9u);
 }
 
+// Load pattern: engines with 12 or 16 slots, whose homes of hot prefixes fill up (tcdrb-hyssop-grown and cypress-grow-large). A request
+// that would wait for a slot is placed at another server, as with engines of many slots.
+TEST(PlacementTest, RequestsDoNotWaitAtAFullEngineWithFewSlots)
+{
+    for (std::uint32_t const slots : { 12U, 16U, 24U }) {
+        auto servers = table(9, slots);
+        Routing::PlacementRequest const request { .service = "model", .dataCentre = "a", .sharedPrefixHash = 7, .sharedTokens = 13300 };
+        auto const home = place(servers, request);
+        Routing::findServer(servers, home)->outstanding = slots / 2;
+        EXPECT_EQ(place(servers, request), home) << slots;
+        Routing::findServer(servers, home)->outstanding = slots + 4;
+        EXPECT_NE(place(servers, request), home) << slots;
+    }
+}
+
 // Servers without the prefix are chosen when the home of a prefix moves to a server that joined, or when the home is overloaded.
 TEST(PlacementTest, ServerWithoutThePrefixGetsACacheSource)
 {
@@ -228,7 +243,7 @@
 {
     auto servers = table(2, 6);
     servers.rows[0].peerOutstanding = 4;
-    EXPECT_EQ(place(servers, { .service = "model", .dataCentre = "a" }), "s1");
+    EXPECT_EQ(place(servers, { .service = "model", .dataCentre = "a", .work = Routing::WorkKind::Call }), "s1");
 }
 
 // Guards against new requests for servers that are leaving, failed recently, or were tried before.
