LibFleet: End calls that need a lease with the lease

Cause: a call of the duties had a deadline of 800 ms, also when the lease ended in 300 ms, and the client did not look at the deadline again after it had connected. A process that was paused between its decision and the call could send it after the lease had ended.

--- a/Libraries/LibFleet/Lease.cpp
+++ b/Libraries/LibFleet/Lease.cpp
@@ -58,6 +58,11 @@
     return m_epoch;
 }
 
+Core::MonotonicTime Lease::callDeadline(Core::Duration timeout) const
+{
+    return m_runtime.now() + std::min(timeout, remaining());
+}
+
 Core::Duration Lease::remaining() const
 {
     if (!m_heldUntil)
--- a/Libraries/LibFleet/Lease.h
+++ b/Libraries/LibFleet/Lease.h
@@ -57,6 +57,10 @@
     /// Time until the lease expires by the local clock; 0 if it is not held.
     [[nodiscard]] Core::Duration remaining() const;
 
+    /// Returns the deadline of a call that only the holder may make: after the timeout, or when the lease ends, whichever is first. A
+    /// process that is paused after it decided to call then does not send the call any more.
+    [[nodiscard]] Core::MonotonicTime callDeadline(Core::Duration timeout) const;
+
 private:
     [[nodiscard]] Core::Awaitable<std::optional<Platform::StoredObject>> observe(Core::MonotonicTime deadline, Core::Error&);
     [[nodiscard]] Core::Awaitable<bool> write(LeaseRecord, Core::MonotonicTime deadline, Core::Error&);
--- a/Tests/LibFleet/LeaseTest.cpp
+++ b/Tests/LibFleet/LeaseTest.cpp
@@ -179,6 +179,24 @@
     EXPECT_EQ(m_newestEpoch, 2U);
 }
 
+// Guards against a call that a paused process sends after its lease has ended.
+TEST_F(LeaseTest, CallsOfTheHolderEndWithItsLease)
+{
+    static constexpr Core::Duration timeout = 800ms;
+    advance(500ms);
+    auto const first = holder();
+    ASSERT_TRUE(first);
+    auto& candidate = *m_candidates[*first];
+    EXPECT_EQ(candidate.leaseManager.lease().callDeadline(timeout), candidate.runtime.now() + timeout);
+    candidate.store.faults.isDown = true;
+    auto const end = candidate.runtime.now() + candidate.leaseManager.lease().remaining();
+    for (int step = 0; step < 40 && candidate.epoch(); ++step) {
+        EXPECT_LE(candidate.leaseManager.lease().callDeadline(timeout), end);
+        advance(100ms);
+    }
+    EXPECT_EQ(candidate.leaseManager.lease().callDeadline(timeout), candidate.runtime.now());
+}
+
 // Guards against a lost response that makes a holder abandon its lease or start a new epoch.
 TEST_F(LeaseTest, LostResponsesAreReadBack)
 {
