LibHTTP, LibForward: Bound what a server in trouble can send

Cause: a chunk extension, a trailer, responses to other requests and interim responses were read without a bound until the deadline; a test server sent 0.7 to 1.1 GB in 6.5 s, which a chunk extension also kept in memory. The event splitter searched all bytes of an incomplete event again for each read.

Change: the receive buffer holds at most a header and 64 KB; eight responses that belong to no request are read, then the connection is closed; interim responses are skipped (RFC 9110, section 15.2); the splitter continues its search. After connecting, the client checks the deadline again, since the process may have been paused.

--- a/Libraries/LibForward/EventSplitter.cpp
+++ b/Libraries/LibForward/EventSplitter.cpp
@@ -18,15 +18,18 @@
 
 std::string EventSplitter::feed(std::string_view bytes)
 {
+    // The end of an event may have begun in the bytes received before; the rest of them was searched already.
+    static constexpr std::size_t maximumEndBytes = 4;
+    std::size_t searchFrom = m_partial.size() < maximumEndBytes ? 0 : m_partial.size() - maximumEndBytes;
     m_partial += bytes;
     std::size_t complete = 0;
     while (true) {
-        auto const rest = std::string_view(m_partial).substr(complete);
-        auto const length = endOfFirstEvent(rest);
-        if (length == std::string_view::npos)
+        auto const end = endOfFirstEvent(std::string_view(m_partial).substr(searchFrom));
+        if (end == std::string_view::npos)
             break;
-        recordEvent(rest.substr(0, length));
-        complete += length;
+        auto const last = searchFrom + end;
+        recordEvent(std::string_view(m_partial).substr(complete, last - complete));
+        complete = searchFrom = last;
     }
     auto events = m_partial.substr(0, complete);
     m_partial.erase(0, complete);
--- a/Libraries/LibHTTP/Client.cpp
+++ b/Libraries/LibHTTP/Client.cpp
@@ -29,8 +29,9 @@
 namespace {
 
 struct Connection {
-    explicit Connection(asio::io_context& context)
+    Connection(asio::io_context& context, std::size_t maximumBufferedBytes)
         : socket(context)
+        , buffer(maximumBufferedBytes)
     {
     }
 
@@ -50,6 +51,9 @@
 using ConnectionPointer = std::unique_ptr<Connection>;
 using BodyParser = beast::http::response_parser<beast::http::buffer_body>;
 
+// Bytes that are read at a time.
+constexpr std::size_t readBufferSize = 64 * 1024;
+
 enum class ConnectionOrigin {
     New,
     Idle,
@@ -171,7 +175,7 @@
             if (auto connection = takeIdle(endpoint, use))
                 co_return AcquiredConnection { std::move(connection), ConnectionOrigin::Idle };
         }
-        auto connection = std::make_unique<Connection>(m_runtime.context());
+        auto connection = std::make_unique<Connection>(m_runtime.context(), m_limits.maximumHeaderBytes + readBufferSize);
         boost::system::error_code addressError;
         tcp::endpoint const remote { asio::ip::make_address(endpoint.address, addressError), endpoint.port };
         if (addressError) {
@@ -240,7 +244,7 @@
         while (bytes.empty() && !m_parser->is_done()) {
             if (!m_connection)
                 co_return Core::fail(error, ErrorKind::BackendAnswerInvalid, "the connection to " + m_endpoint.toString() + " is closed", RunState::Unknown);
-            bytes.resize(readBufferSize);
+            bytes.resize(bodyBufferSize);
             m_parser->get().body().data = bytes.data();
             m_parser->get().body().size = bytes.size();
             boost::system::error_code errorCode;
@@ -275,7 +279,7 @@
     bool isComplete() const override { return m_parser->is_done(); }
 
 private:
-    static constexpr std::size_t readBufferSize = 16 * 1024;
+    static constexpr std::size_t bodyBufferSize = 16 * 1024;
 
     void complete()
     {
@@ -306,6 +310,9 @@
 
 }
 
+// RFC 9110, section 15.2: interim responses precede the final one.
+static constexpr unsigned firstFinalStatus = 200;
+
 static bool hasDelimitedBody(BodyParser const& parser)
 {
     return parser.chunked() || parser.content_length() || parser.is_done();
@@ -350,16 +357,26 @@
     traffic.sentBytes += written;
     // The peer may respond and close before it has read the whole body, so its response is read even if the write failed.
     bool const isHeadRequest = message.method() == beast::http::verb::head;
-    while (true) {
-        auto outcome = co_await readResponseHeaders(connection, isHeadRequest, limits, traffic);
+    // Late responses to earlier requests and interim ones; more come only from a peer that does not stop.
+    static constexpr std::size_t maximumDiscardedResponses = 8;
+    HeaderOutcome outcome;
+    for (std::size_t discarded = 0; discarded <= maximumDiscardedResponses; ++discarded) {
+        outcome = co_await readResponseHeaders(connection, isHeadRequest, limits, traffic);
         if (outcome.errorCode && writeError)
             outcome.errorCode = writeError;
-        if (outcome.errorCode || !matchesRequest || matchesRequest(headersFromFields(outcome.parser->get())))
+        if (outcome.errorCode)
+            co_return outcome;
+        bool const isInterim = outcome.parser->get().result_int() < firstFinalStatus;
+        if (!isInterim && (!matchesRequest || matchesRequest(headersFromFields(outcome.parser->get()))))
             co_return outcome;
+        if (isInterim)
+            continue;
         outcome.errorCode = co_await discardBody(connection, *outcome.parser);
         if (outcome.errorCode)
             co_return outcome;
     }
+    outcome.errorCode = make_error_code(beast::http::error::bad_status);
+    co_return outcome;
 }
 
 static beast::http::request<beast::http::string_body> toBeastRequest(Core::Endpoint const& endpoint, Request& request)
@@ -393,6 +410,11 @@
             error.runState = runState;
             co_return nullptr;
         }
+        // The process may have been paused while it connected.
+        if (m_runtime.now() >= deadline) {
+            Core::fail(error, ErrorKind::DeadlineExceeded, "the deadline passed before the request was sent", runState);
+            co_return nullptr;
+        }
         bool timedOut = false;
         HeaderOutcome outcome;
         {
