--- a/Libraries/LibForward/NodeReport.capnp
+++ b/Libraries/LibForward/NodeReport.capnp
@@ -13,6 +13,12 @@
     inProgress @1 :UInt16;
 }
 
+struct ServerLoadByKey {
+    # Lower half of the hash of the server's id.
+    key @0 :UInt32;
+    inProgress @1 :UInt16;
+}
+
 struct TeamDemand {
     team @0 :Text;
     # In the unit of the team's limit.
@@ -31,7 +37,23 @@
     counts @1 :List(TeamCount);
 }
 
+struct NodeContact {
+    node @0 :Text;
+    dataCentre @1 :Text;
+    endpoint @2 :Text;
+    processorShare @3 :Float32;
+    configurationVersion @4 :UInt64;
+    serversRevision @5 :UInt64;
+    watchesStore @6 :Bool;
+}
+
 struct NodeReport {
+    enum Scope {
+        node @0;
+        dataCentre @1;
+        deployment @2;
+    }
+
     node @0 :Text;
     incarnation @1 :UInt64;
     dataCentre @2 :Text;
@@ -41,6 +63,7 @@
     configurationVersion @5 :UInt64;
     # The store revision up to which the node has read the servers.
     serversRevision @6 :UInt64;
+    # Written by earlier versions; replaced by loadsByKey.
     loads @7 :List(ServerLoad);
     demands @8 :List(TeamDemand);
     usage @9 :List(UsageWindow);
@@ -57,4 +80,15 @@
     intervalMilliseconds @15 :UInt32 = 250;
     # Whether usage, peers, quarantined and some demands are omitted; their values in the last full report remain valid.
     brief @16 :Bool;
+    # What loads, demands and usage cover: the sending node, or all nodes that it knows of its data centre or of the deployment.
+    scope @17 :Scope;
+    # Number of nodes that they cover.
+    nodes @18 :UInt32 = 1;
+    processorShare @19 :Float32;
+    # The node whose sums of the deployment this node uses.
+    aggregator @20 :Text;
+    # In sums of the deployment: nodes that can aggregate, and data centres from which no report arrives.
+    contacts @21 :List(NodeContact);
+    silentDataCentres @22 :List(Text);
+    loadsByKey @23 :List(ServerLoadByKey);
 }
--- a/Libraries/LibForward/NodeReport.capnp.h
+++ b/Libraries/LibForward/NodeReport.capnp.h
@@ -17,10 +17,19 @@
 namespace schemas {
 
 CAPNP_DECLARE_SCHEMA(d2b0a827e01ee05b);
+CAPNP_DECLARE_SCHEMA(843a4a8ed83ba8c3);
 CAPNP_DECLARE_SCHEMA(881b08803c6be60b);
 CAPNP_DECLARE_SCHEMA(e8fcae245c5022d2);
 CAPNP_DECLARE_SCHEMA(92f1cf483f708845);
+CAPNP_DECLARE_SCHEMA(8ff60be171f65749);
 CAPNP_DECLARE_SCHEMA(ae287fdf6ab6901d);
+CAPNP_DECLARE_SCHEMA(ed7c76fa7fab3940);
+enum class Scope_ed7c76fa7fab3940: uint16_t {
+  NODE,
+  DATA_CENTRE,
+  DEPLOYMENT,
+};
+CAPNP_DECLARE_ENUM(Scope, ed7c76fa7fab3940);
 
 }  // namespace schemas
 }  // namespace capnp
@@ -43,6 +52,21 @@
   };
 };
 
+struct ServerLoadByKey {
+  ServerLoadByKey() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(843a4a8ed83ba8c3, 1, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct TeamDemand {
   TeamDemand() = delete;
 
@@ -88,15 +112,32 @@
   };
 };
 
+struct NodeContact {
+  NodeContact() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(8ff60be171f65749, 3, 3)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct NodeReport {
   NodeReport() = delete;
 
   class Reader;
   class Builder;
   class Pipeline;
+  typedef ::capnp::schemas::Scope_ed7c76fa7fab3940 Scope;
+
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ae287fdf6ab6901d, 5, 8)
+    CAPNP_DECLARE_STRUCT_HEADER(ae287fdf6ab6901d, 6, 12)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -186,6 +227,87 @@
 };
 #endif  // !CAPNP_LITE
 
+class ServerLoadByKey::Reader {
+public:
+  typedef ServerLoadByKey Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getKey() const;
+
+  inline  ::uint16_t getInProgress() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class ServerLoadByKey::Builder {
+public:
+  typedef ServerLoadByKey Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getKey();
+  inline void setKey( ::uint32_t value);
+
+  inline  ::uint16_t getInProgress();
+  inline void setInProgress( ::uint16_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class ServerLoadByKey::Pipeline {
+public:
+  typedef ServerLoadByKey Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class TeamDemand::Reader {
 public:
   typedef TeamDemand Reads;
@@ -449,6 +571,127 @@
 };
 #endif  // !CAPNP_LITE
 
+class NodeContact::Reader {
+public:
+  typedef NodeContact Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasNode() const;
+  inline  ::capnp::Text::Reader getNode() const;
+
+  inline bool hasDataCentre() const;
+  inline  ::capnp::Text::Reader getDataCentre() const;
+
+  inline bool hasEndpoint() const;
+  inline  ::capnp::Text::Reader getEndpoint() const;
+
+  inline float getProcessorShare() const;
+
+  inline  ::uint64_t getConfigurationVersion() const;
+
+  inline  ::uint64_t getServersRevision() const;
+
+  inline bool getWatchesStore() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class NodeContact::Builder {
+public:
+  typedef NodeContact Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasNode();
+  inline  ::capnp::Text::Builder getNode();
+  inline void setNode( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initNode(unsigned int size);
+  inline void adoptNode(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownNode();
+
+  inline bool hasDataCentre();
+  inline  ::capnp::Text::Builder getDataCentre();
+  inline void setDataCentre( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initDataCentre(unsigned int size);
+  inline void adoptDataCentre(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownDataCentre();
+
+  inline bool hasEndpoint();
+  inline  ::capnp::Text::Builder getEndpoint();
+  inline void setEndpoint( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initEndpoint(unsigned int size);
+  inline void adoptEndpoint(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownEndpoint();
+
+  inline float getProcessorShare();
+  inline void setProcessorShare(float value);
+
+  inline  ::uint64_t getConfigurationVersion();
+  inline void setConfigurationVersion( ::uint64_t value);
+
+  inline  ::uint64_t getServersRevision();
+  inline void setServersRevision( ::uint64_t value);
+
+  inline bool getWatchesStore();
+  inline void setWatchesStore(bool value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class NodeContact::Pipeline {
+public:
+  typedef NodeContact Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class NodeReport::Reader {
 public:
   typedef NodeReport Reads;
@@ -508,6 +751,24 @@
 
   inline bool getBrief() const;
 
+  inline  ::Forward::wire::NodeReport::Scope getScope() const;
+
+  inline  ::uint32_t getNodes() const;
+
+  inline float getProcessorShare() const;
+
+  inline bool hasAggregator() const;
+  inline  ::capnp::Text::Reader getAggregator() const;
+
+  inline bool hasContacts() const;
+  inline  ::capnp::List< ::Forward::wire::NodeContact,  ::capnp::Kind::STRUCT>::Reader getContacts() const;
+
+  inline bool hasSilentDataCentres() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getSilentDataCentres() const;
+
+  inline bool hasLoadsByKey() const;
+  inline  ::capnp::List< ::Forward::wire::ServerLoadByKey,  ::capnp::Kind::STRUCT>::Reader getLoadsByKey() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -621,6 +882,44 @@
   inline bool getBrief();
   inline void setBrief(bool value);
 
+  inline  ::Forward::wire::NodeReport::Scope getScope();
+  inline void setScope( ::Forward::wire::NodeReport::Scope value);
+
+  inline  ::uint32_t getNodes();
+  inline void setNodes( ::uint32_t value);
+
+  inline float getProcessorShare();
+  inline void setProcessorShare(float value);
+
+  inline bool hasAggregator();
+  inline  ::capnp::Text::Builder getAggregator();
+  inline void setAggregator( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initAggregator(unsigned int size);
+  inline void adoptAggregator(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownAggregator();
+
+  inline bool hasContacts();
+  inline  ::capnp::List< ::Forward::wire::NodeContact,  ::capnp::Kind::STRUCT>::Builder getContacts();
+  inline void setContacts( ::capnp::List< ::Forward::wire::NodeContact,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::Forward::wire::NodeContact,  ::capnp::Kind::STRUCT>::Builder initContacts(unsigned int size);
+  inline void adoptContacts(::capnp::Orphan< ::capnp::List< ::Forward::wire::NodeContact,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::Forward::wire::NodeContact,  ::capnp::Kind::STRUCT>> disownContacts();
+
+  inline bool hasSilentDataCentres();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getSilentDataCentres();
+  inline void setSilentDataCentres( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setSilentDataCentres(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initSilentDataCentres(unsigned int size);
+  inline void adoptSilentDataCentres(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownSilentDataCentres();
+
+  inline bool hasLoadsByKey();
+  inline  ::capnp::List< ::Forward::wire::ServerLoadByKey,  ::capnp::Kind::STRUCT>::Builder getLoadsByKey();
+  inline void setLoadsByKey( ::capnp::List< ::Forward::wire::ServerLoadByKey,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::Forward::wire::ServerLoadByKey,  ::capnp::Kind::STRUCT>::Builder initLoadsByKey(unsigned int size);
+  inline void adoptLoadsByKey(::capnp::Orphan< ::capnp::List< ::Forward::wire::ServerLoadByKey,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::Forward::wire::ServerLoadByKey,  ::capnp::Kind::STRUCT>> disownLoadsByKey();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -677,6 +976,34 @@
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t ServerLoadByKey::Reader::getKey() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t ServerLoadByKey::Builder::getKey() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void ServerLoadByKey::Builder::setKey( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint16_t ServerLoadByKey::Reader::getInProgress() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t ServerLoadByKey::Builder::getInProgress() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void ServerLoadByKey::Builder::setInProgress( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool TeamDemand::Reader::hasTeam() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -835,6 +1162,164 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool NodeContact::Reader::hasNode() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool NodeContact::Builder::hasNode() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader NodeContact::Reader::getNode() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder NodeContact::Builder::getNode() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void NodeContact::Builder::setNode( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder NodeContact::Builder::initNode(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void NodeContact::Builder::adoptNode(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> NodeContact::Builder::disownNode() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool NodeContact::Reader::hasDataCentre() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool NodeContact::Builder::hasDataCentre() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader NodeContact::Reader::getDataCentre() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder NodeContact::Builder::getDataCentre() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void NodeContact::Builder::setDataCentre( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder NodeContact::Builder::initDataCentre(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void NodeContact::Builder::adoptDataCentre(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> NodeContact::Builder::disownDataCentre() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool NodeContact::Reader::hasEndpoint() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool NodeContact::Builder::hasEndpoint() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader NodeContact::Reader::getEndpoint() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder NodeContact::Builder::getEndpoint() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void NodeContact::Builder::setEndpoint( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder NodeContact::Builder::initEndpoint(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void NodeContact::Builder::adoptEndpoint(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> NodeContact::Builder::disownEndpoint() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline float NodeContact::Reader::getProcessorShare() const {
+  return _reader.getDataField<float>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline float NodeContact::Builder::getProcessorShare() {
+  return _builder.getDataField<float>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void NodeContact::Builder::setProcessorShare(float value) {
+  _builder.setDataField<float>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t NodeContact::Reader::getConfigurationVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t NodeContact::Builder::getConfigurationVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void NodeContact::Builder::setConfigurationVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t NodeContact::Reader::getServersRevision() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t NodeContact::Builder::getServersRevision() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void NodeContact::Builder::setServersRevision( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool NodeContact::Reader::getWatchesStore() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
+}
+
+inline bool NodeContact::Builder::getWatchesStore() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
+}
+inline void NodeContact::Builder::setWatchesStore(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool NodeReport::Reader::hasNode() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -1241,6 +1726,188 @@
       ::capnp::bounded<259>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::Forward::wire::NodeReport::Scope NodeReport::Reader::getScope() const {
+  return _reader.getDataField< ::Forward::wire::NodeReport::Scope>(
+      ::capnp::bounded<17>() * ::capnp::ELEMENTS);
+}
+
+inline  ::Forward::wire::NodeReport::Scope NodeReport::Builder::getScope() {
+  return _builder.getDataField< ::Forward::wire::NodeReport::Scope>(
+      ::capnp::bounded<17>() * ::capnp::ELEMENTS);
+}
+inline void NodeReport::Builder::setScope( ::Forward::wire::NodeReport::Scope value) {
+  _builder.setDataField< ::Forward::wire::NodeReport::Scope>(
+      ::capnp::bounded<17>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t NodeReport::Reader::getNodes() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS, 1u);
+}
+
+inline  ::uint32_t NodeReport::Builder::getNodes() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS, 1u);
+}
+inline void NodeReport::Builder::setNodes( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS, value, 1u);
+}
+
+inline float NodeReport::Reader::getProcessorShare() const {
+  return _reader.getDataField<float>(
+      ::capnp::bounded<11>() * ::capnp::ELEMENTS);
+}
+
+inline float NodeReport::Builder::getProcessorShare() {
+  return _builder.getDataField<float>(
+      ::capnp::bounded<11>() * ::capnp::ELEMENTS);
+}
+inline void NodeReport::Builder::setProcessorShare(float value) {
+  _builder.setDataField<float>(
+      ::capnp::bounded<11>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool NodeReport::Reader::hasAggregator() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
+}
+inline bool NodeReport::Builder::hasAggregator() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader NodeReport::Reader::getAggregator() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder NodeReport::Builder::getAggregator() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+inline void NodeReport::Builder::setAggregator( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder NodeReport::Builder::initAggregator(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), size);
+}
+inline void NodeReport::Builder::adoptAggregator(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> NodeReport::Builder::disownAggregator() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+
+inline bool NodeReport::Reader::hasContacts() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS).isNull();
+}
+inline bool NodeReport::Builder::hasContacts() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::Forward::wire::NodeContact,  ::capnp::Kind::STRUCT>::Reader NodeReport::Reader::getContacts() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Forward::wire::NodeContact,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::Forward::wire::NodeContact,  ::capnp::Kind::STRUCT>::Builder NodeReport::Builder::getContacts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Forward::wire::NodeContact,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS));
+}
+inline void NodeReport::Builder::setContacts( ::capnp::List< ::Forward::wire::NodeContact,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Forward::wire::NodeContact,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::Forward::wire::NodeContact,  ::capnp::Kind::STRUCT>::Builder NodeReport::Builder::initContacts(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Forward::wire::NodeContact,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS), size);
+}
+inline void NodeReport::Builder::adoptContacts(
+    ::capnp::Orphan< ::capnp::List< ::Forward::wire::NodeContact,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Forward::wire::NodeContact,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::Forward::wire::NodeContact,  ::capnp::Kind::STRUCT>> NodeReport::Builder::disownContacts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Forward::wire::NodeContact,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS));
+}
+
+inline bool NodeReport::Reader::hasSilentDataCentres() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS).isNull();
+}
+inline bool NodeReport::Builder::hasSilentDataCentres() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader NodeReport::Reader::getSilentDataCentres() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder NodeReport::Builder::getSilentDataCentres() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS));
+}
+inline void NodeReport::Builder::setSilentDataCentres( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS), value);
+}
+inline void NodeReport::Builder::setSilentDataCentres(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder NodeReport::Builder::initSilentDataCentres(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS), size);
+}
+inline void NodeReport::Builder::adoptSilentDataCentres(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> NodeReport::Builder::disownSilentDataCentres() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS));
+}
+
+inline bool NodeReport::Reader::hasLoadsByKey() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<11>() * ::capnp::POINTERS).isNull();
+}
+inline bool NodeReport::Builder::hasLoadsByKey() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<11>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::Forward::wire::ServerLoadByKey,  ::capnp::Kind::STRUCT>::Reader NodeReport::Reader::getLoadsByKey() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Forward::wire::ServerLoadByKey,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<11>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::Forward::wire::ServerLoadByKey,  ::capnp::Kind::STRUCT>::Builder NodeReport::Builder::getLoadsByKey() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Forward::wire::ServerLoadByKey,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<11>() * ::capnp::POINTERS));
+}
+inline void NodeReport::Builder::setLoadsByKey( ::capnp::List< ::Forward::wire::ServerLoadByKey,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Forward::wire::ServerLoadByKey,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<11>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::Forward::wire::ServerLoadByKey,  ::capnp::Kind::STRUCT>::Builder NodeReport::Builder::initLoadsByKey(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Forward::wire::ServerLoadByKey,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<11>() * ::capnp::POINTERS), size);
+}
+inline void NodeReport::Builder::adoptLoadsByKey(
+    ::capnp::Orphan< ::capnp::List< ::Forward::wire::ServerLoadByKey,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Forward::wire::ServerLoadByKey,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<11>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::Forward::wire::ServerLoadByKey,  ::capnp::Kind::STRUCT>> NodeReport::Builder::disownLoadsByKey() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Forward::wire::ServerLoadByKey,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<11>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 
--- a/Libraries/LibForward/NodeReport.cpp
+++ b/Libraries/LibForward/NodeReport.cpp
@@ -13,6 +13,11 @@
     return XXH3_64bits(id.data(), id.size());
 }
 
+std::uint32_t serverKey(std::string_view id)
+{
+    return static_cast<std::uint32_t>(hashId(id));
+}
+
 NodeReport briefReport(NodeReport const& report, NodeReport const& before)
 {
     auto brief = report;
@@ -20,6 +25,9 @@
     brief.usage.clear();
     brief.peers.clear();
     brief.quarantined.clear();
+    brief.contacts.clear();
+    if (report.scope != ReportScope::Node)
+        return brief;
     std::erase_if(brief.demands, [&](auto const& item) {
         auto const known = before.demands.find(item.first);
         return known != before.demands.end() && known->second.admitted == item.second.admitted && known->second.perSecond >= item.second.perSecond;
@@ -42,6 +50,21 @@
     }
 }
 
+static void encodeContacts(std::vector<NodeContact> const& contacts, capnp::List<wire::NodeContact>::Builder list)
+{
+    unsigned index = 0;
+    for (auto const& contact : contacts) {
+        auto entry = list[index++];
+        entry.setNode(contact.node);
+        entry.setDataCentre(contact.dataCentre);
+        entry.setEndpoint(contact.endpoint);
+        entry.setProcessorShare(contact.processorShare);
+        entry.setConfigurationVersion(contact.configurationVersion);
+        entry.setServersRevision(contact.serversRevision);
+        entry.setWatchesStore(contact.watchesStore);
+    }
+}
+
 std::string encodeReport(NodeReport const& report)
 {
     capnp::MallocMessageBuilder message;
@@ -58,10 +81,10 @@
     root.setFollowsStore(report.watchesStore);
     root.setBrief(report.isBrief);
     root.setIntervalMilliseconds(static_cast<std::uint32_t>(report.interval.count()));
-    auto loads = root.initLoads(static_cast<unsigned>(report.loads.size()));
+    auto loads = root.initLoadsByKey(static_cast<unsigned>(report.loads.size()));
     unsigned index = 0;
     for (auto const& [server, inProgress] : report.loads) {
-        loads[index].setServer(server);
+        loads[index].setKey(server);
         loads[index++].setInProgress(inProgress);
     }
     auto demands = root.initDemands(static_cast<unsigned>(report.demands.size()));
@@ -78,6 +101,14 @@
     auto quarantined = root.initQuarantined(static_cast<unsigned>(report.quarantined.size()));
     for (unsigned i = 0; i < quarantined.size(); ++i)
         quarantined.set(i, report.quarantined[i]);
+    root.setScope(static_cast<wire::NodeReport::Scope>(report.scope));
+    root.setNodes(report.nodes);
+    root.setProcessorShare(report.processorShare);
+    root.setAggregator(report.aggregator);
+    encodeContacts(report.contacts, root.initContacts(static_cast<unsigned>(report.contacts.size())));
+    auto silent = root.initSilentDataCentres(static_cast<unsigned>(report.silentDataCentres.size()));
+    for (unsigned i = 0; i < silent.size(); ++i)
+        silent.set(i, report.silentDataCentres[i]);
 
     kj::VectorOutputStream output;
     capnp::writePackedMessage(output, message);
@@ -101,7 +132,9 @@
     report.interval = std::chrono::milliseconds(root.getIntervalMilliseconds());
     report.isBrief = root.getBrief();
     for (auto const load : root.getLoads())
-        report.loads[load.getServer()] = load.getInProgress();
+        report.loads[static_cast<std::uint32_t>(load.getServer())] = load.getInProgress();
+    for (auto const load : root.getLoadsByKey())
+        report.loads[load.getKey()] = load.getInProgress();
     for (auto const demand : root.getDemands())
         report.demands[demand.getTeam()] = { demand.getPerSecond(), demand.getAdmitted() };
     for (auto const window : root.getUsage()) {
@@ -112,6 +145,17 @@
         report.peers.emplace_back(peer);
     for (auto const fingerprint : root.getQuarantined())
         report.quarantined.push_back(fingerprint);
+    // A newer sender may use a scope that this version does not know.
+    if (root.getScope() > wire::NodeReport::Scope::DEPLOYMENT)
+        return {};
+    report.scope = static_cast<ReportScope>(root.getScope());
+    report.nodes = root.getNodes();
+    report.processorShare = root.getProcessorShare();
+    report.aggregator = root.getAggregator();
+    for (auto const contact : root.getContacts())
+        report.contacts.push_back({ contact.getNode(), contact.getDataCentre(), contact.getEndpoint(), contact.getProcessorShare(), contact.getConfigurationVersion(), contact.getServersRevision(), contact.getWatchesStore() });
+    for (auto const dataCentre : root.getSilentDataCentres())
+        report.silentDataCentres.emplace_back(dataCentre);
     return report;
 }
 
--- a/Libraries/LibForward/NodeReport.h
+++ b/Libraries/LibForward/NodeReport.h
@@ -21,8 +21,33 @@
     bool operator==(TeamDemand const&) const = default;
 };
 
-/// The state that a node sends to all others a few times a second.
+/// What the loads, demands and usage of a report cover.
+enum class ReportScope : std::uint8_t {
+    /// The sending node.
+    Node,
+    /// All nodes of the sender's data centre.
+    DataCentre,
+    /// All nodes.
+    Deployment,
+};
+
+/// A node that can aggregate reports and that others may fetch data from.
+struct NodeContact {
+    std::string node;
+    std::string dataCentre;
+    /// "address:port" at which the node receives datagrams.
+    std::string endpoint;
+    float processorShare { 0 };
+    std::uint64_t configurationVersion { 0 };
+    std::uint64_t serversRevision { 0 };
+    bool watchesStore { false };
+
+    bool operator==(NodeContact const&) const = default;
+};
+
+/// The state that nodes send to each other a few times a second.
 struct NodeReport {
+    /// The sender.
     std::string node;
     std::uint64_t incarnation { 0 };
     std::string dataCentre;
@@ -32,25 +57,36 @@
     std::uint64_t configurationVersion { 0 };
     /// The store revision up to which the node has read the servers.
     std::uint64_t serversRevision { 0 };
-    /// Requests in progress, by hashId().
-    std::map<std::uint64_t, std::uint16_t> loads;
+    /// Requests in progress, by serverKey().
+    std::map<std::uint32_t, std::uint16_t> loads;
     /// By team.
     std::map<std::string, TeamDemand> demands;
-    /// The node's own usage counts for recent windows.
+    /// Usage counts for recent windows.
     CountsByWindow usage;
     /// Endpoints of the other nodes whose reports it receives.
     std::vector<std::string> peers;
     /// Fingerprints of requests that crashed servers.
     std::vector<std::uint64_t> quarantined;
     bool isLeaving { false };
-    /// Whether it holds the lease for the duties that only one node performs at a time.
+    /// Whether a node in the scope holds the lease for the duties that only one node performs at a time.
     bool holdsDuties { false };
     /// Whether it watches the platform's store itself, without errors.
     bool watchesStore { false };
     /// Interval between its reports.
     std::chrono::milliseconds interval { 250 };
-    /// Whether usage, peers, quarantined requests and some demands are omitted.
+    /// Whether usage, peers, contacts, quarantined requests and, for a single node, some demands are omitted.
     bool isBrief { false };
+    ReportScope scope { ReportScope::Node };
+    /// Number of nodes in the scope.
+    std::uint32_t nodes { 1 };
+    /// The sender's share of a processor core.
+    float processorShare { 0 };
+    /// The node whose sums of the deployment the sender uses; empty if it uses none.
+    std::string aggregator;
+    /// For the scope Deployment: the highest ranked nodes of each data centre.
+    std::vector<NodeContact> contacts;
+    /// For the scope Deployment: data centres from which no node has reported recently.
+    std::vector<std::string> silentDataCentres;
 
     bool operator==(NodeReport const&) const = default;
 };
@@ -59,9 +95,12 @@
 /// whose demand did not grow and that had no admissions since the previous report. Thread safe.
 [[nodiscard]] NodeReport briefReport(NodeReport const&, NodeReport const& before);
 
-/// XXH3 hash of the id of a server or node. Reports identify servers by it. Thread safe.
+/// XXH3 hash of the id of a server or node. Thread safe.
 [[nodiscard]] std::uint64_t hashId(std::string_view id);
 
+/// The lower half of hashId(), by which reports identify servers; two servers with the same key only share their load. Thread safe.
+[[nodiscard]] std::uint32_t serverKey(std::string_view id);
+
 /// Encodes a report as packed Cap'n Proto. Thread safe.
 [[nodiscard]] std::string encodeReport(NodeReport const&);
 
--- a/Libraries/LibForward/PeerTable.h
+++ b/Libraries/LibForward/PeerTable.h
@@ -10,7 +10,9 @@
 
 namespace Forward {
 
-/// The other nodes, as known from their reports. Not thread safe.
+/// The other nodes, as known from their reports. Up to some tens of nodes, every node reports to all others. In a larger deployment a
+/// node reports to two aggregating nodes of its data centre, which exchange sums with those of the other data centres and return sums of
+/// the whole deployment; see NodeExchange.h. Not thread safe.
 struct PeerTable {
     /// This node's own last report.
     NodeReport own;
@@ -19,11 +21,37 @@
         Core::MonotonicTime lastReportAt;
         /// The peer's wall clock minus this node's, when the report arrived.
         std::chrono::milliseconds clockOffset { 0 };
+        /// The row's fraction of each team's demand when it last reported; see recordDemandShares().
+        std::map<std::string, double> demandShares {};
+        bool isSilent { false };
 
         bool operator==(Row const&) const = default;
     };
+    /// Single nodes.
     std::map<std::string, Row> rows;
-    /// When the first report of a new node last arrived.
+    /// Sums of other data centres and of the deployment, by the node that computed them.
+    std::map<std::string, Row> dataCentreRows;
+    std::map<std::string, Row> deploymentRows;
+    /// Nodes named in sums; their reports hold only what a NodeContact does.
+    std::map<std::string, Row> contacts;
+    /// Whether the nodes are too many for each to report to all others.
+    bool isAggregated { false };
+    /// The node in `deploymentRows` whose sums are used; empty if this node's own are.
+    std::string aggregator;
+    /// By data centre, the node in `dataCentreRows` whose sums are used.
+    std::map<std::string, std::string> dataCentreSources;
+    /// What the other nodes of the own data centre, and all other nodes, were observed to admit, by team.
+    std::map<std::string, double> dataCentreAdmissions;
+    std::map<std::string, double> deploymentAdmissions;
+    /// The part of `own` admissions that the last sums of the deployment were assumed to contain, by team.
+    std::map<std::string, double> ownAdmissionsInSums;
+    /// This node's fraction of each team's demand when it last knew that of the others.
+    std::map<std::string, double> ownDemandShares;
+    /// Whether it knew that of the others in the last round; see reportDelay().
+    bool isInformed { true };
+    /// The largest number of nodes known so far, this one included.
+    std::size_t knownNodes { 1 };
+    /// When the number of known nodes last grew.
     Core::MonotonicTime lastNewPeerAt;
     /// Endpoints of possible nodes, from settings, the store and reports, with the time of their last mention.
     std::map<Core::Endpoint, Core::MonotonicTime> candidates;
@@ -41,6 +69,22 @@
 /// Returns what the node admitted since its previous report, by team. Precondition: the report is not merged yet.
 [[nodiscard]] std::map<std::string, double> newAdmissions(PeerTable const&, NodeReport const&);
 
+/// Returns whether a row has reported so recently that at most four consecutive reports are missing. Thread safe.
+[[nodiscard]] bool isLive(PeerTable::Row const&, Core::MonotonicTime now);
+
+/// Returns the rows that together cover the other nodes, each node once: single nodes and sums. Sums of the deployment also contain this
+/// node. The pointers are valid until the table changes.
+[[nodiscard]] std::vector<PeerTable::Row const*> coveringRows(PeerTable const&);
+
+/// The same without the sums of the deployment that another node computed: what this node sums itself.
+[[nodiscard]] std::vector<PeerTable::Row const*> directlyCoveringRows(PeerTable const&);
+
+/// Returns the number of nodes, this one included, that the covering rows contain.
+[[nodiscard]] std::size_t countNodes(PeerTable const&);
+
+/// Returns whether another live node holds the lease for the duties.
+[[nodiscard]] bool areDutiesHeldElsewhere(PeerTable const&, Core::MonotonicTime now);
+
 /// Drops nodes that have been silent for too long, and candidates that are no longer mentioned.
 void expirePeers(PeerTable&, Core::MonotonicTime now);
 
@@ -51,6 +95,14 @@
 /// Returns the interval between two full reports of a node; the reports between them are brief. Thread safe.
 [[nodiscard]] std::chrono::milliseconds fullReportInterval(std::size_t peers);
 
+/// Number of nodes of each data centre that sum the reports of the others, in a deployment too large for direct reports. One may fail.
+inline constexpr std::size_t aggregatorsPerDataCentre = 2;
+
+/// The order in which the nodes of a data centre are chosen for work on behalf of the others: those with more processor first, then by
+/// the hash of their names, so that all nodes agree without coordination.
+using NodeRank = std::pair<float, std::uint64_t>;
+[[nodiscard]] NodeRank nodeRank(NodeReport const&);
+
 /// When a full report was last sent to each endpoint.
 using FullReportTimes = std::map<Core::Endpoint, Core::MonotonicTime>;
 
@@ -78,17 +130,31 @@
 /// Returns the number of live peers: other nodes of which at most four consecutive reports are missing.
 [[nodiscard]] std::size_t countLivePeers(PeerTable const&, Core::MonotonicTime now);
 
+/// Returns the interval between two reports of this node. Thread safe.
+[[nodiscard]] std::chrono::milliseconds spreadInterval(PeerTable const&);
+
+/// Returns the time after which this node knows what the others admit: the interval of their reports, or the maximum while many of the
+/// nodes that reported recently are silent, as behind a partition. Thread safe.
+[[nodiscard]] std::chrono::milliseconds reportDelay(PeerTable const&, Core::MonotonicTime now);
+
 /// Returns this node's share of a team's limit, a fraction, by the nodes' reported demand; see Limits::nodeLimitFraction(). The node's own
 /// demand is also the last reported one: with the current one, every node would overestimate its share while demand grows everywhere.
-/// A silent node keeps its last share for a while, since it may still serve clients behind a partition.
+/// A silent node keeps its last share for a while, since it may still serve clients behind a partition, and a node that does not hear
+/// the others keeps its own: demand that grows on both sides must not be admitted by both.
 [[nodiscard]] double demandBasedShare(PeerTable const&, std::string const& team);
 
+/// Returns the fraction of a team's limit that nodes keep which have been silent for some rounds, at most 0.95.
+[[nodiscard]] double silentShare(PeerTable const&, std::string const& team);
+
+/// Records which part of each team's demand every node has, for the time when it is silent. Called once in each round of reports.
+void recordDemandShares(PeerTable&, Core::MonotonicTime now);
+
 /// Returns whether all nodes of another data centre are silent without having announced that they leave. This detects partitions
 /// between data centres sooner than requests that time out at one server after the other.
 [[nodiscard]] bool isPartitionSuspected(PeerTable const&, std::string const& dataCentre, Core::MonotonicTime now);
 
-/// Returns the requests in progress at a server that all other live nodes report.
-[[nodiscard]] std::uint32_t peerLoad(PeerTable const&, std::uint64_t server, Core::MonotonicTime now);
+/// Returns the requests in progress at a server over all other live nodes, by serverKey().
+[[nodiscard]] std::uint32_t peerLoad(PeerTable const&, std::uint32_t server, Core::MonotonicTime now);
 
 /// Returns the median offset of all live nodes' wall clocks from this node's, so that jumps of single clocks have no effect.
 [[nodiscard]] std::chrono::milliseconds medianClockOffset(PeerTable const&, Core::MonotonicTime now);
--- a/Libraries/LibForward/TeamQuota.cpp
+++ b/Libraries/LibForward/TeamQuota.cpp
@@ -29,15 +29,15 @@
 double admissionShare(QuotaTable const& table, PeerTable const& peers, std::size_t servers, std::string const& team, Core::MonotonicTime now)
 {
     using namespace std::chrono_literals;
-    // Upper end of the range in deployments, which have 0.5 to 0.75 nodes for each server.
-    static constexpr double nodesPerServer = 0.75;
+    // Upper end of the range in deployments.
+    static constexpr double nodesPerServer = 1.5;
     // Slightly longer than the interval between two reports.
     static constexpr Core::Duration settlingTime = 300ms;
     static constexpr Core::Duration discoveryTime = 1500ms;
     bool const isNew = table.initialQuota == InitialQuota::Empty && now - table.startedAt < discoveryTime;
-    bool const hasDiscoveredPeers = !peers.rows.empty() && now - peers.lastNewPeerAt > settlingTime;
+    bool const hasDiscoveredPeers = peers.knownNodes > 1 && now - peers.lastNewPeerAt > settlingTime;
     if (isNew && !hasDiscoveredPeers)
-        return 1 / std::max(nodesPerServer * static_cast<double>(servers), static_cast<double>(peers.rows.size() + 1));
+        return 1 / std::max(nodesPerServer * static_cast<double>(servers), static_cast<double>(peers.knownNodes));
     return demandBasedShare(peers, team);
 }
 
@@ -48,15 +48,25 @@
         found->second.deploymentBucket.level -= admittedElsewhere;
 }
 
+// The factor on the rate while an excess is repaid, which is the lower the larger the excess: with many nodes more is admitted before all
+// of them know that the burst is used up.
+static double repaymentFactor(double level, double capacity)
+{
+    static constexpr double highestFactor = 0.95;
+    static constexpr double lowestFactor = 0.6;
+    if (level >= 0)
+        return 1;
+    return std::max(highestFactor + level / capacity * (highestFactor - lowestFactor), lowestFactor);
+}
+
 std::optional<std::chrono::milliseconds> admitToQuota(QuotaTable& table, Team const& team, double cost, double share, QuotaTolerance const& tolerance, Core::MonotonicTime now)
 {
     // The rest of the slack covers what the nodes admit before they receive each other's reports.
     static constexpr double usableSlackFraction = 0.4;
     // A team whose traffic multiplies uses up this fraction of the burst within about the delay of the reports.
     static constexpr double reservedFraction = 0.5;
-    // Fraction of the burst that a node's share may accumulate, and factor on the rate until an excess is repaid.
+    // Fraction of the burst that a node's share may accumulate.
     static constexpr double nodeBurstFraction = 0.25;
-    static constexpr double repaymentRateFactor = 0.95;
     static double const arrivalWeight = std::log(2.0) / demandHalfLifeSeconds;
     auto [position, isNew] = table.rows.try_emplace(team.name);
     auto& row = position->second;
@@ -69,12 +79,12 @@
     if (isNew && table.initialQuota == InitialQuota::Empty)
         row.deploymentBucket = { .level = -nodeBurstFraction * capacity, .refilledAt = table.startedAt, .initialized = true };
     // Refill the bucket without taking anything.
-    (void)Limits::takeFromBucket(row.deploymentBucket, 0, team.ratePerSecond, capacity, now);
+    (void)Limits::takeFromBucket(row.deploymentBucket, 0, team.ratePerSecond * (1 - tolerance.silentShare), capacity, now);
     // With many nodes the reports arrive too late to show when the burst is used up.
     static constexpr std::chrono::milliseconds maximumReportInterval { 500 };
     bool const hasHeadroom = tolerance.reportInterval <= maximumReportInterval && row.deploymentBucket.level >= reservedFraction * capacity;
     if (!hasHeadroom) {
-        double const rate = team.ratePerSecond * share * (row.deploymentBucket.level < 0 ? repaymentRateFactor : 1);
+        double const rate = team.ratePerSecond * share * repaymentFactor(row.deploymentBucket.level, capacity);
         auto const wait = Limits::takeFromBucket(row.nodeBucket, cost, rate, std::max(capacity * nodeBurstFraction * share, 1.0), now);
         if (wait)
             return std::chrono::ceil<std::chrono::milliseconds>(*wait);
--- a/Libraries/LibForward/TeamQuota.h
+++ b/Libraries/LibForward/TeamQuota.h
@@ -14,8 +14,10 @@
     std::chrono::seconds window { 8 };
     /// Units by which the admissions of a window may exceed the limit.
     double slack { 0 };
-    /// Interval at which the nodes report their admissions to each other.
+    /// Interval at which the nodes report their admissions to each other; see reportDelay().
     std::chrono::milliseconds reportInterval { 250 };
+    /// The part of the limit that nodes use which are silent; see silentShare().
+    double silentShare { 0 };
 
     bool operator==(QuotaTolerance const&) const = default;
 };
--- a/Services/Edge/DutyRunner.cpp
+++ b/Services/Edge/DutyRunner.cpp
@@ -101,11 +101,11 @@
             (void)co_await m_lease.renew(now + callTimeout, error);
         }
     } else {
-        bool const isHeldElsewhere = std::any_of(m_tables.peers.rows.begin(), m_tables.peers.rows.end(), [&](auto const& item) {
-            return item.second.report.holdsDuties && now - item.second.lastReportAt <= checkInterval * 2;
-        });
+        bool const isHeldElsewhere = Forward::areDutiesHeldElsewhere(m_tables.peers, now);
+        // The others would only add calls to the store, and in a large deployment lack the usage counts.
+        bool const isCandidate = Forward::shouldWatchStore(m_tables.peers, m_settings.nodeId, m_settings.dataCentre, now);
         bool const isReacquireAllowed = m_leaseLostAt == Core::MonotonicTime {} || now - m_leaseLostAt > m_settings.leaseDuration + leaseMargin;
-        if (!isHeldElsewhere && isReacquireAllowed && !m_tables.isDraining && now - m_acquireAttemptedAt >= acquireInterval) {
+        if (isCandidate && !isHeldElsewhere && isReacquireAllowed && !m_tables.isDraining && now - m_acquireAttemptedAt >= acquireInterval) {
             m_acquireAttemptedAt = now;
             m_renewedAt = now;
             (void)co_await m_lease.acquire(now + callTimeout, error);
@@ -200,7 +200,7 @@
 Core::Awaitable<void> DutyRunner::reportUsage()
 {
     // The other nodes' last reports about a window arrive within this time after its end.
-    static constexpr std::int64_t settlingMilliseconds = 1500;
+    std::int64_t const settlingMilliseconds = m_tables.peers.isAggregated ? 2500 : 1500;
     static constexpr std::int64_t maximumPendingWindows = 2;
     auto const length = m_settings.usageWindow.count();
     auto const newest = Forward::usageWindow(medianUnixMilliseconds() - settlingMilliseconds, length) - 1;
@@ -228,7 +228,7 @@
         auto const credentials = currentCredentials();
         if (!credentials)
             co_return;
-        bool const isAccepted = co_await m_dutyApi.reportUsage(*credentials, window, m_recordedCounts.at(window), m_runtime.now() + callTimeout, error);
+        bool const isAccepted = co_await m_dutyApi.reportUsage(*credentials, window, m_recordedCounts.at(window), m_lease.callDeadline(callTimeout), error);
         Core::logEvent(isAccepted ? Core::LogLevel::Info : Core::LogLevel::Warning, "usage_reported", { { "window", std::int64_t(window) }, { "teams", std::uint64_t(m_recordedCounts.at(window).size()) }, { "epoch", std::uint64_t(credentials->token) }, { "accepted", isAccepted ? "yes" : "no" }, { "reason", isAccepted ? std::string() : error.message } });
         if (!isAccepted)
             co_return;
@@ -270,7 +270,7 @@
             if (!credentials)
                 co_return;
             Core::Error error;
-            bool const isAccepted = co_await m_dutyApi.orderServers(*credentials, order, m_runtime.now() + callTimeout, error);
+            bool const isAccepted = co_await m_dutyApi.orderServers(*credentials, order, m_lease.callDeadline(callTimeout), error);
             Forward::recordOrder(m_orderTable, order, isAccepted, m_runtime.now());
             Core::logEvent(Core::LogLevel::Info, "servers_ordered", { { "service", order.service }, { "data_centre", order.dataCentre }, { "reclaimable", order.reclaimable ? "yes" : "no" }, { "desired", order.desired }, { "accepted", isAccepted ? "yes" : "no" }, { "reason", isAccepted ? std::string() : error.message } });
         }
--- a/Services/Edge/EdgeService.cpp
+++ b/Services/Edge/EdgeService.cpp
@@ -146,6 +146,7 @@
     m_metrics.gauge("hyssopstep_server_connections_opened").set(static_cast<double>(traffic.newConnections));
     m_metrics.gauge("hyssopstep_servers").set(static_cast<double>(m_tables.servers.rows.size()));
     m_metrics.gauge("hyssopstep_peers").set(static_cast<double>(Forward::countLivePeers(m_tables.peers, m_runtime.now())));
+    m_metrics.gauge("hyssopstep_exchange_aggregated").set(m_tables.peers.isAggregated ? 1 : 0);
     m_metrics.gauge("hyssopstep_configuration_version").set(static_cast<double>(m_tables.routes ? m_tables.routes->version : 0));
     HTTP::Response response;
     response.headers.add("Content-Type", "text/plain; version=0.0.4");
@@ -168,7 +169,7 @@
     report.serversRevision = m_tables.serversRevision;
     for (auto const& row : m_tables.servers.rows) {
         if (row.outstanding > 0)
-            report.loads[Forward::hashId(row.id)] = static_cast<std::uint16_t>(std::min<std::uint32_t>(row.outstanding, UINT16_MAX));
+            report.loads[Forward::serverKey(row.id)] = static_cast<std::uint16_t>(std::min<std::uint32_t>(row.outstanding, UINT16_MAX));
     }
     for (auto const& [team, row] : m_tables.quotas.rows)
         report.demands[team] = { static_cast<float>(Forward::quotaDemand(m_tables.quotas, team, now)), row.admitted };
@@ -187,7 +188,8 @@
         report.quarantined.push_back(fingerprint);
     report.isLeaving = m_tables.isDraining;
     report.watchesStore = m_storeWatcher.isWatchingStore();
-    report.interval = Forward::reportInterval(m_tables.peers.rows.size());
+    report.interval = Forward::spreadInterval(m_tables.peers);
+    report.processorShare = static_cast<float>(m_settings.processorShare);
     report.holdsDuties = m_dutyRunner && m_dutyRunner->holdsDuties();
     return report;
 }
@@ -197,9 +199,13 @@
     auto const now = m_runtime.now();
     m_peerExchange.tick();
     m_storeWatcher.tick();
+    std::map<std::string, bool> suspected;
     for (auto& row : m_tables.servers.rows) {
-        row.peerOutstanding = Forward::peerLoad(m_tables.peers, Forward::hashId(row.id), now);
-        row.isPartitionSuspected = row.dataCentre != m_settings.dataCentre && Forward::isPartitionSuspected(m_tables.peers, row.dataCentre, now);
+        row.peerOutstanding = Forward::peerLoad(m_tables.peers, Forward::serverKey(row.id), now);
+        auto const [found, isNew] = suspected.try_emplace(row.dataCentre);
+        if (isNew)
+            found->second = row.dataCentre != m_settings.dataCentre && Forward::isPartitionSuspected(m_tables.peers, row.dataCentre, now);
+        row.isPartitionSuspected = found->second;
     }
     // The fraction of the requests that a peer places between two reports which goes to servers of the same placement cost here.
     static constexpr double unreportedRequestsPerPeer = 0.25;
@@ -210,6 +216,7 @@
     static constexpr std::int64_t retainedWindows = 6;
     auto const unixTime = std::chrono::duration_cast<std::chrono::milliseconds>(m_runtime.wallNow().time_since_epoch()).count();
     Forward::dropWindowsBefore(m_tables.usage, Forward::usageWindow(unixTime, m_settings.usageWindow.count()) - retainedWindows);
+    m_tables.usage.dataCentres[m_settings.nodeId] = m_settings.dataCentre;
     if (m_tables.routes && m_tables.routes->version != m_limitsVersion) {
         m_limitsVersion = m_tables.routes->version;
         auto const& limits = m_tables.routes->limits;
--- a/Services/Edge/EdgeSettings.cpp
+++ b/Services/Edge/EdgeSettings.cpp
@@ -25,6 +25,7 @@
 DEFINE_double(usage_window_s, 5, "length of a usage window in seconds");
 DEFINE_double(lease_ms, 3000, "milliseconds during which a former lease holder must not acquire the duties again");
 DEFINE_double(grace_s, 8, "seconds from SIGTERM until the platform kills the process");
+DEFINE_double(processor_share, 1, "processor cores that this host gives the process; hosts with more work for the others");
 DEFINE_double(retry_ratio, 0.1, "retries per request of a service, across all nodes");
 DEFINE_double(retry_window_s, 10, "seconds over which retries are counted");
 DEFINE_double(retry_slack, 10, "retries per window in addition to the ratio, across all nodes");
@@ -57,6 +58,7 @@
             { "usage_window_s", "s, 1 to 3600", "" },
             { "lease_ms", "ms, 500 to 60000", "" },
             { "grace_s", "s, 1 to 3600", "" },
+            { "processor_share", "cores, above 0", "" },
             { "retry_ratio", "0 to 1", "" },
             { "retry_window_s", "s, 1 to 3600", "" },
             { "retry_slack", "", "" },
@@ -125,6 +127,8 @@
     checker.checkRange("usage_window_s", static_cast<std::int64_t>(FLAGS_usage_window_s), 1, 3600, "s");
     checker.checkRange("lease_ms", static_cast<std::int64_t>(FLAGS_lease_ms), 500, 60000, "ms");
     checker.checkRange("grace_s", static_cast<std::int64_t>(FLAGS_grace_s), 1, 3600, "s");
+    if (FLAGS_processor_share <= 0)
+        checker.addError("processor_share", std::to_string(FLAGS_processor_share), "a number of cores above 0");
     checker.checkRange("retry_window_s", static_cast<std::int64_t>(FLAGS_retry_window_s), 1, 3600, "s");
     checker.checkRange("quota_window_s", static_cast<std::int64_t>(FLAGS_quota_window_s), 1, 3600, "s");
     errors.insert(errors.end(), checker.errors().begin(), checker.errors().end());
@@ -154,6 +158,7 @@
     settings.usageWindow = toMilliseconds(FLAGS_usage_window_s);
     settings.leaseDuration = std::chrono::milliseconds(static_cast<std::int64_t>(FLAGS_lease_ms));
     settings.gracePeriod = toMilliseconds(FLAGS_grace_s);
+    settings.processorShare = FLAGS_processor_share;
     settings.retryRatio = FLAGS_retry_ratio;
     settings.retryWindow = toMilliseconds(FLAGS_retry_window_s);
     settings.retrySlack = FLAGS_retry_slack;
--- a/Services/Edge/EdgeSettings.h
+++ b/Services/Edge/EdgeSettings.h
@@ -35,6 +35,8 @@
     std::chrono::milliseconds leaseDuration { 3000 };
     /// Time from SIGTERM until the platform kills the process.
     std::chrono::milliseconds gracePeriod { 8000 };
+    /// This host's share of a processor core; hosts with more of it are preferred for work on behalf of other nodes.
+    double processorShare { 1 };
     double retryRatio { 0.1 };
     std::chrono::milliseconds retryWindow { 10000 };
     double retrySlack { 10 };
--- a/Services/Edge/PeerExchange.cpp
+++ b/Services/Edge/PeerExchange.cpp
@@ -65,12 +65,12 @@
         return;
     auto const now = m_runtime.now();
     auto const unixTime = std::chrono::duration_cast<std::chrono::milliseconds>(m_runtime.wallNow().time_since_epoch()).count();
-    Forward::mergeCounts(m_tables.usage, report->node, report->incarnation, report->usage);
+    mergeUsage(*report);
     for (auto const fingerprint : report->quarantined)
         Limits::mergeQuarantined(m_tables.quarantine, fingerprint, now + std::chrono::minutes(1));
     for (auto const& [team, amount] : Forward::newAdmissions(m_tables.peers, *report))
         Forward::chargeQuota(m_tables.quotas, team, amount);
-    bool const isNew = !m_tables.peers.rows.contains(report->node);
+    bool const isNew = report->scope == Forward::ReportScope::Node && !m_tables.peers.rows.contains(report->node);
     auto const node = report->node;
     auto const endpoint = report->endpoint;
     bool const isMerged = Forward::mergeReport(m_tables.peers, std::move(*report), unixTime, now);
@@ -80,38 +80,43 @@
         m_reportListener();
 }
 
+void PeerExchange::mergeUsage(Forward::NodeReport const& report)
+{
+    if (report.scope == Forward::ReportScope::Node)
+        Forward::mergeCounts(m_tables.usage, report.node, report.incarnation, report.usage, report.dataCentre);
+    else
+        Forward::mergeSums(m_tables.usage, report.scope == Forward::ReportScope::DataCentre ? report.dataCentre : std::string(), report.usage);
+}
+
 void PeerExchange::tick()
 {
     auto const now = m_runtime.now();
-    for (auto const& address : m_settings.seedAddresses)
-        Forward::addCandidate(m_tables.peers, { address, m_settings.peerListen.port }, now);
+    m_exchange.seeds.clear();
+    for (auto const& address : m_settings.seedAddresses) {
+        m_exchange.seeds.push_back({ address, m_settings.peerListen.port });
+        Forward::addCandidate(m_tables.peers, m_exchange.seeds.back(), now);
+    }
     auto const before = m_tables.peers.rows.size();
     Forward::expirePeers(m_tables.peers, now);
     if (m_tables.peers.rows.size() < before)
         Core::logEvent(Core::LogLevel::Info, "peer_gone", { { "peers", std::uint64_t(m_tables.peers.rows.size()) } });
-    if (now - m_lastSentAt + tickTolerance < Forward::reportInterval(m_tables.peers.rows.size()))
+    if (now - m_lastSentAt + tickTolerance < Forward::spreadInterval(m_tables.peers))
         return;
     broadcastReport();
 }
 
 void PeerExchange::broadcastReport()
 {
-    auto const now = m_runtime.now();
-    auto report = m_reportSource();
-    auto const brief = Forward::encodeReport(Forward::briefReport(report, m_tables.peers.own));
-    auto const full = Forward::encodeReport(report);
-    m_tables.peers.own = std::move(report);
-    m_lastSentAt = now;
-    std::erase_if(m_fullReportsSentAt, [&](auto const& item) { return !m_tables.peers.candidates.contains(item.first); });
-    auto const fullTargets = Forward::fullReportTargets(m_tables.peers, m_fullReportsSentAt, full.size(), now);
-    for (auto const& [endpoint, mentionedAt] : m_tables.peers.candidates) {
-        if (endpoint == m_settings.peerListen)
-            continue;
-        bool const isFull = fullTargets.contains(endpoint);
-        if (isFull)
-            m_fullReportsSentAt[endpoint] = now;
+    auto& peers = m_tables.peers;
+    m_lastSentAt = m_runtime.now();
+    auto const wasAggregated = peers.isAggregated;
+    auto const aggregator = peers.aggregator;
+    auto const outgoing = Forward::planReports(m_exchange, peers, m_tables.usage, m_reportSource(), m_lastSentAt);
+    if (peers.isAggregated != wasAggregated || peers.aggregator != aggregator)
+        Core::logEvent(Core::LogLevel::Info, "exchange_changed", { { "mode", peers.isAggregated ? "aggregated" : "direct" }, { "aggregator", peers.aggregator }, { "nodes", std::uint64_t(peers.knownNodes) } });
+    for (auto const& report : outgoing) {
         boost::system::error_code ignored;
-        m_socket.send_to(asio::buffer(isFull ? full : brief), toUdp(endpoint, ignored), 0, ignored);
+        m_socket.send_to(asio::buffer(*report.bytes), toUdp(report.recipient, ignored), 0, ignored);
     }
 }
 
--- a/Services/Edge/PeerExchange.h
+++ b/Services/Edge/PeerExchange.h
@@ -4,6 +4,7 @@
 #include <Edge/EdgeTables.h>
 #include <array>
 #include <boost/asio/ip/udp.hpp>
+#include <LibForward/NodeExchange.h>
 #include <functional>
 
 namespace Edge {
@@ -22,7 +23,7 @@
     /// Removes peers that have been silent too long, and broadcasts a report if the report interval has elapsed.
     void tick();
 
-    /// Sends a report to all candidate endpoints: a full report where one is due, else a brief one.
+    /// Sends this node's report, and the sums for which it is responsible, to the nodes that need them.
     void broadcastReport();
 
     /// Sets the function that is called after a peer's report was merged.
@@ -31,6 +32,7 @@
 private:
     [[nodiscard]] Core::Awaitable<void> receive();
     void handleDatagram(std::string_view datagram);
+    void mergeUsage(Forward::NodeReport const&);
 
     Core::Runtime& m_runtime;
     EdgeTables& m_tables;
@@ -38,7 +40,7 @@
     ReportSource m_reportSource;
     std::function<void()> m_reportListener;
     Core::MonotonicTime m_lastSentAt {};
-    Forward::FullReportTimes m_fullReportsSentAt;
+    Forward::NodeExchange m_exchange;
     boost::asio::ip::udp::socket m_socket;
     std::array<char, 65536> m_buffer {};
 };
