Edge: Fetch servers from peers while the own watch is silent

Cause: a watch that falls silent without an error is noticed at its end, up to 3 s later, and until then newer servers that a peer reported were not fetched. With one watching node for each data centre of a large deployment that delay would reach all its nodes.

Change: after 0.75 s with newer servers at a peer they are fetched; events up to the fetched revision are skipped, since they would restore servers that were removed.

--- a/Services/Edge/StoreWatcher.cpp
+++ b/Services/Edge/StoreWatcher.cpp
@@ -91,6 +91,9 @@
         }
         recordSuccess(resource);
         version = changes->resourceVersion;
+        // Events before a list that a peer sent would restore servers that this list no longer contains.
+        if (resource == Resource::Servers && *version <= m_tables.serversRevision)
+            continue;
         for (auto const& event : changes->events) {
             bool const isRemoved = event.kind == Platform::ObjectEventKind::Removed;
             if (resource == Resource::Servers && isRemoved)
@@ -216,7 +219,7 @@
     updateServerTable();
     bool const shouldWatch = Forward::shouldWatchStore(m_tables.peers, m_settings.nodeId, m_settings.dataCentre, m_runtime.now());
     if (shouldWatch != std::exchange(m_shouldWatch, shouldWatch))
-        Core::logEvent(Core::LogLevel::Info, shouldWatch ? "store_followed" : "store_left_to_peers", { { "peers", std::uint64_t(m_tables.peers.rows.size()) } });
+        Core::logEvent(Core::LogLevel::Info, shouldWatch ? "store_followed" : "store_left_to_peers", { { "peers", std::uint64_t(m_tables.peers.knownNodes - 1) } });
     fetchNewerFromPeers();
 }
 
@@ -225,6 +228,8 @@
     // This node's own watch usually returns a change as early as the peers' watches.
     static constexpr Core::Duration peerFetchDelay = 250ms;
     static constexpr Core::Duration serversInterval = 500ms;
+    // A watch that falls silent without an error is noticed only at its end, seconds later.
+    static constexpr Core::Duration silentWatchDelay = 750ms;
     auto const now = m_runtime.now();
     auto const ownVersion = m_tables.routes ? m_tables.routes->version : 0;
     auto const* newest = Forward::choosePeerToFetchFrom(m_tables.peers, Forward::PeerDataKind::Configuration, ownVersion, m_settings.dataCentre, now);
@@ -238,12 +243,18 @@
         startFetch(Resource::Configuration, newest->report);
         return;
     }
-    if (m_shouldWatch && (!m_serversStatus.isUnavailable || now - m_serversFetchedAt < serversInterval))
+    auto const* servers = Forward::choosePeerToFetchFrom(m_tables.peers, Forward::PeerDataKind::Servers, m_tables.serversRevision, m_settings.dataCentre, now);
+    if (!servers)
+        m_serversOutdatedSince.reset();
+    else if (!m_serversOutdatedSince)
+        m_serversOutdatedSince = now;
+    if (!servers || (m_shouldWatch && now - m_serversFetchedAt < serversInterval))
         return;
-    if (auto const* servers = Forward::choosePeerToFetchFrom(m_tables.peers, Forward::PeerDataKind::Servers, m_tables.serversRevision, m_settings.dataCentre, now)) {
-        m_serversFetchedAt = now;
-        startFetch(Resource::Servers, servers->report);
-    }
+    bool const isWatchWorking = m_shouldWatch && !m_serversStatus.isUnavailable;
+    if (isWatchWorking && now - *m_serversOutdatedSince < silentWatchDelay)
+        return;
+    m_serversFetchedAt = now;
+    startFetch(Resource::Servers, servers->report);
 }
 
 void StoreWatcher::startFetch(Resource resource, Forward::NodeReport const& peer)
@@ -328,7 +339,7 @@
     }
     json::error_code errorCode;
     auto const value = json::parse(response->body, errorCode);
-    if (errorCode || (m_shouldWatch && !m_serversStatus.isUnavailable))
+    if (errorCode)
         co_return;
     Platform::JsonFields fields(value);
     auto const revision = fields.number("revision");
--- a/Services/Edge/StoreWatcher.h
+++ b/Services/Edge/StoreWatcher.h
@@ -81,6 +81,8 @@
     CallStatus m_serversStatus;
     /// When a peer first reported a newer configuration than this node's; empty while none does.
     std::optional<Core::MonotonicTime> m_configurationOutdatedSince;
+    /// When a peer first reported newer servers than this node's; empty while none does.
+    std::optional<Core::MonotonicTime> m_serversOutdatedSince;
     bool m_isFetching { false };
     /// The last result of Forward::shouldWatchStore().
     bool m_shouldWatch { true };
