Edge: Bound responses in memory, and tell stalled streams from slow ones

Causes, each shown by a test that failed before: a stream without an attempt id and signature was forwarded; bytes of a stream that complete no event extended its stall limit, so that a server which sends a byte now and then kept it until the deadline; a slow resumable stream was cut off after a pause of 1 s although no retry budget was left to continue it elsewhere; an endless body or event was held up to 16 MB for each request (now 4 MB, 40 MB for all, 1 MB for an event).

Tests that passed at once: a second copy of an answer on a connection in use again, a request in progress whose server's entry is removed, endless headers.

Requests that generate tokens are placed as such.

--- a/Services/Edge/RequestForwarder.cpp
+++ b/Services/Edge/RequestForwarder.cpp
@@ -52,6 +52,8 @@
     /// Status of the response sent to the client.
     unsigned status { 0 };
     std::optional<HTTP::Response> response;
+    /// Bytes of response bodies that were held for this request.
+    std::size_t bufferedBytes { 0 };
     /// Whether the status and headers of a stream have been sent to the client.
     bool streamStarted { false };
     bool streamFinished { false };
@@ -175,7 +177,7 @@
         auto const cost = Forward::quotaCost(*context.team, context.attributes.tokens);
         auto const demand = Forward::quotaDemand(tables.quotas, context.team->name, now);
         auto const share = Forward::admissionShare(tables.quotas, tables.peers, tables.servers.rows.size(), context.team->name, now);
-        auto const wait = Forward::admitToQuota(tables.quotas, *context.team, cost, share, { m_dependencies.settings.quotaWindow, m_dependencies.settings.quotaSlack, Forward::reportInterval(tables.peers.rows.size()) }, now);
+        auto const wait = Forward::admitToQuota(tables.quotas, *context.team, cost, share, { m_dependencies.settings.quotaWindow, m_dependencies.settings.quotaSlack, Forward::reportDelay(tables.peers, now), Forward::silentShare(tables.peers, context.team->name) }, now);
         if (wait) {
             Core::fail(error, ErrorKind::TeamLimitExceeded, "the team's rate limit is exhausted; admission share of this node " + std::to_string(share) + ", demand at this node " + std::to_string(static_cast<std::uint64_t>(demand)) + " units per second, cost of the request " + std::to_string(static_cast<std::uint64_t>(cost)));
             error.retryAfter = *wait;
@@ -219,6 +221,7 @@
     timer.cancel();
     writer.onPeerClosed({});
     m_active.erase(&context);
+    m_bufferedBytes -= context.bufferedBytes;
     logRequest(context);
 }
 
@@ -243,7 +246,7 @@
     auto& budgets = m_dependencies.tables.retryBudgets;
     // Before the first reports arrive, the number of peers is estimated from the seed addresses.
     auto const& peers = m_dependencies.tables.peers;
-    double const nodes = static_cast<double>(std::max(peers.rows.size() + 1, peers.candidates.size()));
+    double const nodes = static_cast<double>(std::max(peers.knownNodes, peers.isAggregated ? 0 : peers.candidates.size()));
     double const slack = budgetFraction * settings.retrySlack / nodes / 2;
     double const perSecond = slack / std::chrono::duration<double>(settings.retryWindow).count();
     double const capacity = std::max(slack, 1.0);
@@ -280,7 +283,7 @@
 {
     auto& tables = m_dependencies.tables;
     ++context.attempts;
-    Routing::PlacementRequest const placementRequest { context.service, m_dependencies.settings.dataCentre, context.sharedPrefixHash, context.sharedTokens, context.triedServers };
+    Routing::PlacementRequest const placementRequest { context.service, m_dependencies.settings.dataCentre, context.sharedPrefixHash, context.sharedTokens, context.triedServers, context.attributes.tokens ? Routing::WorkKind::Generation : Routing::WorkKind::Call };
     auto placement = Routing::placeRequest(tables.servers, placementRequest, tables.placementCosts, m_dependencies.random, m_dependencies.runtime.now(), error);
     if (!placement)
         co_return AttemptOutcome::NotSent;
@@ -339,6 +342,10 @@
             co_return attempt.attributes.isNotExecuted ? AttemptOutcome::NotExecuted : AttemptOutcome::Unknown;
         if (piece->empty())
             break;
+        if (!mayBuffer(context, piece->size())) {
+            Core::fail(error, ErrorKind::BackendAnswerInvalid, "the response is larger than " + std::to_string(response.body.size()) + " bytes, which cannot be held in memory", RunState::Unknown);
+            co_return AttemptOutcome::Unknown;
+        }
         response.body += *piece;
     }
     if (attempt.attributes.isNotExecuted) {
@@ -357,23 +364,50 @@
     co_return failed ? AttemptOutcome::ServerError : AttemptOutcome::ResponseReceived;
 }
 
+bool RequestForwarder::mayBuffer(RequestContext& context, std::size_t bytes)
+{
+    static constexpr std::size_t maximumBytesOfAResponse = 4 * 1024 * 1024;
+    // A quarter of the memory of a small host.
+    static constexpr std::size_t maximumBytesOfAllResponses = 40 * 1024 * 1024;
+    if (context.bufferedBytes + bytes > maximumBytesOfAResponse || m_bufferedBytes + bytes > maximumBytesOfAllResponses)
+        return false;
+    context.bufferedBytes += bytes;
+    m_bufferedBytes += bytes;
+    return true;
+}
+
 // A resumable stream that stalls between two events is continued at another server before its client times out. Clients wait at
-// least two seconds for the next event; engines under load pause for some hundred milliseconds.
-Core::MonotonicTime RequestForwarder::stallDeadline(RequestContext const& context) const
+// least two seconds for the next event; engines under load pause for some hundred milliseconds. Without a retry budget the stream
+// would only be cut off, so a slow server keeps it.
+Core::MonotonicTime RequestForwarder::stallDeadline(RequestContext const& context, Core::MonotonicTime lastEventAt)
 {
     static constexpr Core::Duration maximumEventGap = 1s;
-    bool const mayContinue = context.route->isResumable && context.firstEventAt && context.possibleExecutions < context.route->maximumServers;
-    return mayContinue ? std::min(context.deadline, m_dependencies.runtime.now() + maximumEventGap) : context.deadline;
+    auto const budget = m_dependencies.tables.retryBudgets.find(context.service);
+    bool const hasBudget = budget != m_dependencies.tables.retryBudgets.end() && budget->second.canTake(m_dependencies.runtime.now());
+    bool const mayContinue = context.route->isResumable && context.firstEventAt && context.possibleExecutions < context.route->maximumServers && hasBudget;
+    return mayContinue ? std::min(context.deadline, lastEventAt + maximumEventGap) : context.deadline;
 }
 
 Core::Awaitable<AttemptOutcome> RequestForwarder::forwardStream(RequestContext& context, Attempt& attempt, Core::Error& error)
 {
+    static constexpr std::size_t maximumEventBytes = 1024 * 1024;
+    if (!attempt.attributes.isSigned && attempt.attributes.attemptId.empty()) {
+        Core::fail(error, ErrorKind::BackendAnswerInvalid, "the stream is unsigned and has no attempt id", RunState::Unknown);
+        co_return AttemptOutcome::Unknown;
+    }
     context.events.dropPartial();
+    auto lastEventAt = m_dependencies.runtime.now();
     while (true) {
-        auto piece = co_await attempt.stream->readSome(stallDeadline(context), error);
+        auto piece = co_await attempt.stream->readSome(stallDeadline(context, lastEventAt), error);
         if (!piece)
             co_return AttemptOutcome::Unknown;
         auto events = context.events.feed(*piece);
+        if (!events.empty())
+            lastEventAt = m_dependencies.runtime.now();
+        if (context.events.partial().size() > maximumEventBytes) {
+            Core::fail(error, ErrorKind::BackendAnswerInvalid, "an event of the stream is larger than " + std::to_string(maximumEventBytes) + " bytes", RunState::Unknown);
+            co_return AttemptOutcome::Unknown;
+        }
         bool const isEnd = piece->empty();
         if (isEnd && !context.events.partial().empty()) {
             Core::fail(error, ErrorKind::BackendAnswerInvalid, "the stream ended in the middle of an event", RunState::Unknown);
--- a/Services/Edge/RequestForwarder.h
+++ b/Services/Edge/RequestForwarder.h
@@ -53,8 +53,10 @@
     [[nodiscard]] Core::Awaitable<Forward::AttemptOutcome> readResponse(RequestContext&, Attempt&, Core::Error&);
     [[nodiscard]] Core::Awaitable<void> finish(RequestContext&, Forward::AttemptOutcome, Core::Error);
     [[nodiscard]] Core::Awaitable<void> refuse(RequestContext&, Core::Error);
-    /// The deadline for the next bytes of a stream.
-    [[nodiscard]] Core::MonotonicTime stallDeadline(RequestContext const&) const;
+    /// The deadline for the next event of a stream.
+    [[nodiscard]] Core::MonotonicTime stallDeadline(RequestContext const&, Core::MonotonicTime lastEventAt);
+    /// Returns whether a body of that size may be held in memory, in addition to those of the other requests.
+    [[nodiscard]] bool mayBuffer(RequestContext&, std::size_t bytes);
     [[nodiscard]] bool chargeRetryBudget(RequestContext const&);
     [[nodiscard]] Forward::AttemptHistory attemptHistory(RequestContext const&) const;
     void recordRequestStart(RequestContext&);
@@ -63,6 +65,8 @@
 
     Dependencies m_dependencies;
     std::set<RequestContext*> m_active;
+    /// Bytes of response bodies that are held in memory.
+    std::size_t m_bufferedBytes { 0 };
 };
 
 }
--- a/Tests/EdgeService/EdgeServiceTest.cpp
+++ b/Tests/EdgeService/EdgeServiceTest.cpp
@@ -71,7 +71,7 @@
         for (auto* endpoint : { &settings.clientListen, &settings.readyListen, &settings.peerListen, &settings.peerHttpListen, &settings.metricsListen })
             *endpoint = { "127.0.0.1", 0 };
         settings.gracePeriod = 3s;
-        settings.retrySlack = 100;
+        settings.retrySlack = m_retrySlack;
         m_service = std::make_unique<Edge::EdgeService>(m_loop.runtime(), settings, Edge::PlatformInterfaces { m_requestCodec, m_objectCodec, m_storeConnection->store, nullptr, "/ready" });
         Core::Error error;
         ASSERT_TRUE(m_service->start(error)) << error.message;
@@ -155,6 +155,7 @@
     std::optional<StoreConnection> m_storeConnection;
     PlatformAdapter::HeaderCodec const m_requestCodec {};
     PlatformAdapter::StoreCodec const m_objectCodec {};
+    double m_retrySlack { 100 };
     std::vector<std::unique_ptr<RawServer>> m_servers;
     std::unique_ptr<Edge::EdgeService> m_service;
 };
@@ -319,6 +320,167 @@
     EXPECT_TRUE(complete.ends_with("0\r\n\r\n"));
 }
 
+// A server whose entry lapses, because it was slow to renew it or the store forgot it, still finishes what it works on.
+TEST_F(EdgeServiceTest, RequestInProgressSurvivesTheRemovalOfItsServer)
+{
+    for (int i = 0; i < 2; ++i)
+        addServer([](auto const& request) { return Reply { .bytes = httpResponse(attemptIdOf(request), "finished"), .delay = 600ms }; });
+    start();
+    m_loop.runtime().spawn([](Core::Runtime& runtime, StandIns::StoreStandIn& store) -> Core::Awaitable<void> {
+        co_await runtime.sleepFor(150ms);
+        store.erase("servers", "s1");
+        store.erase("servers", "s2");
+    }(m_loop.runtime(), m_store));
+    auto const response = exchange(request("/unsafe/1", "u", "POST"), 1500ms);
+    EXPECT_EQ(statusOf(response), "200") << response;
+    EXPECT_EQ(m_servers[0]->requests.size() + m_servers[1]->requests.size(), 1u);
+}
+
+// Servers in trouble send bytes that are no answer until the caller closes. The connection must be closed long before the deadline of
+// four seconds, and after a bounded number of bytes.
+class EndlessResponseTest : public EdgeServiceTest {
+protected:
+    // 16 times the largest answer that a request may have in the buffers of the sockets.
+    static constexpr std::size_t maximumBytes = 24 * 1024 * 1024;
+
+    void expectRefusal(std::string const& path, RawServer::Script script)
+    {
+        auto& server = addServer(std::move(script));
+        start();
+        auto const sentAt = m_loop.runtime().now();
+        auto const response = exchange(request(path, "u", "POST", "Connection: close\r\n"), 3500ms);
+        EXPECT_EQ(statusOf(response), "502") << response.substr(0, 200);
+        EXPECT_LT(m_loop.runtime().now() - sentAt, 2500ms);
+        waitFor([&] { return server.abortedConnections == 1; });
+        EXPECT_LE(server.repeatedBytesSent, maximumBytes);
+        EXPECT_EQ(server.requests.size(), 1u);
+    }
+};
+
+TEST_F(EndlessResponseTest, Header)
+{
+    expectRefusal("/unsafe/1", [](auto const&) { return Reply { .bytes = "HTTP/1.1 200 OK\r\n", .repeatedBytes = "X-Filler: " + std::string(1000, 'x') + "\r\n" }; });
+}
+
+TEST_F(EndlessResponseTest, HeaderLine)
+{
+    expectRefusal("/unsafe/1", [](auto const&) { return Reply { .bytes = "HTTP/1.1 200 OK\r\nX-Filler: ", .repeatedBytes = std::string(4000, 'x') }; });
+}
+
+TEST_F(EndlessResponseTest, BytesThatAreNoResponse)
+{
+    expectRefusal("/unsafe/1", [](auto const&) { return Reply { .repeatedBytes = std::string(4000, 'x') }; });
+}
+
+TEST_F(EndlessResponseTest, InterimResponses)
+{
+    expectRefusal("/unsafe/1", [](auto const&) { return Reply { .repeatedBytes = "HTTP/1.1 103 Early Hints\r\n\r\n" }; });
+}
+
+TEST_F(EndlessResponseTest, ResponsesToOtherRequests)
+{
+    expectRefusal("/unsafe/1", [](auto const&) { return Reply { .repeatedBytes = httpResponse("another", std::string(2000, 'x')) }; });
+}
+
+TEST_F(EndlessResponseTest, BodyOfAResponseToAnotherRequest)
+{
+    expectRefusal("/unsafe/1", [](auto const&) { return Reply { .bytes = streamHead("another"), .repeatedBytes = chunk(std::string(4000, 'x')) }; });
+}
+
+TEST_F(EndlessResponseTest, BodyWithoutLength)
+{
+    expectRefusal("/unsafe/1", [](auto const& request) { return Reply { .bytes = "HTTP/1.1 200 OK\r\nX-Hyssopstep-Server-Seal: seal\r\nX-Hyssopstep-Attempt-Id: " + attemptIdOf(request) + "\r\n\r\n", .repeatedBytes = std::string(4000, 'x') }; });
+}
+
+TEST_F(EndlessResponseTest, ChunkedBody)
+{
+    expectRefusal("/unsafe/1", [](auto const& request) { return Reply { .bytes = streamHead(attemptIdOf(request)), .repeatedBytes = chunk(std::string(4000, 'x')) }; });
+}
+
+TEST_F(EndlessResponseTest, ChunkExtension)
+{
+    expectRefusal("/unsafe/1", [](auto const& request) { return Reply { .bytes = streamHead(attemptIdOf(request)) + "5;x=", .repeatedBytes = std::string(4000, 'x') }; });
+}
+
+TEST_F(EndlessResponseTest, Trailer)
+{
+    expectRefusal("/unsafe/1", [](auto const& request) { return Reply { .bytes = streamHead(attemptIdOf(request)) + chunk("body") + "0\r\n", .repeatedBytes = "X-Filler: " + std::string(1000, 'x') + "\r\n" }; });
+}
+
+TEST_F(EndlessResponseTest, Event)
+{
+    expectRefusal("/stream/1", [](auto const& request) { return Reply { .bytes = streamHead(attemptIdOf(request)), .repeatedBytes = chunk(std::string(4000, 'x')) }; });
+}
+
+// Bytes after a complete response belong to no request.
+TEST_F(EndlessResponseTest, AfterACompleteResponse)
+{
+    addServer([](auto const& request) { return Reply { .bytes = httpResponse(attemptIdOf(request), "complete"), .repeatedBytes = httpResponse(attemptIdOf(request), "another") }; });
+    start();
+    for (int i = 0; i < 3; ++i) {
+        auto const response = exchange(request("/unsafe/1", "u" + std::to_string(i), "POST"));
+        EXPECT_EQ(statusOf(response), "200");
+        EXPECT_TRUE(response.ends_with("complete")) << response;
+    }
+}
+
+// A server sends a second copy of its answer while its connection is used for the next request.
+TEST_F(EdgeServiceTest, SecondCopyOfAnAnswerDoesNotReachTheNextCaller)
+{
+    std::string first;
+    addServer([&](auto const& request) {
+        auto const id = attemptIdOf(request);
+        auto const response = httpResponse(id, "answer to " + id);
+        if (first.empty()) {
+            first = response;
+            return Reply { .bytes = response };
+        }
+        return Reply { .bytes = first, .trailingBytes = response, .trailingDelay = 100ms };
+    });
+    start();
+    EXPECT_TRUE(exchange(request("/unsafe/1", "u1", "POST"), 100ms).ends_with("answer to u1"));
+    EXPECT_TRUE(exchange(request("/unsafe/2", "u2", "POST")).ends_with("answer to u2"));
+    EXPECT_EQ(m_servers[0]->connections, 1u);
+}
+
+// The same without any mark of the request that it belongs to.
+TEST_F(EdgeServiceTest, UnmarkedStreamIsNotForwarded)
+{
+    addServer([](auto const&) { return Reply { .bytes = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk(event(1)) + "0\r\n\r\n" }; });
+    start();
+    EXPECT_EQ(statusOf(exchange(request("/stream/1", "s", "POST"))), "502");
+}
+
+// A server that sends a byte now and then, but no event, is as stalled as a silent one.
+TEST_F(EdgeServiceTest, StreamThatOnlySendsSingleBytesContinuesAtAnotherServer)
+{
+    for (int i = 0; i < 2; ++i) {
+        addServer([](auto const& request) {
+            if (request.find("Last-Event-Id: 1\r\n") != std::string::npos)
+                return Reply { streamHead(attemptIdOf(request)) + chunk(event(2)) + "0\r\n\r\n" };
+            return Reply { .bytes = streamHead(attemptIdOf(request)) + chunk(event(1)), .repeatedBytes = chunk(":"), .repeatInterval = 150ms };
+        });
+    }
+    start();
+    auto const response = exchange(request("/resume/1", "s", "POST"), 1800ms);
+    EXPECT_NE(response.find(chunk(event(2)) + "0\r\n\r\n"), std::string::npos) << response;
+}
+
+// A slow stream is not given up while no other server may continue it.
+TEST_F(EdgeServiceTest, SlowStreamIsNotCutOffWithoutARetryBudget)
+{
+    m_retrySlack = 0;
+    for (int i = 0; i < 2; ++i)
+        addServer([](auto const& request) { return Reply { .bytes = streamHead(attemptIdOf(request)) + chunk(event(1)), .trailingBytes = chunk(event(2)) + "0\r\n\r\n", .trailingDelay = 1400ms }; });
+    start();
+    // A new budget holds a few retries.
+    for (int i = 0; i < 3; ++i) {
+        auto const response = exchange(request("/resume/1", "s" + std::to_string(i), "POST"), 2s);
+        EXPECT_NE(response.find(chunk(event(2))), std::string::npos) << response;
+        EXPECT_TRUE(response.ends_with("0\r\n\r\n")) << response;
+    }
+}
+
 // Guards against a stream that appears complete although its server aborted it.
 TEST_F(EdgeServiceTest, InterruptedStreamDoesNotLookComplete)
 {
--- a/Tests/EdgeService/RawServer.cpp
+++ b/Tests/EdgeService/RawServer.cpp
@@ -69,6 +69,16 @@
             if (error)
                 co_return;
         }
+        while (!reply.repeatedBytes.empty()) {
+            auto [error, written] = co_await asio::async_write(socket, asio::buffer(reply.repeatedBytes), useTuple);
+            repeatedBytesSent += written;
+            if (error) {
+                ++abortedConnections;
+                co_return;
+            }
+            if (reply.repeatInterval > Core::Duration {})
+                co_await m_runtime.sleepFor(reply.repeatInterval);
+        }
         if (reply.ending == Reply::Ending::Reset) {
             socket.set_option(tcp::socket::linger(true, 0));
             co_return;
--- a/Tests/EdgeService/RawServer.h
+++ b/Tests/EdgeService/RawServer.h
@@ -19,6 +19,9 @@
         /// Sent `trailingDelay` after `bytes`.
         std::string trailingBytes {};
         Core::Duration trailingDelay {};
+        /// Sent after them again and again, until the client closes the connection.
+        std::string repeatedBytes {};
+        Core::Duration repeatInterval {};
         enum class Ending {
             KeepOpen,
             Close,
@@ -37,6 +40,7 @@
     std::size_t connections { 0 };
     /// Connections that the client closed while a reply was pending.
     std::size_t abortedConnections { 0 };
+    std::size_t repeatedBytesSent { 0 };
 
 private:
     [[nodiscard]] Core::Awaitable<void> accept();
