--- a/Libraries/LibForward/NodeExchange.cpp
+++ b/Libraries/LibForward/NodeExchange.cpp
@@ -52,6 +52,7 @@
 static std::vector<NodeContact> inOrder(std::map<NodeRank, NodeContact> const& ranked)
 {
     std::vector<NodeContact> nodes;
+    nodes.reserve(ranked.size());
     for (auto const& [rank, contact] : ranked)
         nodes.push_back(contact);
     return nodes;
--- a/Libraries/LibForward/PeerTable.cpp
+++ b/Libraries/LibForward/PeerTable.cpp
@@ -66,7 +66,7 @@
     }
 }
 
-template<typename Table>
+template <typename Table>
 static auto& rowsOfScope(Table& table, ReportScope scope)
 {
     if (scope == ReportScope::DataCentre)
--- a/Services/Edge/PeerExchange.h
+++ b/Services/Edge/PeerExchange.h
@@ -2,9 +2,9 @@
 
 #include <Edge/EdgeSettings.h>
 #include <Edge/EdgeTables.h>
+#include <LibForward/NodeExchange.h>
 #include <array>
 #include <boost/asio/ip/udp.hpp>
-#include <LibForward/NodeExchange.h>
 #include <functional>
 
 namespace Edge {
--- a/Tests/LibForward/NodeExchangeTest.cpp
+++ b/Tests/LibForward/NodeExchangeTest.cpp
@@ -95,14 +95,14 @@
     [[nodiscard]] Core::MonotonicTime now() const { return m_now; }
     Core::Random& random() { return m_random; }
 
-    template<typename Predicate>
+    template <typename Predicate>
     bool all(Predicate predicate) const
     {
         return std::all_of(m_nodes.begin(), m_nodes.end(), [&](auto const& node) { return !node.isUp || predicate(node); });
     }
 
     // Runs until the condition holds; returns the time that took, at most the limit.
-    template<typename Predicate>
+    template <typename Predicate>
     Core::Duration runUntilAll(Predicate predicate, Core::Duration limit)
     {
         static constexpr Core::Duration step = 50ms;
