LibHTTP: Bound the receive buffer of a client's connection

Cause: a chunk extension of a request counts neither as header nor as body, so that a client could fill the memory until the request timed out.

Change: the buffer holds at most a header and 64 KB. The new test sends 1 MB of extension: no response before, 431 after.

--- a/Libraries/LibHTTP/Server.cpp
+++ b/Libraries/LibHTTP/Server.cpp
@@ -33,8 +33,9 @@
 };
 
 struct Connection {
-    explicit Connection(tcp::socket acceptedSocket)
+    Connection(tcp::socket acceptedSocket, std::size_t maximumBufferedBytes)
         : socket(std::move(acceptedSocket))
+        , buffer(maximumBufferedBytes)
     {
     }
 
@@ -252,6 +253,8 @@
 private:
     using Parser = beast::http::request_parser<beast::http::string_body>;
 
+    static constexpr std::size_t bytesReadAtATime = 64 * 1024;
+
     // The coroutines hold a reference to the implementation, since they may outlive the Server.
     static Core::Awaitable<void> acceptLoop(std::shared_ptr<Implementation> self)
     {
@@ -274,7 +277,7 @@
             return;
         boost::system::error_code ignored;
         socket.set_option(tcp::no_delay(true), ignored);
-        auto connection = std::make_shared<Connection>(std::move(socket));
+        auto connection = std::make_shared<Connection>(std::move(socket), m_limits.maximumHeaderBytes + bytesReadAtATime);
         auto const remote = connection->socket.remote_endpoint(ignored);
         connection->peer = { remote.address().to_string(), remote.port() };
         m_connections.insert(connection);
--- a/Tests/LibHTTP/ClientServerTest.cpp
+++ b/Tests/LibHTTP/ClientServerTest.cpp
@@ -305,3 +305,28 @@
     EXPECT_TRUE(next.starts_with("HTTP/1.1 200 OK")) << next;
     EXPECT_NE(next.find("Connection: close"), std::string::npos) << next;
 }
+
+// Guards against a client that fills the memory with a chunk extension, which belongs to neither the headers nor the body.
+TEST_F(ClientServerTest, EndlessChunkExtensionIsRefused)
+{
+    startServer(echo);
+    boost::asio::io_context clientContext;
+    boost::asio::ip::tcp::socket socket(clientContext);
+    socket.connect({ boost::asio::ip::make_address(m_endpoint.address), m_endpoint.port });
+    boost::asio::write(socket, boost::asio::buffer(std::string("POST /x HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n5;x=")));
+    std::string const filler(16 * 1024, 'x');
+    static constexpr int maximumFillers = 64;
+    boost::system::error_code errorCode;
+    socket.non_blocking(true);
+    std::string response;
+    for (int sent = 0; sent < maximumFillers && response.empty() && !errorCode; ++sent) {
+        (void)socket.write_some(boost::asio::buffer(filler), errorCode);
+        if (errorCode == boost::asio::error::would_block)
+            errorCode = {};
+        run([](Core::Runtime& runtime) -> Awaitable<void> { co_await runtime.sleepFor(5ms); }(m_runtime));
+        std::array<char, 1024> buffer {};
+        boost::system::error_code readError;
+        response.append(buffer.data(), socket.read_some(boost::asio::buffer(buffer), readError));
+    }
+    EXPECT_TRUE(response.starts_with("HTTP/1.1 431 ")) << response;
+}
