LibRouting, Edge: Tell a refused client when a place is expected

Cause: the Retry-After of a request that all servers refused was a constant of 250 ms, whatever their queues.

Change: the requests in progress beyond the slots, times this node's measured service time, at the server where that is shortest, between 50 ms and 2 s; the constant remains for services that were not measured yet. For streams the service time ends at the first event, so that the wait is too short there.

--- a/Libraries/LibRouting/Placement.cpp
+++ b/Libraries/LibRouting/Placement.cpp
@@ -11,6 +11,22 @@
     return row.outstanding + row.peerOutstanding;
 }
 
+std::optional<Core::Duration> predictedWait(ServerTable const& table, std::string const& service)
+{
+    std::optional<double> shortest;
+    for (auto const& row : table.rows) {
+        if (row.service != service || row.lifecycle != Lifecycle::Live || row.slots == 0 || row.serviceTime.samples == 0)
+            continue;
+        auto const load = requestsInProgress(row) + 1;
+        double const waiting = load > row.slots ? load - row.slots : 0;
+        double const seconds = waiting * row.serviceTime.secondsPerUnit / row.slots;
+        shortest = std::min(shortest.value_or(seconds), seconds);
+    }
+    if (!shortest)
+        return std::nullopt;
+    return std::chrono::duration_cast<Core::Duration>(std::chrono::duration<double>(*shortest));
+}
+
 static bool isUsable(ServerRow const& row, PlacementRequest const& request)
 {
     return row.service == request.service && row.lifecycle == Lifecycle::Live
--- a/Libraries/LibRouting/Placement.h
+++ b/Libraries/LibRouting/Placement.h
@@ -75,6 +75,10 @@
 /// The requests in progress at a server: this node's and the ones reported by other nodes.
 [[nodiscard]] std::uint32_t requestsInProgress(ServerRow const&);
 
+/// Returns when a request that all servers refused would find a free slot, at the server where that is soonest: the requests that are in
+/// progress beyond its slots, by this node's measured service time. Returns an empty optional if no server was measured. Thread safe.
+[[nodiscard]] std::optional<Core::Duration> predictedWait(ServerTable const&, std::string const& service);
+
 /// Chooses the server with the least predicted delay for a request. All nodes rank the homes of a prefix by the same rendezvous
 /// hash, so requests with a common prefix go to the same few servers without coordination, and to other servers once the load at
 /// the homes costs more than prefilling the prefix again. A server that is not the first home, or became it only recently, gets
--- a/Services/Edge/RequestForwarder.cpp
+++ b/Services/Edge/RequestForwarder.cpp
@@ -13,8 +13,10 @@
 using Forward::AttemptOutcome;
 using Forward::RequestKind;
 
-// When no server executed the request, the client may retry after about the duration of one call.
+// When no server executed the request, the client may retry after about the duration of one call, unless the servers' queues tell more.
 static constexpr std::chrono::milliseconds retryAfterRefusal { 250 };
+static constexpr std::chrono::milliseconds minimumRetryAfter { 50 };
+static constexpr std::chrono::milliseconds maximumRetryAfter { 2000 };
 
 // A node learns its configuration and servers within about one poll of the store.
 static constexpr std::chrono::milliseconds retryAfterNotReady { 500 };
@@ -496,8 +498,10 @@
     auto const history = attemptHistory(context);
     error.kind = Forward::errorKindFor(outcome, history);
     error.runState = history.possibleExecutions > 0 ? RunState::Unknown : RunState::NotRun;
-    if (error.runState == RunState::NotRun)
-        error.retryAfter = retryAfterRefusal;
+    if (error.runState == RunState::NotRun) {
+        auto const wait = Routing::predictedWait(m_dependencies.tables.servers, context.service);
+        error.retryAfter = wait ? std::clamp(toMilliseconds(*wait), minimumRetryAfter, maximumRetryAfter) : retryAfterRefusal;
+    }
     co_await refuse(context, std::move(error));
 }
 
--- a/Tests/LibRouting/PlacementTest.cpp
+++ b/Tests/LibRouting/PlacementTest.cpp
@@ -246,6 +246,20 @@
     EXPECT_EQ(place(servers, { .service = "model", .dataCentre = "a", .work = Routing::WorkKind::Call }), "s1");
 }
 
+// Load pattern: all slots of a plain service are taken. A refused client is told when a place is expected, not a constant.
+TEST(PlacementTest, PredictedWaitFollowsTheShortestQueue)
+{
+    auto servers = table(2, 6);
+    EXPECT_FALSE(Routing::predictedWait(servers, "model"));
+    for (auto& row : servers.rows)
+        Routing::recordServiceTime(row, 0.06, now);
+    EXPECT_EQ(Routing::predictedWait(servers, "model"), Core::Duration::zero());
+    servers.rows[0].outstanding = 29;
+    servers.rows[1].peerOutstanding = 17;
+    EXPECT_NEAR(std::chrono::duration<double>(*Routing::predictedWait(servers, "model")).count(), 12 * 0.06 / 6, 1e-6);
+    EXPECT_FALSE(Routing::predictedWait(servers, "other"));
+}
+
 // Guards against new requests for servers that are leaving, failed recently, or were tried before.
 TEST(PlacementTest, UnusableServersAreExcluded)
 {
