LibHTTP, Node: Wait longer for the first request of a new connection

Cause: in a planned stop, a connection that the kernel had accepted was closed if its client sent nothing for 250 ms.

Change: 1 s for a connection without an earlier request, a line for each idle connection that is closed, and a drain of the node that waits for it. The new test fails before ("End of file" after 500 ms).

--- a/Libraries/LibHTTP/Server.cpp
+++ b/Libraries/LibHTTP/Server.cpp
@@ -49,6 +49,7 @@
     beast::flat_buffer buffer;
     ConnectionState state { ConnectionState::Idle };
     Core::Endpoint peer;
+    std::size_t requests { 0 };
     /// Closes an idle connection after stopAccepting().
     Core::Timer lingerTimer;
 };
@@ -297,13 +298,19 @@
         }
     }
 
-    // A request may be in flight on an idle connection; it is still served if it arrives within the linger time.
+    // A request may be in flight on an idle connection; it is still served if it arrives within the linger time. A client that has just
+    // connected certainly wants to send one.
     void closeAfterLinger(std::shared_ptr<Connection> const& connection)
     {
         static constexpr auto lingerTime = std::chrono::milliseconds(250);
-        connection->lingerTimer = m_runtime.callAt(m_runtime.now() + lingerTime, [weak = std::weak_ptr(connection)] {
-            if (auto const idle = weak.lock())
-                idle->close();
+        static constexpr auto lingerTimeOfNewConnection = std::chrono::milliseconds(1000);
+        auto const time = connection->requests == 0 ? lingerTimeOfNewConnection : lingerTime;
+        connection->lingerTimer = m_runtime.callAt(m_runtime.now() + time, [weak = std::weak_ptr(connection)] {
+            auto const idle = weak.lock();
+            if (!idle)
+                return;
+            Core::logEvent(Core::LogLevel::Info, "idle_connection_closed", { { "peer", idle->peer.toString() }, { "requests", std::uint64_t(idle->requests) } });
+            idle->close();
         });
     }
 
@@ -334,6 +341,7 @@
                 co_return false;
         }
         connection.state = ConnectionState::Busy;
+        ++connection.requests;
         connection.lingerTimer.cancel();
         bool timedOut = false;
         boost::system::error_code errorCode;
--- a/Libraries/LibHTTP/Server.h
+++ b/Libraries/LibHTTP/Server.h
@@ -84,7 +84,7 @@
     void closeAfterResponses();
 
     /// Stops accepting connections. Each established connection is closed after one more request, or if none arrives within
-    /// 250 ms.
+    /// 250 ms, or 1 s on a new connection.
     void stopAccepting();
 
     /// Waits until no request is in progress and, after stopAccepting(), no connection is open. Returns false if requests are
--- a/Services/Node/NodeService.cpp
+++ b/Services/Node/NodeService.cpp
@@ -424,6 +424,8 @@
     // Time for the other nodes to learn that this node is leaving before the process ends.
     static constexpr auto minimumDrainTime = 700ms;
     static constexpr auto handOverTimeout = 1s;
+    // Longer than the server waits for the first request of a new connection.
+    static constexpr auto connectionDrainTime = 1200ms;
     m_components->tables.phase = NodePhase::Draining;
     // Releases the lease, so that another node can take over fleet control without waiting for its expiry.
     if (m_components->fleet)
@@ -436,7 +438,7 @@
     auto const remaining = co_await m_components->takeOver->handOverAll(m_runtime.now() + handOverTimeout);
     m_components->clientServer.stopAccepting();
     m_components->operatorServer.stopAccepting();
-    bool const drained = co_await m_components->clientServer.waitUntilDrained(m_runtime.now() + handOverTimeout / 2);
+    bool const drained = co_await m_components->clientServer.waitUntilDrained(m_runtime.now() + connectionDrainTime);
     Core::logEvent(Core::LogLevel::Info, "drain_finished", { { "streams_left", remaining }, { "requests_cut_off", drained ? 0 : m_components->clientServer.requestsInProgress() } });
     m_components->platformFeed->stop();
     m_components->watcher->stop();
--- a/Tests/LibHTTP/ClientServerTest.cpp
+++ b/Tests/LibHTTP/ClientServerTest.cpp
@@ -330,3 +330,23 @@
     }
     EXPECT_TRUE(response.starts_with("HTTP/1.1 431 ")) << response;
 }
+
+// Guards against a graceful shutdown that closes a connection whose client has just connected and is slow to send its first request.
+TEST_F(ClientServerTest, StopAcceptingWaitsForTheFirstRequestOfANewConnection)
+{
+    startServer(echo);
+    boost::asio::io_context clientContext;
+    boost::asio::ip::tcp::socket socket(clientContext);
+    socket.connect({ boost::asio::ip::make_address(m_endpoint.address), m_endpoint.port });
+    m_server->stopAccepting();
+    run([](Core::Runtime& runtime) -> Awaitable<void> { co_await runtime.sleepFor(500ms); }(m_runtime));
+    boost::asio::write(socket, boost::asio::buffer(std::string("GET /x HTTP/1.1\r\nHost: a\r\n\r\n")));
+    run([](Core::Runtime& runtime, HTTP::Server& server) -> Awaitable<void> {
+        bool const drained = co_await server.waitUntilDrained(runtime.now() + 5s);
+        EXPECT_TRUE(drained);
+    }(m_runtime, *m_server));
+    std::string response;
+    boost::system::error_code errorCode;
+    boost::asio::read_until(socket, boost::asio::dynamic_buffer(response), "GET /x ", errorCode);
+    EXPECT_FALSE(errorCode) << errorCode.message();
+}
