LibForward, Edge: Do not let a peer's list restore a removed server

The revision that a peer claims does not prove that its list holds all changes up to it: while the store drops its history, watches advance without the changes. A watching node that had read a removal took over such a list after 0.75 s and used the server again.

Lists of peers, which the other nodes and those without the store still use, are merged entry by entry with the revision of each: a removed or leaving server comes back only with a later revision, and an entry newer than the list stays.

The test fails with the replacement of the whole list.

--- a/Libraries/LibForward/ServerDirectory.cpp
+++ b/Libraries/LibForward/ServerDirectory.cpp
@@ -17,14 +17,40 @@
 void registerServer(ServerDirectory& directory, Routing::ListedServer server)
 {
     auto id = server.id;
+    directory.departures.erase(id);
     directory.entries[std::move(id)] = { std::move(server), std::nullopt };
 }
 
 void unregisterServer(ServerDirectory& directory, std::string const& id, Core::MonotonicTime now)
 {
     auto const found = directory.entries.find(id);
-    if (found != directory.entries.end() && !found->second.removedAt)
-        found->second.removedAt = now;
+    if (found == directory.entries.end() || found->second.removedAt)
+        return;
+    found->second.removedAt = now;
+    directory.departures[id] = { found->second.server.revision, now };
+}
+
+static bool isOutdated(ServerDirectory const& directory, Routing::ListedServer const& server)
+{
+    auto const departure = directory.departures.find(server.id);
+    if (departure != directory.departures.end())
+        return server.revision <= departure->second.revision;
+    auto const known = directory.entries.find(server.id);
+    return known != directory.entries.end() && server.revision < known->second.server.revision;
+}
+
+void mergePeerServers(ServerDirectory& directory, std::vector<Routing::ListedServer> const& servers, std::uint64_t listRevision, Core::MonotonicTime now)
+{
+    std::set<std::string> listed;
+    for (auto const& server : servers) {
+        listed.insert(server.id);
+        if (!isOutdated(directory, server))
+            registerServer(directory, server);
+    }
+    for (auto const& [id, entry] : directory.entries) {
+        if (!listed.contains(id) && entry.server.revision <= listRevision)
+            unregisterServer(directory, id, now);
+    }
 }
 
 void replaceServers(ServerDirectory& directory, std::vector<Routing::ListedServer> const& servers, Core::MonotonicTime now)
@@ -61,6 +87,9 @@
         auto const& entry = item.second;
         return entry.removedAt && now - *entry.removedAt >= removalGracePeriod && !mayHaveExpired(entry);
     });
+    // Longer than a peer's list can be out of date.
+    static constexpr Core::Duration departureRetention = 30s;
+    std::erase_if(directory.departures, [&](auto const& item) { return now - item.second.at > departureRetention; });
     std::vector<Routing::ListedServer> servers;
     for (auto const& [id, entry] : directory.entries) {
         if (!entry.removedAt || ((manyWereRemoved || mayHaveExpired(entry)) && entry.server.lifecycle == Routing::Lifecycle::Live))
--- a/Libraries/LibRouting/ServerTable.h
+++ b/Libraries/LibRouting/ServerTable.h
@@ -121,6 +121,8 @@
     Lifecycle lifecycle { Lifecycle::Live };
     std::uint32_t slots { 0 };
     bool reclaimable { false };
+    /// The store revision of the entry's last change; 0 if it is unknown.
+    std::uint64_t revision { 0 };
 
     bool operator==(ListedServer const&) const = default;
 };
--- a/Services/Edge/StoreWatcher.cpp
+++ b/Services/Edge/StoreWatcher.cpp
@@ -91,11 +91,12 @@
         }
         recordSuccess(resource);
         version = changes->resourceVersion;
-        // Events before a list that a peer sent would restore servers that this list no longer contains.
-        if (resource == Resource::Servers && *version <= m_tables.serversRevision)
-            continue;
         for (auto const& event : changes->events) {
             bool const isRemoved = event.kind == Platform::ObjectEventKind::Removed;
+            // A list that a peer sent may be newer than this event.
+            bool const isKnown = resource == Resource::Servers && !isRemoved && isKnownInLaterRevision(event.object);
+            if (isKnown)
+                continue;
             if (resource == Resource::Servers && isRemoved)
                 Forward::unregisterServer(m_tables.directory, event.object.key.name, m_runtime.now());
             else if (resource == Resource::Servers)
@@ -179,6 +180,12 @@
     notifyChange();
 }
 
+bool StoreWatcher::isKnownInLaterRevision(Platform::StoredObject const& object) const
+{
+    auto const known = m_tables.directory.entries.find(object.key.name);
+    return known != m_tables.directory.entries.end() && known->second.server.revision > object.resourceVersion;
+}
+
 void StoreWatcher::applyServerEntry(Platform::StoredObject const& object)
 {
     Core::Error error;
@@ -228,8 +235,6 @@
     // This node's own watch usually returns a change as early as the peers' watches.
     static constexpr Core::Duration peerFetchDelay = 250ms;
     static constexpr Core::Duration serversInterval = 500ms;
-    // A watch that falls silent without an error is noticed only at its end, seconds later.
-    static constexpr Core::Duration silentWatchDelay = 750ms;
     auto const now = m_runtime.now();
     auto const ownVersion = m_tables.routes ? m_tables.routes->version : 0;
     auto const* newest = Forward::choosePeerToFetchFrom(m_tables.peers, Forward::PeerDataKind::Configuration, ownVersion, m_settings.dataCentre, now);
@@ -243,18 +248,12 @@
         startFetch(Resource::Configuration, newest->report);
         return;
     }
-    auto const* servers = Forward::choosePeerToFetchFrom(m_tables.peers, Forward::PeerDataKind::Servers, m_tables.serversRevision, m_settings.dataCentre, now);
-    if (!servers)
-        m_serversOutdatedSince.reset();
-    else if (!m_serversOutdatedSince)
-        m_serversOutdatedSince = now;
-    if (!servers || (m_shouldWatch && now - m_serversFetchedAt < serversInterval))
-        return;
-    bool const isWatchWorking = m_shouldWatch && !m_serversStatus.isUnavailable;
-    if (isWatchWorking && now - *m_serversOutdatedSince < silentWatchDelay)
+    if (m_shouldWatch && (!m_serversStatus.isUnavailable || now - m_serversFetchedAt < serversInterval))
         return;
-    m_serversFetchedAt = now;
-    startFetch(Resource::Servers, servers->report);
+    if (auto const* servers = Forward::choosePeerToFetchFrom(m_tables.peers, Forward::PeerDataKind::Servers, m_tables.serversRevision, m_settings.dataCentre, now)) {
+        m_serversFetchedAt = now;
+        startFetch(Resource::Servers, servers->report);
+    }
 }
 
 void StoreWatcher::startFetch(Resource resource, Forward::NodeReport const& peer)
@@ -294,6 +293,7 @@
             { "leaving", server.lifecycle == Routing::Lifecycle::Leaving },
             { "slots", server.slots },
             { "reclaimable", server.reclaimable },
+            { "revision", server.revision },
         });
     }
     return json::serialize(json::object { { "revision", m_tables.serversRevision }, { "servers", std::move(servers) } });
@@ -314,6 +314,10 @@
     server.lifecycle = fields.flag("leaving") ? Routing::Lifecycle::Leaving : Routing::Lifecycle::Live;
     server.slots = static_cast<std::uint32_t>(fields.number("slots"));
     server.reclaimable = fields.flag("reclaimable");
+    // Earlier versions do not send it.
+    auto const* revision = value.is_object() ? value.get_object().if_contains("revision") : nullptr;
+    server.revision = revision && revision->is_uint64() ? revision->get_uint64() : revision && revision->is_int64() ? static_cast<std::uint64_t>(revision->get_int64())
+                                                                                                                    : 0;
     if (!endpoint || !fields.areValid())
         return std::nullopt;
     server.endpoint = *endpoint;
@@ -339,7 +343,7 @@
     }
     json::error_code errorCode;
     auto const value = json::parse(response->body, errorCode);
-    if (errorCode)
+    if (errorCode || (m_shouldWatch && !m_serversStatus.isUnavailable))
         co_return;
     Platform::JsonFields fields(value);
     auto const revision = fields.number("revision");
@@ -350,7 +354,7 @@
     }
     if (!fields.areValid() || revision <= m_tables.serversRevision)
         co_return;
-    Forward::replaceServers(m_tables.directory, servers, m_runtime.now());
+    Forward::mergePeerServers(m_tables.directory, servers, revision, m_runtime.now());
     m_tables.serversRevision = revision;
     updateServerTable();
 }
--- a/Services/Edge/StoreWatcher.h
+++ b/Services/Edge/StoreWatcher.h
@@ -63,6 +63,7 @@
     [[nodiscard]] Core::Duration recordFailure(Resource, Core::Error const&);
     void recordSuccess(Resource);
     void applyConfiguration(std::string const& value, std::string_view source);
+    [[nodiscard]] bool isKnownInLaterRevision(Platform::StoredObject const&) const;
     void applyServerEntry(Platform::StoredObject const&);
     void replaceServers(std::vector<Platform::StoredObject> const&);
     void updateServerTable();
@@ -81,8 +82,6 @@
     CallStatus m_serversStatus;
     /// When a peer first reported a newer configuration than this node's; empty while none does.
     std::optional<Core::MonotonicTime> m_configurationOutdatedSince;
-    /// When a peer first reported newer servers than this node's; empty while none does.
-    std::optional<Core::MonotonicTime> m_serversOutdatedSince;
     bool m_isFetching { false };
     /// The last result of Forward::shouldWatchStore().
     bool m_shouldWatch { true };
--- a/Tests/LibForward/ServerDirectoryTest.cpp
+++ b/Tests/LibForward/ServerDirectoryTest.cpp
@@ -82,3 +82,35 @@
     Forward::unregisterServer(m_directory, "s1", m_now);
     EXPECT_EQ(inUse(), 5u);
 }
+
+// Load pattern: the store drops its history while a server leaves, so that the watch of a peer misses the removal. The peer's list claims a
+// later revision, but must not bring the server back (DRAIN on scale-2 of tcdrb-hyssop-grown).
+TEST_F(ServerDirectoryTest, ListOfAPeerDoesNotRestoreARemovedServer)
+{
+    Routing::ListedServer server { .id = "s9", .service = "model", .revision = 10 };
+    Forward::registerServer(m_directory, server);
+    Forward::unregisterServer(m_directory, "s9", m_now);
+    auto const isInUse = [&](Core::Duration later) {
+        auto const servers = Forward::serversInUse(m_directory, m_now + later);
+        return std::any_of(servers.begin(), servers.end(), [](auto const& item) { return item.id == "s9"; });
+    };
+    EXPECT_FALSE(isInUse(0s));
+    Forward::mergePeerServers(m_directory, { server }, 205, m_now + 3s);
+    EXPECT_FALSE(isInUse(3s));
+    // It has registered again.
+    server.revision = 206;
+    Forward::mergePeerServers(m_directory, { server }, 206, m_now + 4s);
+    EXPECT_TRUE(isInUse(4s));
+    // The list of a peer is older than the leaving that this node has read.
+    auto leaving = server;
+    leaving.lifecycle = Routing::Lifecycle::Leaving;
+    leaving.revision = 210;
+    Forward::registerServer(m_directory, leaving);
+    Forward::mergePeerServers(m_directory, { server }, 211, m_now + 5s);
+    EXPECT_EQ(m_directory.entries.at("s9").server.lifecycle, Routing::Lifecycle::Leaving);
+    // An entry newer than a peer's list stays although the list lacks it.
+    Forward::mergePeerServers(m_directory, {}, 209, m_now + 6s);
+    EXPECT_FALSE(m_directory.entries.at("s9").removedAt);
+    Forward::mergePeerServers(m_directory, {}, 212, m_now + 7s);
+    EXPECT_TRUE(m_directory.entries.at("s9").removedAt);
+}
