--- a/Libraries/LibForward/NodeExchange.cpp
+++ b/Libraries/LibForward/NodeExchange.cpp
@@ -75,11 +75,23 @@
     return inOrder(ranked);
 }
 
+// The nodes of a data centre that sum the reports of the others.
+static std::vector<NodeContact> aggregatingNodes(PeerTable const& table, std::string const& dataCentre, Core::MonotonicTime now)
+{
+    auto ranked = rankedNodes(table, dataCentre, now);
+    ranked.resize(std::min(ranked.size(), aggregatorsPerDataCentre));
+    return ranked;
+}
+
+static bool isAggregatingNode(PeerTable const& table, NodeReport const& report, Core::MonotonicTime now)
+{
+    auto const nodes = aggregatingNodes(table, report.dataCentre, now);
+    return std::any_of(nodes.begin(), nodes.end(), [&](auto const& contact) { return contact.node == report.node; });
+}
+
 bool isAggregating(PeerTable const& table, Core::MonotonicTime now)
 {
-    auto const ranked = rankedNodes(table, table.own.dataCentre, now);
-    auto const last = ranked.begin() + static_cast<std::ptrdiff_t>(std::min(ranked.size(), aggregatorsPerDataCentre));
-    return std::any_of(ranked.begin(), last, [&](auto const& contact) { return contact.node == table.own.node; });
+    return isAggregatingNode(table, table.own, now);
 }
 
 static void chooseDataCentreSources(PeerTable& table, Core::MonotonicTime now)
@@ -298,9 +310,8 @@
 
     std::vector<OutgoingReport> plan()
     {
-        auto const ranked = rankedNodes(m_table, m_table.own.dataCentre, m_now);
-        for (std::size_t i = 0; i < std::min(ranked.size(), aggregatorsPerDataCentre); ++i)
-            sendOwn(ranked[i].endpoint);
+        for (auto const& contact : aggregatingNodes(m_table, m_table.own.dataCentre, m_now))
+            sendOwn(contact.endpoint);
         bool const hasSums = m_table.aggregator.empty() ? isAggregating(m_table, m_now) : isLive(m_table.deploymentRows.at(m_table.aggregator), m_now);
         if (!hasSums)
             searchSums();
@@ -395,19 +406,12 @@
         }
     }
 
-    bool isRankedFirst(NodeReport const& report)
-    {
-        auto const ranked = rankedNodes(m_table, report.dataCentre, m_now);
-        auto const last = ranked.begin() + static_cast<std::ptrdiff_t>(std::min(ranked.size(), aggregatorsPerDataCentre));
-        return std::any_of(ranked.begin(), last, [&](auto const& contact) { return contact.node == report.node; });
-    }
-
     // Nodes that sum the reports of another data centre and do not know its higher ranked nodes learn of them.
     void correctOtherDataCentres()
     {
         for (auto const& [node, row] : m_table.dataCentreRows) {
             auto const recipient = endpointFrom(row.report.endpoint);
-            if (recipient && isLive(row, m_now) && !isRankedFirst(row.report) && takeTurn(m_exchange.sumsSentAt, *recipient, standbySumsInterval))
+            if (recipient && isLive(row, m_now) && !isAggregatingNode(m_table, row.report, m_now) && takeTurn(m_exchange.sumsSentAt, *recipient, standbySumsInterval))
                 send(*recipient, m_deploymentSums, true);
         }
     }
@@ -421,9 +425,8 @@
         }
         dataCentres.erase(m_table.own.dataCentre);
         for (auto const& dataCentre : dataCentres) {
-            auto const ranked = rankedNodes(m_table, dataCentre, m_now);
-            for (std::size_t i = 0; i < std::min(ranked.size(), aggregatorsPerDataCentre); ++i) {
-                if (auto const recipient = endpointFrom(ranked[i].endpoint))
+            for (auto const& contact : aggregatingNodes(m_table, dataCentre, m_now)) {
+                if (auto const recipient = endpointFrom(contact.endpoint))
                     send(*recipient, m_dataCentreSums, shouldSendComplete(*recipient));
             }
         }
