LibForward, Edge: Fetch servers from the peer with the most processor

Change: of the nodes that watch the store, the one with the most processor is asked first; the list is serialized once for all that fetch it within a tick.

The test fails with the order before.

--- a/Libraries/LibForward/PeerTable.cpp
+++ b/Libraries/LibForward/PeerTable.cpp
@@ -313,7 +313,7 @@
         return kind == PeerDataKind::Configuration ? row.report.configurationVersion : row.report.serversRevision;
     };
     auto const rank = [&](PeerTable::Row const& row) {
-        return std::tuple(row.report.watchesStore, row.report.dataCentre == ownDataCentre, versionOf(row));
+        return std::tuple(row.report.watchesStore, row.report.dataCentre == ownDataCentre, row.report.processorShare, versionOf(row));
     };
     PeerTable::Row const* best = nullptr;
     for (auto const* rows : { &table.rows, &table.deploymentRows, &table.dataCentreRows, &table.contacts }) {
--- a/Libraries/LibForward/PeerTable.h
+++ b/Libraries/LibForward/PeerTable.h
@@ -124,7 +124,8 @@
 
 /// Returns the peer from which to fetch data newer than a known configuration version or servers revision, or null if no live peer
 /// has any. Prefers peers that watch the store, since the others learn from them, then peers of the own data centre, since traffic
-/// between data centres is billed, then the newest data. Thread safe.
+/// between data centres is billed, then those with more processor, since all others of the data centre fetch from them at once, then the
+/// newest data. Thread safe.
 [[nodiscard]] PeerTable::Row const* choosePeerToFetchFrom(PeerTable const&, PeerDataKind, std::uint64_t known, std::string const& ownDataCentre, Core::MonotonicTime now);
 
 /// Returns the number of live peers: other nodes of which at most four consecutive reports are missing.
--- a/Services/Edge/StoreWatcher.cpp
+++ b/Services/Edge/StoreWatcher.cpp
@@ -214,6 +214,7 @@
 {
     auto const now = m_runtime.now();
     auto const before = m_tables.servers.rows.size();
+    m_serversForPeersRevision.reset();
     Routing::mergeHostList(m_tables.servers, Forward::serversInUse(m_tables.directory, now), now);
     if (before == 0 && !m_tables.servers.rows.empty())
         m_tables.becameUsable.notifyAll();
@@ -276,8 +277,10 @@
 }
 
 // Serializes the decoded entries, so that peers need not decode the platform's format.
-std::string StoreWatcher::serversForPeers() const
+std::string const& StoreWatcher::serversForPeers()
 {
+    if (m_serversForPeersRevision == m_tables.serversRevision)
+        return m_serversForPeers;
     json::array servers;
     for (auto const& [id, entry] : m_tables.directory.entries) {
         auto const& server = entry.server;
@@ -296,7 +299,9 @@
             { "revision", server.revision },
         });
     }
-    return json::serialize(json::object { { "revision", m_tables.serversRevision }, { "servers", std::move(servers) } });
+    m_serversForPeers = json::serialize(json::object { { "revision", m_tables.serversRevision }, { "servers", std::move(servers) } });
+    m_serversForPeersRevision = m_tables.serversRevision;
+    return m_serversForPeers;
 }
 
 static std::optional<Routing::ListedServer> serverFromPeer(json::value const& value)
--- a/Services/Edge/StoreWatcher.h
+++ b/Services/Edge/StoreWatcher.h
@@ -39,7 +39,7 @@
 
     /// JSON texts served to peers; nullopt if this node has no configuration.
     [[nodiscard]] std::optional<std::string> configurationForPeers() const;
-    [[nodiscard]] std::string serversForPeers() const;
+    [[nodiscard]] std::string const& serversForPeers();
 
 private:
     enum class Resource {
@@ -87,6 +87,9 @@
     bool m_shouldWatch { true };
     std::function<void()> m_changeListener;
     Core::MonotonicTime m_serversFetchedAt {};
+    /// The list for peers and the revision that it reflects; many peers fetch the same one.
+    std::string m_serversForPeers;
+    std::optional<std::uint64_t> m_serversForPeersRevision;
 };
 
 }
--- a/Tests/LibForward/PeerTableTest.cpp
+++ b/Tests/LibForward/PeerTableTest.cpp
@@ -119,6 +119,23 @@
     EXPECT_EQ(source(530, now + 5s), "");
 }
 
+// Load pattern: servers flap, and all nodes of a data centre fetch each change at once. A small node that read it first was saturated by
+// that, and used a leaving server for over three seconds (DRAIN on a mixed day of tcdrb-hyssop-grown).
+TEST(PeerTableTest, DataIsFetchedFromTheNodeWithTheMostProcessor)
+{
+    Core::MonotonicTime const now { 100s };
+    Forward::PeerTable table;
+    for (auto const& [node, share, revision] : { std::tuple { "n1", 0.12F, 541 }, std::tuple { "n2", 0.5F, 540 }, std::tuple { "n3", 0.12F, 540 } }) {
+        auto peer = report(node);
+        peer.processorShare = share;
+        peer.serversRevision = static_cast<std::uint64_t>(revision);
+        peer.watchesStore = true;
+        (void)Forward::mergeReport(table, peer, 1'000'000, now);
+    }
+    EXPECT_EQ(Forward::choosePeerToFetchFrom(table, Forward::PeerDataKind::Servers, 530, "a", now)->report.node, "n2");
+    EXPECT_EQ(Forward::choosePeerToFetchFrom(table, Forward::PeerDataKind::Servers, 540, "a", now)->report.node, "n1");
+}
+
 // Load pattern: 70 nodes on 10 Mbit/s links. Full reports to all at once overflowed the link, so the same nodes never got one and
 // reported only a seventh of the usage (scale-1 of vzl-showlog-grown).
 TEST(PeerTableTest, FullReportsAreSpreadOverTheRounds)
