Edge: Log which servers leave the table, which are kept, and each list of the store

Cause: servers_changed is written only if the number of servers changes, so that no line told when a node stopped using a server that leaves, from which source it knew, or that it kept one whose entry was removed. A request's line did not tell when its server was chosen.

Change: servers_left, removed_servers_kept and store_listed, one line for each update with at most 24 ids, and the field placed of a request. No change of behaviour.

--- a/Services/Edge/RequestForwarder.cpp
+++ b/Services/Edge/RequestForwarder.cpp
@@ -47,6 +47,8 @@
     std::vector<std::string> triedServers;
     /// For the log: each server that was tried with the outcome of its attempt, and the placement data of the last one.
     std::string attemptTrace;
+    /// When the server of the last attempt was chosen.
+    Core::MonotonicTime placedAt {};
     std::uint32_t chosenServerLoad { 0 };
     std::uint32_t chosenHomeRank { 0 };
     std::optional<Core::Endpoint> cacheSource;
@@ -294,6 +296,7 @@
     context.chosenHomeRank = placement->homeRank;
     context.cacheSource = placement->cacheSource;
     Attempt attempt { .placement = std::move(*placement), .sentAt = m_dependencies.runtime.now() };
+    context.placedAt = attempt.sentAt;
     OutstandingScope const scope(tables, attempt.placement.serverId, context.fingerprint);
 
     Forward::ForwardAttributes attributes;
@@ -548,6 +551,7 @@
         fields.emplace_back("first_event", std::int64_t(toMilliseconds(*context.firstEventAt - context.arrivedAt).count()));
     if (!context.attemptTrace.empty()) {
         fields.emplace_back("servers", context.attemptTrace);
+        fields.emplace_back("placed", std::int64_t(toMilliseconds(context.placedAt - context.arrivedAt).count()));
         fields.emplace_back("servers_revision", std::uint64_t(m_dependencies.tables.serversRevision));
         fields.emplace_back("server_load", context.chosenServerLoad);
         fields.emplace_back("home_rank", context.chosenHomeRank);
--- a/Services/Edge/StoreWatcher.cpp
+++ b/Services/Edge/StoreWatcher.cpp
@@ -50,6 +50,7 @@
         co_return false;
     version = list->resourceVersion;
     recordSuccess(resource);
+    Core::logEvent(Core::LogLevel::Info, "store_listed", { { "kind", objectKind(resource) }, { "objects", std::uint64_t(list->objects.size()) }, { "revision", version } });
     if (resource == Resource::Servers) {
         replaceServers(list->objects);
         m_tables.serversRevision = std::max(m_tables.serversRevision, version);
@@ -106,7 +107,7 @@
         }
         if (resource == Resource::Servers && !changes->events.empty()) {
             m_tables.serversRevision = std::max(m_tables.serversRevision, *version);
-            updateServerTable();
+            updateServerTable("store");
             notifyChange();
             co_await m_runtime.sleepFor(changeBatchingDelay);
         }
@@ -207,15 +208,52 @@
             servers.push_back(std::move(*server));
     }
     Forward::replaceServers(m_tables.directory, servers, m_runtime.now());
-    updateServerTable();
+    updateServerTable("store");
 }
 
-void StoreWatcher::updateServerTable()
+// Appends an id to a list in a log line, up to a bound.
+static void appendId(std::string& ids, std::size_t count, std::string const& id)
+{
+    static constexpr std::size_t maximumIds = 24;
+    if (count < maximumIds)
+        ids += (ids.empty() ? "" : ",") + id;
+}
+
+// One line for all servers that get no new requests from now on, and one for those that do although their entries were removed.
+void StoreWatcher::logServersLeftOut(std::vector<Routing::ListedServer> const& used, std::string_view source) const
+{
+    std::map<std::string_view, Routing::Lifecycle> lifecycles;
+    for (auto const& server : used)
+        lifecycles[server.id] = server.lifecycle;
+    std::size_t left = 0;
+    std::size_t kept = 0;
+    std::string leftIds;
+    std::string keptIds;
+    for (auto const& row : m_tables.servers.rows) {
+        if (row.lifecycle != Routing::Lifecycle::Live)
+            continue;
+        auto const found = lifecycles.find(row.id);
+        auto const entry = m_tables.directory.entries.find(row.id);
+        if (found == lifecycles.end() || found->second == Routing::Lifecycle::Leaving)
+            appendId(leftIds, left++, row.id);
+        else if (entry != m_tables.directory.entries.end() && entry->second.removedAt > m_serversUpdatedAt)
+            appendId(keptIds, kept++, row.id);
+    }
+    if (left > 0)
+        Core::logEvent(Core::LogLevel::Info, "servers_left", { { "count", std::uint64_t(left) }, { "servers", leftIds }, { "source", source }, { "revision", std::uint64_t(m_tables.serversRevision) } });
+    if (kept > 0)
+        Core::logEvent(Core::LogLevel::Info, "removed_servers_kept", { { "count", std::uint64_t(kept) }, { "servers", keptIds }, { "source", source }, { "revision", std::uint64_t(m_tables.serversRevision) } });
+}
+
+void StoreWatcher::updateServerTable(std::string_view source)
 {
     auto const now = m_runtime.now();
     auto const before = m_tables.servers.rows.size();
     m_serversForPeersRevision.reset();
-    Routing::mergeHostList(m_tables.servers, Forward::serversInUse(m_tables.directory, now), now);
+    auto const used = Forward::serversInUse(m_tables.directory, now);
+    logServersLeftOut(used, source);
+    m_serversUpdatedAt = now;
+    Routing::mergeHostList(m_tables.servers, used, now);
     if (before == 0 && !m_tables.servers.rows.empty())
         m_tables.becameUsable.notifyAll();
     if (m_tables.servers.rows.size() != before)
@@ -224,7 +262,7 @@
 
 void StoreWatcher::tick()
 {
-    updateServerTable();
+    updateServerTable("time");
     bool const shouldWatch = Forward::shouldWatchStore(m_tables.peers, m_settings.nodeId, m_settings.dataCentre, m_runtime.now());
     if (shouldWatch != std::exchange(m_shouldWatch, shouldWatch))
         Core::logEvent(Core::LogLevel::Info, shouldWatch ? "store_followed" : "store_left_to_peers", { { "peers", std::uint64_t(m_tables.peers.knownNodes - 1) } });
@@ -361,7 +399,7 @@
         co_return;
     Forward::mergePeerServers(m_tables.directory, servers, revision, m_runtime.now());
     m_tables.serversRevision = revision;
-    updateServerTable();
+    updateServerTable(peer);
 }
 
 }
--- a/Services/Edge/StoreWatcher.h
+++ b/Services/Edge/StoreWatcher.h
@@ -66,7 +66,9 @@
     [[nodiscard]] bool isKnownInLaterRevision(Platform::StoredObject const&) const;
     void applyServerEntry(Platform::StoredObject const&);
     void replaceServers(std::vector<Platform::StoredObject> const&);
-    void updateServerTable();
+    void logServersLeftOut(std::vector<Routing::ListedServer> const& used, std::string_view source) const;
+    /// Takes over the servers in use. The source, the store or a peer, is for the log.
+    void updateServerTable(std::string_view source);
     void notifyChange();
     CallStatus& callStatus(Resource resource) { return resource == Resource::Configuration ? m_configurationStatus : m_serversStatus; }
 
@@ -87,6 +89,8 @@
     bool m_shouldWatch { true };
     std::function<void()> m_changeListener;
     Core::MonotonicTime m_serversFetchedAt {};
+    /// The last call of updateServerTable().
+    Core::MonotonicTime m_serversUpdatedAt {};
     /// The list for peers and the revision that it reflects; many peers fetch the same one.
     std::string m_serversForPeers;
     std::optional<std::uint64_t> m_serversForPeersRevision;
