Edge, LibPlatform: List the objects again after a watch failed

What callers would see: a server that said it leaves gets requests until its entry is removed, or a configuration is not in force until the next one.

Cause: the store may deliver nothing for a second while changes are made, and then cut the watches. A watch that ends by itself in that second returns no events with the store's revision, and the node goes on from there. The watch that was cut was resumed from that revision, unless the store answered 410; HTTP::Client even sent it again on a new connection without the caller's knowledge. What was missed was never read. Class: a cursor that is advanced past what was received, and a gap notice that a retry hides.

Change: a watch is sent once, and after any failure the objects are listed again. One more call to the store for each failure.

--- a/Libraries/LibPlatform/PlatformCall.cpp
+++ b/Libraries/LibPlatform/PlatformCall.cpp
@@ -52,12 +52,24 @@
     return Core::fail(error, ErrorKind::StoreUnavailable, "the platform is unreachable: " + error.message, runState);
 }
 
+// With ConnectionUse::Pooled, HTTP::Client sends a request again if its idle connection was closed. A second copy of a write would
+// conflict with the first and be reported as not run although the write took effect.
+static HTTP::ConnectionUse connectionUse(CallEffect effect)
+{
+    switch (effect) {
+    case CallEffect::Read:
+        return HTTP::ConnectionUse::Pooled;
+    case CallEffect::Watch:
+        return HTTP::ConnectionUse::PooledNoRetry;
+    case CallEffect::Write:
+        break;
+    }
+    return HTTP::ConnectionUse::NewConnection;
+}
+
 Core::Awaitable<std::optional<boost::json::value>> callPlatform(HTTP::Client& client, Core::Endpoint platform, HTTP::Request request, CallEffect effect, Core::MonotonicTime deadline, Error& error)
 {
-    // HTTP::Client sends a request again if its idle connection was closed. A second copy of a write would conflict with the
-    // first and be reported as not run although the write took effect.
-    auto const use = effect == CallEffect::Write ? HTTP::ConnectionUse::NewConnection : HTTP::ConnectionUse::Pooled;
-    auto const response = co_await client.send(std::move(platform), std::move(request), use, deadline, error);
+    auto const response = co_await client.send(std::move(platform), std::move(request), connectionUse(effect), deadline, error);
     if (!response)
         co_return failForTransport(effect, error);
     if (response->status >= 300)
--- a/Libraries/LibPlatform/PlatformCall.h
+++ b/Libraries/LibPlatform/PlatformCall.h
@@ -11,16 +11,18 @@
 
 namespace Platform {
 
-/// Whether a call changes the platform's state.
+/// Whether a call changes the platform's state, and whether it may be sent again when its connection closes.
 enum class CallEffect {
     Read,
+    /// A long poll, whose connection the platform closes to say that changes may be missing. It is sent once.
+    Watch,
     Write,
 };
 
 /// Sends one call to the platform and returns the JSON of its response. Internal to LibPlatform.
 /// Failures are NotFound (404), StoreConflict (409), StoreVersionExpired (410), StoreValueTooLarge (413), and
 /// StoreUnavailable for everything else. The run state of a write is NotRun if no byte was sent or the platform refused the
-/// call (404, 409, 413, 429, 503), else Unknown; that of a read is always NotRun.
+/// call (404, 409, 413, 429, 503), else Unknown; that of other calls is always NotRun.
 [[nodiscard]] Core::Awaitable<std::optional<boost::json::value>> callPlatform(HTTP::Client&, Core::Endpoint, HTTP::Request, CallEffect, Core::MonotonicTime deadline, Core::Error&);
 
 /// Sets the error for a response with a status of 300 or above. Internal to LibPlatform.
--- a/Services/Edge/StoreWatcher.cpp
+++ b/Services/Edge/StoreWatcher.cpp
@@ -84,10 +84,9 @@
         auto const watchDuration = minimumWatchDuration + std::chrono::milliseconds(m_random.below(watchJitterMilliseconds));
         auto const changes = co_await m_store.waitForChanges(objectKind(resource), *version, m_runtime.now() + watchDuration, error);
         if (!changes) {
-            auto const retryDelay = recordFailure(resource, error);
-            if (error.kind == Core::ErrorKind::StoreVersionExpired)
-                version.reset();
-            co_await m_runtime.sleepFor(retryDelay);
+            // Earlier watches may have missed changes while the store delivered none.
+            version.reset();
+            co_await m_runtime.sleepFor(recordFailure(resource, error));
             continue;
         }
         recordSuccess(resource);
--- a/Tests/EdgeService/EdgeServiceTest.cpp
+++ b/Tests/EdgeService/EdgeServiceTest.cpp
@@ -93,11 +93,22 @@
     RawServer& addServer(RawServer::Script script)
     {
         auto& server = *m_servers.emplace_back(std::make_unique<RawServer>(m_loop.runtime(), std::move(script)));
-        auto const id = "s" + std::to_string(m_servers.size());
-        m_store.put("servers", id, R"({"service":"app","address":")" + server.endpoint().toString() + R"(","zone":"a","version":"v1","slots":6,"state":"ready","seq":1})");
+        putServerState("s" + std::to_string(m_servers.size()), "ready");
         return server;
     }
 
+    void putServerState(std::string const& id, std::string const& state)
+    {
+        auto const& server = *m_servers.at(std::stoul(id.substr(1)) - 1);
+        m_store.put("servers", id, R"({"service":"app","address":")" + server.endpoint().toString() + R"(","zone":"a","version":"v1","slots":6,"state":")" + state + R"(","seq":1})");
+    }
+
+    bool isLive(std::string const& id)
+    {
+        auto const* row = Routing::findServer(std::as_const(m_service->tables().servers), id);
+        return row && row->lifecycle == Routing::Lifecycle::Live;
+    }
+
     template <typename Condition>
     void waitFor(Condition condition)
     {
@@ -551,6 +562,23 @@
     EXPECT_LE(Edge::storeConnectTimeout + Edge::maximumStoreRetryDelay + roundTrips + Forward::removalGracePeriod + margin, Core::Duration(3s));
 }
 
+// Guards against a change that is never seen: a watch ended without it while the store delivered nothing, and the next one was cut.
+TEST_F(EdgeServiceTest, ChangeThatAWatchMissedIsSeenAfterTheNextWatchWasCut)
+{
+    for (int i = 0; i < 2; ++i)
+        addServer([](auto const& request) { return Reply { httpResponse(attemptIdOf(request), "body") }; });
+    start();
+    m_store.hidesChanges = true;
+    putConfiguration(2);
+    putServerState("s1", "draining");
+    auto const before = m_store.watches;
+    // The watches that were pending, and those that follow them.
+    waitFor([&] { return m_store.watches >= before + 3; });
+    m_store.hidesChanges = false;
+    m_store.cutWatches();
+    waitFor([&] { return m_service->tables().routes->version == 2 && !isLive("s1"); });
+}
+
 // Guards against list calls in a tight loop while the store has no history for watches: 1,085 lists in one second, soak seed 49.
 TEST_F(EdgeServiceTest, ListCallsAreThrottledWhenWatchHistoryIsExpired)
 {
--- a/Tests/EdgeService/StoreStandIn.cpp
+++ b/Tests/EdgeService/StoreStandIn.cpp
@@ -45,6 +45,17 @@
     m_changed.notifyAll();
 }
 
+void StoreStandIn::silenceWatches()
+{
+    m_silencedWatches = watches;
+}
+
+void StoreStandIn::cutWatches()
+{
+    m_cutWatches = watches;
+    m_changed.notifyAll();
+}
+
 Core::Awaitable<void> StoreStandIn::handle(HTTP::Request const& request, HTTP::ResponseWriter& writer)
 {
     ++calls;
@@ -58,14 +69,20 @@
         auto const kind = path.substr(0, slash);
         auto const name = slash == std::string::npos ? std::string() : path.substr(slash + 1);
         auto const found = m_objects.objects.find({ kind, name });
-        if (request.method != "GET")
+        if (request.method != "GET") {
             response = write(kind, name, request);
-        else if (request.queryParameter("watch"))
-            response = co_await watch(kind, request);
-        else if (name.empty())
+        } else if (request.queryParameter("watch")) {
+            auto answer = co_await watch(kind, request);
+            if (!answer) {
+                writer.abort();
+                co_return;
+            }
+            response = std::move(*answer);
+        } else if (name.empty()) {
             response = list(kind, request);
-        else if (found != m_objects.objects.end())
+        } else if (found != m_objects.objects.end()) {
             response = jsonResponse(200, objectJson(found->second));
+        }
     }
     (void)co_await writer.send(std::move(response));
 }
@@ -86,21 +103,26 @@
     return jsonResponse(200, json::object { { "items", std::move(items) }, { "more-pages", more }, { "store-revision", m_objects.version } });
 }
 
-Core::Awaitable<HTTP::Response> StoreStandIn::watch(std::string kind, HTTP::Request const& request)
+Core::Awaitable<std::optional<HTTP::Response>> StoreStandIn::watch(std::string kind, HTTP::Request const& request)
 {
     auto const since = std::stoull(*request.queryParameter("watch"));
     auto const deadline = m_runtime.now() + std::chrono::milliseconds(std::stoll(*request.queryParameter("wait-ms")));
+    auto const number = ++watches;
     if (since < oldestRevision)
         co_return HTTP::Response { 410, {}, "{}" };
     while (true) {
+        if (number <= m_cutWatches)
+            co_return std::nullopt;
         json::array events;
         for (auto const& event : m_objects.history) {
-            if (event.object.key.kind == kind && event.object.resourceVersion > since)
+            if (!hidesChanges && event.object.key.kind == kind && event.object.resourceVersion > since)
                 events.push_back(json::object { { "deleted", event.kind == Platform::ObjectEventKind::Removed }, { "object", objectJson(event.object) } });
         }
-        if (!events.empty() || m_runtime.now() >= deadline)
+        bool const isSilent = number <= m_silencedWatches;
+        if (!isSilent && (!events.empty() || m_runtime.now() >= deadline))
             co_return jsonResponse(200, json::object { { "events", std::move(events) }, { "store-revision", m_objects.version } });
-        (void)co_await m_changed.waitUntil(deadline);
+        static constexpr Core::Duration silence = std::chrono::seconds(20);
+        (void)co_await m_changed.waitUntil(isSilent ? m_runtime.now() + silence : deadline);
     }
 }
 
--- a/Tests/EdgeService/StoreStandIn.h
+++ b/Tests/EdgeService/StoreStandIn.h
@@ -17,6 +17,14 @@
     void put(std::string const& kind, std::string const& name, std::string value);
     void erase(std::string const& kind, std::string const& name);
 
+    /// The watches that are pending get no response any more, as on connections that went silent. Later calls work.
+    void silenceWatches();
+    /// Closes the connections of the pending watches.
+    void cutWatches();
+
+    /// While set, watches end without events, but with the current revision.
+    bool hidesChanges { false };
+    std::size_t watches { 0 };
     /// While set, every call gets this status.
     std::optional<unsigned> forcedStatus;
     /// Watches from earlier revisions get status 410.
@@ -25,13 +33,17 @@
 
 private:
     [[nodiscard]] Core::Awaitable<void> handle(HTTP::Request const&, HTTP::ResponseWriter&);
-    [[nodiscard]] Core::Awaitable<HTTP::Response> watch(std::string kind, HTTP::Request const&);
+    /// Returns an empty optional if the connection is to be closed.
+    [[nodiscard]] Core::Awaitable<std::optional<HTTP::Response>> watch(std::string kind, HTTP::Request const&);
     [[nodiscard]] HTTP::Response list(std::string const& kind, HTTP::Request const&) const;
     [[nodiscard]] HTTP::Response write(std::string const& kind, std::string name, HTTP::Request const&);
 
     Core::Runtime& m_runtime;
     TestSupport::MemoryObjects m_objects;
     Core::AsyncEvent m_changed;
+    /// The number of watches when they were last silenced or cut; later ones are answered.
+    std::size_t m_silencedWatches { 0 };
+    std::size_t m_cutWatches { 0 };
     HTTP::Server m_server;
 };
 
