Edge: Do not take a failed watch for an outage of the store

Cause: connections to the store went silent, so that the node's watches failed. Each failure counted as an outage of the store, in which entries of running servers lapse, and a removal that was read soon after was ignored for 1.6 s. The outage was recorded as over only when the next watch returned, up to 2.5 s later, which used the removed server again. Class: a node's own path is taken for the state of what it reaches.

Change: a failed watch is followed by a list on a new connection, and only if that fails, too, the store counts as away. Idle connections to it are closed with a failed call, since they may be silent as well. The line store_watch_failed names the reason; dependency_lost is now written when the list fails.

RemovedServerIsNotKeptAfterConnectionsToTheStoreWentSilent failed before and passes.

--- a/Libraries/LibPlatform/PlatformCall.cpp
+++ b/Libraries/LibPlatform/PlatformCall.cpp
@@ -69,9 +69,12 @@
 
 Core::Awaitable<std::optional<boost::json::value>> callPlatform(HTTP::Client& client, Core::Endpoint platform, HTTP::Request request, CallEffect effect, Core::MonotonicTime deadline, Error& error)
 {
-    auto const response = co_await client.send(std::move(platform), std::move(request), connectionUse(effect), deadline, error);
-    if (!response)
+    auto const response = co_await client.send(platform, std::move(request), connectionUse(effect), deadline, error);
+    if (!response) {
+        // Idle connections of the same time may have gone silent as well.
+        client.closeIdleConnections(platform);
         co_return failForTransport(effect, error);
+    }
     if (response->status >= 300)
         co_return failForStatus(*response, effect, error);
     boost::json::error_code errorCode;
--- a/Services/Edge/StoreWatcher.cpp
+++ b/Services/Edge/StoreWatcher.cpp
@@ -86,7 +86,7 @@
         if (!changes) {
             // Earlier watches may have missed changes while the store delivered none.
             version.reset();
-            co_await m_runtime.sleepFor(recordFailure(resource, error));
+            co_await m_runtime.sleepFor(recordWatchFailure(resource, error));
             continue;
         }
         recordSuccess(resource);
@@ -135,15 +135,22 @@
         m_changeListener();
 }
 
+static constexpr Core::Duration initialRetryDelay = 100ms;
+
+// A watch that fails says nothing about the store, since its connection may have gone silent or been reset on the way. The list that
+// follows on a new connection tells.
+Core::Duration StoreWatcher::recordWatchFailure(Resource resource, Core::Error const& error)
+{
+    m_metrics.counter("hyssopstep_store_failures_total", { { "kind", objectKind(resource) } }).add();
+    bool const isHistoryGone = error.kind == Core::ErrorKind::StoreVersionExpired;
+    Core::logEvent(Core::LogLevel::Info, isHistoryGone ? "store_history_gone" : "store_watch_failed", { { "kind", objectKind(resource) }, { "reason", error.message } });
+    return initialRetryDelay;
+}
+
 Core::Duration StoreWatcher::recordFailure(Resource resource, Core::Error const& error)
 {
-    static constexpr Core::Duration initialRetryDelay = 100ms;
     auto& status = callStatus(resource);
     m_metrics.counter("hyssopstep_store_failures_total", { { "kind", objectKind(resource) } }).add();
-    if (error.kind == Core::ErrorKind::StoreVersionExpired) {
-        Core::logEvent(Core::LogLevel::Info, "store_history_gone", { { "kind", objectKind(resource) } });
-        return initialRetryDelay;
-    }
     Forward::recordStoreOutage(m_tables.directory, m_runtime.now());
     if (!std::exchange(status.isUnavailable, true))
         Core::logEvent(Core::LogLevel::Warning, "dependency_lost", { { "dependency", "store" }, { "kind", objectKind(resource) }, { "reason", error.message } });
--- a/Services/Edge/StoreWatcher.h
+++ b/Services/Edge/StoreWatcher.h
@@ -60,6 +60,8 @@
     [[nodiscard]] Core::Awaitable<void> fetchFromPeer(Resource, std::string peer, Core::Endpoint);
     void startFetch(Resource, Forward::NodeReport const& peer);
     [[nodiscard]] std::string objectKind(Resource) const;
+    /// Record a failed watch and a failed list. Return the time until the next call.
+    [[nodiscard]] Core::Duration recordWatchFailure(Resource, Core::Error const&);
     [[nodiscard]] Core::Duration recordFailure(Resource, Core::Error const&);
     void recordSuccess(Resource);
     void applyConfiguration(std::string const& value, std::string_view source);
--- a/Tests/EdgeService/EdgeServiceTest.cpp
+++ b/Tests/EdgeService/EdgeServiceTest.cpp
@@ -579,6 +579,27 @@
     waitFor([&] { return m_service->tables().routes->version == 2 && !isLive("s1"); });
 }
 
+// Guards against new requests for a server that was removed while this node's connections to the store were silent, first because its
+// own trouble was taken for an outage of the store (DRAIN on days with connection resets: a request arrived 2.2 s after the removal),
+// then again when the other watch went on.
+TEST_F(EdgeServiceTest, RemovedServerIsNotKeptAfterConnectionsToTheStoreWentSilent)
+{
+    for (int i = 0; i < 4; ++i)
+        addServer([](auto const& request) { return Reply { httpResponse(attemptIdOf(request), "body") }; });
+    start();
+    m_store.silenceWatches();
+    m_store.erase("servers", "s1");
+    auto const& entries = m_service->tables().directory.entries;
+    waitFor([&] { return !entries.contains("s1") || entries.at("s1").removedAt; });
+    auto const end = m_loop.runtime().now() + 3s;
+    bool isUsed = false;
+    waitFor([&] {
+        isUsed = isUsed || isLive("s1");
+        return m_loop.runtime().now() >= end;
+    });
+    EXPECT_FALSE(isUsed);
+}
+
 // Guards against list calls in a tight loop while the store has no history for watches: 1,085 lists in one second, soak seed 49.
 TEST_F(EdgeServiceTest, ListCallsAreThrottledWhenWatchHistoryIsExpired)
 {
