LibForward, Edge: Ask another peer after a failed fetch

What callers would see: a node keeps an old configuration or a leaving server while its peers know better.

Cause: the peer that is asked is chosen by its reports alone. One that reports newer data but does not return it, since its link is saturated or a partition has one direction only, was asked again and again, each time for a second. Class: a retry that goes back to what has just failed.

Change: a peer from which a fetch failed within the last three seconds is asked only if no other has newer data. The line peer_fetch_failed names the data.

AfterAFailedFetchAnotherPeerIsAsked failed before (the same peer was chosen) and passes.

--- a/Libraries/LibForward/PeerTable.cpp
+++ b/Libraries/LibForward/PeerTable.cpp
@@ -17,6 +17,8 @@
 // Longer than the partitions behind which a node still serves its clients.
 static constexpr Core::Duration peerRetention = 12s;
 static constexpr Core::Duration candidateRetention = 60s;
+// About the time in which several other peers can be asked.
+static constexpr Core::Duration failedFetchRetention = 3s;
 
 void addCandidate(PeerTable& table, Core::Endpoint endpoint, Core::MonotonicTime now)
 {
@@ -180,6 +182,7 @@
     for (auto* rows : { &table.rows, &table.dataCentreRows, &table.deploymentRows, &table.contacts })
         std::erase_if(*rows, isExpired);
     std::erase_if(table.candidates, [&](auto const& item) { return now - item.second > candidateRetention; });
+    std::erase_if(table.failedFetches, [&](auto const& item) { return now - item.second >= failedFetchRetention; });
     if (!table.deploymentRows.contains(table.aggregator))
         table.aggregator.clear();
     std::erase_if(table.dataCentreSources, [&](auto const& item) { return !table.dataCentreRows.contains(item.second); });
@@ -307,13 +310,20 @@
     return preceding.size() < watchersPerDataCentre || !hasLiveWatcher;
 }
 
+void recordFailedFetch(PeerTable& table, std::string const& node, Core::MonotonicTime now)
+{
+    table.failedFetches[node] = now;
+}
+
 PeerTable::Row const* choosePeerToFetchFrom(PeerTable const& table, PeerDataKind kind, std::uint64_t known, std::string const& ownDataCentre, Core::MonotonicTime now)
 {
     auto const versionOf = [&](PeerTable::Row const& row) {
         return kind == PeerDataKind::Configuration ? row.report.configurationVersion : row.report.serversRevision;
     };
     auto const rank = [&](PeerTable::Row const& row) {
-        return std::tuple(row.report.watchesStore, row.report.dataCentre == ownDataCentre, row.report.processorShare, versionOf(row));
+        auto const failure = table.failedFetches.find(row.report.node);
+        bool const hasFailed = failure != table.failedFetches.end() && now - failure->second < failedFetchRetention;
+        return std::tuple(!hasFailed, row.report.watchesStore, row.report.dataCentre == ownDataCentre, row.report.processorShare, versionOf(row));
     };
     PeerTable::Row const* best = nullptr;
     for (auto const* rows : { &table.rows, &table.deploymentRows, &table.dataCentreRows, &table.contacts }) {
--- a/Libraries/LibForward/PeerTable.h
+++ b/Libraries/LibForward/PeerTable.h
@@ -55,6 +55,8 @@
     Core::MonotonicTime lastNewPeerAt;
     /// Endpoints of possible nodes, from settings, the store and reports, with the time of their last mention.
     std::map<Core::Endpoint, Core::MonotonicTime> candidates;
+    /// Peers from which a fetch failed in the last seconds, by node, with the time of the failure.
+    std::map<std::string, Core::MonotonicTime> failedFetches;
 
     bool operator==(PeerTable const&) const = default;
 };
@@ -122,10 +124,13 @@
     Servers,
 };
 
+/// Records that a peer did not return its data, although its reports arrive. Not thread safe.
+void recordFailedFetch(PeerTable&, std::string const& node, Core::MonotonicTime now);
+
 /// Returns the peer from which to fetch data newer than a known configuration version or servers revision, or null if no live peer
-/// has any. Prefers peers that watch the store, since the others learn from them, then peers of the own data centre, since traffic
-/// between data centres is billed, then those with more processor, since all others of the data centre fetch from them at once, then the
-/// newest data. Thread safe.
+/// has any. Prefers peers from which no fetch failed recently, then those that watch the store, since the others learn from them, then
+/// peers of the own data centre, since traffic between data centres is billed, then those with more processor, since all others of the
+/// data centre fetch from them at once, then the newest data. Thread safe.
 [[nodiscard]] PeerTable::Row const* choosePeerToFetchFrom(PeerTable const&, PeerDataKind, std::uint64_t known, std::string const& ownDataCentre, Core::MonotonicTime now);
 
 /// Returns the number of live peers: other nodes of which at most four consecutive reports are missing.
--- a/Services/Edge/StoreWatcher.cpp
+++ b/Services/Edge/StoreWatcher.cpp
@@ -383,7 +383,8 @@
     m_isFetching = false;
     static constexpr unsigned ok = 200;
     if (!response || response->status != ok) {
-        Core::logEvent(Core::LogLevel::Warning, "peer_fetch_failed", { { "peer", peer }, { "reason", response ? "the peer returned status " + std::to_string(response->status) : error.message } });
+        Forward::recordFailedFetch(m_tables.peers, peer, m_runtime.now());
+        Core::logEvent(Core::LogLevel::Warning, "peer_fetch_failed", { { "peer", peer }, { "data", resource == Resource::Configuration ? "configuration" : "servers" }, { "reason", response ? "the peer returned status " + std::to_string(response->status) : error.message } });
         co_return;
     }
     if (resource == Resource::Configuration) {
--- a/Tests/LibForward/PeerTableTest.cpp
+++ b/Tests/LibForward/PeerTableTest.cpp
@@ -136,6 +136,36 @@
     EXPECT_EQ(Forward::choosePeerToFetchFrom(table, Forward::PeerDataKind::Servers, 540, "a", now)->report.node, "n1");
 }
 
+// Guards against asking the same peer again and again: its reports arrive, but it cannot be reached, so that this node keeps an old
+// configuration.
+TEST(PeerTableTest, AfterAFailedFetchAnotherPeerIsAsked)
+{
+    Core::MonotonicTime now { 100s };
+    Forward::PeerTable table;
+    auto const addReports = [&] {
+        for (auto const& [node, share] : { std::pair { "n1", 0.12F }, std::pair { "n2", 0.5F } }) {
+            auto peer = report(node);
+            peer.processorShare = share;
+            peer.configurationVersion = 7;
+            peer.watchesStore = true;
+            (void)Forward::mergeReport(table, peer, 1'000'000, now);
+        }
+    };
+    auto const source = [&] { return Forward::choosePeerToFetchFrom(table, Forward::PeerDataKind::Configuration, 6, "a", now)->report.node; };
+    addReports();
+    EXPECT_EQ(source(), "n2");
+    Forward::recordFailedFetch(table, "n2", now);
+    now += 500ms;
+    addReports();
+    EXPECT_EQ(source(), "n1");
+    Forward::recordFailedFetch(table, "n1", now);
+    // A peer that failed is better than none.
+    EXPECT_EQ(source(), "n2");
+    now += 4s;
+    addReports();
+    EXPECT_EQ(source(), "n2");
+}
+
 // Load pattern: 70 nodes on 10 Mbit/s links. Full reports to all at once overflowed the link, so the same nodes never got one and
 // reported only a seventh of the usage (scale-1 of vzl-showlog-grown).
 TEST(PeerTableTest, FullReportsAreSpreadOverTheRounds)
