Edge: Fetch the configuration while a server list is being fetched

What callers would see: a node that the store turns away, or that leaves the store to others, applies a new configuration a second late for each failed fetch of servers.

Cause: a node had one fetch from its peers at a time. A list of servers from a saturated peer takes up to a second to fail, and the configuration waited for it. Class: head-of-line blocking of a small urgent message behind a large one.

Change: one fetch at a time of each kind.

ConfigurationIsFetchedWhileAServerListIsDelayed failed before (no fetch within 600 ms) and passes (270 ms, of which 250 ms are the delay after which a node that watches the store asks its peers).

--- a/Services/Edge/StoreWatcher.cpp
+++ b/Services/Edge/StoreWatcher.cpp
@@ -287,13 +287,9 @@
         m_configurationOutdatedSince.reset();
     else if (!m_configurationOutdatedSince)
         m_configurationOutdatedSince = now;
-    if (m_isFetching)
-        return;
-    if (newest && (!m_shouldWatch || now - *m_configurationOutdatedSince >= peerFetchDelay)) {
+    if (newest && !m_configurationStatus.isFetching && (!m_shouldWatch || now - *m_configurationOutdatedSince >= peerFetchDelay))
         startFetch(Resource::Configuration, newest->report);
-        return;
-    }
-    if (m_shouldWatch && (!m_serversStatus.isUnavailable || now - m_serversFetchedAt < serversInterval))
+    if (m_serversStatus.isFetching || (m_shouldWatch && (!m_serversStatus.isUnavailable || now - m_serversFetchedAt < serversInterval)))
         return;
     if (auto const* servers = Forward::choosePeerToFetchFrom(m_tables.peers, Forward::PeerDataKind::Servers, m_tables.serversRevision, m_settings.dataCentre, now)) {
         m_serversFetchedAt = now;
@@ -309,7 +305,7 @@
         Core::logEvent(Core::LogLevel::Warning, "peer_fetch_failed", { { "peer", peer.node }, { "reason", error.message } });
         return;
     }
-    m_isFetching = true;
+    callStatus(resource).isFetching = true;
     m_runtime.spawn(fetchFromPeer(resource, peer.node, *endpoint));
 }
 
@@ -380,7 +376,7 @@
     Core::Error error;
     HTTP::Request request { "GET", resource == Resource::Configuration ? "/configuration" : "/servers", {}, {} };
     auto const response = co_await m_peerClient.send(endpoint, std::move(request), HTTP::ConnectionUse::Pooled, m_runtime.now() + callTimeout, error);
-    m_isFetching = false;
+    callStatus(resource).isFetching = false;
     static constexpr unsigned ok = 200;
     if (!response || response->status != ok) {
         Forward::recordFailedFetch(m_tables.peers, peer, m_runtime.now());
--- a/Services/Edge/StoreWatcher.h
+++ b/Services/Edge/StoreWatcher.h
@@ -52,6 +52,7 @@
         bool isUnavailable { false };
         std::uint32_t failures { 0 };
         Core::MonotonicTime succeededAt {};
+        bool isFetching { false };
     };
 
     [[nodiscard]] Core::Awaitable<void> watch(Resource);
@@ -86,7 +87,6 @@
     CallStatus m_serversStatus;
     /// When a peer first reported a newer configuration than this node's; empty while none does.
     std::optional<Core::MonotonicTime> m_configurationOutdatedSince;
-    bool m_isFetching { false };
     /// The last result of Forward::shouldWatchStore().
     bool m_shouldWatch { true };
     std::function<void()> m_changeListener;
--- a/Tests/EdgeService/EdgeServiceTest.cpp
+++ b/Tests/EdgeService/EdgeServiceTest.cpp
@@ -1,4 +1,5 @@
 #include <Edge/EdgeService.h>
+#include <Edge/StoreWatcher.h>
 #include <EdgeService/RawServer.h>
 #include <EdgeService/StoreStandIn.h>
 #include <Support/BlockingCall.h>
@@ -600,6 +601,44 @@
     EXPECT_FALSE(isUsed);
 }
 
+// Guards against an old configuration at a node that the store turns away: the peer that it asks first delays the list of servers, and
+// the configuration waited for it.
+TEST_F(EdgeServiceTest, ConfigurationIsFetchedWhileAServerListIsDelayed)
+{
+    Edge::EdgeTables tables(m_loop.runtime());
+    Edge::EdgeSettings settings;
+    settings.nodeId = "n1";
+    HTTP::Client client(m_loop.runtime(), {});
+    Core::Random random(1);
+    Core::Metrics metrics;
+    m_storeEndpoint = m_store.start();
+    m_store.forcedStatus = 503;
+    m_storeConnection.emplace(m_loop.runtime(), m_storeEndpoint);
+    Edge::StoreWatcher watcher(m_loop.runtime(), m_storeConnection->store, client, m_objectCodec, tables, settings, random, metrics);
+    RawServer peer(m_loop.runtime(), [](auto const&) { return Reply { .bytes = "HTTP/1.1 503 -\r\nContent-Length: 0\r\n\r\n", .delay = 30s }; });
+    auto const report = [&](std::uint64_t configurationVersion) {
+        auto endpoint = peer.endpoint();
+        --endpoint.port;
+        Forward::NodeReport const report { .node = "n2", .endpoint = endpoint.toString(), .configurationVersion = configurationVersion, .serversRevision = 10 };
+        (void)Forward::mergeReport(tables.peers, report, 1'000'000, m_loop.runtime().now());
+        watcher.tick();
+    };
+    watcher.start();
+    waitFor([&] { return m_store.calls > 0; });
+    waitFor([&] {
+        report(0);
+        return peer.requests.size() == 1;
+    });
+    EXPECT_TRUE(peer.requests[0].starts_with("GET /servers "));
+    auto const end = m_loop.runtime().now() + 600ms;
+    waitFor([&] {
+        report(5);
+        return peer.requests.size() == 2 || m_loop.runtime().now() >= end;
+    });
+    ASSERT_EQ(peer.requests.size(), 2u);
+    EXPECT_TRUE(peer.requests[1].starts_with("GET /configuration "));
+}
+
 // Guards against list calls in a tight loop while the store has no history for watches: 1,085 lists in one second, soak seed 49.
 TEST_F(EdgeServiceTest, ListCallsAreThrottledWhenWatchHistoryIsExpired)
 {
