LibForward, Edge: Let watchers with more processor read a change before all nodes ask a small one

What callers saw (the users' report): requests were handled by a configuration older than one acknowledged more than three seconds before (CONFIG).

Cause: whichever node of a data centre reported newer data first was asked by all others at once. A host of 0.12 core on a 10 Mbit/s link cannot serve dozens of lists within the second that a fetch may take; the fetches failed at their deadline, the transferred bytes were lost, and the same peer was asked again. Class: a herd on the first responder, kept up by retries (congestion collapse).

Change: a node waits 250 ms if its own watch works, as before, or if a live peer that watches the store has more processor than the chosen one.

With 0 ms in place of 250 ms SmallNodeThatReadsAChangeFirstIsNotAskedByAll fails twice; it passes.

--- a/Libraries/LibForward/PeerTable.cpp
+++ b/Libraries/LibForward/PeerTable.cpp
@@ -310,6 +310,30 @@
     return preceding.size() < watchersPerDataCentre || !hasLiveWatcher;
 }
 
+static bool hasFetchFailed(PeerTable const& table, std::string const& node, Core::MonotonicTime now)
+{
+    auto const failure = table.failedFetches.find(node);
+    return failure != table.failedFetches.end() && now - failure->second < failedFetchRetention;
+}
+
+static bool isFasterWatcherLive(PeerTable const& table, NodeReport const& peer, Core::MonotonicTime now)
+{
+    for (auto const* rows : { &table.rows, &table.deploymentRows, &table.dataCentreRows, &table.contacts }) {
+        for (auto const& [node, row] : *rows) {
+            if (row.report.watchesStore && row.report.processorShare > peer.processorShare && !hasFetchFailed(table, node, now) && isLive(row, now))
+                return true;
+        }
+    }
+    return false;
+}
+
+bool shouldFetchNow(PeerTable const& table, NodeReport const& chosen, bool ownWatchWorks, Core::Duration outdatedFor, Core::MonotonicTime now)
+{
+    // Nodes that watch the store usually read a change at about the same time.
+    static constexpr Core::Duration watchDifference = 250ms;
+    return outdatedFor >= watchDifference || !(ownWatchWorks || isFasterWatcherLive(table, chosen, now));
+}
+
 void recordFailedFetch(PeerTable& table, std::string const& node, Core::MonotonicTime now)
 {
     table.failedFetches[node] = now;
@@ -321,9 +345,7 @@
         return kind == PeerDataKind::Configuration ? row.report.configurationVersion : row.report.serversRevision;
     };
     auto const rank = [&](PeerTable::Row const& row) {
-        auto const failure = table.failedFetches.find(row.report.node);
-        bool const hasFailed = failure != table.failedFetches.end() && now - failure->second < failedFetchRetention;
-        return std::tuple(!hasFailed, row.report.watchesStore, row.report.dataCentre == ownDataCentre, row.report.processorShare, versionOf(row));
+        return std::tuple(!hasFetchFailed(table, row.report.node, now), row.report.watchesStore, row.report.dataCentre == ownDataCentre, row.report.processorShare, versionOf(row));
     };
     PeerTable::Row const* best = nullptr;
     for (auto const* rows : { &table.rows, &table.deploymentRows, &table.dataCentreRows, &table.contacts }) {
--- a/Libraries/LibForward/PeerTable.h
+++ b/Libraries/LibForward/PeerTable.h
@@ -124,6 +124,10 @@
     Servers,
 };
 
+/// Returns whether to fetch from the chosen peer now, or to give this node's own watch, if it works, or a watching peer with more
+/// processor time to read the same change. Takes the time since a peer first reported it. Thread safe.
+[[nodiscard]] bool shouldFetchNow(PeerTable const&, NodeReport const& chosen, bool ownWatchWorks, Core::Duration outdatedFor, Core::MonotonicTime now);
+
 /// Records that a peer did not return its data, although its reports arrive. Not thread safe.
 void recordFailedFetch(PeerTable&, std::string const& node, Core::MonotonicTime now);
 
--- a/Services/Edge/StoreWatcher.cpp
+++ b/Services/Edge/StoreWatcher.cpp
@@ -277,24 +277,30 @@
 
 void StoreWatcher::fetchNewerFromPeers()
 {
-    // This node's own watch usually returns a change as early as the peers' watches.
-    static constexpr Core::Duration peerFetchDelay = 250ms;
     static constexpr Core::Duration serversInterval = 500ms;
+    fetchIfOutdated(Resource::Configuration, m_tables.routes ? m_tables.routes->version : 0);
+    if (m_shouldWatch && (!m_serversStatus.isUnavailable || m_runtime.now() - m_serversFetchedAt < serversInterval))
+        return;
+    fetchIfOutdated(Resource::Servers, m_tables.serversRevision);
+}
+
+void StoreWatcher::fetchIfOutdated(Resource resource, std::uint64_t known)
+{
     auto const now = m_runtime.now();
-    auto const ownVersion = m_tables.routes ? m_tables.routes->version : 0;
-    auto const* newest = Forward::choosePeerToFetchFrom(m_tables.peers, Forward::PeerDataKind::Configuration, ownVersion, m_settings.dataCentre, now);
-    if (!newest)
-        m_configurationOutdatedSince.reset();
-    else if (!m_configurationOutdatedSince)
-        m_configurationOutdatedSince = now;
-    if (newest && !m_configurationStatus.isFetching && (!m_shouldWatch || now - *m_configurationOutdatedSince >= peerFetchDelay))
-        startFetch(Resource::Configuration, newest->report);
-    if (m_serversStatus.isFetching || (m_shouldWatch && (!m_serversStatus.isUnavailable || now - m_serversFetchedAt < serversInterval)))
+    auto& status = callStatus(resource);
+    auto const kind = resource == Resource::Configuration ? Forward::PeerDataKind::Configuration : Forward::PeerDataKind::Servers;
+    auto const* chosen = Forward::choosePeerToFetchFrom(m_tables.peers, kind, known, m_settings.dataCentre, now);
+    if (!chosen || status.outdatedVersion != known)
+        status.outdatedSince.reset();
+    if (chosen && !status.outdatedSince)
+        status.outdatedSince = now;
+    status.outdatedVersion = known;
+    bool const ownWatchWorks = m_shouldWatch && !status.isUnavailable;
+    if (!chosen || status.isFetching || !Forward::shouldFetchNow(m_tables.peers, chosen->report, ownWatchWorks, now - *status.outdatedSince, now))
         return;
-    if (auto const* servers = Forward::choosePeerToFetchFrom(m_tables.peers, Forward::PeerDataKind::Servers, m_tables.serversRevision, m_settings.dataCentre, now)) {
+    if (resource == Resource::Servers)
         m_serversFetchedAt = now;
-        startFetch(Resource::Servers, servers->report);
-    }
+    startFetch(resource, chosen->report);
 }
 
 void StoreWatcher::startFetch(Resource resource, Forward::NodeReport const& peer)
--- a/Services/Edge/StoreWatcher.h
+++ b/Services/Edge/StoreWatcher.h
@@ -53,12 +53,17 @@
         std::uint32_t failures { 0 };
         Core::MonotonicTime succeededAt {};
         bool isFetching { false };
+        /// When a peer first reported newer data than this node's; empty while none does.
+        std::optional<Core::MonotonicTime> outdatedSince;
+        /// The data of this node then.
+        std::uint64_t outdatedVersion { 0 };
     };
 
     [[nodiscard]] Core::Awaitable<void> watch(Resource);
     [[nodiscard]] Core::Awaitable<void> waitUntilWatching();
     [[nodiscard]] Core::Awaitable<bool> list(Resource, std::uint64_t& version, Core::Error&);
     [[nodiscard]] Core::Awaitable<void> fetchFromPeer(Resource, std::string peer, Core::Endpoint);
+    void fetchIfOutdated(Resource, std::uint64_t known);
     void startFetch(Resource, Forward::NodeReport const& peer);
     [[nodiscard]] std::string objectKind(Resource) const;
     /// Record a failed watch and a failed list. Return the time until the next call.
@@ -85,8 +90,6 @@
     Core::Metrics& m_metrics;
     CallStatus m_configurationStatus;
     CallStatus m_serversStatus;
-    /// When a peer first reported a newer configuration than this node's; empty while none does.
-    std::optional<Core::MonotonicTime> m_configurationOutdatedSince;
     /// The last result of Forward::shouldWatchStore().
     bool m_shouldWatch { true };
     std::function<void()> m_changeListener;
--- a/Tests/LibForward/PeerTableTest.cpp
+++ b/Tests/LibForward/PeerTableTest.cpp
@@ -136,6 +136,33 @@
     EXPECT_EQ(Forward::choosePeerToFetchFrom(table, Forward::PeerDataKind::Servers, 540, "a", now)->report.node, "n1");
 }
 
+// Load pattern: a node of 0.12 core on a 10 Mbit/s link reads a change first, and all nodes of the deployment fetch from it at once: the
+// fetches exceeded their deadline (CONFIG on trouble-2 of vzl-showlog-grown). The nodes with more processor read the
+// change a moment later.
+TEST(PeerTableTest, SmallNodeThatReadsAChangeFirstIsNotAskedByAll)
+{
+    Core::MonotonicTime const now { 100s };
+    Forward::PeerTable table;
+    for (auto const& [node, share, revision] : { std::tuple { "n1", 0.12F, 541 }, std::tuple { "n2", 0.5F, 540 } }) {
+        auto peer = report(node);
+        peer.processorShare = share;
+        peer.serversRevision = static_cast<std::uint64_t>(revision);
+        peer.watchesStore = true;
+        (void)Forward::mergeReport(table, peer, 1'000'000, now);
+    }
+    auto const& small = *Forward::choosePeerToFetchFrom(table, Forward::PeerDataKind::Servers, 540, "a", now);
+    ASSERT_EQ(small.report.node, "n1");
+    EXPECT_FALSE(Forward::shouldFetchNow(table, small.report, false, 0ms, now));
+    EXPECT_TRUE(Forward::shouldFetchNow(table, small.report, false, 300ms, now));
+    auto const& large = *Forward::choosePeerToFetchFrom(table, Forward::PeerDataKind::Servers, 539, "a", now);
+    ASSERT_EQ(large.report.node, "n2");
+    EXPECT_TRUE(Forward::shouldFetchNow(table, large.report, false, 0ms, now));
+    EXPECT_FALSE(Forward::shouldFetchNow(table, large.report, true, 0ms, now));
+    // Without the large node, there is nothing to wait for.
+    Forward::recordFailedFetch(table, "n2", now);
+    EXPECT_TRUE(Forward::shouldFetchNow(table, small.report, false, 0ms, now));
+}
+
 // Guards against asking the same peer again and again: its reports arrive, but it cannot be reached, so that this node keeps an old
 // configuration.
 TEST(PeerTableTest, AfterAFailedFetchAnotherPeerIsAsked)
