LibLimits, LibForward, Edge: Refuse requests with a prompt part that crashes servers

Cause: a request was known by the hash of its target, team and body. These requests have only a prompt part in common and arrive at any node, so that each looked new, and no node saw three crashes of one. Class: an identity that is finer than the cause, and evidence that is not shared.

Change: Limits::CrashSuspectTable keeps, for each prompt part but the last, when servers crashed under requests with it and when one last got beyond its first events, which clears it. Nodes report this evidence, also in brief reports. A part is refused after three crashes half a second apart without a success in between, and after four if another shared part followed it, so that the later one is refused alone if it explains all crashes. Servers that are lost together count as one crash. The refusal is 503 before anything was sent. New lines server_crash_suspected and prompt_part_refused.

RequestsWithAPromptPartThatCrashesServersAreRefused failed without the refusal (8 crashes, 3 expected) and passes; CrashSuspectTest replays the load over seven nodes.

--- a/Libraries/LibForward/NodeReport.capnp
+++ b/Libraries/LibForward/NodeReport.capnp
@@ -37,6 +37,23 @@
     counts @1 :List(TeamCount);
 }
 
+struct PartCrash {
+    # Random number that identifies the crash in later reports.
+    crash @0 :UInt32;
+    ageMilliseconds @1 :UInt32;
+}
+
+# Evidence on a prompt part that may crash servers.
+struct SuspectPart {
+    # XXH3 hash of the part's id.
+    part @0 :UInt64;
+    crashes @1 :List(PartCrash);
+    # The time since a request with the part succeeded; negative if none did.
+    soundAgeMilliseconds @2 :Int32 = -1;
+    # Whether another shared part followed it in the prompt of one of the requests.
+    isPrefix @3 :Bool;
+}
+
 struct NodeContact {
     node @0 :Text;
     dataCentre @1 :Text;
@@ -91,4 +108,6 @@
     contacts @21 :List(NodeContact);
     silentDataCentres @22 :List(Text);
     loadsByKey @23 :List(ServerLoadByKey);
+    # Also in brief reports.
+    suspectParts @24 :List(SuspectPart);
 }
--- a/Libraries/LibForward/NodeReport.capnp.h
+++ b/Libraries/LibForward/NodeReport.capnp.h
@@ -21,6 +21,8 @@
 CAPNP_DECLARE_SCHEMA(881b08803c6be60b);
 CAPNP_DECLARE_SCHEMA(e8fcae245c5022d2);
 CAPNP_DECLARE_SCHEMA(92f1cf483f708845);
+CAPNP_DECLARE_SCHEMA(c267006d9d80ad32);
+CAPNP_DECLARE_SCHEMA(be04872d23276574);
 CAPNP_DECLARE_SCHEMA(8ff60be171f65749);
 CAPNP_DECLARE_SCHEMA(ae287fdf6ab6901d);
 CAPNP_DECLARE_SCHEMA(ed7c76fa7fab3940);
@@ -112,6 +114,36 @@
   };
 };
 
+struct PartCrash {
+  PartCrash() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(c267006d9d80ad32, 1, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct SuspectPart {
+  SuspectPart() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(be04872d23276574, 2, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct NodeContact {
   NodeContact() = delete;
 
@@ -137,7 +169,7 @@
 
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ae287fdf6ab6901d, 6, 12)
+    CAPNP_DECLARE_STRUCT_HEADER(ae287fdf6ab6901d, 6, 13)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -571,6 +603,183 @@
 };
 #endif  // !CAPNP_LITE
 
+class PartCrash::Reader {
+public:
+  typedef PartCrash Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getCrash() const;
+
+  inline  ::uint32_t getAgeMilliseconds() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class PartCrash::Builder {
+public:
+  typedef PartCrash Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getCrash();
+  inline void setCrash( ::uint32_t value);
+
+  inline  ::uint32_t getAgeMilliseconds();
+  inline void setAgeMilliseconds( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class PartCrash::Pipeline {
+public:
+  typedef PartCrash Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class SuspectPart::Reader {
+public:
+  typedef SuspectPart Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getPart() const;
+
+  inline bool hasCrashes() const;
+  inline  ::capnp::List< ::Forward::wire::PartCrash,  ::capnp::Kind::STRUCT>::Reader getCrashes() const;
+
+  inline  ::int32_t getSoundAgeMilliseconds() const;
+
+  inline bool getIsPrefix() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class SuspectPart::Builder {
+public:
+  typedef SuspectPart Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getPart();
+  inline void setPart( ::uint64_t value);
+
+  inline bool hasCrashes();
+  inline  ::capnp::List< ::Forward::wire::PartCrash,  ::capnp::Kind::STRUCT>::Builder getCrashes();
+  inline void setCrashes( ::capnp::List< ::Forward::wire::PartCrash,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::Forward::wire::PartCrash,  ::capnp::Kind::STRUCT>::Builder initCrashes(unsigned int size);
+  inline void adoptCrashes(::capnp::Orphan< ::capnp::List< ::Forward::wire::PartCrash,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::Forward::wire::PartCrash,  ::capnp::Kind::STRUCT>> disownCrashes();
+
+  inline  ::int32_t getSoundAgeMilliseconds();
+  inline void setSoundAgeMilliseconds( ::int32_t value);
+
+  inline bool getIsPrefix();
+  inline void setIsPrefix(bool value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class SuspectPart::Pipeline {
+public:
+  typedef SuspectPart Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class NodeContact::Reader {
 public:
   typedef NodeContact Reads;
@@ -769,6 +978,9 @@
   inline bool hasLoadsByKey() const;
   inline  ::capnp::List< ::Forward::wire::ServerLoadByKey,  ::capnp::Kind::STRUCT>::Reader getLoadsByKey() const;
 
+  inline bool hasSuspectParts() const;
+  inline  ::capnp::List< ::Forward::wire::SuspectPart,  ::capnp::Kind::STRUCT>::Reader getSuspectParts() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -920,6 +1132,13 @@
   inline void adoptLoadsByKey(::capnp::Orphan< ::capnp::List< ::Forward::wire::ServerLoadByKey,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::Forward::wire::ServerLoadByKey,  ::capnp::Kind::STRUCT>> disownLoadsByKey();
 
+  inline bool hasSuspectParts();
+  inline  ::capnp::List< ::Forward::wire::SuspectPart,  ::capnp::Kind::STRUCT>::Builder getSuspectParts();
+  inline void setSuspectParts( ::capnp::List< ::Forward::wire::SuspectPart,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::Forward::wire::SuspectPart,  ::capnp::Kind::STRUCT>::Builder initSuspectParts(unsigned int size);
+  inline void adoptSuspectParts(::capnp::Orphan< ::capnp::List< ::Forward::wire::SuspectPart,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::Forward::wire::SuspectPart,  ::capnp::Kind::STRUCT>> disownSuspectParts();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1162,6 +1381,110 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline  ::uint32_t PartCrash::Reader::getCrash() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t PartCrash::Builder::getCrash() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void PartCrash::Builder::setCrash( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t PartCrash::Reader::getAgeMilliseconds() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t PartCrash::Builder::getAgeMilliseconds() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void PartCrash::Builder::setAgeMilliseconds( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t SuspectPart::Reader::getPart() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t SuspectPart::Builder::getPart() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void SuspectPart::Builder::setPart( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool SuspectPart::Reader::hasCrashes() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool SuspectPart::Builder::hasCrashes() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::Forward::wire::PartCrash,  ::capnp::Kind::STRUCT>::Reader SuspectPart::Reader::getCrashes() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Forward::wire::PartCrash,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::Forward::wire::PartCrash,  ::capnp::Kind::STRUCT>::Builder SuspectPart::Builder::getCrashes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Forward::wire::PartCrash,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void SuspectPart::Builder::setCrashes( ::capnp::List< ::Forward::wire::PartCrash,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Forward::wire::PartCrash,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::Forward::wire::PartCrash,  ::capnp::Kind::STRUCT>::Builder SuspectPart::Builder::initCrashes(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Forward::wire::PartCrash,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void SuspectPart::Builder::adoptCrashes(
+    ::capnp::Orphan< ::capnp::List< ::Forward::wire::PartCrash,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Forward::wire::PartCrash,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::Forward::wire::PartCrash,  ::capnp::Kind::STRUCT>> SuspectPart::Builder::disownCrashes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Forward::wire::PartCrash,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::int32_t SuspectPart::Reader::getSoundAgeMilliseconds() const {
+  return _reader.getDataField< ::int32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, -1);
+}
+
+inline  ::int32_t SuspectPart::Builder::getSoundAgeMilliseconds() {
+  return _builder.getDataField< ::int32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, -1);
+}
+inline void SuspectPart::Builder::setSoundAgeMilliseconds( ::int32_t value) {
+  _builder.setDataField< ::int32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value, -1);
+}
+
+inline bool SuspectPart::Reader::getIsPrefix() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<96>() * ::capnp::ELEMENTS);
+}
+
+inline bool SuspectPart::Builder::getIsPrefix() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<96>() * ::capnp::ELEMENTS);
+}
+inline void SuspectPart::Builder::setIsPrefix(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<96>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool NodeContact::Reader::hasNode() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -1908,6 +2231,40 @@
       ::capnp::bounded<11>() * ::capnp::POINTERS));
 }
 
+inline bool NodeReport::Reader::hasSuspectParts() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<12>() * ::capnp::POINTERS).isNull();
+}
+inline bool NodeReport::Builder::hasSuspectParts() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<12>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::Forward::wire::SuspectPart,  ::capnp::Kind::STRUCT>::Reader NodeReport::Reader::getSuspectParts() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Forward::wire::SuspectPart,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<12>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::Forward::wire::SuspectPart,  ::capnp::Kind::STRUCT>::Builder NodeReport::Builder::getSuspectParts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Forward::wire::SuspectPart,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<12>() * ::capnp::POINTERS));
+}
+inline void NodeReport::Builder::setSuspectParts( ::capnp::List< ::Forward::wire::SuspectPart,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Forward::wire::SuspectPart,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<12>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::Forward::wire::SuspectPart,  ::capnp::Kind::STRUCT>::Builder NodeReport::Builder::initSuspectParts(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Forward::wire::SuspectPart,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<12>() * ::capnp::POINTERS), size);
+}
+inline void NodeReport::Builder::adoptSuspectParts(
+    ::capnp::Orphan< ::capnp::List< ::Forward::wire::SuspectPart,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Forward::wire::SuspectPart,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<12>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::Forward::wire::SuspectPart,  ::capnp::Kind::STRUCT>> NodeReport::Builder::disownSuspectParts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Forward::wire::SuspectPart,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<12>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 
--- a/Libraries/LibForward/NodeReport.cpp
+++ b/Libraries/LibForward/NodeReport.cpp
@@ -35,6 +35,39 @@
     return brief;
 }
 
+static void encodeSuspects(std::vector<SuspectPartReport> const& suspects, capnp::List<wire::SuspectPart>::Builder list)
+{
+    unsigned index = 0;
+    for (auto const& suspect : suspects) {
+        auto item = list[index++];
+        item.setPart(suspect.part);
+        item.setIsPrefix(suspect.isPrefix);
+        if (suspect.soundAge)
+            item.setSoundAgeMilliseconds(static_cast<std::int32_t>(suspect.soundAge->count()));
+        auto crashes = item.initCrashes(static_cast<unsigned>(suspect.crashAges.size()));
+        unsigned crashIndex = 0;
+        for (auto const& [crash, age] : suspect.crashAges) {
+            crashes[crashIndex].setCrash(crash);
+            crashes[crashIndex++].setAgeMilliseconds(static_cast<std::uint32_t>(age.count()));
+        }
+    }
+}
+
+static std::vector<SuspectPartReport> suspectsFrom(capnp::List<wire::SuspectPart>::Reader list)
+{
+    std::vector<SuspectPartReport> suspects;
+    for (auto const item : list) {
+        auto& suspect = suspects.emplace_back();
+        suspect.part = item.getPart();
+        suspect.isPrefix = item.getIsPrefix();
+        if (item.getSoundAgeMilliseconds() >= 0)
+            suspect.soundAge = std::chrono::milliseconds(item.getSoundAgeMilliseconds());
+        for (auto const crash : item.getCrashes())
+            suspect.crashAges[crash.getCrash()] = std::chrono::milliseconds(crash.getAgeMilliseconds());
+    }
+    return suspects;
+}
+
 static void encodeUsage(CountsByWindow const& usage, capnp::List<wire::UsageWindow>::Builder windows)
 {
     unsigned index = 0;
@@ -101,6 +134,7 @@
     auto quarantined = root.initQuarantined(static_cast<unsigned>(report.quarantined.size()));
     for (unsigned i = 0; i < quarantined.size(); ++i)
         quarantined.set(i, report.quarantined[i]);
+    encodeSuspects(report.suspectParts, root.initSuspectParts(static_cast<unsigned>(report.suspectParts.size())));
     root.setScope(static_cast<wire::NodeReport::Scope>(report.scope));
     root.setNodes(report.nodes);
     root.setProcessorShare(report.processorShare);
@@ -145,6 +179,7 @@
         report.peers.emplace_back(peer);
     for (auto const fingerprint : root.getQuarantined())
         report.quarantined.push_back(fingerprint);
+    report.suspectParts = suspectsFrom(root.getSuspectParts());
     // A newer sender may use a scope that this version does not know.
     if (root.getScope() > wire::NodeReport::Scope::DEPLOYMENT)
         return {};
--- a/Libraries/LibForward/NodeReport.h
+++ b/Libraries/LibForward/NodeReport.h
@@ -45,6 +45,16 @@
     bool operator==(NodeContact const&) const = default;
 };
 
+/// Evidence on a prompt part that may crash backend servers (Limits::SuspectPart), with ages at the time of the report.
+struct SuspectPartReport {
+    std::uint64_t part { 0 };
+    std::map<std::uint32_t, std::chrono::milliseconds> crashAges;
+    std::optional<std::chrono::milliseconds> soundAge;
+    bool isPrefix { false };
+
+    bool operator==(SuspectPartReport const&) const = default;
+};
+
 /// The state that nodes send to each other a few times a second.
 struct NodeReport {
     /// The sender.
@@ -67,6 +77,8 @@
     std::vector<std::string> peers;
     /// Fingerprints of requests that crashed servers.
     std::vector<std::uint64_t> quarantined;
+    /// Prompt parts that may crash servers. Also in brief reports, since each crash counts until all nodes refuse such a part.
+    std::vector<SuspectPartReport> suspectParts;
     bool isLeaving { false };
     /// Whether a node in the scope holds the lease for the duties that only one node performs at a time.
     bool holdsDuties { false };
--- /dev/null
+++ b/Libraries/LibLimits/CrashSuspectTable.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include <LibCore/Runtime.h>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <utility>
+#include <vector>
+
+namespace Limits {
+
+/// Hash of the id of a prompt part that several requests share.
+using PromptPartHash = std::uint64_t;
+
+/// Random number of a crash as observed by one node, so that repeated reports of it count once.
+using CrashId = std::uint32_t;
+
+/// The evidence on one prompt part. Times are of this node's clock.
+struct SuspectPart {
+    /// Crashes of servers at which a request with this part had not yet got far into its answer.
+    std::map<CrashId, Core::MonotonicTime> crashes;
+    /// When a request with this part last got that far.
+    std::optional<Core::MonotonicTime> soundAt;
+    /// Whether another shared part followed it in one of the requests, which may be the cause instead.
+    bool isPrefix { false };
+
+    bool operator==(SuspectPart const&) const = default;
+};
+
+/// Prompt parts that may crash every server which begins an answer to a request with them, whatever else the request holds. Such
+/// requests have no fingerprint in common, arrive at any node, and never succeed, while a request with a sound part does. Not thread
+/// safe.
+struct CrashSuspectTable {
+    std::map<PromptPartHash, SuspectPart> parts;
+    /// Parts whose requests are refused, for the log.
+    std::set<PromptPartHash> refused;
+
+    bool operator==(CrashSuspectTable const&) const = default;
+};
+
+/// Records that a request with these parts, in the order of its prompt, was at a server when it crashed. Returns the parts that are refused from now on.
+std::vector<PromptPartHash> recordCrash(CrashSuspectTable&, std::vector<PromptPartHash> const&, CrashId, Core::MonotonicTime now);
+
+/// Records that a request with these parts got far into its answer. Has an effect on suspects only.
+void recordSound(CrashSuspectTable&, std::vector<PromptPartHash> const&, Core::MonotonicTime now);
+
+/// Adds the evidence of another node. Returns whether the part is refused from now on.
+bool mergeSuspect(CrashSuspectTable&, PromptPartHash, SuspectPart const&, Core::MonotonicTime now);
+
+/// Whether requests with the part are refused: servers crashed under it at three or more times half a second apart, and no request with
+/// it succeeded since. Many servers may be lost at once for another reason, which counts as one time. A part that is followed by
+/// another shared one needs one time more, so that the later one is refused alone if it explains all crashes.
+[[nodiscard]] bool crashesServers(CrashSuspectTable const&, PromptPartHash, Core::MonotonicTime now);
+
+/// Returns the evidence that other nodes need, the strongest first, bounded in size.
+[[nodiscard]] std::vector<std::pair<PromptPartHash, SuspectPart>> suspectsToReport(CrashSuspectTable const&, Core::MonotonicTime now);
+
+/// Removes evidence that is out of date.
+void expire(CrashSuspectTable&, Core::MonotonicTime now);
+
+}
--- a/Services/Edge/EdgeService.cpp
+++ b/Services/Edge/EdgeService.cpp
@@ -186,6 +186,16 @@
     report.peers.resize(std::min(report.peers.size(), maximumReportedPeers));
     for (auto const& [fingerprint, until] : m_tables.quarantine.quarantined)
         report.quarantined.push_back(fingerprint);
+    auto const ageOf = [now = m_runtime.now()](Core::MonotonicTime at) { return std::chrono::duration_cast<std::chrono::milliseconds>(std::max(now - at, Core::Duration(0))); };
+    for (auto const& [part, evidence] : Limits::suspectsToReport(m_tables.crashSuspects, m_runtime.now())) {
+        auto& suspect = report.suspectParts.emplace_back();
+        suspect.part = part;
+        suspect.isPrefix = evidence.isPrefix;
+        for (auto const& [crash, at] : evidence.crashes)
+            suspect.crashAges[crash] = ageOf(at);
+        if (evidence.soundAt)
+            suspect.soundAge = ageOf(*evidence.soundAt);
+    }
     report.isLeaving = m_tables.isDraining;
     report.watchesStore = m_storeWatcher.isWatchingStore();
     report.interval = Forward::spreadInterval(m_tables.peers);
@@ -212,6 +222,7 @@
     m_tables.placementCosts.unreportedRequests = unreportedRequestsPerPeer * static_cast<double>(Forward::countLivePeers(m_tables.peers, now));
     Routing::updateStragglerStates(m_tables.servers, now);
     Limits::expire(m_tables.quarantine, now);
+    Limits::expire(m_tables.crashSuspects, now);
     // Older windows have been reported or can no longer be reported.
     static constexpr std::int64_t retainedWindows = 6;
     auto const unixTime = std::chrono::duration_cast<std::chrono::milliseconds>(m_runtime.wallNow().time_since_epoch()).count();
--- a/Services/Edge/EdgeTables.h
+++ b/Services/Edge/EdgeTables.h
@@ -5,6 +5,7 @@
 #include <LibForward/ServerDirectory.h>
 #include <LibForward/TeamQuota.h>
 #include <LibForward/UsageTable.h>
+#include <LibLimits/CrashSuspectTable.h>
 #include <LibLimits/QuarantineTable.h>
 #include <LibLimits/RetryBudget.h>
 #include <LibRouting/Placement.h>
@@ -38,6 +39,7 @@
     Routing::ServerTable servers;
     Routing::PlacementCosts placementCosts;
     Limits::QuarantineTable quarantine;
+    Limits::CrashSuspectTable crashSuspects;
     Forward::QuotaTable quotas;
     Forward::UsageTable usage;
     Forward::PeerTable peers;
--- a/Services/Edge/PeerExchange.cpp
+++ b/Services/Edge/PeerExchange.cpp
@@ -68,6 +68,7 @@
     mergeUsage(*report);
     for (auto const fingerprint : report->quarantined)
         Limits::mergeQuarantined(m_tables.quarantine, fingerprint, now + std::chrono::minutes(1));
+    mergeSuspects(*report);
     for (auto const& [team, amount] : Forward::newAdmissions(m_tables.peers, *report))
         Forward::chargeQuota(m_tables.quotas, team, amount);
     bool const isNew = report->scope == Forward::ReportScope::Node && !m_tables.peers.rows.contains(report->node);
@@ -80,6 +81,20 @@
         m_reportListener();
 }
 
+void PeerExchange::mergeSuspects(Forward::NodeReport const& report)
+{
+    auto const now = m_runtime.now();
+    for (auto const& suspect : report.suspectParts) {
+        Limits::SuspectPart evidence { .crashes = {}, .soundAt = std::nullopt, .isPrefix = suspect.isPrefix };
+        for (auto const& [crash, age] : suspect.crashAges)
+            evidence.crashes[crash] = now - age;
+        if (suspect.soundAge)
+            evidence.soundAt = now - *suspect.soundAge;
+        if (Limits::mergeSuspect(m_tables.crashSuspects, suspect.part, evidence, now))
+            Core::logEvent(Core::LogLevel::Warning, "prompt_part_refused", { { "part", suspect.part }, { "source", report.node } });
+    }
+}
+
 void PeerExchange::mergeUsage(Forward::NodeReport const& report)
 {
     if (report.scope == Forward::ReportScope::Node)
--- a/Services/Edge/RequestForwarder.cpp
+++ b/Services/Edge/RequestForwarder.cpp
@@ -39,6 +39,8 @@
     std::uint64_t sharedPrefixHash { 0 };
     std::uint32_t sharedTokens { 0 };
     Limits::RequestFingerprint fingerprint { 0 };
+    /// The parts of the prompt that other requests may share: all but the last.
+    std::vector<Limits::PromptPartHash> sharedParts;
     HTTP::Cancellation cancellation;
     bool clientDisconnected { false };
 
@@ -71,6 +73,8 @@
     Core::MonotonicTime sentAt;
     std::unique_ptr<HTTP::ResponseStream> stream;
     Forward::ResponseAttributes attributes;
+    /// Number of pieces of the stream that held complete events.
+    std::size_t eventPieces { 0 };
 };
 
 namespace {
@@ -135,7 +139,15 @@
     return XXH3_64bits_withSeed(request.body.data(), request.body.size(), hash);
 }
 
-// The shared prefix is every prompt part except the last, which belongs to the request or its session.
+// The last prompt part belongs to the request or its session, the others are shared.
+static std::vector<Limits::PromptPartHash> hashSharedParts(std::vector<Forward::PromptPart> const& prompt)
+{
+    std::vector<Limits::PromptPartHash> hashes;
+    for (std::size_t i = 0; i + 1 < prompt.size(); ++i)
+        hashes.push_back(XXH3_64bits(prompt[i].id.data(), prompt[i].id.size()));
+    return hashes;
+}
+
 static void hashSharedPrefix(std::vector<Forward::PromptPart> const& prompt, std::uint64_t& hash, std::uint32_t& tokens)
 {
     hash = 0;
@@ -146,6 +158,19 @@
     }
 }
 
+bool RequestForwarder::isPartRefused(RequestContext const& context, Core::Error& error) const
+{
+    auto const now = m_dependencies.runtime.now();
+    for (auto const part : context.sharedParts) {
+        if (!Limits::crashesServers(m_dependencies.tables.crashSuspects, part, now))
+            continue;
+        Core::fail(error, ErrorKind::Overloaded, "requests with the prompt part of hash " + std::to_string(part) + " crashed backend servers");
+        error.retryAfter = 60s;
+        return true;
+    }
+    return false;
+}
+
 bool RequestForwarder::admit(RequestContext& context, Core::Error& error)
 {
     auto& tables = m_dependencies.tables;
@@ -172,11 +197,14 @@
     context.service = Forward::chooseService(*context.route, m_dependencies.random.unit());
     context.fingerprint = fingerprintOf(context.request, context.team ? context.team->name : std::string());
     hashSharedPrefix(context.attributes.prompt, context.sharedPrefixHash, context.sharedTokens);
+    context.sharedParts = hashSharedParts(context.attributes.prompt);
     if (Limits::isQuarantined(tables.quarantine, context.fingerprint, now)) {
         Core::fail(error, ErrorKind::Overloaded, "identical requests crashed backend servers; the request is quarantined");
         error.retryAfter = 60s;
         return false;
     }
+    if (isPartRefused(context, error))
+        return false;
     if (context.team) {
         auto const cost = Forward::quotaCost(*context.team, context.attributes.tokens);
         auto const demand = Forward::quotaDemand(tables.quotas, context.team->name, now);
@@ -273,7 +301,8 @@
         if (context.clientDisconnected)
             co_return;
         auto const next = context.triedServers.size() < context.attempts ? Forward::NextStep::Finish : Forward::decideNextStep(outcome, attemptHistory(context));
-        bool const shouldRetry = !context.cancellation.isCancelled() && !context.streamFinished
+        Core::Error refusal;
+        bool const shouldRetry = !context.cancellation.isCancelled() && !context.streamFinished && !isPartRefused(context, refusal)
             && (next == Forward::NextStep::Retry || (next == Forward::NextStep::RetryWithinBudget && chargeRetryBudget(context)));
         // A server's error response is kept and returned unless a later attempt replaces it.
         if (shouldRetry)
@@ -419,6 +448,8 @@
             co_return AttemptOutcome::Unknown;
         }
         if (!events.empty()) {
+            if (++attempt.eventPieces > 1)
+                Limits::recordSound(m_dependencies.tables.crashSuspects, context.sharedParts, lastEventAt);
             recordRequestStart(context);
             if (!context.firstEventAt)
                 context.firstEventAt = m_dependencies.runtime.now();
@@ -463,9 +494,11 @@
     bool const cancelledLocally = context.cancellation.isCancelled() || context.clientDisconnected;
     if (outcome == AttemptOutcome::ResponseReceived) {
         Limits::recordFinished(m_dependencies.tables.quarantine, context.fingerprint);
+        Limits::recordSound(m_dependencies.tables.crashSuspects, context.sharedParts, now);
         if (row)
             Routing::recordSuccess(*row);
     } else if (outcome == AttemptOutcome::Unknown && !cancelledLocally && error.kind != ErrorKind::DeadlineExceeded) {
+        recordCrash(context, attempt);
         Limits::ServerCrash crash { .at = now, .serverId = attempt.placement.serverId };
         auto const [first, last] = m_dependencies.tables.runningByServer.equal_range(attempt.placement.serverId);
         for (auto entry = first; entry != last; ++entry)
@@ -482,6 +515,21 @@
     }
 }
 
+// The connection of the request ended as in a crash of the server. A request that had got several events cannot be the cause.
+void RequestForwarder::recordCrash(RequestContext const& context, Attempt const& attempt)
+{
+    if (context.sharedParts.empty() || attempt.eventPieces > 1)
+        return;
+    auto& tables = m_dependencies.tables;
+    auto const crash = static_cast<Limits::CrashId>(m_dependencies.random.below(UINT32_MAX));
+    std::string parts;
+    for (auto const part : context.sharedParts)
+        parts += (parts.empty() ? "" : ",") + std::to_string(part);
+    Core::logEvent(Core::LogLevel::Info, "server_crash_suspected", { { "server", attempt.placement.serverId }, { "request", context.attributes.attemptId }, { "parts", parts } });
+    for (auto const part : Limits::recordCrash(tables.crashSuspects, context.sharedParts, crash, m_dependencies.runtime.now()))
+        Core::logEvent(Core::LogLevel::Warning, "prompt_part_refused", { { "part", part }, { "source", "own" } });
+}
+
 Core::Awaitable<void> RequestForwarder::finish(RequestContext& context, AttemptOutcome outcome, Core::Error error)
 {
     if (context.streamFinished) {
--- a/Tests/EdgeService/EdgeServiceTest.cpp
+++ b/Tests/EdgeService/EdgeServiceTest.cpp
@@ -537,6 +537,50 @@
     waitFor([&] { return m_servers[0]->abortedConnections + m_servers[1]->abortedConnections == 1; });
 }
 
+// Guards against requests that crash one server after the other: they differ in all but one prompt part (BUDGET on a day with a deadly part).
+TEST_F(EdgeServiceTest, RequestsWithAPromptPartThatCrashesServersAreRefused)
+{
+    for (int i = 0; i < 6; ++i) {
+        addServer([](auto const& request) {
+            if (request.find("deadly:") != std::string::npos)
+                return Reply { .bytes = streamHead(attemptIdOf(request)), .ending = Reply::Ending::Reset };
+            return Reply { streamHead(attemptIdOf(request)) + chunk(event(1)) + chunk(event(2)) + "0\r\n\r\n" };
+        });
+    }
+    start();
+    int number = 0;
+    auto const send = [&](std::string const& middle) {
+        auto const id = "id" + std::to_string(++number);
+        return statusOf(exchange(request("/stream/" + id, id, "GET", "X-Hyssopstep-Token-Usage: 30,5\r\nX-Hyssopstep-Prompt-Prefix: base:10," + middle + ":10,own" + id + ":10\r\n"), 520ms));
+    };
+    std::size_t crashes = 0;
+    for (int i = 0; i < 8; ++i) {
+        EXPECT_EQ(send("sound"), "200");
+        if (send("deadly") != "503")
+            ++crashes;
+    }
+    EXPECT_EQ(crashes, 3u);
+    EXPECT_EQ(send("sound"), "200");
+}
+
+// The platform's servers may answer with neither a length nor chunks; the end of the connection is the end of the stream, unless it comes
+// within an event.
+TEST_F(EdgeServiceTest, StreamWithoutLengthEndsWithItsConnectionUnlessWithinAnEvent)
+{
+    addServer([](auto const& request) {
+        auto head = streamHead(attemptIdOf(request));
+        head.erase(head.find("Transfer-Encoding"), std::string("Transfer-Encoding: chunked\r\n").size());
+        bool const isWhole = request.find("/stream/whole") != std::string::npos;
+        return Reply { .bytes = head + event(1) + (isWhole ? event(2) : std::string("id: 2\nda")), .ending = Reply::Ending::Close };
+    });
+    start();
+    auto const whole = exchange(request("/stream/whole"));
+    EXPECT_NE(whole.find(chunk(event(1) + event(2)) + "0\r\n\r\n"), std::string::npos) << whole;
+    auto const broken = exchange(request("/stream/broken", "id2"));
+    EXPECT_EQ(broken.find("\r\n0\r\n\r\n"), std::string::npos) << broken;
+    EXPECT_EQ(broken.find("id: 2"), std::string::npos) << broken;
+}
+
 // Guards against a change that takes effect only at the next poll, and against an older configuration replacing a newer one.
 TEST_F(EdgeServiceTest, NewConfigurationsApplyAtOnceAndOlderOnesAreIgnored)
 {
--- a/Tests/LibLimits/LimitsTest.cpp
+++ b/Tests/LibLimits/LimitsTest.cpp
@@ -1,3 +1,4 @@
+#include <LibLimits/CrashSuspectTable.h>
 #include <LibLimits/QuarantineTable.h>
 #include <LibLimits/RetryBudget.h>
 #include <LibLimits/Shedding.h>
@@ -152,6 +153,110 @@
     EXPECT_FALSE(Limits::isQuarantined(table, 8, start + 7s));
 }
 
+namespace {
+
+// Nodes that exchange their evidence after each step, as in a round of reports.
+struct SuspectNodes {
+    std::vector<Limits::CrashSuspectTable> tables;
+
+    void exchange(Core::MonotonicTime now)
+    {
+        auto const before = tables;
+        for (auto& table : tables) {
+            Limits::expire(table, now);
+            for (auto const& other : before) {
+                for (auto const& [part, evidence] : Limits::suspectsToReport(other, now))
+                    (void)Limits::mergeSuspect(table, part, evidence, now);
+            }
+        }
+    }
+};
+
+}
+
+// Load pattern: requests that have nothing in common but one prompt part crash each server that begins to answer them, at a different
+// node each time (BUDGET on a day with a deadly part). Sound requests share their first part and are in the batches that crash.
+TEST(CrashSuspectTest, PromptPartThatCrashesServersIsRefusedAtAllNodesAfterThreeCrashes)
+{
+    static constexpr Limits::PromptPartHash first = 1;
+    static constexpr Limits::PromptPartHash deadly = 66;
+    SuspectNodes nodes { std::vector<Limits::CrashSuspectTable>(7) };
+    auto now = start;
+    for (std::uint32_t crash = 0; crash < 3; ++crash) {
+        for (auto const& table : nodes.tables)
+            EXPECT_FALSE(Limits::crashesServers(table, deadly, now));
+        now += 700ms;
+        (void)Limits::recordCrash(nodes.tables[crash * 2], { first, deadly }, 1000 + crash, now);
+        (void)Limits::recordCrash(nodes.tables[crash * 2 + 1], { first, 100 + crash }, 2000 + crash, now + 2ms);
+        now += 100ms;
+        Limits::recordSound(nodes.tables[crash], { first, 200 + crash }, now);
+        nodes.exchange(now + 250ms);
+    }
+    for (auto const& table : nodes.tables) {
+        EXPECT_TRUE(Limits::crashesServers(table, deadly, now + 1min));
+        EXPECT_FALSE(Limits::crashesServers(table, first, now));
+        for (std::uint32_t crash = 0; crash < 3; ++crash)
+            EXPECT_FALSE(Limits::crashesServers(table, 100 + crash, now));
+    }
+}
+
+// Load pattern: twelve requests with a deadly part a second. Guards against a bounded list of crashes that holds only the last half second.
+TEST(CrashSuspectTest, ManyCrashesASecondAreEvidenceWithinTwoSeconds)
+{
+    Limits::CrashSuspectTable table;
+    for (std::uint32_t crash = 0; crash < 24; ++crash)
+        (void)Limits::recordCrash(table, { 66 }, crash, start + crash * 83ms);
+    EXPECT_TRUE(Limits::crashesServers(table, 66, start + 2s));
+}
+
+// Guards against refusing a sound part whose servers were lost with a rack or a data centre, or by crashes that had another cause.
+TEST(CrashSuspectTest, SoundPartsAreNotRefused)
+{
+    Limits::CrashSuspectTable table;
+    for (std::uint32_t crash = 0; crash < 20; ++crash)
+        EXPECT_TRUE(Limits::recordCrash(table, { 5 }, crash, start + crash * 20ms).empty());
+    EXPECT_FALSE(Limits::crashesServers(table, 5, start + 1s));
+    for (std::uint32_t crash = 0; crash < 9; ++crash) {
+        auto const now = start + 2s + crash * 1s;
+        EXPECT_TRUE(Limits::recordCrash(table, { 7 }, 100 + crash, now).empty());
+        if (crash % 2 == 1)
+            Limits::recordSound(table, { 7 }, now + 100ms);
+    }
+    // A request that succeeds ends a refusal.
+    for (std::uint32_t crash = 0; crash < 3; ++crash)
+        (void)Limits::recordCrash(table, { 8 }, 200 + crash, start + 20s + crash * 1s);
+    EXPECT_TRUE(Limits::crashesServers(table, 8, start + 23s));
+    Limits::recordSound(table, { 8 }, start + 23s);
+    EXPECT_FALSE(Limits::crashesServers(table, 8, start + 23s));
+}
+
+// Guards against refusing the sound part that precedes a deadly one: until the deadly one is refused, both have the same evidence (seed 1
+// of the day: both were refused at 6.4 s).
+TEST(CrashSuspectTest, PartThatPrecedesADeadlyOneIsNotRefused)
+{
+    Limits::CrashSuspectTable table;
+    for (std::uint32_t crash = 0; crash < 3; ++crash)
+        (void)Limits::recordCrash(table, { 1, 66 }, crash, start + crash * 1s);
+    EXPECT_TRUE(Limits::crashesServers(table, 66, start + 3s));
+    EXPECT_FALSE(Limits::crashesServers(table, 1, start + 3s));
+    // Another one follows: the first part is the cause.
+    (void)Limits::recordCrash(table, { 1, 67 }, 3, start + 4s);
+    EXPECT_TRUE(Limits::crashesServers(table, 1, start + 4s));
+    EXPECT_FALSE(Limits::crashesServers(table, 67, start + 4s));
+}
+
+// Guards against evidence that grows without bound, and that is kept for ever.
+TEST(CrashSuspectTest, EvidenceIsBoundedAndExpires)
+{
+    Limits::CrashSuspectTable table;
+    for (std::uint32_t crash = 0; crash < 5000; ++crash)
+        (void)Limits::recordCrash(table, { crash, 1 }, crash, start + crash * 10ms);
+    EXPECT_LE(table.parts.size(), 256u);
+    EXPECT_LE(Limits::suspectsToReport(table, start + 50s).size(), 8u);
+    Limits::expire(table, start + 1h);
+    EXPECT_EQ(table, Limits::CrashSuspectTable {});
+}
+
 // Guards against nodes that each keep the whole budget after they have discovered each other.
 TEST(RetryBudgetTest, SmallerCapacityTakesEffectImmediately)
 {
