LibLimits: Bound what is reported of crash suspects, and do not refuse parts while a service is down

What callers would see: after all servers of a service were down and reset their connections for some seconds, every prompt part in use had crashes without a success and was refused, which left none to clear it, for ten minutes.

Cause: crashes were counted without regard to whether other requests of the service succeed; a node that was cut off could report crashes which the others had cleared; and each crash was reported for a minute, up to eight parts four times a second to all nodes. Class: evidence without a control group, and state that is relayed after it has been refuted.

Change: a further crash counts only if another request of the service got beyond its first events at this node since the last one. A node that hears of crashes before a success which it knows reports the success again.

--- a/Libraries/LibLimits/CrashSuspectTable.h
+++ b/Libraries/LibLimits/CrashSuspectTable.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <string>
 #include <utility>
 #include <vector>
 
@@ -23,6 +24,8 @@
     std::map<CrashId, Core::MonotonicTime> crashes;
     /// When a request with this part last got that far.
     std::optional<Core::MonotonicTime> soundAt;
+    /// When another node reported crashes that happened before then, so that it needs to know.
+    std::optional<Core::MonotonicTime> contradictedAt;
     /// Whether another shared part followed it in one of the requests, which may be the cause instead.
     bool isPrefix { false };
 
@@ -36,15 +39,18 @@
     std::map<PromptPartHash, SuspectPart> parts;
     /// Parts whose requests are refused, for the log.
     std::set<PromptPartHash> refused;
+    /// When any request of a service last got beyond its first events, by service.
+    std::map<std::string, Core::MonotonicTime> soundServices;
 
     bool operator==(CrashSuspectTable const&) const = default;
 };
 
-/// Records that a request with these parts, in the order of its prompt, was at a server when it crashed. Returns the parts that are refused from now on.
-std::vector<PromptPartHash> recordCrash(CrashSuspectTable&, std::vector<PromptPartHash> const&, CrashId, Core::MonotonicTime now);
+/// Records that a request with these parts, in the order of its prompt, was at a server of the service when it crashed. Returns the parts
+/// that are refused from now on. Repeated crashes are evidence only if other requests of the service succeed in between.
+std::vector<PromptPartHash> recordCrash(CrashSuspectTable&, std::string const& service, std::vector<PromptPartHash> const&, CrashId, Core::MonotonicTime now);
 
-/// Records that a request with these parts got far into its answer. Has an effect on suspects only.
-void recordSound(CrashSuspectTable&, std::vector<PromptPartHash> const&, Core::MonotonicTime now);
+/// Records that a request with these parts got beyond its first events, which clears them.
+void recordSound(CrashSuspectTable&, std::string const& service, std::vector<PromptPartHash> const&, Core::MonotonicTime now);
 
 /// Adds the evidence of another node. Returns whether the part is refused from now on.
 bool mergeSuspect(CrashSuspectTable&, PromptPartHash, SuspectPart const&, Core::MonotonicTime now);
@@ -54,7 +60,8 @@
 /// another shared one needs one time more, so that the later one is refused alone if it explains all crashes.
 [[nodiscard]] bool crashesServers(CrashSuspectTable const&, PromptPartHash, Core::MonotonicTime now);
 
-/// Returns the evidence that other nodes need, the strongest first, bounded in size.
+/// Returns the evidence that other nodes need, the strongest first, bounded in size: what is new or contradicts theirs, and parts that are
+/// refused.
 [[nodiscard]] std::vector<std::pair<PromptPartHash, SuspectPart>> suspectsToReport(CrashSuspectTable const&, Core::MonotonicTime now);
 
 /// Removes evidence that is out of date.
--- a/Services/Edge/PeerExchange.cpp
+++ b/Services/Edge/PeerExchange.cpp
@@ -85,7 +85,7 @@
 {
     auto const now = m_runtime.now();
     for (auto const& suspect : report.suspectParts) {
-        Limits::SuspectPart evidence { .crashes = {}, .soundAt = std::nullopt, .isPrefix = suspect.isPrefix };
+        Limits::SuspectPart evidence { .isPrefix = suspect.isPrefix };
         for (auto const& [crash, age] : suspect.crashAges)
             evidence.crashes[crash] = now - age;
         if (suspect.soundAge)
--- a/Services/Edge/RequestForwarder.cpp
+++ b/Services/Edge/RequestForwarder.cpp
@@ -449,7 +449,7 @@
         }
         if (!events.empty()) {
             if (++attempt.eventPieces > 1)
-                Limits::recordSound(m_dependencies.tables.crashSuspects, context.sharedParts, lastEventAt);
+                Limits::recordSound(m_dependencies.tables.crashSuspects, context.service, context.sharedParts, lastEventAt);
             recordRequestStart(context);
             if (!context.firstEventAt)
                 context.firstEventAt = m_dependencies.runtime.now();
@@ -494,7 +494,7 @@
     bool const cancelledLocally = context.cancellation.isCancelled() || context.clientDisconnected;
     if (outcome == AttemptOutcome::ResponseReceived) {
         Limits::recordFinished(m_dependencies.tables.quarantine, context.fingerprint);
-        Limits::recordSound(m_dependencies.tables.crashSuspects, context.sharedParts, now);
+        Limits::recordSound(m_dependencies.tables.crashSuspects, context.service, context.sharedParts, now);
         if (row)
             Routing::recordSuccess(*row);
     } else if (outcome == AttemptOutcome::Unknown && !cancelledLocally && error.kind != ErrorKind::DeadlineExceeded) {
@@ -526,7 +526,7 @@
     for (auto const part : context.sharedParts)
         parts += (parts.empty() ? "" : ",") + std::to_string(part);
     Core::logEvent(Core::LogLevel::Info, "server_crash_suspected", { { "server", attempt.placement.serverId }, { "request", context.attributes.attemptId }, { "parts", parts } });
-    for (auto const part : Limits::recordCrash(tables.crashSuspects, context.sharedParts, crash, m_dependencies.runtime.now()))
+    for (auto const part : Limits::recordCrash(tables.crashSuspects, context.service, context.sharedParts, crash, m_dependencies.runtime.now()))
         Core::logEvent(Core::LogLevel::Warning, "prompt_part_refused", { { "part", part }, { "source", "own" } });
 }
 
