Edge: Let the next watch cover the time of one without events

What callers would see: a server that said it leaves gets requests until its entry is removed, or a configuration is not in force until the next one.

Cause: the store may deliver nothing for a second while changes are made, and then cut the watches that are pending. A watch that ends by itself in the last milliseconds of that second returns the store's revision without events, and the one that starts just after it goes on from there and is not cut. What was missed was never read. Class: a cursor that is advanced past what was received, as in "List the objects again after a watch failed", which covers the watches that are cut.

Change: after a watch without events the next one starts from the revision before. Without hidden changes it returns the same events; if the history was dropped meanwhile, the store answers 410 and the objects are listed. No more calls otherwise.

--- a/Services/Edge/StoreWatcher.cpp
+++ b/Services/Edge/StoreWatcher.cpp
@@ -65,7 +65,9 @@
 
 Core::Awaitable<void> StoreWatcher::watch(Resource resource)
 {
+    // The revision from which the next watch starts, and the last one that the store returned.
     std::optional<std::uint64_t> version;
+    std::uint64_t returnedVersion = 0;
     while (true) {
         Core::Error error;
         if (m_tables.isUsable() && !m_shouldWatch) {
@@ -80,6 +82,7 @@
                 continue;
             }
             version = listed;
+            returnedVersion = listed;
         }
         auto const watchDuration = minimumWatchDuration + std::chrono::milliseconds(m_random.below(watchJitterMilliseconds));
         auto const changes = co_await m_store.waitForChanges(objectKind(resource), *version, m_runtime.now() + watchDuration, error);
@@ -90,7 +93,9 @@
             continue;
         }
         recordSuccess(resource);
-        version = changes->resourceVersion;
+        // A watch that ended while the store delivered no changes may have missed some, so that the next one covers its time as well.
+        version = changes->events.empty() ? returnedVersion : changes->resourceVersion;
+        returnedVersion = changes->resourceVersion;
         for (auto const& event : changes->events) {
             bool const isRemoved = event.kind == Platform::ObjectEventKind::Removed;
             // A list that a peer sent may be newer than this event.
@@ -105,7 +110,7 @@
                 applyConfiguration(event.object.value, "store");
         }
         if (resource == Resource::Servers && !changes->events.empty()) {
-            m_tables.serversRevision = std::max(m_tables.serversRevision, *version);
+            m_tables.serversRevision = std::max(m_tables.serversRevision, changes->resourceVersion);
             updateServerTable("store");
             notifyChange();
             co_await m_runtime.sleepFor(changeBatchingDelay);
--- a/Tests/EdgeService/StoreStandIn.cpp
+++ b/Tests/EdgeService/StoreStandIn.cpp
@@ -56,6 +56,11 @@
     m_changed.notifyAll();
 }
 
+void StoreStandIn::hideChangesFromPendingWatches()
+{
+    m_watchesWithoutEvents = watches;
+}
+
 Core::Awaitable<void> StoreStandIn::handle(HTTP::Request const& request, HTTP::ResponseWriter& writer)
 {
     ++calls;
@@ -114,8 +119,9 @@
         if (number <= m_cutWatches)
             co_return std::nullopt;
         json::array events;
+        bool const isHidden = hidesChanges || number <= m_watchesWithoutEvents;
         for (auto const& event : m_objects.history) {
-            if (!hidesChanges && event.object.key.kind == kind && event.object.resourceVersion > since)
+            if (!isHidden && event.object.key.kind == kind && event.object.resourceVersion > since)
                 events.push_back(json::object { { "deleted", event.kind == Platform::ObjectEventKind::Removed }, { "object", objectJson(event.object) } });
         }
         bool const isSilent = number <= m_silencedWatches;
--- a/Tests/EdgeService/StoreStandIn.h
+++ b/Tests/EdgeService/StoreStandIn.h
@@ -21,6 +21,8 @@
     void silenceWatches();
     /// Closes the connections of the pending watches.
     void cutWatches();
+    /// The pending watches end without events, but with the revision at that time. Later watches are answered.
+    void hideChangesFromPendingWatches();
 
     /// While set, watches end without events, but with the current revision.
     bool hidesChanges { false };
@@ -41,9 +43,10 @@
     Core::Runtime& m_runtime;
     TestSupport::MemoryObjects m_objects;
     Core::AsyncEvent m_changed;
-    /// The number of watches when they were last silenced or cut; later ones are answered.
+    /// The number of watches when they were last silenced, cut or left without events; later ones are answered.
     std::size_t m_silencedWatches { 0 };
     std::size_t m_cutWatches { 0 };
+    std::size_t m_watchesWithoutEvents { 0 };
     HTTP::Server m_server;
 };
 
--- a/Tests/EdgeService/StoreWatcherTest.cpp
+++ b/Tests/EdgeService/StoreWatcherTest.cpp
@@ -46,6 +46,20 @@
     waitFor([&] { return m_service->tables().routes->version == 2 && !isLive("s1"); });
 }
 
+// Guards against a change that is never seen: a watch ended without it just before the store delivered changes again, so that no watch
+// was cut.
+TEST_F(EdgeServiceTest, ChangeThatAWatchMissedIsSeenByTheNextWatch)
+{
+    for (int i = 0; i < 2; ++i)
+        addServer([](auto const& request) { return Reply { httpResponse(attemptIdOf(request), "body") }; });
+    start();
+    waitFor([&] { return m_store.watches >= 2; });
+    m_store.hideChangesFromPendingWatches();
+    putConfiguration(2);
+    putServerState("s1", "draining");
+    waitFor([&] { return m_service->tables().routes->version == 2 && !isLive("s1"); });
+}
+
 // Guards against new requests for a server that was removed while this node's connections to the store were silent, first because its
 // own trouble was taken for an outage of the store (DRAIN on days with connection resets: a request arrived 2.2 s after the removal),
 // then again when the other watch went on.
