Edge: Read the store again within three seconds of a silent connection

Cause: a watch on a connection that went silent is noticed at its deadline. It may start up to 250 ms after the silence, on an idle connection, since changes are batched; it lasts up to 3 s, and 0.1 s pass until the list on a new connection: 3.45 s with the round trips. Class: time limits that are each sound and were not added up.

Change: a watch lasts 2.5 s at most. Calculated: 1.3 calls a second of an idle node instead of 1.1.

Ruled out: a fetch from peers once their reports name a later revision, since a reset of all connections leaves no peer that knows it.

NodeWithSilentConnectionsReadsTheStoreAgainWithinThreeSeconds failed before (3.45 s) and passes.

--- a/Services/Edge/StoreWatcher.cpp
+++ b/Services/Edge/StoreWatcher.cpp
@@ -11,15 +11,8 @@
 using namespace std::chrono_literals;
 namespace json = boost::json;
 
-// Longer watches need fewer calls, but a watch that hangs is detected only at its end. Jitter makes the nodes' watches end at
-// different times, so that the first node that reads a change can notify the others.
-static constexpr Core::Duration minimumWatchDuration = 1500ms;
-static constexpr std::uint64_t watchJitterMilliseconds = 1500;
 static constexpr Core::Duration callTimeout = 1000ms;
 
-// Each call to the store is billed, and a watch returns on the first of several changes that occur together.
-static constexpr Core::Duration changeBatchingDelay = 250ms;
-
 StoreWatcher::StoreWatcher(Core::Runtime& runtime, Platform::ObjectStore& store, HTTP::Client& peerClient, Forward::PlatformCodec const& codec, EdgeTables& tables, EdgeSettings const& settings, Core::Random& random, Core::Metrics& metrics)
     : m_runtime(runtime)
     , m_store(store)
@@ -84,7 +77,7 @@
             version = listed;
             returnedVersion = listed;
         }
-        auto const watchDuration = minimumWatchDuration + std::chrono::milliseconds(m_random.below(watchJitterMilliseconds));
+        auto const watchDuration = minimumWatchDuration + std::chrono::milliseconds(m_random.below((maximumWatchDuration - minimumWatchDuration).count()));
         auto const changes = co_await m_store.waitForChanges(objectKind(resource), *version, m_runtime.now() + watchDuration, error);
         if (!changes) {
             // Earlier watches may have missed changes while the store delivered none.
@@ -140,8 +133,6 @@
         m_changeListener();
 }
 
-static constexpr Core::Duration initialRetryDelay = 100ms;
-
 // A watch that fails says nothing about the store, since its connection may have gone silent or been reset on the way. The list that
 // follows on a new connection tells.
 Core::Duration StoreWatcher::recordWatchFailure(Resource resource, Core::Error const& error)
@@ -149,7 +140,7 @@
     m_metrics.counter("hyssopstep_store_failures_total", { { "kind", objectKind(resource) } }).add();
     bool const isHistoryGone = error.kind == Core::ErrorKind::StoreVersionExpired;
     Core::logEvent(Core::LogLevel::Info, isHistoryGone ? "store_history_gone" : "store_watch_failed", { { "kind", objectKind(resource) }, { "reason", error.message } });
-    return initialRetryDelay;
+    return initialStoreRetryDelay;
 }
 
 Core::Duration StoreWatcher::recordFailure(Resource resource, Core::Error const& error)
@@ -159,7 +150,7 @@
     Forward::recordStoreOutage(m_tables.directory, m_runtime.now());
     if (!std::exchange(status.isUnavailable, true))
         Core::logEvent(Core::LogLevel::Warning, "dependency_lost", { { "dependency", "store" }, { "kind", objectKind(resource) }, { "reason", error.message } });
-    auto const retryDelay = std::min<Core::Duration>(initialRetryDelay * (1 << std::min(status.failures, 3U)), maximumStoreRetryDelay);
+    auto const retryDelay = std::min<Core::Duration>(initialStoreRetryDelay * (1 << std::min(status.failures, 3U)), maximumStoreRetryDelay);
     ++status.failures;
     return retryDelay;
 }
--- a/Services/Edge/StoreWatcher.h
+++ b/Services/Edge/StoreWatcher.h
@@ -13,8 +13,18 @@
 /// Upper bounds of a connection attempt to the store and of the delay after a failed call. Within three seconds of the end of a
 /// network partition, a node must have read the store and dropped the servers that were removed during the partition.
 inline constexpr Core::Duration storeConnectTimeout = std::chrono::milliseconds(500);
+inline constexpr Core::Duration initialStoreRetryDelay = std::chrono::milliseconds(100);
 inline constexpr Core::Duration maximumStoreRetryDelay = std::chrono::milliseconds(300);
 
+/// Each call to the store is billed, and a watch returns on the first of several changes that occur together.
+inline constexpr Core::Duration changeBatchingDelay = std::chrono::milliseconds(250);
+
+/// Longer watches need fewer calls, but a watch on a connection that went silent is detected only at its end. Within three seconds of
+/// that, a node must have read the store again. The difference makes the nodes' watches end at different times, so that the first node
+/// that reads a change can notify the others.
+inline constexpr std::chrono::milliseconds minimumWatchDuration { 1500 };
+inline constexpr std::chrono::milliseconds maximumWatchDuration { 2500 };
+
 /// Watches the platform's store and applies its changes to the configuration and the servers. Fetches them from peers while the store
 /// fails or while other nodes watch the store for this one. Used from the runtime's thread only.
 class StoreWatcher {
--- a/Tests/EdgeService/StoreWatcherTest.cpp
+++ b/Tests/EdgeService/StoreWatcherTest.cpp
@@ -29,6 +29,14 @@
     EXPECT_LE(Edge::storeConnectTimeout + Edge::maximumStoreRetryDelay + roundTrips + Forward::removalGracePeriod + margin, Core::Duration(3s));
 }
 
+// Guards against a node that uses removed servers after its connections went silent while idle between two watches. The platform counts
+// this as a fault from three seconds after the connections went silent.
+TEST(StoreWatcherTest, NodeWithSilentConnectionsReadsTheStoreAgainWithinThreeSeconds)
+{
+    static constexpr Core::Duration roundTrips = 100ms;
+    EXPECT_LE(Edge::changeBatchingDelay + Edge::maximumWatchDuration + Edge::initialStoreRetryDelay + roundTrips, Core::Duration(3s));
+}
+
 // Guards against a change that is never seen: a watch ended without it while the store delivered nothing, and the next one was cut.
 TEST_F(EdgeServiceTest, ChangeThatAWatchMissedIsSeenAfterTheNextWatchWasCut)
 {
