Edge, LibHTTP: Count a crash of a server only if it refuses connections

Cause: each connection that ended without an answer counted as a crash of the server. Parts that few requests have can be reset three times in a row without a success in between. Class: a symptom that has several causes is taken for one of them.

Change: after such an end the node connects to the server. One that crashed refuses, since its process is gone; one that reset a single connection accepts, and the connection is kept for a later request. Without an answer within 100 ms nothing is counted.

PromptPartOfRequestsThatRunningServersResetIsNotRefused failed before (503 after three resets, and still after the resets had ended) and passes. In RequestsWithAPromptPartThatCrashesServersAreRefused the servers crash now, where they reset the connection and went on listening before, which was no crash; its expectations are the same.

--- a/Libraries/LibHTTP/Client.cpp
+++ b/Libraries/LibHTTP/Client.cpp
@@ -62,6 +62,7 @@
 struct AcquiredConnection {
     ConnectionPointer connection;
     ConnectionOrigin origin { ConnectionOrigin::New };
+    bool isRefused { false };
 };
 
 // Closes the connection on cancellation during one step of an exchange.
@@ -131,6 +132,7 @@
     [[nodiscard]] ClientTraffic traffic() const { return *m_traffic; }
 
     Core::Awaitable<std::unique_ptr<ResponseStream>> openStream(Core::Endpoint endpoint, Request request, ExchangeOptions options, Core::MonotonicTime deadline, Core::Error& error);
+    Core::Awaitable<ConnectionAttempt> connect(Core::Endpoint endpoint, Core::MonotonicTime deadline);
 
 private:
     ConnectionPointer takeIdle(Core::Endpoint const& endpoint, ConnectionUse use)
@@ -198,7 +200,7 @@
         if (errorCode || !connection->socket.is_open()) {
             auto const kind = m_runtime.now() >= deadline ? ErrorKind::DeadlineExceeded : ErrorKind::BackendUnreachable;
             Core::fail(error, kind, "cannot connect to " + endpoint.toString() + ": " + errorCode.message());
-            co_return AcquiredConnection {};
+            co_return AcquiredConnection { .isRefused = errorCode == asio::error::connection_refused };
         }
         boost::system::error_code ignored;
         connection->socket.set_option(tcp::no_delay(true), ignored);
@@ -455,6 +457,17 @@
     }
 }
 
+Core::Awaitable<ConnectionAttempt> Client::Implementation::connect(Core::Endpoint endpoint, Core::MonotonicTime deadline)
+{
+    auto self = shared_from_this();
+    Core::Error error;
+    auto acquired = co_await acquire(endpoint, ConnectionUse::NewConnection, nullptr, deadline, error);
+    if (!acquired.connection)
+        co_return acquired.isRefused ? ConnectionAttempt::Refused : ConnectionAttempt::Unanswered;
+    releaseConnection(endpoint, std::move(acquired.connection));
+    co_return ConnectionAttempt::Accepted;
+}
+
 Client::Client(Core::Runtime& runtime, ClientLimits limits)
     : m_implementation(std::make_shared<Implementation>(runtime, limits))
 {
@@ -496,6 +509,11 @@
     return m_implementation->openStream(std::move(endpoint), std::move(request), std::move(options), deadline, error);
 }
 
+Core::Awaitable<ConnectionAttempt> Client::connect(Core::Endpoint endpoint, Core::MonotonicTime deadline)
+{
+    return m_implementation->connect(std::move(endpoint), deadline);
+}
+
 void Client::closeIdleConnections(Core::Endpoint const& endpoint)
 {
     m_implementation->closeIdleConnections(endpoint);
--- a/Libraries/LibHTTP/Client.h
+++ b/Libraries/LibHTTP/Client.h
@@ -47,6 +47,15 @@
     NewConnection,
 };
 
+/// What an endpoint does with a new connection.
+enum class ConnectionAttempt {
+    Accepted,
+    /// No process listens there.
+    Refused,
+    /// Not accepted for another reason, or not in time.
+    Unanswered,
+};
+
 /// How to handle a response with neither Content-Length nor chunked encoding.
 enum class UnframedResponse {
     Refuse,
@@ -121,6 +130,9 @@
     [[nodiscard]] Core::Awaitable<std::unique_ptr<ResponseStream>> openStream(Core::Endpoint, Request, ConnectionUse, Core::MonotonicTime deadline, Core::Error&);
     [[nodiscard]] Core::Awaitable<std::unique_ptr<ResponseStream>> openStream(Core::Endpoint, Request, ExchangeOptions, Core::MonotonicTime deadline, Core::Error&);
 
+    /// Opens a connection, which is kept for later requests if it is accepted.
+    [[nodiscard]] Core::Awaitable<ConnectionAttempt> connect(Core::Endpoint, Core::MonotonicTime deadline);
+
     /// Closes the idle connections to an endpoint, for example one that was removed.
     void closeIdleConnections(Core::Endpoint const&);
 
--- a/Services/Edge/RequestForwarder.cpp
+++ b/Services/Edge/RequestForwarder.cpp
@@ -364,6 +364,8 @@
         outcome = isStream ? co_await forwardStream(context, attempt, error) : co_await readResponse(context, attempt, error);
     }
     recordOutcome(context, attempt, outcome, error);
+    if (mayHaveCrashedServer(context, attempt, outcome, error))
+        co_await recordCrashIfServerIsGone(context, attempt);
     co_return outcome;
 }
 
@@ -498,7 +500,6 @@
         if (row)
             Routing::recordSuccess(*row);
     } else if (outcome == AttemptOutcome::Unknown && !cancelledLocally && error.kind != ErrorKind::DeadlineExceeded) {
-        recordCrash(context, attempt);
         Limits::ServerCrash crash { .at = now, .serverId = attempt.placement.serverId };
         auto const [first, last] = m_dependencies.tables.runningByServer.equal_range(attempt.placement.serverId);
         for (auto entry = first; entry != last; ++entry)
@@ -515,18 +516,29 @@
     }
 }
 
-// The connection of the request ended as in a crash of the server. A request that had got several events cannot be the cause.
-void RequestForwarder::recordCrash(RequestContext const& context, Attempt const& attempt)
+// A request that had got several events cannot be the cause of a crash.
+bool RequestForwarder::mayHaveCrashedServer(RequestContext const& context, Attempt const& attempt, AttemptOutcome outcome, Core::Error const& error)
 {
-    if (context.sharedParts.empty() || attempt.eventPieces > 1)
-        return;
+    bool const isCancelled = context.cancellation.isCancelled() || context.clientDisconnected;
+    return outcome == AttemptOutcome::Unknown && !isCancelled && error.kind != ErrorKind::DeadlineExceeded && !context.sharedParts.empty() && attempt.eventPieces <= 1;
+}
+
+// The connection of the request ended. Servers and networks also reset single connections; a server that crashed refuses new ones.
+Core::Awaitable<void> RequestForwarder::recordCrashIfServerIsGone(RequestContext const& context, Attempt const& attempt)
+{
+    // Several round trips. A host that does not answer at all is lost for a reason other than a request.
+    static constexpr Core::Duration connectTimeout = 100ms;
+    auto const endedAt = m_dependencies.runtime.now();
+    auto const connection = co_await m_dependencies.client.connect(attempt.placement.endpoint, endedAt + connectTimeout);
+    if (connection != HTTP::ConnectionAttempt::Refused)
+        co_return;
     auto& tables = m_dependencies.tables;
     auto const crash = static_cast<Limits::CrashId>(m_dependencies.random.below(UINT32_MAX));
     std::string parts;
     for (auto const part : context.sharedParts)
         parts += (parts.empty() ? "" : ",") + std::to_string(part);
     Core::logEvent(Core::LogLevel::Info, "server_crash_suspected", { { "server", attempt.placement.serverId }, { "request", context.attributes.attemptId }, { "parts", parts } });
-    for (auto const part : Limits::recordCrash(tables.crashSuspects, context.service, context.sharedParts, crash, m_dependencies.runtime.now()))
+    for (auto const part : Limits::recordCrash(tables.crashSuspects, context.service, context.sharedParts, crash, endedAt))
         Core::logEvent(Core::LogLevel::Warning, "prompt_part_refused", { { "part", part }, { "source", "own" } });
 }
 
--- a/Services/Edge/RequestForwarder.h
+++ b/Services/Edge/RequestForwarder.h
@@ -61,7 +61,8 @@
     [[nodiscard]] Forward::AttemptHistory attemptHistory(RequestContext const&) const;
     /// Refuses a request with a prompt part that crashes servers. Returns whether it was refused, with the error set.
     [[nodiscard]] bool isPartRefused(RequestContext const&, Core::Error&) const;
-    void recordCrash(RequestContext const&, Attempt const&);
+    [[nodiscard]] static bool mayHaveCrashedServer(RequestContext const&, Attempt const&, Forward::AttemptOutcome, Core::Error const&);
+    [[nodiscard]] Core::Awaitable<void> recordCrashIfServerIsGone(RequestContext const&, Attempt const&);
     void recordRequestStart(RequestContext&);
     void recordOutcome(RequestContext&, Attempt const&, Forward::AttemptOutcome, Core::Error const&);
     void logRequest(RequestContext const&) const;
--- a/Tests/EdgeService/EdgeServiceFixture.h
+++ b/Tests/EdgeService/EdgeServiceFixture.h
@@ -149,6 +149,13 @@
         return m_loop.run(task());
     }
 
+    // Sends a stream request with a prompt of three parts, of which the last is its own, and returns the status. Takes more than half a second.
+    std::string sendPrompt(std::string const& middle)
+    {
+        auto const id = "prompt" + std::to_string(++m_prompts);
+        return statusOf(exchange(request("/stream/" + id, id, "GET", "X-Hyssopstep-Token-Usage: 30,5\r\nX-Hyssopstep-Prompt-Prefix: base:10," + middle + ":10,own" + id + ":10\r\n"), 520ms));
+    }
+
     static std::string statusOf(std::string const& response) { return response.size() < 12 ? "" : response.substr(9, 3); }
 
     struct StoreConnection {
@@ -169,6 +176,7 @@
     PlatformAdapter::HeaderCodec const m_requestCodec {};
     PlatformAdapter::StoreCodec const m_objectCodec {};
     double m_retrySlack { 100 };
+    int m_prompts { 0 };
     std::vector<std::unique_ptr<RawServer>> m_servers;
     std::unique_ptr<Edge::EdgeService> m_service;
 };
--- a/Tests/EdgeService/RawServer.cpp
+++ b/Tests/EdgeService/RawServer.cpp
@@ -32,6 +32,18 @@
     }
 }
 
+Core::Awaitable<void> RawServer::restart()
+{
+    static constexpr Core::Duration restartDelay = std::chrono::milliseconds(200);
+    m_acceptor.close();
+    co_await m_runtime.sleepFor(restartDelay);
+    m_acceptor.open(tcp::v4());
+    m_acceptor.set_option(tcp::acceptor::reuse_address(true));
+    m_acceptor.bind(tcp::endpoint(asio::ip::make_address(m_endpoint.address), m_endpoint.port));
+    m_acceptor.listen();
+    co_await accept();
+}
+
 static std::size_t contentLength(std::string const& headers)
 {
     auto const at = headers.find("Content-Length: ");
@@ -79,7 +91,9 @@
             if (reply.repeatInterval > Core::Duration {})
                 co_await m_runtime.sleepFor(reply.repeatInterval);
         }
-        if (reply.ending == Reply::Ending::Reset) {
+        if (reply.ending == Reply::Ending::Crash)
+            m_runtime.spawn(restart());
+        if (reply.ending == Reply::Ending::Reset || reply.ending == Reply::Ending::Crash) {
             socket.set_option(tcp::socket::linger(true, 0));
             co_return;
         }
--- a/Tests/EdgeService/RawServer.h
+++ b/Tests/EdgeService/RawServer.h
@@ -26,6 +26,8 @@
             KeepOpen,
             Close,
             Reset,
+            /// Resets the connection and refuses new ones for a short time.
+            Crash,
         };
         Ending ending { Ending::KeepOpen };
     };
@@ -44,6 +46,7 @@
 
 private:
     [[nodiscard]] Core::Awaitable<void> accept();
+    [[nodiscard]] Core::Awaitable<void> restart();
     [[nodiscard]] Core::Awaitable<void> serve(boost::asio::ip::tcp::socket);
 
     Core::Runtime& m_runtime;
