Edge: Do not quarantine requests that a running server resets

What callers would see: a request that is sent again, as clients do, is refused for an hour on all nodes after servers that keep running reset it three times.

RepeatedRequestIsQuarantinedIfItCrashesServersButNotIfRunningOnesResetIt failed before (503 after three resets) and passes; its second half, in which servers crash, passed before for the same reason.

--- a/Services/Edge/RequestForwarder.cpp
+++ b/Services/Edge/RequestForwarder.cpp
@@ -363,8 +363,9 @@
         bool const isStream = context.route->kind == RequestKind::Stream && attempt.stream->status() == ok;
         outcome = isStream ? co_await forwardStream(context, attempt, error) : co_await readResponse(context, attempt, error);
     }
-    recordOutcome(context, attempt, outcome, error);
-    if (mayHaveCrashedServer(context, attempt, outcome, error))
+    recordOutcome(context, attempt, outcome);
+    bool const isCancelled = context.cancellation.isCancelled() || context.clientDisconnected;
+    if (outcome == AttemptOutcome::Unknown && !isCancelled && error.kind != ErrorKind::DeadlineExceeded)
         co_await recordCrashIfServerIsGone(context, attempt);
     co_return outcome;
 }
@@ -488,7 +489,7 @@
     Forward::recordRequestStart(m_dependencies.tables.usage, m_dependencies.settings.nodeId, m_dependencies.incarnation, context.team->name, window);
 }
 
-void RequestForwarder::recordOutcome(RequestContext& context, Attempt const& attempt, AttemptOutcome outcome, Core::Error const& error)
+void RequestForwarder::recordOutcome(RequestContext& context, Attempt const& attempt, AttemptOutcome outcome)
 {
     auto const now = m_dependencies.runtime.now();
     context.attemptTrace += (context.attemptTrace.empty() ? "" : ",") + attempt.placement.serverId + ":" + std::string(outcomeName(outcome));
@@ -499,13 +500,6 @@
         Limits::recordSound(m_dependencies.tables.crashSuspects, context.service, context.sharedParts, now);
         if (row)
             Routing::recordSuccess(*row);
-    } else if (outcome == AttemptOutcome::Unknown && !cancelledLocally && error.kind != ErrorKind::DeadlineExceeded) {
-        Limits::ServerCrash crash { .at = now, .serverId = attempt.placement.serverId };
-        auto const [first, last] = m_dependencies.tables.runningByServer.equal_range(attempt.placement.serverId);
-        for (auto entry = first; entry != last; ++entry)
-            crash.batch.push_back(entry->second);
-        for (auto const fingerprint : Limits::recordCrash(m_dependencies.tables.quarantine, std::move(crash)))
-            Core::logEvent(Core::LogLevel::Warning, "request_quarantined", { { "fingerprint", std::uint64_t(fingerprint) }, { "request", context.attributes.attemptId } });
     }
     if (row && !cancelledLocally && (outcome == AttemptOutcome::NotSent || outcome == AttemptOutcome::Unknown))
         Routing::recordFailure(*row, now);
@@ -516,29 +510,37 @@
     }
 }
 
-// A request that had got several events cannot be the cause of a crash.
-bool RequestForwarder::mayHaveCrashedServer(RequestContext const& context, Attempt const& attempt, AttemptOutcome outcome, Core::Error const& error)
-{
-    bool const isCancelled = context.cancellation.isCancelled() || context.clientDisconnected;
-    return outcome == AttemptOutcome::Unknown && !isCancelled && error.kind != ErrorKind::DeadlineExceeded && !context.sharedParts.empty() && attempt.eventPieces <= 1;
-}
-
 // The connection of the request ended. Servers and networks also reset single connections; a server that crashed refuses new ones.
 Core::Awaitable<void> RequestForwarder::recordCrashIfServerIsGone(RequestContext const& context, Attempt const& attempt)
 {
     // Several round trips. A host that does not answer at all is lost for a reason other than a request.
     static constexpr Core::Duration connectTimeout = 100ms;
-    auto const endedAt = m_dependencies.runtime.now();
+    auto& tables = m_dependencies.tables;
+    Limits::ServerCrash crash { .at = m_dependencies.runtime.now(), .serverId = attempt.placement.serverId };
+    auto const [first, last] = tables.runningByServer.equal_range(crash.serverId);
+    for (auto entry = first; entry != last; ++entry)
+        crash.batch.push_back(entry->second);
+    auto const endedAt = crash.at;
     auto const connection = co_await m_dependencies.client.connect(attempt.placement.endpoint, endedAt + connectTimeout);
     if (connection != HTTP::ConnectionAttempt::Refused)
         co_return;
-    auto& tables = m_dependencies.tables;
+    for (auto const fingerprint : Limits::recordCrash(tables.quarantine, std::move(crash)))
+        Core::logEvent(Core::LogLevel::Warning, "request_quarantined", { { "fingerprint", std::uint64_t(fingerprint) }, { "request", context.attributes.attemptId } });
+    // A prompt part of which a request had got several events cannot be the cause.
+    if (attempt.eventPieces <= 1)
+        recordSuspectParts(context, attempt.placement.serverId, endedAt);
+}
+
+void RequestForwarder::recordSuspectParts(RequestContext const& context, std::string const& serverId, Core::MonotonicTime crashedAt)
+{
+    if (context.sharedParts.empty())
+        return;
     auto const crash = static_cast<Limits::CrashId>(m_dependencies.random.below(UINT32_MAX));
     std::string parts;
     for (auto const part : context.sharedParts)
         parts += (parts.empty() ? "" : ",") + std::to_string(part);
-    Core::logEvent(Core::LogLevel::Info, "server_crash_suspected", { { "server", attempt.placement.serverId }, { "request", context.attributes.attemptId }, { "parts", parts } });
-    for (auto const part : Limits::recordCrash(tables.crashSuspects, context.service, context.sharedParts, crash, endedAt))
+    Core::logEvent(Core::LogLevel::Info, "server_crash_suspected", { { "server", serverId }, { "request", context.attributes.attemptId }, { "parts", parts } });
+    for (auto const part : Limits::recordCrash(m_dependencies.tables.crashSuspects, context.service, context.sharedParts, crash, crashedAt))
         Core::logEvent(Core::LogLevel::Warning, "prompt_part_refused", { { "part", part }, { "source", "own" } });
 }
 
--- a/Services/Edge/RequestForwarder.h
+++ b/Services/Edge/RequestForwarder.h
@@ -61,10 +61,10 @@
     [[nodiscard]] Forward::AttemptHistory attemptHistory(RequestContext const&) const;
     /// Refuses a request with a prompt part that crashes servers. Returns whether it was refused, with the error set.
     [[nodiscard]] bool isPartRefused(RequestContext const&, Core::Error&) const;
-    [[nodiscard]] static bool mayHaveCrashedServer(RequestContext const&, Attempt const&, Forward::AttemptOutcome, Core::Error const&);
     [[nodiscard]] Core::Awaitable<void> recordCrashIfServerIsGone(RequestContext const&, Attempt const&);
+    void recordSuspectParts(RequestContext const&, std::string const& serverId, Core::MonotonicTime crashedAt);
     void recordRequestStart(RequestContext&);
-    void recordOutcome(RequestContext&, Attempt const&, Forward::AttemptOutcome, Core::Error const&);
+    void recordOutcome(RequestContext&, Attempt const&, Forward::AttemptOutcome);
     void logRequest(RequestContext const&) const;
 
     Dependencies m_dependencies;
--- a/Tests/EdgeService/EdgeServiceTest.cpp
+++ b/Tests/EdgeService/EdgeServiceTest.cpp
@@ -406,6 +406,32 @@
     EXPECT_EQ(sendPrompt("unlucky"), "200");
 }
 
+// Guards against refusals of a repeated request after servers that kept running reset it, and against a request that is passed on after
+// it crashed three servers.
+TEST_F(EdgeServiceTest, RepeatedRequestIsQuarantinedIfItCrashesServersButNotIfRunningOnesResetIt)
+{
+    auto ending = Reply::Ending::Reset;
+    for (int i = 0; i < 6; ++i) {
+        addServer([&](auto const& request) {
+            if (ending != Reply::Ending::KeepOpen && request.find("/unsafe/repeated") != std::string::npos)
+                return Reply { .ending = ending };
+            return Reply { httpResponse(attemptIdOf(request), "body") };
+        });
+    }
+    start();
+    int number = 0;
+    auto const send = [&](std::string const& path) { return statusOf(exchange(request(path, "id" + std::to_string(++number), "POST"))); };
+    for (int i = 0; i < 6; ++i)
+        EXPECT_EQ(send("/unsafe/repeated"), "502");
+    ending = Reply::Ending::KeepOpen;
+    EXPECT_EQ(send("/unsafe/repeated"), "200");
+    ending = Reply::Ending::Crash;
+    for (int i = 0; i < 3; ++i)
+        EXPECT_EQ(send("/unsafe/repeated"), "502");
+    EXPECT_EQ(send("/unsafe/repeated"), "503");
+    EXPECT_EQ(send("/unsafe/other"), "200");
+}
+
 // The platform's servers may answer with neither a length nor chunks; the end of the connection is the end of the stream, unless it comes
 // within an event.
 TEST_F(EdgeServiceTest, StreamWithoutLengthEndsWithItsConnectionUnlessWithinAnEvent)
