Tests/LibLimits, KNOWN-RED: Replay a sound part that is refused after all servers crashed

What callers see: where a fifth of the requests of a kind have a deadly part, all servers crash within a second, and a sound part that was in three of the crashes, without a success in between, is refused for ten minutes with the deadly one.

Cause: each part is judged by itself; that another part explains its crashes is not considered.

--- a/Tests/LibLimits/LimitsTest.cpp
+++ b/Tests/LibLimits/LimitsTest.cpp
@@ -265,6 +265,26 @@
     EXPECT_EQ(table.parts.at(5).crashes.size(), 1u);
 }
 
+// Load pattern: a fifth of the requests of a kind have a deadly part, so that all servers crash within a second, with other requests in
+// their batches. Guards against a sound part that is refused for minutes because it was in three of these crashes.
+TEST(CrashSuspectTest, SoundPartInTheBatchesOfADeadlyOneIsNotRefused)
+{
+    static constexpr Limits::PromptPartHash deadly = 66;
+    static constexpr Limits::PromptPartHash sound = 7;
+    SuspectNodes nodes { std::vector<Limits::CrashSuspectTable>(4) };
+    for (std::uint32_t crash = 0; crash < 20; ++crash) {
+        auto const now = start + crash * 90ms;
+        (void)recordCrash(nodes.tables[crash % 3], { deadly }, 1000 + crash, now);
+        if (crash % 8 == 0)
+            (void)recordCrash(nodes.tables[3], { sound }, 2000 + crash, now + 1ms);
+        nodes.exchange(now + 50ms);
+    }
+    for (auto const& table : nodes.tables) {
+        EXPECT_TRUE(Limits::crashesServers(table, deadly, start + 3s));
+        EXPECT_FALSE(Limits::crashesServers(table, sound, start + 3s));
+    }
+}
+
 // Guards against a sound part that all nodes refuse for minutes, because one that was cut off did not hear of its success and reports
 // old crashes.
 TEST(CrashSuspectTest, OldCrashesFromANodeThatWasCutOffDoNotRefuseASoundPart)
