Tests/LibFleet: Draw the numbers of a market in a fixed order

Two random numbers were drawn within the arguments of one call, whose order of evaluation is unspecified: from left to right here. The seeds thus gave other markets than where the test was written.

Change: the numbers are drawn one after the other, the second argument first. No check and no bound is changed.

The test fails before and passes; the planner's properties held in all markets of either order that were reached. Ruled out: a change of the planner (none since it last passed), load (it uses no clock).

--- a/Tests/LibFleet/FleetPlanTest.cpp
+++ b/Tests/LibFleet/FleetPlanTest.cpp
@@ -40,7 +40,9 @@
                 }
             }
         }
-        inputs.services = { demandOf(500 + random.below(4000), static_cast<std::uint32_t>(1 + random.below(8))) };
+        // The order in which a call's arguments are evaluated depends on the processor's architecture.
+        auto const maximumServers = static_cast<std::uint32_t>(1 + random.below(8));
+        inputs.services = { demandOf(500 + random.below(4000), maximumServers) };
         inputs.services[0].minimumServers = static_cast<std::uint32_t>(random.below(2));
         inputs.now = startTime;
         inputs.policy.hysteresis = 0;
