Tests/EdgeService: Let the store stand-in return from a copy

The platform's store may return from a copy some seconds old: its objects, history and revision counter go back, and the header Store-Era, in all its answers, rises by one. The stand-in sends the header in every answer, also 404, 409, 410, 503 and forced statuses, and restore() returns to a copy of objects() and closes the connections of the pending watches. A watch from a revision that the store has not assigned gets 410.

--- a/Tests/EdgeService/StoreStandIn.cpp
+++ b/Tests/EdgeService/StoreStandIn.cpp
@@ -45,6 +45,13 @@
     m_changed.notifyAll();
 }
 
+void StoreStandIn::restore(TestSupport::MemoryObjects const& copy)
+{
+    m_objects = copy;
+    ++m_era;
+    cutWatches();
+}
+
 void StoreStandIn::silenceWatches()
 {
     m_silencedWatches = watches;
@@ -89,6 +96,7 @@
             response = jsonResponse(200, objectJson(found->second));
         }
     }
+    response.headers.add("Store-Era", std::to_string(m_era));
     (void)co_await writer.send(std::move(response));
 }
 
@@ -113,7 +121,7 @@
     auto const since = std::stoull(*request.queryParameter("watch"));
     auto const deadline = m_runtime.now() + std::chrono::milliseconds(std::stoll(*request.queryParameter("wait-ms")));
     auto const number = ++watches;
-    if (since < oldestRevision)
+    if (since < oldestRevision || since > m_objects.version)
         co_return HTTP::Response { 410, {}, "{}" };
     while (true) {
         if (number <= m_cutWatches)
--- a/Tests/EdgeService/StoreStandIn.h
+++ b/Tests/EdgeService/StoreStandIn.h
@@ -6,7 +6,7 @@
 namespace StandIns {
 
 /// Stand-in for the platform's store with the operations that the adapter uses: reads, paged lists, conditional writes and
-/// watches of objects with revisions. Runs on the test's event loop.
+/// watches of objects with revisions. Every answer names the store's era, which starts at 1. Runs on the test's event loop.
 class StoreStandIn {
 public:
     explicit StoreStandIn(Core::Runtime&);
@@ -17,6 +17,11 @@
     void put(std::string const& kind, std::string const& name, std::string value);
     void erase(std::string const& kind, std::string const& name);
 
+    /// The current objects and their history; a copy of them can be restored later.
+    [[nodiscard]] TestSupport::MemoryObjects const& objects() const { return m_objects; }
+    /// Returns to a copy: its objects, history and revision counter, in the next era. Closes the connections of the pending watches.
+    void restore(TestSupport::MemoryObjects const& copy);
+
     /// The watches that are pending get no response any more, as on connections that went silent. Later calls work.
     void silenceWatches();
     /// Closes the connections of the pending watches.
@@ -29,7 +34,7 @@
     std::size_t watches { 0 };
     /// While set, every call gets this status.
     std::optional<unsigned> forcedStatus;
-    /// Watches from earlier revisions get status 410.
+    /// Watches from earlier revisions get status 410, as those from revisions that the store has not assigned.
     std::uint64_t oldestRevision { 0 };
     std::size_t calls { 0 };
 
@@ -42,6 +47,7 @@
 
     Core::Runtime& m_runtime;
     TestSupport::MemoryObjects m_objects;
+    std::uint64_t m_era { 1 };
     Core::AsyncEvent m_changed;
     /// The number of watches when they were last silenced, cut or left without events; later ones are answered.
     std::size_t m_silencedWatches { 0 };
