Tests/Soak: Restore the store from a copy and check the duties

The soak knew neither a store that loses what it had acknowledged nor the calls that only the holder of the duties sends, so that the ONE violations after a restoration could not be seen.

RestoreStore: the store refuses calls for 0.2 to 2 s, cuts its watches and returns from a copy that was up to 9 s old when it went away. The operator and the servers, in turn, write within two seconds what it then lacks; entries of servers that left since the copy are removed.

DutyRecord: the platform's duty interface with an endpoint for each node, so that a node is told by its connection and not by the name that it gives. No excuse for two counts of one window and for a token of two nodes.

Existing checks: none is narrowed. A restoration is an unplanned fault, so that hasNoUnplannedFault() leaves out requests and departures around it, as for any other disruption of the store; refusals, repeats, a version that was served before, the end of a process and the newest configuration at the end are checked as before.

--- a/Tests/Soak/SoakRun.cpp
+++ b/Tests/Soak/SoakRun.cpp
@@ -3,6 +3,7 @@
 #include <EdgeService/StoreStandIn.h>
 #include <LibCore/Random.h>
 #include <LibHTTP/Client.h>
+#include <Soak/DutyRecord.h>
 #include <Soak/SoakServer.h>
 #include <StandIns/ProxyPair.h>
 #include <Support/BlockingCall.h>
@@ -24,6 +25,7 @@
 static constexpr std::chrono::seconds gracePeriod { 3 };
 // Longer than any response takes without faults, and longer than the routes' timeout.
 static constexpr Core::Duration clientTimeout = 4s;
+static constexpr std::chrono::milliseconds leaseTime { 3000 };
 
 namespace {
 
@@ -37,6 +39,9 @@
     /// Newest configuration version that the process has served since its last start.
     std::uint64_t servedVersion { 0 };
     bool isStoppedOrPaused { false };
+    Core::Endpoint dutyEndpoint;
+    /// When the process was last continued, or its link to the store was last restored.
+    Core::MonotonicTime disturbedUntil {};
     std::string logs;
 };
 
@@ -46,6 +51,8 @@
     Core::Endpoint endpoint;
     std::uint64_t starts { 1 };
     bool isLeaving { false };
+    /// The state that its entry in the store should have; empty if it should have no entry.
+    std::string publishedState;
 };
 
 struct ClientResponse {
@@ -63,6 +70,7 @@
         , m_runtime(m_loop.runtime())
         , m_store(m_runtime)
         , m_client(m_runtime, {})
+        , m_duties(m_runtime, [this](std::size_t node) { return isDutyCallExcused(node); })
     {
     }
 
@@ -105,6 +113,8 @@
             co_await m_runtime.sleepFor(10ms);
         co_await stopNodes();
         checkExecutions();
+        for (auto const& violation : findDutyViolations(m_duties.calls(), leaseTime))
+            addViolation(violation);
         co_return true;
     }
 
@@ -129,12 +139,14 @@
             node.address = addressPrefix + std::to_string(index + 1);
             node.storeProxy = std::make_unique<StandIns::ProxyPair>(m_runtime, store);
             node.storeEndpoint = node.storeProxy->listen({ "127.0.0.1", 0 }, error).value();
+            node.dutyEndpoint = m_duties.addNode();
         }
     }
 
     void startProcess(Node& node, std::size_t index)
     {
         auto const endpointAt = [&](std::uint16_t port) { return node.address + ":" + std::to_string(port); };
+        static constexpr std::uint64_t longestUsageWindowSeconds = 5;
         std::string seeds;
         for (std::size_t i = 0; i < m_nodes.size(); ++i)
             seeds += (i == 0 ? "" : ",") + m_nodes[i].address + ":" + std::to_string(peerPort);
@@ -145,15 +157,31 @@
             "--client_listen=" + endpointAt(clientPort), "--ready_listen=" + endpointAt(readyPort), "--metrics_listen=" + endpointAt(metricsPort),
             "--peer_address=" + node.address, "--peer_ports=" + std::to_string(peerPort) + "," + std::to_string(peerPort + 1),
             "--seeds=" + seeds, "--platform=" + node.storeEndpoint.toString(), "--first_start=true",
-            "--grace_s=" + std::to_string(gracePeriod.count()), "--retry_slack=100" });
+            "--grace_s=" + std::to_string(gracePeriod.count()), "--retry_slack=100", "--cloud=" + node.dutyEndpoint.toString(),
+            "--duties=usage_report,autoscale", "--lease_ms=" + std::to_string(leaseTime.count()),
+            "--usage_window_s=" + std::to_string(1 + m_options.seed % longestUsageWindowSeconds) });
         ++node.startCount;
         node.servedVersion = 0;
     }
 
     void publishServer(std::size_t index, std::string const& state)
     {
-        auto const& backend = m_backends[index];
-        m_store.put("servers", backend.server->id(), R"({"service":"app","address":")" + backend.endpoint.toString() + R"(","zone":"a","version":"v1","slots":6,"state":")" + state + R"(","seq":1,"born":)" + std::to_string(backend.starts) + "}");
+        auto& backend = m_backends[index];
+        backend.publishedState = state;
+        publish("servers", backend.server->id(), R"({"service":"app","address":")" + backend.endpoint.toString() + R"(","zone":"a","version":"v1","slots":6,"state":")" + state + R"(","seq":1,"born":)" + std::to_string(backend.starts) + "}");
+    }
+
+    void withdrawServer(std::size_t index)
+    {
+        m_backends[index].publishedState.clear();
+        m_store.erase("servers", m_backends[index].server->id());
+    }
+
+    void publish(std::string const& kind, std::string const& name, std::string const& value)
+    {
+        auto const found = m_store.objects().objects.find({ kind, name });
+        if (found == m_store.objects().objects.end() || found->second.value != value)
+            m_store.put(kind, name, value);
     }
 
     // Each version adds one route and keeps those of the earlier versions.
@@ -170,7 +198,8 @@
         addRoute("resume", "streaming", R"(,"resumable":true)");
         for (auto const version : m_versions)
             addRoute("v" + std::to_string(version), "safe");
-        m_store.put("config", "main", R"({"version":)" + std::to_string(m_versions.back()) + R"(,"routes":[)" + routes + R"(],"services":[{"name":"app"}],"tenants":[{"name":"team","api-keys":["k1"]}]})");
+        m_configuration = R"({"version":)" + std::to_string(m_versions.back()) + R"(,"routes":[)" + routes + R"(],"services":[{"name":"app","scale":{"min":1,"max":6,"boot-s":0,"spot-price":0.2,"zone-prices":{"a":1}}}],"tenants":[{"name":"team","api-keys":["k1"]}]})";
+        publish("config", "main", m_configuration);
     }
 
     Core::Awaitable<bool> waitForNodes()
@@ -267,7 +296,7 @@
     Core::Awaitable<void> injectFault(Fault fault)
     {
         ++m_activeFaults;
-        co_await m_runtime.sleepUntil(m_startedAt + fault.startsAt);
+        co_await m_runtime.sleepUntil(m_startedAt + fault.startsAt - fault.copyAge);
         switch (fault.kind) {
         case FaultKind::StopNode:
         case FaultKind::KillNode:
@@ -282,9 +311,12 @@
             co_await removeServer(fault.target);
             break;
         case FaultKind::RefuseStoreCalls:
-            m_store.forcedStatus = 503;
+            beginStoreRefusal();
             co_await m_runtime.sleepFor(fault.duration);
-            m_store.forcedStatus.reset();
+            endStoreRefusal();
+            break;
+        case FaultKind::RestoreStore:
+            co_await restoreStore(fault);
             break;
         case FaultKind::DropStoreHistory:
             m_store.oldestRevision = UINT64_MAX;
@@ -297,6 +329,70 @@
         --m_activeFaults;
     }
 
+    // While faults overlap, calls are refused until the last one ends.
+    void beginStoreRefusal()
+    {
+        ++m_storeRefusals;
+        m_store.forcedStatus = 503;
+    }
+
+    void endStoreRefusal()
+    {
+        if (--m_storeRefusals > 0)
+            return;
+        m_store.forcedStatus.reset();
+        m_storeRefusedUntil = m_runtime.now();
+    }
+
+    Core::Awaitable<void> restoreStore(Fault fault)
+    {
+        auto const copy = m_store.objects();
+        co_await m_runtime.sleepUntil(m_startedAt + fault.startsAt);
+        beginStoreRefusal();
+        m_store.cutWatches();
+        co_await m_runtime.sleepFor(fault.duration);
+        m_store.restore(copy);
+        endStoreRefusal();
+        co_await publishAgain();
+    }
+
+    // The operator and the servers, in turn, write what the store lacks, within two seconds altogether.
+    Core::Awaitable<void> publishAgain()
+    {
+        static constexpr std::uint64_t maximumMilliseconds = 2000;
+        auto const turns = m_backends.size() + 1;
+        auto const operatorTurn = m_random.below(turns);
+        for (std::size_t turn = 0; turn < turns; ++turn) {
+            co_await m_runtime.sleepFor(milliseconds(m_random.below(maximumMilliseconds / turns)));
+            if (turn == operatorTurn)
+                publish("config", "main", m_configuration);
+            else
+                publishServerAgain(turn < operatorTurn ? turn : turn - 1);
+        }
+    }
+
+    // Also removes the entries of the server's earlier starts.
+    void publishServerAgain(std::size_t index)
+    {
+        auto const& backend = m_backends[index];
+        for (auto start = backend.starts; start > 0; --start) {
+            auto const id = "s" + std::to_string(index) + "-" + std::to_string(start);
+            bool const isWanted = id == backend.server->id() && !backend.publishedState.empty();
+            if (!isWanted && m_store.objects().objects.contains({ "servers", id }))
+                m_store.erase("servers", id);
+        }
+        if (!backend.publishedState.empty())
+            publishServer(index, backend.publishedState);
+    }
+
+    // The platform does not count calls that arrive until this long after a disturbance for the order of holders and of tokens.
+    [[nodiscard]] bool isDutyCallExcused(std::size_t node) const
+    {
+        static constexpr Core::Duration settlingTime = 300ms;
+        auto const disturbedUntil = std::max(m_nodes[node].disturbedUntil, m_storeRefusedUntil);
+        return m_storeRefusals > 0 || (disturbedUntil != Core::MonotonicTime {} && m_runtime.now() - disturbedUntil <= settlingTime);
+    }
+
     static StandIns::ProxyFaults proxyFaultsFor(FaultKind kind)
     {
         static constexpr std::uint64_t linkDelayMilliseconds = 300;
@@ -318,6 +414,8 @@
         proxy.setFaults(proxyFaultsFor(fault.kind));
         co_await m_runtime.sleepFor(fault.duration);
         proxy.setFaults({});
+        if (isStoreLink)
+            m_nodes[fault.target].disturbedUntil = m_runtime.now();
     }
 
     Core::Awaitable<void> injectNodeFault(Fault fault)
@@ -336,6 +434,7 @@
             (void)node.process->sendSignal(SIGSTOP);
             co_await m_runtime.sleepFor(fault.duration);
             (void)node.process->sendSignal(SIGCONT);
+            node.disturbedUntil = m_runtime.now();
         } else {
             bool const isPlannedStop = fault.kind == FaultKind::StopNode;
             (void)node.process->sendSignal(isPlannedStop ? SIGTERM : SIGKILL);
@@ -380,11 +479,11 @@
         if (m_random.below(2) == 0)
             publishServer(index, "draining");
         else
-            m_store.erase("servers", id);
+            withdrawServer(index);
         co_await m_runtime.sleepFor(drainTimeout + observationTime);
         if (hasNoUnplannedFault(m_faults, leavingStart, elapsed()))
             checkNoLateRequests(id, leavingStartedAt + drainTimeout);
-        m_store.erase("servers", id);
+        withdrawServer(index);
         backend.server->restart("s" + std::to_string(index) + "-" + std::to_string(++backend.starts));
         publishServer(index, "ready");
         backend.isLeaving = false;
@@ -456,14 +555,18 @@
     Core::Runtime& m_runtime;
     StandIns::StoreStandIn m_store;
     HTTP::Client m_client;
+    DutyRecord m_duties;
     ExecutionLog m_executionLog;
     std::vector<Backend> m_backends;
     std::vector<Node> m_nodes;
     std::vector<std::uint64_t> m_versions;
+    std::string m_configuration;
     std::set<std::string> m_refused;
     std::set<std::string> m_retryable;
     std::size_t m_activeClients { 0 };
     std::size_t m_activeFaults { 0 };
+    std::size_t m_storeRefusals { 0 };
+    Core::MonotonicTime m_storeRefusedUntil {};
     bool m_stopsClients { false };
     Core::MonotonicTime m_startedAt {};
     SoakResult m_result;
--- a/Tests/Soak/SoakSchedule.cpp
+++ b/Tests/Soak/SoakSchedule.cpp
@@ -15,7 +15,7 @@
     bool targetsNode;
 };
 
-static constexpr std::array<FaultTraits, 17> faultTraits { {
+static constexpr std::array<FaultTraits, 18> faultTraits { {
     { FaultKind::StopNode, "stop_node", true, true },
     { FaultKind::ReloadNode, "reload_node", true, true },
     { FaultKind::ChangeConfiguration, "change_configuration", true, true },
@@ -33,6 +33,8 @@
     { FaultKind::SilenceRequests, "silence_requests", false, false },
     { FaultKind::DelayServer, "delay_server", false, false },
     { FaultKind::TruncateAnswers, "truncate_answers", false, false },
+    // Last, since it is not drawn with the others.
+    { FaultKind::RestoreStore, "restore_store", false, false },
 } };
 
 static FaultTraits const& traitsOf(FaultKind kind)
@@ -62,7 +64,7 @@
     std::vector<Fault> faults;
     auto const count = static_cast<std::size_t>(faultsPerSecond * static_cast<double>(options.length.count()));
     while (faults.size() < count) {
-        auto const& traits = faultTraits.at(random.below(faultTraits.size()));
+        auto const& traits = faultTraits.at(random.below(faultTraits.size() - 1));
         if (hasPlannedWorkOnly && !traits.isPlanned)
             continue;
         Fault fault;
@@ -72,6 +74,16 @@
         fault.duration = std::chrono::milliseconds(minimumMilliseconds + random.below(durationSpreadMilliseconds));
         faults.push_back(fault);
     }
+    static constexpr std::uint64_t longestAbsenceMilliseconds = 2000;
+    static constexpr std::uint64_t oldestCopyMilliseconds = 9000;
+    Core::Random restorationRandom(~options.seed);
+    for (std::size_t i = 0; i < options.restorations; ++i) {
+        Fault fault { .kind = FaultKind::RestoreStore };
+        fault.startsAt = std::chrono::milliseconds(restorationRandom.below(static_cast<std::uint64_t>(length.count())));
+        fault.duration = std::chrono::milliseconds(minimumMilliseconds + restorationRandom.below(longestAbsenceMilliseconds - minimumMilliseconds));
+        fault.copyAge = std::chrono::milliseconds(restorationRandom.below(oldestCopyMilliseconds));
+        faults.push_back(fault);
+    }
     std::sort(faults.begin(), faults.end(), [](Fault const& left, Fault const& right) { return left.startsAt < right.startsAt; });
     return faults;
 }
--- a/Tests/Soak/SoakSchedule.h
+++ b/Tests/Soak/SoakSchedule.h
@@ -24,6 +24,8 @@
     LoseStoreAnswers,
     RefuseStoreCalls,
     DropStoreHistory,
+    // The store is away for a moment, then returns from a copy.
+    RestoreStore,
     // Faults between the nodes and a backend server.
     CutServer,
     SilenceServer,
@@ -41,6 +43,8 @@
     std::size_t target { 0 };
     std::chrono::milliseconds startsAt { 0 };
     std::chrono::milliseconds duration { 0 };
+    /// Age of the copy when the store goes away, for RestoreStore.
+    std::chrono::milliseconds copyAge { 0 };
 
     bool operator==(Fault const&) const = default;
 };
@@ -51,12 +55,14 @@
     std::size_t servers { 4 };
     std::size_t clientsPerNode { 6 };
     std::chrono::seconds length { 10 };
+    /// Number of RestoreStore faults, in addition to the other faults, which do not depend on it.
+    std::size_t restorations { 0 };
 
     bool operator==(SoakOptions const&) const = default;
 };
 
-/// Returns the faults of a run, sorted by start time. They may overlap. Every third seed has planned work only, so that the
-/// guarantees about planned work are checked without other causes of failure. Thread safe.
+/// Returns the faults of a run, sorted by start time. They may overlap. Every third seed has planned work only, besides
+/// restorations, so that the guarantees about planned work are checked without other causes of failure. Thread safe.
 [[nodiscard]] std::vector<Fault> createSchedule(SoakOptions const&);
 
 /// Returns whether no unplanned fault was active between two times or shortly before them. Thread safe.
--- a/Tests/Soak/SoakTest.cpp
+++ b/Tests/Soak/SoakTest.cpp
@@ -1,10 +1,32 @@
+#include <Soak/DutyRecord.h>
 #include <Soak/SoakRun.h>
 #include <gtest/gtest.h>
 
+using namespace std::chrono_literals;
+
 namespace {
 
 class SoakTest : public testing::TestWithParam<std::uint64_t> { };
 
+Soak::DutyCall usageCall(std::size_t node, std::uint64_t token, Core::Duration arrivedAt, std::string counts = "{}")
+{
+    return { .node = node, .duty = "usage", .token = token, .window = 1, .counts = std::move(counts), .arrivedAt = Core::MonotonicTime(arrivedAt) };
+}
+
+}
+
+// Guards against a run that passes although the platform would count a violation.
+TEST(DutyRecordTest, ViolationsOfEachRuleAreFound)
+{
+    auto const violations = [](std::vector<Soak::DutyCall> const& calls) { return Soak::findDutyViolations(calls, 3s).size(); };
+    EXPECT_EQ(violations({ usageCall(0, 1, 1s), usageCall(1, 2, 2s), usageCall(0, 3, 5s) }), 0u);
+    EXPECT_EQ(violations({ usageCall(0, 1, 1s), usageCall(0, 1, 2s, "other") }), 1u);
+    EXPECT_EQ(violations({ usageCall(0, 1, 1s), usageCall(1, 1, 2s) }), 1u);
+    EXPECT_EQ(violations({ usageCall(0, 2, 1s), usageCall(1, 1, 2s) }), 1u);
+    EXPECT_EQ(violations({ usageCall(0, 1, 1s), usageCall(1, 2, 2s), usageCall(0, 3, 3s) }), 1u);
+    auto excused = usageCall(1, 2, 2s);
+    excused.isExcused = true;
+    EXPECT_EQ(violations({ usageCall(0, 3, 1s), excused, usageCall(0, 4, 3s) }), 0u);
 }
 
 // Guards against violated guarantees to callers and backend servers while processes are stopped, killed or paused and links fail.
