--- a/Libraries/LibConfiguration/ConfigurationStore.cpp
+++ b/Libraries/LibConfiguration/ConfigurationStore.cpp
@@ -52,7 +52,7 @@
     // Until the first read, an earlier attempt with this apply id may have taken effect. A write whose response was lost can still
     // take effect until a newer version of the object is read.
     auto runState = Core::RunState::Unknown;
-    std::optional<std::uint64_t> pendingVersion;
+    std::optional<Core::StoreRevision> pendingVersion;
     for (unsigned attempt = 1; attempt <= maximumAttempts; ++attempt) {
         auto const current = co_await read(deadline, error);
         if (!current && error.kind == Core::ErrorKind::InvalidConfiguration)
@@ -124,11 +124,11 @@
     co_return ordered;
 }
 
-Core::Awaitable<bool> ConfigurationStore::write(AppliedState const& state, std::uint64_t expectedVersion, Core::MonotonicTime deadline, Core::Error& error)
+Core::Awaitable<bool> ConfigurationStore::write(AppliedState const& state, Core::StoreRevision expectedVersion, Core::MonotonicTime deadline, Core::Error& error)
 {
     auto text = toJsonText(state);
-    std::optional<std::uint64_t> version;
-    if (expectedVersion == 0)
+    std::optional<Core::StoreRevision> version;
+    if (expectedVersion.number == 0)
         version = co_await m_store.create(currentStateKey(), std::move(text), deadline, error);
     else
         version = co_await m_store.update(currentStateKey(), std::move(text), expectedVersion, deadline, error);
--- a/Libraries/LibConfiguration/ConfigurationStore.h
+++ b/Libraries/LibConfiguration/ConfigurationStore.h
@@ -18,8 +18,8 @@
 /// The applied state with the version of the object that holds it.
 struct StoredState {
     AppliedState state;
-    /// 0 if the object does not exist yet; the state then has generation 0.
-    std::uint64_t resourceVersion { 0 };
+    /// Number 0 if the object does not exist yet; the state then has generation 0.
+    Core::StoreRevision resourceVersion;
 
     bool operator==(StoredState const&) const = default;
 };
@@ -49,7 +49,7 @@
 
 private:
     [[nodiscard]] Core::Awaitable<bool> archive(std::vector<AuditEntry>, Core::MonotonicTime deadline, Core::Error&);
-    [[nodiscard]] Core::Awaitable<bool> write(AppliedState const&, std::uint64_t expectedVersion, Core::MonotonicTime deadline, Core::Error&);
+    [[nodiscard]] Core::Awaitable<bool> write(AppliedState const&, Core::StoreRevision expectedVersion, Core::MonotonicTime deadline, Core::Error&);
     [[nodiscard]] Core::Awaitable<bool> waitBeforeRetry(unsigned attempt, Core::MonotonicTime deadline);
 
     Core::Runtime& m_runtime;
--- a/Libraries/LibFleet/Lease.cpp
+++ b/Libraries/LibFleet/Lease.cpp
@@ -70,18 +70,18 @@
     return std::max(*m_heldUntil - m_runtime.now(), Core::Duration::zero());
 }
 
-// Reads the record and notes when it last changed. Returns an object of version 0 if there is none.
+// Reads the record and notes when it last changed. Returns an object of version number 0 if there is none.
 Core::Awaitable<std::optional<Platform::StoredObject>> Lease::observe(Core::MonotonicTime deadline, Core::Error& error)
 {
     auto stored = co_await m_store.read(m_key, deadline, error);
     if (!stored && error.kind != Core::ErrorKind::NotFound)
         co_return std::nullopt;
     if (!stored)
-        stored = Platform::StoredObject { m_key, 0, {} };
+        stored = Platform::StoredObject { m_key, { m_store.era(), 0 }, {} };
     if (m_unchangedSince && stored->resourceVersion == m_lastVersion)
         co_return stored;
     LeaseRecord record;
-    if (stored->resourceVersion != 0) {
+    if (stored->resourceVersion.number != 0) {
         auto const decoded = decodeLease(stored->value, error);
         if (!decoded)
             co_return std::nullopt;
@@ -98,8 +98,8 @@
 Core::Awaitable<bool> Lease::write(LeaseRecord record, Core::MonotonicTime deadline, Core::Error& error)
 {
     auto const text = encodeLease(record);
-    std::optional<std::uint64_t> version;
-    if (m_lastVersion == 0)
+    std::optional<Core::StoreRevision> version;
+    if (m_lastVersion.number == 0)
         version = co_await m_store.create(m_key, text, deadline, error);
     else
         version = co_await m_store.update(m_key, text, m_lastVersion, deadline, error);
@@ -113,7 +113,7 @@
     if (failure.kind != Core::ErrorKind::StoreConflict && failure.runState == Core::RunState::NotRun)
         co_return false;
     auto const stored = co_await observe(deadline, error);
-    if (stored && m_lastVersion != 0 && m_lastRecord.writeId == record.writeId)
+    if (stored && m_lastVersion.number != 0 && m_lastRecord.writeId == record.writeId)
         co_return true;
     error = failure;
     co_return false;
@@ -129,7 +129,7 @@
         co_return false;
     // No other candidate was given this epoch, and this candidate no longer holds it, so there is nothing to wait for.
     bool const isOwnExpired = m_epoch != 0 && m_lastRecord.holder == m_nodeId && m_lastRecord.epoch == m_epoch;
-    bool const isFree = m_lastVersion == 0 || m_lastRecord.holder.empty() || isOwnExpired;
+    bool const isFree = m_lastVersion.number == 0 || m_lastRecord.holder.empty() || isOwnExpired;
     if (!isFree && m_runtime.now() - *m_unchangedSince < m_lastRecord.duration) {
         Core::fail(error, Core::ErrorKind::StoreConflict, "the lease is held by " + m_lastRecord.holder);
         co_return false;
--- a/Libraries/LibFleet/Lease.h
+++ b/Libraries/LibFleet/Lease.h
@@ -72,8 +72,8 @@
     Platform::ObjectKey m_key;
     std::string m_nodeId;
     std::chrono::milliseconds m_duration;
-    /// The version last read or written (0: no object), and when this candidate first observed it.
-    std::uint64_t m_lastVersion { 0 };
+    /// The version last read or written (number 0: no object), and when this candidate first observed it.
+    Core::StoreRevision m_lastVersion;
     std::optional<Core::MonotonicTime> m_unchangedSince;
     LeaseRecord m_lastRecord;
     std::optional<Core::MonotonicTime> m_heldUntil;
--- a/Libraries/LibForward/NodeReport.capnp
+++ b/Libraries/LibForward/NodeReport.capnp
@@ -62,6 +62,7 @@
     configurationVersion @4 :UInt64;
     serversRevision @5 :UInt64;
     watchesStore @6 :Bool;
+    serversEra @7 :UInt64;
 }
 
 struct NodeReport {
@@ -110,4 +111,6 @@
     loadsByKey @23 :List(ServerLoadByKey);
     # Also in brief reports.
     suspectParts @24 :List(SuspectPart);
+    # The era of serversRevision.
+    serversEra @25 :UInt64;
 }
--- a/Libraries/LibForward/NodeReport.capnp.h
+++ b/Libraries/LibForward/NodeReport.capnp.h
@@ -152,7 +152,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(8ff60be171f65749, 3, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(8ff60be171f65749, 4, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -169,7 +169,7 @@
 
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ae287fdf6ab6901d, 6, 13)
+    CAPNP_DECLARE_STRUCT_HEADER(ae287fdf6ab6901d, 7, 13)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -814,6 +814,8 @@
 
   inline bool getWatchesStore() const;
 
+  inline  ::uint64_t getServersEra() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -875,6 +877,9 @@
   inline bool getWatchesStore();
   inline void setWatchesStore(bool value);
 
+  inline  ::uint64_t getServersEra();
+  inline void setServersEra( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -981,6 +986,8 @@
   inline bool hasSuspectParts() const;
   inline  ::capnp::List< ::Forward::wire::SuspectPart,  ::capnp::Kind::STRUCT>::Reader getSuspectParts() const;
 
+  inline  ::uint64_t getServersEra() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1139,6 +1146,9 @@
   inline void adoptSuspectParts(::capnp::Orphan< ::capnp::List< ::Forward::wire::SuspectPart,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::Forward::wire::SuspectPart,  ::capnp::Kind::STRUCT>> disownSuspectParts();
 
+  inline  ::uint64_t getServersEra();
+  inline void setServersEra( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1643,6 +1653,20 @@
       ::capnp::bounded<32>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t NodeContact::Reader::getServersEra() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t NodeContact::Builder::getServersEra() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void NodeContact::Builder::setServersEra( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool NodeReport::Reader::hasNode() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -2265,6 +2289,20 @@
       ::capnp::bounded<12>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t NodeReport::Reader::getServersEra() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t NodeReport::Builder::getServersEra() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+inline void NodeReport::Builder::setServersEra( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+}
+
 }  // namespace
 }  // namespace
 
--- a/Libraries/LibForward/NodeReport.cpp
+++ b/Libraries/LibForward/NodeReport.cpp
@@ -93,7 +93,8 @@
         entry.setEndpoint(contact.endpoint);
         entry.setProcessorShare(contact.processorShare);
         entry.setConfigurationVersion(contact.configurationVersion);
-        entry.setServersRevision(contact.serversRevision);
+        entry.setServersRevision(contact.serversRevision.number);
+        entry.setServersEra(contact.serversRevision.era);
         entry.setWatchesStore(contact.watchesStore);
     }
 }
@@ -108,7 +109,8 @@
     root.setEndpoint(report.endpoint);
     root.setSentAtUnixMilliseconds(report.sentAtUnixMilliseconds);
     root.setConfigurationVersion(report.configurationVersion);
-    root.setServersRevision(report.serversRevision);
+    root.setServersRevision(report.serversRevision.number);
+    root.setServersEra(report.serversRevision.era);
     root.setLeaving(report.isLeaving);
     root.setHoldsDuties(report.holdsDuties);
     root.setFollowsStore(report.watchesStore);
@@ -159,7 +161,7 @@
     report.endpoint = root.getEndpoint();
     report.sentAtUnixMilliseconds = root.getSentAtUnixMilliseconds();
     report.configurationVersion = root.getConfigurationVersion();
-    report.serversRevision = root.getServersRevision();
+    report.serversRevision = { root.getServersEra(), root.getServersRevision() };
     report.isLeaving = root.getLeaving();
     report.holdsDuties = root.getHoldsDuties();
     report.watchesStore = root.getFollowsStore();
@@ -188,7 +190,7 @@
     report.processorShare = root.getProcessorShare();
     report.aggregator = root.getAggregator();
     for (auto const contact : root.getContacts())
-        report.contacts.push_back({ contact.getNode(), contact.getDataCentre(), contact.getEndpoint(), contact.getProcessorShare(), contact.getConfigurationVersion(), contact.getServersRevision(), contact.getWatchesStore() });
+        report.contacts.push_back({ contact.getNode(), contact.getDataCentre(), contact.getEndpoint(), contact.getProcessorShare(), contact.getConfigurationVersion(), { contact.getServersEra(), contact.getServersRevision() }, contact.getWatchesStore() });
     for (auto const dataCentre : root.getSilentDataCentres())
         report.silentDataCentres.emplace_back(dataCentre);
     return report;
--- a/Libraries/LibForward/NodeReport.h
+++ b/Libraries/LibForward/NodeReport.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibCore/StoreRevision.h>
 #include <LibForward/UsageTable.h>
 #include <chrono>
 #include <cstdint>
@@ -39,7 +40,7 @@
     std::string endpoint;
     float processorShare { 0 };
     std::uint64_t configurationVersion { 0 };
-    std::uint64_t serversRevision { 0 };
+    Core::StoreRevision serversRevision;
     bool watchesStore { false };
 
     bool operator==(NodeContact const&) const = default;
@@ -66,7 +67,7 @@
     std::int64_t sentAtUnixMilliseconds { 0 };
     std::uint64_t configurationVersion { 0 };
     /// The store revision up to which the node has read the servers.
-    std::uint64_t serversRevision { 0 };
+    Core::StoreRevision serversRevision;
     /// Requests in progress, by serverKey().
     std::map<std::uint32_t, std::uint16_t> loads;
     /// By team.
--- a/Libraries/LibForward/PeerTable.cpp
+++ b/Libraries/LibForward/PeerTable.cpp
@@ -339,18 +339,20 @@
     table.failedFetches[node] = now;
 }
 
-PeerTable::Row const* choosePeerToFetchFrom(PeerTable const& table, PeerDataKind kind, std::uint64_t known, std::string const& ownDataCentre, Core::MonotonicTime now)
+PeerDataVersion versionOf(NodeReport const& report, PeerDataKind kind)
+{
+    return kind == PeerDataKind::Configuration ? PeerDataVersion { 0, report.configurationVersion } : report.serversRevision;
+}
+
+PeerTable::Row const* choosePeerToFetchFrom(PeerTable const& table, PeerDataKind kind, PeerDataVersion known, std::string const& ownDataCentre, Core::MonotonicTime now)
 {
-    auto const versionOf = [&](PeerTable::Row const& row) {
-        return kind == PeerDataKind::Configuration ? row.report.configurationVersion : row.report.serversRevision;
-    };
     auto const rank = [&](PeerTable::Row const& row) {
-        return std::tuple(!hasFetchFailed(table, row.report.node, now), row.report.watchesStore, row.report.dataCentre == ownDataCentre, row.report.processorShare, versionOf(row));
+        return std::tuple(!hasFetchFailed(table, row.report.node, now), row.report.watchesStore, row.report.dataCentre == ownDataCentre, row.report.processorShare, versionOf(row.report, kind));
     };
     PeerTable::Row const* best = nullptr;
     for (auto const* rows : { &table.rows, &table.deploymentRows, &table.dataCentreRows, &table.contacts }) {
         for (auto const& [node, row] : *rows) {
-            if (versionOf(row) > known && isLive(row, now) && (!best || rank(row) > rank(*best)))
+            if (versionOf(row.report, kind) > known && isLive(row, now) && (!best || rank(row) > rank(*best)))
                 best = &row;
         }
     }
--- a/Libraries/LibForward/PeerTable.h
+++ b/Libraries/LibForward/PeerTable.h
@@ -131,11 +131,17 @@
 /// Records that a peer did not return its data, although its reports arrive. Not thread safe.
 void recordFailedFetch(PeerTable&, std::string const& node, Core::MonotonicTime now);
 
+/// Orders the versions of either kind of data. The operator assigns those of configurations, which have no era.
+using PeerDataVersion = Core::StoreRevision;
+
+/// Returns the version of a peer's data. Thread safe.
+[[nodiscard]] PeerDataVersion versionOf(NodeReport const&, PeerDataKind);
+
 /// Returns the peer from which to fetch data newer than a known configuration version or servers revision, or null if no live peer
 /// has any. Prefers peers from which no fetch failed recently, then those that watch the store, since the others learn from them, then
 /// peers of the own data centre, since traffic between data centres is billed, then those with more processor, since all others of the
 /// data centre fetch from them at once, then the newest data. Thread safe.
-[[nodiscard]] PeerTable::Row const* choosePeerToFetchFrom(PeerTable const&, PeerDataKind, std::uint64_t known, std::string const& ownDataCentre, Core::MonotonicTime now);
+[[nodiscard]] PeerTable::Row const* choosePeerToFetchFrom(PeerTable const&, PeerDataKind, PeerDataVersion known, std::string const& ownDataCentre, Core::MonotonicTime now);
 
 /// Returns the number of live peers: other nodes of which at most four consecutive reports are missing.
 [[nodiscard]] std::size_t countLivePeers(PeerTable const&, Core::MonotonicTime now);
--- a/Libraries/LibForward/ServerDirectory.cpp
+++ b/Libraries/LibForward/ServerDirectory.cpp
@@ -14,8 +14,53 @@
     directory.lastStoreOutageAt = now;
 }
 
+static bool isStoreOutageRecent(ServerDirectory const& directory, Core::MonotonicTime now)
+{
+    return directory.lastStoreOutageAt && now - *directory.lastStoreOutageAt < removalGracePeriod;
+}
+
+static bool isMassRemoval(ServerDirectory const& directory, Core::MonotonicTime now)
+{
+    static constexpr std::size_t minimumRemovals = 3;
+    std::size_t removed = 0;
+    for (auto const& [id, entry] : directory.entries) {
+        if (entry.removedAt && now - *entry.removedAt < removalGracePeriod && entry.server.lifecycle == Routing::Lifecycle::Live)
+            ++removed;
+    }
+    return removed >= minimumRemovals && removed * 2 >= directory.entries.size();
+}
+
+// Whether this node knows a later change of the entry.
+static bool isOutdated(ServerDirectory const& directory, Routing::ListedServer const& server)
+{
+    auto const departure = directory.departures.find(server.id);
+    if (departure == directory.departures.end()) {
+        auto const known = directory.entries.find(server.id);
+        return known != directory.entries.end() && server.revision < known->second.server.revision;
+    }
+    auto const& departed = departure->second.server;
+    if (server.revision.era <= departed.revision.era) {
+        bool const isSameChange = server.revision == departed.revision && server.revision.number != 0;
+        return server.revision < departed.revision || isSameChange;
+    }
+    // A restored store has entries from before their removal, with the revision numbers that they had.
+    return departure->second.isFinal && server.incarnation <= departed.incarnation && server.revision.number <= departed.revision.number;
+}
+
+static bool isLeaving(ServerDirectory const& directory, std::string const& id, std::uint64_t incarnation)
+{
+    auto const known = directory.entries.find(id);
+    auto const departure = directory.departures.find(id);
+    auto const says = [&](Routing::ListedServer const& server) { return incarnation != 0 && server.incarnation == incarnation && server.lifecycle == Routing::Lifecycle::Leaving; };
+    return (known != directory.entries.end() && says(known->second.server)) || (departure != directory.departures.end() && says(departure->second.server));
+}
+
 void registerServer(ServerDirectory& directory, Routing::ListedServer server)
 {
+    if (isOutdated(directory, server))
+        return;
+    if (isLeaving(directory, server.id, server.incarnation))
+        server.lifecycle = Routing::Lifecycle::Leaving;
     auto id = server.id;
     directory.departures.erase(id);
     directory.entries[std::move(id)] = { std::move(server), std::nullopt };
@@ -27,59 +72,34 @@
     if (found == directory.entries.end() || found->second.removedAt)
         return;
     found->second.removedAt = now;
-    directory.departures[id] = { found->second.server.revision, now };
-}
-
-static bool isOutdated(ServerDirectory const& directory, Routing::ListedServer const& server)
-{
-    auto const departure = directory.departures.find(server.id);
-    if (departure != directory.departures.end())
-        return server.revision <= departure->second.revision;
-    auto const known = directory.entries.find(server.id);
-    return known != directory.entries.end() && server.revision < known->second.server.revision;
-}
-
-void mergePeerServers(ServerDirectory& directory, std::vector<Routing::ListedServer> const& servers, std::uint64_t listRevision, Core::MonotonicTime now)
-{
-    std::set<std::string> listed;
-    for (auto const& server : servers) {
-        listed.insert(server.id);
-        if (!isOutdated(directory, server))
-            registerServer(directory, server);
-    }
-    for (auto const& [id, entry] : directory.entries) {
-        if (!listed.contains(id) && entry.server.revision <= listRevision)
-            unregisterServer(directory, id, now);
+    directory.departures[id] = { found->second.server, now, !isStoreOutageRecent(directory, now) };
+    if (!isMassRemoval(directory, now))
+        return;
+    for (auto& [other, departure] : directory.departures) {
+        if (now - departure.at < removalGracePeriod)
+            departure.isFinal = false;
     }
 }
 
-void replaceServers(ServerDirectory& directory, std::vector<Routing::ListedServer> const& servers, Core::MonotonicTime now)
+void mergeServers(ServerDirectory& directory, std::vector<Routing::ListedServer> const& servers, Core::StoreRevision listRevision, Core::MonotonicTime now)
 {
+    if (directory.era != listRevision.era && !directory.entries.empty())
+        recordStoreOutage(directory, now);
+    directory.era = listRevision.era;
     std::set<std::string> listed;
     for (auto const& server : servers) {
         listed.insert(server.id);
         registerServer(directory, server);
     }
     for (auto const& [id, entry] : directory.entries) {
-        if (!listed.contains(id))
+        if (!listed.contains(id) && entry.server.revision <= listRevision)
             unregisterServer(directory, id, now);
     }
 }
 
-static bool isMassRemoval(ServerDirectory const& directory, Core::MonotonicTime now)
-{
-    static constexpr std::size_t minimumRemovals = 3;
-    std::size_t removed = 0;
-    for (auto const& [id, entry] : directory.entries) {
-        if (entry.removedAt && now - *entry.removedAt < removalGracePeriod && entry.server.lifecycle == Routing::Lifecycle::Live)
-            ++removed;
-    }
-    return removed >= minimumRemovals && removed * 2 >= directory.entries.size();
-}
-
 std::vector<Routing::ListedServer> serversInUse(ServerDirectory& directory, Core::MonotonicTime now)
 {
-    bool const storeWasUnavailable = directory.lastStoreOutageAt && now - *directory.lastStoreOutageAt < removalGracePeriod;
+    bool const storeWasUnavailable = isStoreOutageRecent(directory, now);
     bool const manyWereRemoved = isMassRemoval(directory, now);
     // Entries removed before the outage were removed by a working store.
     auto const mayHaveExpired = [&](ServerDirectory::Entry const& entry) { return storeWasUnavailable && *entry.removedAt >= directory.storeOutageStartedAt; };
--- a/Libraries/LibForward/ServerDirectory.h
+++ b/Libraries/LibForward/ServerDirectory.h
@@ -16,6 +16,8 @@
 /// The servers registered in the platform's store, as read by this node. Entries that expired because of a store outage are kept
 /// for a short time. Not thread safe.
 struct ServerDirectory {
+    /// The era of the store that the entries reflect.
+    std::uint64_t era { 0 };
     struct Entry {
         Routing::ListedServer server;
         /// When the removal of the entry was read; empty while it is registered.
@@ -25,9 +27,11 @@
     };
     std::map<std::string, Entry> entries;
     struct Departure {
-        /// The entry's last revision before it was removed.
-        std::uint64_t revision { 0 };
+        /// The entry before it was removed.
+        Routing::ListedServer server;
         Core::MonotonicTime at;
+        /// Whether a working store removed the entry, so that the server does not register again.
+        bool isFinal { false };
 
         bool operator==(Departure const&) const = default;
     };
@@ -44,19 +48,17 @@
 /// Records that the store failed, or responded again after a failure.
 void recordStoreOutage(ServerDirectory&, Core::MonotonicTime now);
 
-/// Adds or updates a registered entry.
+/// Adds or updates a registered entry, unless this node knows of a later change. A server that is leaving stays so, and an entry that a
+/// restored store has from before its removal is ignored.
 void registerServer(ServerDirectory&, Routing::ListedServer);
 
 /// Marks an entry as removed.
 void unregisterServer(ServerDirectory&, std::string const& id, Core::MonotonicTime now);
 
-/// Replaces the registered entries by a list; entries not in it are marked as removed at this time.
-void replaceServers(ServerDirectory&, std::vector<Routing::ListedServer> const&, Core::MonotonicTime now);
-
-/// Merges the list of a peer, which claims to reflect a store revision but may lack changes that the peer's watch missed. Entries that this
-/// node knows in a later revision, or removed in that revision, are not taken over; entries that the list lacks are removed unless they
-/// changed after it.
-void mergePeerServers(ServerDirectory&, std::vector<Routing::ListedServer> const&, std::uint64_t listRevision, Core::MonotonicTime now);
+/// Merges a list of the registered entries as of a revision: registers them, and marks entries that it lacks as removed at this time unless
+/// they changed after it. The list of a peer may also lack changes that the peer's watch missed. A list of a later era follows an outage of
+/// the store. Precondition: the list is not of an earlier era.
+void mergeServers(ServerDirectory&, std::vector<Routing::ListedServer> const&, Core::StoreRevision listRevision, Core::MonotonicTime now);
 
 /// Returns the servers to use. A removed entry is normally left out at once. After a store outage, in which the entries of
 /// running servers expire, or when most entries are removed at the same time, entries removed since then stay in use until the servers
--- a/Libraries/LibIntent/IntentJournal.cpp
+++ b/Libraries/LibIntent/IntentJournal.cpp
@@ -389,7 +389,7 @@
     if (collected == 0)
         co_return 0;
     auto const text = boost::json::serialize(boost::json::object { { "nextBucket", next } });
-    std::optional<std::uint64_t> version;
+    std::optional<Core::StoreRevision> version;
     if (cursor)
         version = co_await m_store.update(cursorKey, text, cursor->resourceVersion, callDeadline(), error);
     else
--- a/Libraries/LibIntent/IntentShard.cpp
+++ b/Libraries/LibIntent/IntentShard.cpp
@@ -306,8 +306,8 @@
     auto const deadline = m_runtime.now() + m_settings.storeCallTimeout;
     Platform::ObjectKey key { "intents", shardObjectName(m_location, index) };
     Core::Error error;
-    std::optional<std::uint64_t> version;
-    if (expected == 0)
+    std::optional<Core::StoreRevision> version;
+    if (expected.number == 0)
         version = co_await m_store.create(std::move(key), std::move(value), deadline, error);
     else
         version = co_await m_store.update(std::move(key), std::move(value), expected, deadline, error);
--- a/Libraries/LibIntent/IntentShard.h
+++ b/Libraries/LibIntent/IntentShard.h
@@ -80,7 +80,7 @@
 private:
     struct ChainObject {
         /// 0 if the object does not exist.
-        std::uint64_t version { 0 };
+        Core::StoreRevision version;
         bool mustRead { true };
         std::uint64_t readSequence { 0 };
         ShardContent content;
@@ -90,7 +90,7 @@
     /// A write whose response was lost. It can take effect as long as the object has the version that it is conditional on.
     struct UncertainWrite {
         std::size_t index { 0 };
-        std::uint64_t version { 0 };
+        Core::StoreRevision version;
     };
 
     /// The result of one operation in a round.
--- a/Libraries/LibPlatform/ObjectClient.cpp
+++ b/Libraries/LibPlatform/ObjectClient.cpp
@@ -19,7 +19,7 @@
 static std::optional<StoredObject> objectFromJson(boost::json::value const& value)
 {
     JsonFields fields(value);
-    StoredObject object { { fields.text("kind"), fields.text("name") }, fields.number("resourceVersion"), {} };
+    StoredObject object { { fields.text("kind"), fields.text("name") }, { 0, fields.number("resourceVersion") }, {} };
     auto const* content = fields.required("value");
     if (!fields.areValid())
         return std::nullopt;
@@ -31,7 +31,7 @@
 {
     JsonFields fields(value);
     ObjectList list;
-    list.resourceVersion = fields.number("resourceVersion");
+    list.resourceVersion.number = fields.number("resourceVersion");
     for (auto const& item : fields.elements("items")) {
         auto object = objectFromJson(item);
         if (!object)
@@ -76,7 +76,7 @@
     return events;
 }
 
-static std::uint64_t lastVersion(std::vector<ObjectEvent> const& events, std::uint64_t afterVersion)
+static Core::StoreRevision lastVersion(std::vector<ObjectEvent> const& events, Core::StoreRevision afterVersion)
 {
     auto version = afterVersion;
     for (auto const& event : events)
@@ -126,19 +126,19 @@
     co_return list;
 }
 
-Core::Awaitable<std::optional<std::uint64_t>> ObjectClient::write(HTTP::Request request, Core::MonotonicTime deadline, Core::Error& error)
+Core::Awaitable<std::optional<Core::StoreRevision>> ObjectClient::write(HTTP::Request request, Core::MonotonicTime deadline, Core::Error& error)
 {
     auto const response = co_await callPlatform(m_client, m_platform, std::move(request), CallEffect::Write, deadline, error);
     if (!response)
         co_return std::nullopt;
     JsonFields fields(*response);
-    auto const version = fields.number("resourceVersion");
+    Core::StoreRevision const version { 0, fields.number("resourceVersion") };
     if (!fields.areValid())
         co_return failMalformed(error, RunState::Unknown);
     co_return version;
 }
 
-Core::Awaitable<std::optional<std::uint64_t>> ObjectClient::create(ObjectKey key, std::string value, Core::MonotonicTime deadline, Core::Error& error)
+Core::Awaitable<std::optional<Core::StoreRevision>> ObjectClient::create(ObjectKey key, std::string value, Core::MonotonicTime deadline, Core::Error& error)
 {
     if (value.size() > maximumValueBytes)
         co_return failTooLarge(value, error);
@@ -147,28 +147,28 @@
     co_return version;
 }
 
-Core::Awaitable<std::optional<std::uint64_t>> ObjectClient::update(ObjectKey key, std::string value, std::uint64_t expectedVersion, Core::MonotonicTime deadline, Core::Error& error)
+Core::Awaitable<std::optional<Core::StoreRevision>> ObjectClient::update(ObjectKey key, std::string value, Core::StoreRevision expectedVersion, Core::MonotonicTime deadline, Core::Error& error)
 {
     if (value.size() > maximumValueBytes)
         co_return failTooLarge(value, error);
-    HTTP::Request request { "PUT", objectPath(key), { { "Content-Type", "application/json" } }, R"({"resourceVersion":)" + std::to_string(expectedVersion) + R"(,"value":)" + value + "}" };
+    HTTP::Request request { "PUT", objectPath(key), { { "Content-Type", "application/json" } }, R"({"resourceVersion":)" + std::to_string(expectedVersion.number) + R"(,"value":)" + value + "}" };
     auto const version = co_await write(std::move(request), deadline, error);
     if (!version && error.kind == ErrorKind::NotFound)
         error.kind = ErrorKind::StoreConflict;
     co_return version;
 }
 
-Core::Awaitable<bool> ObjectClient::remove(ObjectKey key, std::uint64_t expectedVersion, Core::MonotonicTime deadline, Core::Error& error)
+Core::Awaitable<bool> ObjectClient::remove(ObjectKey key, Core::StoreRevision expectedVersion, Core::MonotonicTime deadline, Core::Error& error)
 {
-    HTTP::Request request { "DELETE", objectPath(key) + "?resourceVersion=" + std::to_string(expectedVersion), {}, {} };
+    HTTP::Request request { "DELETE", objectPath(key) + "?resourceVersion=" + std::to_string(expectedVersion.number), {}, {} };
     auto const response = co_await callPlatform(m_client, m_platform, std::move(request), CallEffect::Write, deadline, error);
     co_return response.has_value();
 }
 
-Core::Awaitable<std::optional<ObjectChanges>> ObjectClient::waitForChanges(std::string kind, std::uint64_t afterVersion, Core::MonotonicTime deadline, Core::Error& error)
+Core::Awaitable<std::optional<ObjectChanges>> ObjectClient::waitForChanges(std::string kind, Core::StoreRevision afterVersion, Core::MonotonicTime deadline, Core::Error& error)
 {
     auto const timeout = longPollTimeout(m_runtime.now(), deadline);
-    HTTP::Request request { "GET", "/watch/" + kind + "?resourceVersion=" + std::to_string(afterVersion) + "&timeoutMs=" + std::to_string(timeout.count()), {}, {} };
+    HTTP::Request request { "GET", "/watch/" + kind + "?resourceVersion=" + std::to_string(afterVersion.number) + "&timeoutMs=" + std::to_string(timeout.count()), {}, {} };
     auto const stream = co_await m_client.openStream(m_platform, std::move(request), HTTP::ConnectionUse::Pooled, deadline, error);
     if (!stream)
         co_return failForTransport(CallEffect::Read, error);
--- a/Libraries/LibPlatform/ObjectClient.h
+++ b/Libraries/LibPlatform/ObjectClient.h
@@ -15,16 +15,16 @@
 
     [[nodiscard]] Core::Awaitable<std::optional<StoredObject>> read(ObjectKey, Core::MonotonicTime deadline, Core::Error&) override;
     [[nodiscard]] Core::Awaitable<std::optional<ObjectList>> list(std::string kind, Core::MonotonicTime deadline, Core::Error&) override;
-    [[nodiscard]] Core::Awaitable<std::optional<std::uint64_t>> create(ObjectKey, std::string value, Core::MonotonicTime deadline, Core::Error&) override;
-    [[nodiscard]] Core::Awaitable<std::optional<std::uint64_t>> update(ObjectKey, std::string value, std::uint64_t expectedVersion, Core::MonotonicTime deadline, Core::Error&) override;
-    [[nodiscard]] Core::Awaitable<bool> remove(ObjectKey, std::uint64_t expectedVersion, Core::MonotonicTime deadline, Core::Error&) override;
+    [[nodiscard]] Core::Awaitable<std::optional<Core::StoreRevision>> create(ObjectKey, std::string value, Core::MonotonicTime deadline, Core::Error&) override;
+    [[nodiscard]] Core::Awaitable<std::optional<Core::StoreRevision>> update(ObjectKey, std::string value, Core::StoreRevision expectedVersion, Core::MonotonicTime deadline, Core::Error&) override;
+    [[nodiscard]] Core::Awaitable<bool> remove(ObjectKey, Core::StoreRevision expectedVersion, Core::MonotonicTime deadline, Core::Error&) override;
 
     /// A watch that the platform is asked to end shortly before the deadline. If its end does not arrive in time, the call fails
     /// with StoreUnavailable, so that an unreachable platform is not mistaken for one without changes.
-    [[nodiscard]] Core::Awaitable<std::optional<ObjectChanges>> waitForChanges(std::string kind, std::uint64_t afterVersion, Core::MonotonicTime deadline, Core::Error&) override;
+    [[nodiscard]] Core::Awaitable<std::optional<ObjectChanges>> waitForChanges(std::string kind, Core::StoreRevision afterVersion, Core::MonotonicTime deadline, Core::Error&) override;
 
 private:
-    [[nodiscard]] Core::Awaitable<std::optional<std::uint64_t>> write(HTTP::Request, Core::MonotonicTime deadline, Core::Error&);
+    [[nodiscard]] Core::Awaitable<std::optional<Core::StoreRevision>> write(HTTP::Request, Core::MonotonicTime deadline, Core::Error&);
 
     Core::Runtime& m_runtime;
     HTTP::Client& m_client;
--- a/Libraries/LibPlatform/ObjectStore.h
+++ b/Libraries/LibPlatform/ObjectStore.h
@@ -2,6 +2,7 @@
 
 #include <LibCore/ErrorKind.h>
 #include <LibCore/Runtime.h>
+#include <LibCore/StoreRevision.h>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -24,7 +25,7 @@
 struct StoredObject {
     ObjectKey key;
     /// Increases with each change of any object; the same version of a key always has the same value.
-    std::uint64_t resourceVersion { 0 };
+    Core::StoreRevision resourceVersion;
     std::string value;
 
     bool operator==(StoredObject const&) const = default;
@@ -33,7 +34,7 @@
 struct ObjectList {
     std::vector<StoredObject> objects;
     /// The version of the store at the time of the list; a watch continues from it.
-    std::uint64_t resourceVersion { 0 };
+    Core::StoreRevision resourceVersion;
 
     bool operator==(ObjectList const&) const = default;
 };
@@ -54,7 +55,7 @@
 struct ObjectChanges {
     std::vector<ObjectEvent> events;
     /// The version from which the next wait continues.
-    std::uint64_t resourceVersion { 0 };
+    Core::StoreRevision resourceVersion;
 
     bool operator==(ObjectChanges const&) const = default;
 };
@@ -68,6 +69,9 @@
 public:
     virtual ~ObjectStore() = default;
 
+    /// The newest era in a response so far. Other responses of an earlier era than that fail with StoreUnavailable.
+    [[nodiscard]] virtual std::uint64_t era() const { return 0; }
+
     /// Reads one object. NotFound if it does not exist.
     [[nodiscard]] virtual Core::Awaitable<std::optional<StoredObject>> read(ObjectKey, Core::MonotonicTime deadline, Core::Error&) = 0;
 
@@ -76,18 +80,19 @@
 
     /// Creates an object and returns its version. StoreConflict if it exists, StoreValueTooLarge if the value is over
     /// maximumValueBytes.
-    [[nodiscard]] virtual Core::Awaitable<std::optional<std::uint64_t>> create(ObjectKey, std::string value, Core::MonotonicTime deadline, Core::Error&) = 0;
+    [[nodiscard]] virtual Core::Awaitable<std::optional<Core::StoreRevision>> create(ObjectKey, std::string value, Core::MonotonicTime deadline, Core::Error&) = 0;
 
     /// Replaces an object if its version is still the expected one, and returns the new version. StoreConflict if it changed
-    /// or no longer exists, StoreValueTooLarge if the value is over maximumValueBytes.
-    [[nodiscard]] virtual Core::Awaitable<std::optional<std::uint64_t>> update(ObjectKey, std::string value, std::uint64_t expectedVersion, Core::MonotonicTime deadline, Core::Error&) = 0;
+    /// or no longer exists, or, with the run state Ran, if the store was restored meanwhile and the number of the expected version
+    /// belongs to another change now; StoreValueTooLarge if the value is over maximumValueBytes.
+    [[nodiscard]] virtual Core::Awaitable<std::optional<Core::StoreRevision>> update(ObjectKey, std::string value, Core::StoreRevision expectedVersion, Core::MonotonicTime deadline, Core::Error&) = 0;
 
     /// Removes an object if its version is still the expected one. StoreConflict if it changed, NotFound if it does not exist.
-    [[nodiscard]] virtual Core::Awaitable<bool> remove(ObjectKey, std::uint64_t expectedVersion, Core::MonotonicTime deadline, Core::Error&) = 0;
+    [[nodiscard]] virtual Core::Awaitable<bool> remove(ObjectKey, Core::StoreRevision expectedVersion, Core::MonotonicTime deadline, Core::Error&) = 0;
 
     /// Waits for changes of a kind after a version and returns them; none if the deadline passes first.
-    /// StoreVersionExpired if the version is too old to continue from; the caller then lists again.
-    [[nodiscard]] virtual Core::Awaitable<std::optional<ObjectChanges>> waitForChanges(std::string kind, std::uint64_t afterVersion, Core::MonotonicTime deadline, Core::Error&) = 0;
+    /// StoreVersionExpired if the version is too old to continue from or of an earlier era; the caller then lists again.
+    [[nodiscard]] virtual Core::Awaitable<std::optional<ObjectChanges>> waitForChanges(std::string kind, Core::StoreRevision afterVersion, Core::MonotonicTime deadline, Core::Error&) = 0;
 };
 
 }
--- a/Libraries/LibPlatform/PlatformCall.cpp
+++ b/Libraries/LibPlatform/PlatformCall.cpp
@@ -67,21 +67,34 @@
     return HTTP::ConnectionUse::NewConnection;
 }
 
-Core::Awaitable<std::optional<boost::json::value>> callPlatform(HTTP::Client& client, Core::Endpoint platform, HTTP::Request request, CallEffect effect, Core::MonotonicTime deadline, Error& error)
+Core::Awaitable<std::optional<HTTP::Response>> sendToPlatform(HTTP::Client& client, Core::Endpoint platform, HTTP::Request request, CallEffect effect, Core::MonotonicTime deadline, Error& error)
 {
-    auto const response = co_await client.send(platform, std::move(request), connectionUse(effect), deadline, error);
+    auto response = co_await client.send(platform, std::move(request), connectionUse(effect), deadline, error);
     if (!response) {
         // Idle connections of the same time may have gone silent as well.
         client.closeIdleConnections(platform);
         co_return failForTransport(effect, error);
     }
-    if (response->status >= 300)
-        co_return failForStatus(*response, effect, error);
+    co_return response;
+}
+
+std::optional<boost::json::value> decodeResponse(HTTP::Response const& response, CallEffect effect, Error& error)
+{
+    if (response.status >= 300)
+        return failForStatus(response, effect, error);
     boost::json::error_code errorCode;
-    auto value = boost::json::parse(response->body, errorCode);
+    auto value = boost::json::parse(response.body, errorCode);
     if (errorCode)
-        co_return Core::fail(error, ErrorKind::StoreUnavailable, "the platform's response is not JSON", ambiguousRunState(effect));
-    co_return value;
+        return Core::fail(error, ErrorKind::StoreUnavailable, "the platform's response is not JSON", ambiguousRunState(effect));
+    return value;
+}
+
+Core::Awaitable<std::optional<boost::json::value>> callPlatform(HTTP::Client& client, Core::Endpoint platform, HTTP::Request request, CallEffect effect, Core::MonotonicTime deadline, Error& error)
+{
+    auto const response = co_await sendToPlatform(client, std::move(platform), std::move(request), effect, deadline, error);
+    if (!response)
+        co_return std::nullopt;
+    co_return decodeResponse(*response, effect, error);
 }
 
 std::chrono::milliseconds longPollTimeout(Core::MonotonicTime now, Core::MonotonicTime deadline)
--- a/Libraries/LibPlatform/PlatformCall.h
+++ b/Libraries/LibPlatform/PlatformCall.h
@@ -25,6 +25,11 @@
 /// call (404, 409, 413, 429, 503), else Unknown; that of other calls is always NotRun.
 [[nodiscard]] Core::Awaitable<std::optional<boost::json::value>> callPlatform(HTTP::Client&, Core::Endpoint, HTTP::Request, CallEffect, Core::MonotonicTime deadline, Core::Error&);
 
+/// The two steps of callPlatform(), for callers that need the headers of every response: sends the call, and returns the JSON of a
+/// response.
+[[nodiscard]] Core::Awaitable<std::optional<HTTP::Response>> sendToPlatform(HTTP::Client&, Core::Endpoint, HTTP::Request, CallEffect, Core::MonotonicTime deadline, Core::Error&);
+[[nodiscard]] std::optional<boost::json::value> decodeResponse(HTTP::Response const&, CallEffect, Core::Error&);
+
 /// Sets the error for a response with a status of 300 or above. Internal to LibPlatform.
 std::nullopt_t failForStatus(HTTP::Response const&, CallEffect, Core::Error&);
 
--- a/Libraries/LibRouting/ServerTable.h
+++ b/Libraries/LibRouting/ServerTable.h
@@ -2,6 +2,7 @@
 
 #include <LibCore/Endpoint.h>
 #include <LibCore/Runtime.h>
+#include <LibCore/StoreRevision.h>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -121,8 +122,8 @@
     Lifecycle lifecycle { Lifecycle::Live };
     std::uint32_t slots { 0 };
     bool reclaimable { false };
-    /// The store revision of the entry's last change; 0 if it is unknown.
-    std::uint64_t revision { 0 };
+    /// The store revision of the entry's last change; number 0 if it is unknown.
+    Core::StoreRevision revision;
 
     bool operator==(ListedServer const&) const = default;
 };
--- a/Services/Edge/DutyRunner.cpp
+++ b/Services/Edge/DutyRunner.cpp
@@ -165,7 +165,7 @@
     auto const stored = co_await m_store.read(usageRecordKey, m_runtime.now() + callTimeout, error);
     if (!stored && error.kind != Core::ErrorKind::NotFound)
         co_return false;
-    m_usageRecordVersion = stored ? stored->resourceVersion : 0;
+    m_usageRecordVersion = stored ? stored->resourceVersion : Core::StoreRevision {};
     m_recordedCounts = stored ? decodeWindows(stored->value).value_or(Forward::CountsByWindow {}) : Forward::CountsByWindow {};
     m_lastAcceptedWindow = 0;
     m_usageRecordLoaded = true;
@@ -182,8 +182,8 @@
         recorded.erase(recorded.begin());
     auto text = encodeWindows(recorded);
     auto const deadline = m_runtime.now() + callTimeout;
-    std::optional<std::uint64_t> version;
-    if (m_usageRecordVersion == 0)
+    std::optional<Core::StoreRevision> version;
+    if (m_usageRecordVersion.number == 0)
         version = co_await m_store.create(usageRecordKey, std::move(text), deadline, error);
     else
         version = co_await m_store.update(usageRecordKey, std::move(text), m_usageRecordVersion, deadline, error);
--- a/Services/Edge/DutyRunner.h
+++ b/Services/Edge/DutyRunner.h
@@ -51,9 +51,9 @@
     bool m_wasHeld { false };
     bool m_stopping { false };
 
-    /// Counts by window as written to the store before they were reported, and the version of that object; 0 if there is none.
+    /// Counts by window as written to the store before they were reported, and the version of that object; number 0 if there is none.
     Forward::CountsByWindow m_recordedCounts;
-    std::uint64_t m_usageRecordVersion { 0 };
+    Core::StoreRevision m_usageRecordVersion;
     bool m_usageRecordLoaded { false };
     /// The newest window that the platform accepted, or that needed no report.
     std::int64_t m_lastAcceptedWindow { 0 };
--- a/Services/Edge/EdgeTables.h
+++ b/Services/Edge/EdgeTables.h
@@ -35,7 +35,7 @@
     std::string configurationJson;
     Forward::ServerDirectory directory;
     /// The store revision that the directory reflects.
-    std::uint64_t serversRevision { 0 };
+    Core::StoreRevision serversRevision;
     Routing::ServerTable servers;
     Routing::PlacementCosts placementCosts;
     Limits::QuarantineTable quarantine;
--- a/Services/Edge/RequestForwarder.cpp
+++ b/Services/Edge/RequestForwarder.cpp
@@ -614,7 +614,7 @@
     if (!context.attemptTrace.empty()) {
         fields.emplace_back("servers", context.attemptTrace);
         fields.emplace_back("placed", std::int64_t(toMilliseconds(context.placedAt - context.arrivedAt).count()));
-        fields.emplace_back("servers_revision", std::uint64_t(m_dependencies.tables.serversRevision));
+        fields.emplace_back("servers_revision", m_dependencies.tables.serversRevision.toString());
         fields.emplace_back("server_load", context.chosenServerLoad);
         fields.emplace_back("home_rank", context.chosenHomeRank);
         if (context.sharedTokens > 0)
--- a/Services/Edge/StoreWatcher.cpp
+++ b/Services/Edge/StoreWatcher.cpp
@@ -36,17 +36,20 @@
     return resource == Resource::Configuration ? m_codec.configurationKey().kind : m_codec.serverKind();
 }
 
-Core::Awaitable<bool> StoreWatcher::list(Resource resource, std::uint64_t& version, Core::Error& error)
+Core::Awaitable<bool> StoreWatcher::list(Resource resource, Core::StoreRevision& version, Core::Error& error)
 {
     auto const list = co_await m_store.list(objectKind(resource), m_runtime.now() + callTimeout, error);
     if (!list)
         co_return false;
+    // A peer may have read the restored store before this response of the earlier era arrived.
+    if (list->resourceVersion.era < m_tables.serversRevision.era)
+        co_return Core::fail(error, Core::ErrorKind::StoreUnavailable, "the list is of the store's revision " + list->resourceVersion.toString() + ", before era " + std::to_string(m_tables.serversRevision.era)), false;
     version = list->resourceVersion;
     recordSuccess(resource);
-    Core::logEvent(Core::LogLevel::Info, "store_listed", { { "kind", objectKind(resource) }, { "objects", std::uint64_t(list->objects.size()) }, { "revision", version } });
+    Core::logEvent(Core::LogLevel::Info, "store_listed", { { "kind", objectKind(resource) }, { "objects", std::uint64_t(list->objects.size()) }, { "revision", version.toString() } });
     if (resource == Resource::Servers) {
-        replaceServers(list->objects);
         m_tables.serversRevision = std::max(m_tables.serversRevision, version);
+        mergeServers(*list);
     } else {
         for (auto const& object : list->objects) {
             if (object.key == m_codec.configurationKey())
@@ -59,8 +62,8 @@
 Core::Awaitable<void> StoreWatcher::watch(Resource resource)
 {
     // The revision from which the next watch starts, and the last one that the store returned.
-    std::optional<std::uint64_t> version;
-    std::uint64_t returnedVersion = 0;
+    std::optional<Core::StoreRevision> version;
+    Core::StoreRevision returnedVersion;
     while (true) {
         Core::Error error;
         if (m_tables.isUsable() && !m_shouldWatch) {
@@ -68,7 +71,7 @@
             version.reset();
         }
         if (!version) {
-            std::uint64_t listed = 0;
+            Core::StoreRevision listed;
             bool const isListed = co_await list(resource, listed, error);
             if (!isListed) {
                 co_await m_runtime.sleepFor(recordFailure(resource, error));
@@ -86,15 +89,16 @@
             continue;
         }
         recordSuccess(resource);
+        // A peer has read the restored store already.
+        if (changes->resourceVersion.era < m_tables.serversRevision.era) {
+            version.reset();
+            continue;
+        }
         // A watch that ended while the store delivered no changes may have missed some, so that the next one covers its time as well.
         version = changes->events.empty() ? returnedVersion : changes->resourceVersion;
         returnedVersion = changes->resourceVersion;
         for (auto const& event : changes->events) {
             bool const isRemoved = event.kind == Platform::ObjectEventKind::Removed;
-            // A list that a peer sent may be newer than this event.
-            bool const isKnown = resource == Resource::Servers && !isRemoved && isKnownInLaterRevision(event.object);
-            if (isKnown)
-                continue;
             if (resource == Resource::Servers && isRemoved)
                 Forward::unregisterServer(m_tables.directory, event.object.key.name, m_runtime.now());
             else if (resource == Resource::Servers)
@@ -183,12 +187,6 @@
     notifyChange();
 }
 
-bool StoreWatcher::isKnownInLaterRevision(Platform::StoredObject const& object) const
-{
-    auto const known = m_tables.directory.entries.find(object.key.name);
-    return known != m_tables.directory.entries.end() && known->second.server.revision > object.resourceVersion;
-}
-
 void StoreWatcher::applyServerEntry(Platform::StoredObject const& object)
 {
     Core::Error error;
@@ -201,15 +199,15 @@
     Forward::unregisterServer(m_tables.directory, object.key.name, m_runtime.now());
 }
 
-void StoreWatcher::replaceServers(std::vector<Platform::StoredObject> const& objects)
+void StoreWatcher::mergeServers(Platform::ObjectList const& list)
 {
     std::vector<Routing::ListedServer> servers;
-    for (auto const& object : objects) {
+    for (auto const& object : list.objects) {
         Core::Error error;
         if (auto server = m_codec.decodeServer(object, error))
             servers.push_back(std::move(*server));
     }
-    Forward::replaceServers(m_tables.directory, servers, m_runtime.now());
+    Forward::mergeServers(m_tables.directory, servers, list.resourceVersion, m_runtime.now());
     updateServerTable("store");
 }
 
@@ -242,9 +240,9 @@
             appendId(keptIds, kept++, row.id);
     }
     if (left > 0)
-        Core::logEvent(Core::LogLevel::Info, "servers_left", { { "count", std::uint64_t(left) }, { "servers", leftIds }, { "source", source }, { "revision", std::uint64_t(m_tables.serversRevision) } });
+        Core::logEvent(Core::LogLevel::Info, "servers_left", { { "count", std::uint64_t(left) }, { "servers", leftIds }, { "source", source }, { "revision", m_tables.serversRevision.toString() } });
     if (kept > 0)
-        Core::logEvent(Core::LogLevel::Info, "removed_servers_kept", { { "count", std::uint64_t(kept) }, { "servers", keptIds }, { "source", source }, { "revision", std::uint64_t(m_tables.serversRevision) } });
+        Core::logEvent(Core::LogLevel::Info, "removed_servers_kept", { { "count", std::uint64_t(kept) }, { "servers", keptIds }, { "source", source }, { "revision", m_tables.serversRevision.toString() } });
 }
 
 void StoreWatcher::updateServerTable(std::string_view source)
@@ -259,7 +257,7 @@
     if (before == 0 && !m_tables.servers.rows.empty())
         m_tables.becameUsable.notifyAll();
     if (m_tables.servers.rows.size() != before)
-        Core::logEvent(Core::LogLevel::Info, "servers_changed", { { "servers", std::uint64_t(m_tables.servers.rows.size()) }, { "revision", std::uint64_t(m_tables.serversRevision) } });
+        Core::logEvent(Core::LogLevel::Info, "servers_changed", { { "servers", std::uint64_t(m_tables.servers.rows.size()) }, { "revision", m_tables.serversRevision.toString() } });
 }
 
 void StoreWatcher::tick()
@@ -274,13 +272,13 @@
 void StoreWatcher::fetchNewerFromPeers()
 {
     static constexpr Core::Duration serversInterval = 500ms;
-    fetchIfOutdated(Resource::Configuration, m_tables.routes ? m_tables.routes->version : 0);
+    fetchIfOutdated(Resource::Configuration, { 0, m_tables.routes ? m_tables.routes->version : 0 });
     if (m_shouldWatch && (!m_serversStatus.isUnavailable || m_runtime.now() - m_serversFetchedAt < serversInterval))
         return;
     fetchIfOutdated(Resource::Servers, m_tables.serversRevision);
 }
 
-void StoreWatcher::fetchIfOutdated(Resource resource, std::uint64_t known)
+void StoreWatcher::fetchIfOutdated(Resource resource, Forward::PeerDataVersion known)
 {
     auto const now = m_runtime.now();
     auto& status = callStatus(resource);
@@ -338,15 +336,22 @@
             { "leaving", server.lifecycle == Routing::Lifecycle::Leaving },
             { "slots", server.slots },
             { "reclaimable", server.reclaimable },
-            { "revision", server.revision },
+            { "revision", server.revision.number },
         });
     }
-    m_serversForPeers = json::serialize(json::object { { "revision", m_tables.serversRevision }, { "servers", std::move(servers) } });
+    m_serversForPeers = json::serialize(json::object { { "era", m_tables.serversRevision.era }, { "revision", m_tables.serversRevision.number }, { "servers", std::move(servers) } });
     m_serversForPeersRevision = m_tables.serversRevision;
     return m_serversForPeers;
 }
 
-static std::optional<Routing::ListedServer> serverFromPeer(json::value const& value)
+// A field that earlier versions do not send; 0 if it is absent.
+static std::uint64_t numberFromPeer(json::value const& value, std::string_view name)
+{
+    Platform::JsonFields fields(value);
+    return fields.has(name) ? fields.number(name) : 0;
+}
+
+static std::optional<Routing::ListedServer> serverFromPeer(json::value const& value, std::uint64_t era)
 {
     Platform::JsonFields fields(value);
     Core::Error error;
@@ -361,10 +366,7 @@
     server.lifecycle = fields.flag("leaving") ? Routing::Lifecycle::Leaving : Routing::Lifecycle::Live;
     server.slots = static_cast<std::uint32_t>(fields.number("slots"));
     server.reclaimable = fields.flag("reclaimable");
-    // Earlier versions do not send it.
-    auto const* revision = value.is_object() ? value.get_object().if_contains("revision") : nullptr;
-    server.revision = revision && revision->is_uint64() ? revision->get_uint64() : revision && revision->is_int64() ? static_cast<std::uint64_t>(revision->get_int64())
-                                                                                                                    : 0;
+    server.revision = { era, numberFromPeer(value, "revision") };
     if (!endpoint || !fields.areValid())
         return std::nullopt;
     server.endpoint = *endpoint;
@@ -394,15 +396,15 @@
     if (errorCode || (m_shouldWatch && !m_serversStatus.isUnavailable))
         co_return;
     Platform::JsonFields fields(value);
-    auto const revision = fields.number("revision");
+    Core::StoreRevision const revision { numberFromPeer(value, "era"), fields.number("revision") };
     std::vector<Routing::ListedServer> servers;
     for (auto const& entry : fields.elements("servers")) {
-        if (auto server = serverFromPeer(entry))
+        if (auto server = serverFromPeer(entry, revision.era))
             servers.push_back(std::move(*server));
     }
     if (!fields.areValid() || revision <= m_tables.serversRevision)
         co_return;
-    Forward::mergePeerServers(m_tables.directory, servers, revision, m_runtime.now());
+    Forward::mergeServers(m_tables.directory, servers, revision, m_runtime.now());
     m_tables.serversRevision = revision;
     updateServerTable(peer);
 }
--- a/Services/Edge/StoreWatcher.h
+++ b/Services/Edge/StoreWatcher.h
@@ -66,14 +66,14 @@
         /// When a peer first reported newer data than this node's; empty while none does.
         std::optional<Core::MonotonicTime> outdatedSince;
         /// The data of this node then.
-        std::uint64_t outdatedVersion { 0 };
+        Forward::PeerDataVersion outdatedVersion;
     };
 
     [[nodiscard]] Core::Awaitable<void> watch(Resource);
     [[nodiscard]] Core::Awaitable<void> waitUntilWatching();
-    [[nodiscard]] Core::Awaitable<bool> list(Resource, std::uint64_t& version, Core::Error&);
+    [[nodiscard]] Core::Awaitable<bool> list(Resource, Core::StoreRevision& version, Core::Error&);
     [[nodiscard]] Core::Awaitable<void> fetchFromPeer(Resource, std::string peer, Core::Endpoint);
-    void fetchIfOutdated(Resource, std::uint64_t known);
+    void fetchIfOutdated(Resource, Forward::PeerDataVersion known);
     void startFetch(Resource, Forward::NodeReport const& peer);
     [[nodiscard]] std::string objectKind(Resource) const;
     /// Record a failed watch and a failed list. Return the time until the next call.
@@ -81,9 +81,8 @@
     [[nodiscard]] Core::Duration recordFailure(Resource, Core::Error const&);
     void recordSuccess(Resource);
     void applyConfiguration(std::string const& value, std::string_view source);
-    [[nodiscard]] bool isKnownInLaterRevision(Platform::StoredObject const&) const;
     void applyServerEntry(Platform::StoredObject const&);
-    void replaceServers(std::vector<Platform::StoredObject> const&);
+    void mergeServers(Platform::ObjectList const&);
     void logServersLeftOut(std::vector<Routing::ListedServer> const& used, std::string_view source) const;
     /// Takes over the servers in use. The source, the store or a peer, is for the log.
     void updateServerTable(std::string_view source);
@@ -108,7 +107,7 @@
     Core::MonotonicTime m_serversUpdatedAt {};
     /// The list for peers and the revision that it reflects; many peers fetch the same one.
     std::string m_serversForPeers;
-    std::optional<std::uint64_t> m_serversForPeersRevision;
+    std::optional<Core::StoreRevision> m_serversForPeersRevision;
 };
 
 }
--- a/Services/Node/FleetController.cpp
+++ b/Services/Node/FleetController.cpp
@@ -133,7 +133,7 @@
     if (record.epoch > m_epoch || !canAct())
         co_return false;
     m_storedRecord = record;
-    m_storedVersion = stored ? stored->resourceVersion : 0;
+    m_storedVersion = stored ? stored->resourceVersion : Core::StoreRevision {};
     // Drops starts of this epoch whose calls were never made, since the response to the write of the record was lost.
     std::erase_if(record.starts, [&](auto const& start) { return std::find(m_unsentStarts.begin(), m_unsentStarts.end(), start.token) != m_unsentStarts.end(); });
     m_unsentStarts.clear();
@@ -153,8 +153,8 @@
     auto const value = Fleet::encodeFleetRecord(*m_record);
     auto const deadline = m_runtime.now() + m_settings.readTimeout;
     Core::Error error;
-    std::optional<std::uint64_t> version;
-    if (m_storedVersion == 0)
+    std::optional<Core::StoreRevision> version;
+    if (m_storedVersion.number == 0)
         version = co_await m_dependencies.store.create(recordKey, value, deadline, error);
     else
         version = co_await m_dependencies.store.update(recordKey, value, m_storedVersion, deadline, error);
--- a/Services/Node/FleetController.h
+++ b/Services/Node/FleetController.h
@@ -109,9 +109,9 @@
     Core::MonotonicTime m_leaseHeldSince;
     std::unique_ptr<DemandObserver> m_demand;
     std::optional<Fleet::FleetRecord> m_record;
-    /// The record in the store and its version; version 0 if there is none.
+    /// The record in the store and its version; number 0 if there is none.
     Fleet::FleetRecord m_storedRecord;
-    std::uint64_t m_storedVersion { 0 };
+    Core::StoreRevision m_storedVersion;
     /// Tokens of the starts of this epoch whose call has not been made.
     std::vector<std::string> m_unsentStarts;
     std::map<std::string, Core::MonotonicTime> m_firstSeen;
--- a/Tests/EdgeService/StoreStandIn.cpp
+++ b/Tests/EdgeService/StoreStandIn.cpp
@@ -12,7 +12,7 @@
 
 static json::object objectJson(Platform::StoredObject const& object)
 {
-    return { { "metadata", json::object { { "name", object.key.name }, { "revision", object.resourceVersion }, { "create-rev", 1 }, { "finalizers", json::array {} }, { "deleting", false } } }, { "spec", json::parse(object.value) }, { "status", nullptr } };
+    return { { "metadata", json::object { { "name", object.key.name }, { "revision", object.resourceVersion.number }, { "create-rev", 1 }, { "finalizers", json::array {} }, { "deleting", false } } }, { "spec", json::parse(object.value) }, { "status", nullptr } };
 }
 
 static HTTP::Response jsonResponse(unsigned status, json::value const& body)
@@ -121,7 +121,7 @@
         json::array events;
         bool const isHidden = hidesChanges || number <= m_watchesWithoutEvents;
         for (auto const& event : m_objects.history) {
-            if (!isHidden && event.object.key.kind == kind && event.object.resourceVersion > since)
+            if (!isHidden && event.object.key.kind == kind && event.object.resourceVersion.number > since)
                 events.push_back(json::object { { "deleted", event.kind == Platform::ObjectEventKind::Removed }, { "object", objectJson(event.object) } });
         }
         bool const isSilent = number <= m_silencedWatches;
@@ -144,7 +144,7 @@
     if (creates == exists)
         return { exists ? 409U : 404U, {}, "{}" };
     auto const* revision = metadata ? metadata->as_object().if_contains("revision") : nullptr;
-    if (exists && revision && revision->to_number<std::uint64_t>() != found->second.resourceVersion)
+    if (exists && revision && revision->to_number<std::uint64_t>() != found->second.resourceVersion.number)
         return { 409, {}, "{}" };
     put(kind, name, json::serialize(body.at("spec")));
     return jsonResponse(200, objectJson(m_objects.objects.at({ kind, name })));
--- a/Tests/EdgeService/StoreWatcherTest.cpp
+++ b/Tests/EdgeService/StoreWatcherTest.cpp
@@ -107,7 +107,7 @@
     auto const report = [&](std::uint64_t configurationVersion) {
         auto endpoint = peer.endpoint();
         --endpoint.port;
-        Forward::NodeReport const report { .node = "n2", .endpoint = endpoint.toString(), .configurationVersion = configurationVersion, .serversRevision = 10 };
+        Forward::NodeReport const report { .node = "n2", .endpoint = endpoint.toString(), .configurationVersion = configurationVersion, .serversRevision = { 0, 10 } };
         (void)Forward::mergeReport(tables.peers, report, 1'000'000, m_loop.runtime().now());
         watcher.tick();
     };
--- a/Tests/Integration/PlatformTest.cpp
+++ b/Tests/Integration/PlatformTest.cpp
@@ -28,7 +28,7 @@
         EXPECT_EQ(m_platform.stop(), 0);
     }
 
-    std::optional<std::uint64_t> update(std::string value, std::uint64_t version, std::chrono::milliseconds time = TestSupport::defaultTestTimeout)
+    std::optional<Core::StoreRevision> update(std::string value, Core::StoreRevision version, std::chrono::milliseconds time = TestSupport::defaultTestTimeout)
     {
         return m_loop.run(m_store.update(key, std::move(value), version, m_loop.runtime().now() + time, m_error));
     }
@@ -115,24 +115,24 @@
     EXPECT_EQ(m_error.runState, RunState::Unknown);
     m_proxySwitches.setFaults({ .cut = true });
     m_proxySwitches.clearFaults();
-    EXPECT_EQ(update("2", *version), *version + 1);
+    EXPECT_EQ(update("2", *version), (Core::StoreRevision { 0, version->number + 1 }));
 }
 
 TEST_F(PlatformTest, WatchesAndLimits)
 {
-    auto const waitForChanges = [this](std::uint64_t version, std::chrono::milliseconds time) {
+    auto const waitForChanges = [this](Core::StoreRevision version, std::chrono::milliseconds time) {
         return m_loop.run(m_store.waitForChanges("leases", version, m_loop.runtime().now() + time, m_error));
     };
-    std::uint64_t version = 0;
+    Core::StoreRevision version;
     for (int round = 0; round < 4; ++round) {
         auto const next = round == 0 ? m_loop.run(m_store.create(key, "0", m_loop.deadline(), m_error)) : update(std::to_string(round), version);
         ASSERT_TRUE(next) << m_error.message;
         version = *next;
     }
     // --history_per_kind=3 limits the history to three changes.
-    EXPECT_FALSE(waitForChanges(0, 10s));
+    EXPECT_FALSE(waitForChanges({}, 10s));
     EXPECT_EQ(m_error.kind, ErrorKind::StoreVersionExpired);
-    auto const changes = waitForChanges(1, 10s);
+    auto const changes = waitForChanges({ 0, 1 }, 10s);
     ASSERT_TRUE(changes) << m_error.message;
     EXPECT_EQ(changes->events.size(), 3u);
     auto const none = waitForChanges(version, 200ms);
--- a/Tests/LibConfiguration/Fixtures.h
+++ b/Tests/LibConfiguration/Fixtures.h
@@ -49,13 +49,13 @@
         co_return found->second;
     }
 
-    Core::Awaitable<std::optional<std::uint64_t>> create(Platform::ObjectKey key, std::string value, Core::MonotonicTime, Core::Error& error) override
+    Core::Awaitable<std::optional<Core::StoreRevision>> create(Platform::ObjectKey key, std::string value, Core::MonotonicTime, Core::Error& error) override
     {
         auto const fault = co_await beginCall();
-        co_return write({ key, 0, std::move(value) }, fault, error);
+        co_return write({ key, {}, std::move(value) }, fault, error);
     }
 
-    Core::Awaitable<std::optional<std::uint64_t>> update(Platform::ObjectKey key, std::string value, std::uint64_t expectedVersion, Core::MonotonicTime, Core::Error& error) override
+    Core::Awaitable<std::optional<Core::StoreRevision>> update(Platform::ObjectKey key, std::string value, Core::StoreRevision expectedVersion, Core::MonotonicTime, Core::Error& error) override
     {
         auto const fault = co_await beginCall();
         co_return write({ key, expectedVersion, std::move(value) }, fault, error);
@@ -65,7 +65,7 @@
     {
         if (co_await beginCall() != StoreFault::None)
             co_return Core::fail(error, Core::ErrorKind::StoreUnavailable, "list failed");
-        Platform::ObjectList list { {}, m_version };
+        Platform::ObjectList list { {}, { 0, m_version } };
         for (auto const& [key, object] : objects) {
             if (key.kind == kind)
                 list.objects.push_back(object);
@@ -73,8 +73,8 @@
         co_return list;
     }
 
-    Core::Awaitable<bool> remove(Platform::ObjectKey, std::uint64_t, Core::MonotonicTime, Core::Error&) override { co_return false; }
-    Core::Awaitable<std::optional<Platform::ObjectChanges>> waitForChanges(std::string, std::uint64_t, Core::MonotonicTime, Core::Error& error) override { co_return Core::fail(error, Core::ErrorKind::Internal, "not used"); }
+    Core::Awaitable<bool> remove(Platform::ObjectKey, Core::StoreRevision, Core::MonotonicTime, Core::Error&) override { co_return false; }
+    Core::Awaitable<std::optional<Platform::ObjectChanges>> waitForChanges(std::string, Core::StoreRevision, Core::MonotonicTime, Core::Error& error) override { co_return Core::fail(error, Core::ErrorKind::Internal, "not used"); }
 
     std::map<Platform::ObjectKey, Platform::StoredObject> objects;
     /// Faults of the next calls, before the seeded ones.
@@ -102,20 +102,20 @@
         co_return static_cast<StoreFault>(1 + m_random.below(3));
     }
 
-    std::optional<std::uint64_t> execute(Platform::StoredObject object)
+    std::optional<Core::StoreRevision> execute(Platform::StoredObject object)
     {
         auto const found = objects.find(object.key);
-        auto const version = found == objects.end() ? 0 : found->second.resourceVersion;
+        auto const version = found == objects.end() ? Core::StoreRevision {} : found->second.resourceVersion;
         if (version != object.resourceVersion)
             return std::nullopt;
-        object.resourceVersion = ++m_version;
+        object.resourceVersion = { 0, ++m_version };
         if (object.key.kind == "desiredstates")
             history.push_back(object.value);
         objects[object.key] = object;
-        return m_version;
+        return object.resourceVersion;
     }
 
-    std::optional<std::uint64_t> write(Platform::StoredObject const& object, StoreFault fault, Core::Error& error)
+    std::optional<Core::StoreRevision> write(Platform::StoredObject const& object, StoreFault fault, Core::Error& error)
     {
         if (object.value.size() > Platform::maximumValueBytes)
             return Core::fail(error, Core::ErrorKind::StoreValueTooLarge, "too large");
--- a/Tests/LibForward/NodeExchangeTest.cpp
+++ b/Tests/LibForward/NodeExchangeTest.cpp
@@ -288,12 +288,12 @@
     simulation.run(4s);
     auto& first = simulation.nodes()[0];
     ASSERT_TRUE(Forward::isAggregating(first.table, simulation.now()));
-    first.report.serversRevision = 531;
+    first.report.serversRevision.number = 531;
     first.report.watchesStore = true;
     first.nextRoundAt = simulation.now();
     auto const knows = [&](auto const& node) {
-        return node.report.serversRevision == 531 || node.report.dataCentre != "south-a"
-            || Forward::choosePeerToFetchFrom(node.table, Forward::PeerDataKind::Servers, 530, node.report.dataCentre, simulation.now());
+        return node.report.serversRevision.number == 531 || node.report.dataCentre != "south-a"
+            || Forward::choosePeerToFetchFrom(node.table, Forward::PeerDataKind::Servers, { 0, 530 }, node.report.dataCentre, simulation.now());
     };
     EXPECT_LE(simulation.runUntilAll(knows, 3s), 1s);
 }
--- a/Tests/LibForward/PeerTableTest.cpp
+++ b/Tests/LibForward/PeerTableTest.cpp
@@ -14,7 +14,7 @@
     result.endpoint = "10.0.0.1:7600";
     result.sentAtUnixMilliseconds = 1'000'000;
     result.configurationVersion = 7;
-    result.serversRevision = 530;
+    result.serversRevision = { 2, 530 };
     result.loads = { { 17, 3 }, { 18, 1 } };
     result.demands = { { "team", { 12.5F, 100 } } };
     result.usage = { { 353, { { "team", 4 } } } };
@@ -101,12 +101,12 @@
     auto const add = [&](std::string const& node, std::string const& dataCentre, std::uint64_t revision, bool watchesStore) {
         auto peer = report(node);
         peer.dataCentre = dataCentre;
-        peer.serversRevision = revision;
+        peer.serversRevision.number = revision;
         peer.watchesStore = watchesStore;
         (void)Forward::mergeReport(table, peer, 1'000'000, now);
     };
     auto const source = [&](std::uint64_t known, Core::MonotonicTime at) {
-        auto const* row = Forward::choosePeerToFetchFrom(table, Forward::PeerDataKind::Servers, known, "a", at);
+        auto const* row = Forward::choosePeerToFetchFrom(table, Forward::PeerDataKind::Servers, { 2, known }, "a", at);
         return row ? row->report.node : std::string();
     };
     add("n1", "a", 540, false);
@@ -120,6 +120,18 @@
     EXPECT_EQ(source(530, now + 5s), "");
 }
 
+// Guards against a node that keeps the servers of before the store was restored, since their revision has the higher number.
+TEST(PeerTableTest, DataOfALaterEraOfTheStoreIsNewer)
+{
+    Core::MonotonicTime const now { 100s };
+    Forward::PeerTable table;
+    auto peer = report("n1");
+    peer.serversRevision = { 3, 100 };
+    (void)Forward::mergeReport(table, peer, 1'000'000, now);
+    EXPECT_TRUE(Forward::choosePeerToFetchFrom(table, Forward::PeerDataKind::Servers, { 2, 540 }, "a", now));
+    EXPECT_FALSE(Forward::choosePeerToFetchFrom(table, Forward::PeerDataKind::Servers, { 3, 100 }, "a", now));
+}
+
 // Load pattern: servers flap, and all nodes of a data centre fetch each change at once. A small node that read it first was saturated by
 // that, and used a leaving server for over three seconds (DRAIN on a mixed day of tcdrb-hyssop-grown).
 TEST(PeerTableTest, DataIsFetchedFromTheNodeWithTheMostProcessor)
@@ -129,12 +141,12 @@
     for (auto const& [node, share, revision] : { std::tuple { "n1", 0.12F, 541 }, std::tuple { "n2", 0.5F, 540 }, std::tuple { "n3", 0.12F, 540 } }) {
         auto peer = report(node);
         peer.processorShare = share;
-        peer.serversRevision = static_cast<std::uint64_t>(revision);
+        peer.serversRevision.number = static_cast<std::uint64_t>(revision);
         peer.watchesStore = true;
         (void)Forward::mergeReport(table, peer, 1'000'000, now);
     }
-    EXPECT_EQ(Forward::choosePeerToFetchFrom(table, Forward::PeerDataKind::Servers, 530, "a", now)->report.node, "n2");
-    EXPECT_EQ(Forward::choosePeerToFetchFrom(table, Forward::PeerDataKind::Servers, 540, "a", now)->report.node, "n1");
+    EXPECT_EQ(Forward::choosePeerToFetchFrom(table, Forward::PeerDataKind::Servers, { 2, 530 }, "a", now)->report.node, "n2");
+    EXPECT_EQ(Forward::choosePeerToFetchFrom(table, Forward::PeerDataKind::Servers, { 2, 540 }, "a", now)->report.node, "n1");
 }
 
 // Load pattern: a node of 0.12 core on a 10 Mbit/s link reads a change first, and all nodes of the deployment fetch from it at once: the
@@ -147,15 +159,15 @@
     for (auto const& [node, share, revision] : { std::tuple { "n1", 0.12F, 541 }, std::tuple { "n2", 0.5F, 540 } }) {
         auto peer = report(node);
         peer.processorShare = share;
-        peer.serversRevision = static_cast<std::uint64_t>(revision);
+        peer.serversRevision.number = static_cast<std::uint64_t>(revision);
         peer.watchesStore = true;
         (void)Forward::mergeReport(table, peer, 1'000'000, now);
     }
-    auto const& small = *Forward::choosePeerToFetchFrom(table, Forward::PeerDataKind::Servers, 540, "a", now);
+    auto const& small = *Forward::choosePeerToFetchFrom(table, Forward::PeerDataKind::Servers, { 2, 540 }, "a", now);
     ASSERT_EQ(small.report.node, "n1");
     EXPECT_FALSE(Forward::shouldFetchNow(table, small.report, false, 0ms, now));
     EXPECT_TRUE(Forward::shouldFetchNow(table, small.report, false, 300ms, now));
-    auto const& large = *Forward::choosePeerToFetchFrom(table, Forward::PeerDataKind::Servers, 539, "a", now);
+    auto const& large = *Forward::choosePeerToFetchFrom(table, Forward::PeerDataKind::Servers, { 2, 539 }, "a", now);
     ASSERT_EQ(large.report.node, "n2");
     EXPECT_TRUE(Forward::shouldFetchNow(table, large.report, false, 0ms, now));
     EXPECT_FALSE(Forward::shouldFetchNow(table, large.report, true, 0ms, now));
@@ -179,7 +191,7 @@
             (void)Forward::mergeReport(table, peer, 1'000'000, now);
         }
     };
-    auto const source = [&] { return Forward::choosePeerToFetchFrom(table, Forward::PeerDataKind::Configuration, 6, "a", now)->report.node; };
+    auto const source = [&] { return Forward::choosePeerToFetchFrom(table, Forward::PeerDataKind::Configuration, { 0, 6 }, "a", now)->report.node; };
     addReports();
     EXPECT_EQ(source(), "n2");
     Forward::recordFailedFetch(table, "n2", now);
--- a/Tests/LibForward/ServerDirectoryTest.cpp
+++ b/Tests/LibForward/ServerDirectoryTest.cpp
@@ -1,5 +1,6 @@
 #include <LibForward/ServerDirectory.h>
 #include <gtest/gtest.h>
+#include <set>
 
 using namespace std::chrono_literals;
 
@@ -32,7 +33,7 @@
 TEST_F(ServerDirectoryTest, EntriesThatExpiredInAStoreOutageAreKeptUntilServersCanRegisterAgain)
 {
     Forward::recordStoreOutage(m_directory, m_now);
-    Forward::replaceServers(m_directory, {}, m_now);
+    Forward::mergeServers(m_directory, {}, {}, m_now);
     EXPECT_EQ(inUse(), 6u);
     m_now += 1s;
     Forward::registerServer(m_directory, { .id = "s1", .service = "model" });
@@ -87,7 +88,7 @@
 // later revision, but must not bring the server back (DRAIN on scale-2 of tcdrb-hyssop-grown).
 TEST_F(ServerDirectoryTest, ListOfAPeerDoesNotRestoreARemovedServer)
 {
-    Routing::ListedServer server { .id = "s9", .service = "model", .revision = 10 };
+    Routing::ListedServer server { .id = "s9", .service = "model", .revision = { 0, 10 } };
     Forward::registerServer(m_directory, server);
     Forward::unregisterServer(m_directory, "s9", m_now);
     auto const isInUse = [&](Core::Duration later) {
@@ -95,22 +96,85 @@
         return std::any_of(servers.begin(), servers.end(), [](auto const& item) { return item.id == "s9"; });
     };
     EXPECT_FALSE(isInUse(0s));
-    Forward::mergePeerServers(m_directory, { server }, 205, m_now + 3s);
+    Forward::mergeServers(m_directory, { server }, { 0, 205 }, m_now + 3s);
     EXPECT_FALSE(isInUse(3s));
     // It has registered again.
-    server.revision = 206;
-    Forward::mergePeerServers(m_directory, { server }, 206, m_now + 4s);
+    server.revision.number = 206;
+    Forward::mergeServers(m_directory, { server }, { 0, 206 }, m_now + 4s);
     EXPECT_TRUE(isInUse(4s));
     // The list of a peer is older than the leaving that this node has read.
     auto leaving = server;
     leaving.lifecycle = Routing::Lifecycle::Leaving;
-    leaving.revision = 210;
+    leaving.revision.number = 210;
     Forward::registerServer(m_directory, leaving);
-    Forward::mergePeerServers(m_directory, { server }, 211, m_now + 5s);
+    Forward::mergeServers(m_directory, { server }, { 0, 211 }, m_now + 5s);
     EXPECT_EQ(m_directory.entries.at("s9").server.lifecycle, Routing::Lifecycle::Leaving);
     // An entry newer than a peer's list stays although the list lacks it.
-    Forward::mergePeerServers(m_directory, {}, 209, m_now + 6s);
+    Forward::mergeServers(m_directory, {}, { 0, 209 }, m_now + 6s);
     EXPECT_FALSE(m_directory.entries.at("s9").removedAt);
-    Forward::mergePeerServers(m_directory, {}, 212, m_now + 7s);
+    Forward::mergeServers(m_directory, {}, { 0, 212 }, m_now + 7s);
     EXPECT_TRUE(m_directory.entries.at("s9").removedAt);
 }
+
+// Guards against new requests for servers that have left: the restored store has their entries from before, with reassigned numbers.
+TEST_F(ServerDirectoryTest, RestoredStoreDoesNotBringBackServersThatLeft)
+{
+    auto const entry = [](std::string id, Core::StoreRevision revision, Routing::Lifecycle lifecycle = Routing::Lifecycle::Live) {
+        return Routing::ListedServer { .id = std::move(id), .service = "model", .incarnation = 7, .lifecycle = lifecycle, .revision = revision };
+    };
+    Forward::mergeServers(m_directory, { entry("s1", { 1, 10 }), entry("s2", { 1, 11 }), entry("s3", { 1, 12 }), entry("s4", { 1, 13 }) }, { 1, 20 }, m_now);
+    m_now += 10s;
+    ASSERT_EQ(inUse(), 4u);
+    Forward::registerServer(m_directory, entry("s1", { 1, 21 }, Routing::Lifecycle::Leaving));
+    Forward::unregisterServer(m_directory, "s2", m_now);
+    Forward::registerServer(m_directory, entry("s3", { 1, 23 }, Routing::Lifecycle::Leaving));
+    Forward::unregisterServer(m_directory, "s3", m_now);
+    m_now += 2s;
+    // The copy is of revision 20. Other changes have been given the numbers up to 25 since.
+    Forward::mergeServers(m_directory, { entry("s1", { 2, 10 }), entry("s2", { 2, 11 }), entry("s3", { 2, 12 }), entry("s4", { 2, 13 }), entry("s5", { 2, 21 }) }, { 2, 25 }, m_now);
+    EXPECT_EQ(m_directory.entries.at("s1").server.lifecycle, Routing::Lifecycle::Leaving);
+    std::set<std::string> live;
+    for (auto const& server : Forward::serversInUse(m_directory, m_now)) {
+        if (server.lifecycle == Routing::Lifecycle::Live)
+            live.insert(server.id);
+    }
+    EXPECT_EQ(live, (std::set<std::string> { "s4", "s5" }));
+    // It has started again, or registered again since.
+    auto restarted = entry("s3", { 2, 26 });
+    restarted.incarnation = 8;
+    Forward::registerServer(m_directory, restarted);
+    Forward::registerServer(m_directory, entry("s2", { 2, 27 }));
+    EXPECT_EQ(m_directory.entries.at("s3").server.lifecycle, Routing::Lifecycle::Live);
+    EXPECT_FALSE(m_directory.entries.at("s2").removedAt);
+}
+
+// Guards against dropping running servers whose entries the restored store lacks until they are written again, at a node that did not
+// notice the outage itself.
+TEST_F(ServerDirectoryTest, EntriesThatARestoredStoreLacksAreKeptUntilServersCanRegisterAgain)
+{
+    Routing::ListedServer const added { .id = "s9", .service = "model", .incarnation = 7, .revision = { 1, 300 } };
+    Forward::mergeServers(m_directory, { added }, { 1, 310 }, m_now);
+    m_now += 10s;
+    Forward::mergeServers(m_directory, {}, { 2, 250 }, m_now);
+    EXPECT_EQ(inUse(), 1u);
+    auto again = added;
+    again.revision = { 2, 260 };
+    m_now += 1s;
+    Forward::registerServer(m_directory, again);
+    m_now += 10s;
+    EXPECT_EQ(inUse(), 1u);
+}
+
+// Guards against keeping an old list: revisions of a later era are newer though their numbers are lower.
+TEST_F(ServerDirectoryTest, RevisionsAreOrderedByEraFirst)
+{
+    Routing::ListedServer const before { .id = "s9", .service = "model", .incarnation = 7, .revision = { 1, 300 } };
+    Forward::mergeServers(m_directory, { before }, { 1, 310 }, m_now);
+    auto after = before;
+    after.revision = { 2, 255 };
+    after.version = "v2";
+    Forward::registerServer(m_directory, after);
+    EXPECT_EQ(m_directory.entries.at("s9").server.version, "v2");
+    Forward::registerServer(m_directory, before);
+    EXPECT_EQ(m_directory.entries.at("s9").server.version, "v2");
+}
--- a/Tests/LibMembership/Cluster.h
+++ b/Tests/LibMembership/Cluster.h
@@ -17,9 +17,9 @@
     }
 
     Core::Awaitable<std::optional<Platform::StoredObject>> read(Platform::ObjectKey, Core::MonotonicTime, Core::Error& error) override { co_return fail(error); }
-    Core::Awaitable<std::optional<std::uint64_t>> create(Platform::ObjectKey, std::string, Core::MonotonicTime, Core::Error& error) override { co_return fail(error); }
-    Core::Awaitable<std::optional<std::uint64_t>> update(Platform::ObjectKey, std::string, std::uint64_t, Core::MonotonicTime, Core::Error& error) override { co_return fail(error); }
-    Core::Awaitable<bool> remove(Platform::ObjectKey, std::uint64_t, Core::MonotonicTime, Core::Error&) override { co_return false; }
+    Core::Awaitable<std::optional<Core::StoreRevision>> create(Platform::ObjectKey, std::string, Core::MonotonicTime, Core::Error& error) override { co_return fail(error); }
+    Core::Awaitable<std::optional<Core::StoreRevision>> update(Platform::ObjectKey, std::string, Core::StoreRevision, Core::MonotonicTime, Core::Error& error) override { co_return fail(error); }
+    Core::Awaitable<bool> remove(Platform::ObjectKey, Core::StoreRevision, Core::MonotonicTime, Core::Error&) override { co_return false; }
 
     Core::Awaitable<std::optional<Platform::ObjectList>> list(std::string, Core::MonotonicTime, Core::Error& error) override
     {
@@ -31,16 +31,16 @@
         co_return list;
     }
 
-    Core::Awaitable<std::optional<Platform::ObjectChanges>> waitForChanges(std::string, std::uint64_t after, Core::MonotonicTime deadline, Core::Error& error) override
+    Core::Awaitable<std::optional<Platform::ObjectChanges>> waitForChanges(std::string, Core::StoreRevision after, Core::MonotonicTime deadline, Core::Error& error) override
     {
-        while (generation <= after && m_runtime.now() < deadline && m_reachable)
+        while (generation <= after.number && m_runtime.now() < deadline && m_reachable)
             co_await m_runtime.sleepFor(std::chrono::milliseconds(100));
         if (!m_reachable)
             co_return fail(error);
         Platform::ObjectChanges changes { {}, after };
-        if (generation > after) {
+        if (generation > after.number) {
             changes.events.push_back({ Platform::ObjectEventKind::Put, object() });
-            changes.resourceVersion = generation;
+            changes.resourceVersion.number = generation;
         }
         co_return changes;
     }
@@ -49,7 +49,7 @@
 
 private:
     static std::nullopt_t fail(Core::Error& error) { return Core::fail(error, Core::ErrorKind::StoreUnavailable, "simulated outage"); }
-    static Platform::StoredObject object() { return { { "desiredstates", "current" }, generation, "{\"generation\":" + std::to_string(generation) + "}" }; }
+    static Platform::StoredObject object() { return { { "desiredstates", "current" }, { 0, generation }, "{\"generation\":" + std::to_string(generation) + "}" }; }
 
     Core::Runtime& m_runtime;
     bool const& m_reachable;
--- a/Tests/LibPlatform/ObjectClientTest.cpp
+++ b/Tests/LibPlatform/ObjectClientTest.cpp
@@ -13,14 +13,14 @@
 
 class ObjectClientTest : public PlatformServer {
 protected:
-    std::optional<std::uint64_t> update(std::chrono::milliseconds time = 10s)
+    std::optional<Core::StoreRevision> update(std::chrono::milliseconds time = 10s)
     {
-        return m_loop.run(m_store.update(key, R"({"a":1})", 3, deadlineAfter(time), m_error));
+        return m_loop.run(m_store.update(key, R"({"a":1})", { 0, 3 }, deadlineAfter(time), m_error));
     }
 
     std::optional<Platform::ObjectChanges> waitForChanges(std::chrono::milliseconds time = 10s)
     {
-        return m_loop.run(m_store.waitForChanges("intents", 4, deadlineAfter(time), m_error));
+        return m_loop.run(m_store.waitForChanges("intents", { 0, 4 }, deadlineAfter(time), m_error));
     }
 
     Platform::ObjectClient m_store { m_loop.runtime(), m_client, m_endpoint };
@@ -32,14 +32,14 @@
 {
     respondWith(200, R"({"kind":"intents","name":"b.1","resourceVersion":7,"value":{"a":[1,"x"]}})");
     auto const object = m_loop.run(m_store.read(key, deadlineAfter(10s), m_error));
-    EXPECT_EQ(object, (Platform::StoredObject { key, 7, R"({"a":[1,"x"]})" }));
+    EXPECT_EQ(object, (Platform::StoredObject { key, { 0, 7 }, R"({"a":[1,"x"]})" }));
     respondWith(200, R"({"resourceVersion":9,"items":[{"kind":"intents","name":"b.1","resourceVersion":7,"value":null}]})");
     auto const list = m_loop.run(m_store.list("intents", deadlineAfter(10s), m_error));
-    EXPECT_EQ(list, (Platform::ObjectList { { { key, 7, "null" } }, 9 }));
+    EXPECT_EQ(list, (Platform::ObjectList { { { key, { 0, 7 }, "null" } }, { 0, 9 } }));
     respondWith(201, R"({"resourceVersion":10})");
-    EXPECT_EQ(m_loop.run(m_store.create(key, "[1]", deadlineAfter(10s), m_error)), 10u);
-    EXPECT_EQ(update(), 10u);
-    EXPECT_TRUE(m_loop.run(m_store.remove(key, 10, deadlineAfter(10s), m_error)));
+    EXPECT_EQ(m_loop.run(m_store.create(key, "[1]", deadlineAfter(10s), m_error)), (Core::StoreRevision { 0, 10 }));
+    EXPECT_EQ(update(), (Core::StoreRevision { 0, 10 }));
+    EXPECT_TRUE(m_loop.run(m_store.remove(key, { 0, 10 }, deadlineAfter(10s), m_error)));
     std::vector<std::string> calls;
     for (auto const& request : m_requests)
         calls.push_back(request.method + " " + request.target + " " + request.body);
@@ -131,12 +131,12 @@
     std::string const put = R"({"type":"PUT","object":{"kind":"intents","name":"b.1","resourceVersion":5,"value":1}})";
     std::string const removed = R"({"type":"REMOVED","object":{"kind":"intents","name":"b.1","resourceVersion":6,"value":1}})";
     respondWith(200, put + "\n" + removed + "\n");
-    std::vector<Platform::ObjectEvent> const expected { { Platform::ObjectEventKind::Put, { key, 5, "1" } }, { Platform::ObjectEventKind::Removed, { key, 6, "1" } } };
-    EXPECT_EQ(waitForChanges(), (Platform::ObjectChanges { expected, 6 }));
+    std::vector<Platform::ObjectEvent> const expected { { Platform::ObjectEventKind::Put, { key, { 0, 5 }, "1" } }, { Platform::ObjectEventKind::Removed, { key, { 0, 6 }, "1" } } };
+    EXPECT_EQ(waitForChanges(), (Platform::ObjectChanges { expected, { 0, 6 } }));
     EXPECT_EQ(m_requests.back().path(), "/watch/intents");
     EXPECT_EQ(m_requests.back().queryParameter("resourceVersion"), "4");
     respondWith(200, "");
-    EXPECT_EQ(waitForChanges(), (Platform::ObjectChanges { {}, 4 }));
+    EXPECT_EQ(waitForChanges(), (Platform::ObjectChanges { {}, { 0, 4 } }));
     // A truncated event is an error.
     respondWith(200, put.substr(0, 40), Delivery::Truncated);
     EXPECT_FALSE(waitForChanges());
--- a/Tests/PlatformAdapter/StoreClientTest.cpp
+++ b/Tests/PlatformAdapter/StoreClientTest.cpp
@@ -45,23 +45,23 @@
     auto const list = m_loop.run(m_store.list("servers", m_loop.deadline(), m_error));
     ASSERT_TRUE(list) << m_error.message;
     EXPECT_EQ(list->objects.size(), 5u);
-    EXPECT_EQ(list->resourceVersion, 5u);
+    EXPECT_EQ(list->resourceVersion.number, 5u);
 }
 
 TEST_F(StoreClientTest, WatchesContinueFromTheStoresRevision)
 {
     m_standIn.put("servers", "s", "{}");
     m_standIn.put("config", "main", "{}");
-    auto changes = m_loop.run(m_store.waitForChanges("servers", 0, m_loop.deadline(), m_error));
+    auto changes = m_loop.run(m_store.waitForChanges("servers", { m_store.era(), 0 }, m_loop.deadline(), m_error));
     ASSERT_TRUE(changes) << m_error.message;
     EXPECT_EQ(changes->events.size(), 1u);
     // Changes of other kinds advance the revision, so that the next watch does not start at a revision that has expired.
-    EXPECT_EQ(changes->resourceVersion, 2u);
-    changes = m_loop.run(m_store.waitForChanges("servers", 2, m_loop.runtime().now() + 100ms, m_error));
+    EXPECT_EQ(changes->resourceVersion.number, 2u);
+    changes = m_loop.run(m_store.waitForChanges("servers", { m_store.era(), 2 }, m_loop.runtime().now() + 100ms, m_error));
     ASSERT_TRUE(changes) << m_error.message;
     EXPECT_TRUE(changes->events.empty());
     m_standIn.oldestRevision = 2;
-    EXPECT_FALSE(m_loop.run(m_store.waitForChanges("servers", 1, m_loop.deadline(), m_error)));
+    EXPECT_FALSE(m_loop.run(m_store.waitForChanges("servers", { m_store.era(), 1 }, m_loop.deadline(), m_error)));
     EXPECT_EQ(m_error.kind, ErrorKind::StoreVersionExpired);
 }
 
--- a/Tests/PlatformAdapter/StoreCodecTest.cpp
+++ b/Tests/PlatformAdapter/StoreCodecTest.cpp
@@ -14,7 +14,7 @@
 
 Platform::StoredObject entry(std::string value)
 {
-    return { { "servers", "i-7f3a91c2" }, 5, std::move(value) };
+    return { { "servers", "i-7f3a91c2" }, { 1, 5 }, std::move(value) };
 }
 
 }
@@ -54,7 +54,7 @@
     Core::Error error;
     auto const server = codec.decodeServer(entry(R"({"service":"huvo11a","address":"10.128.0.9:8080","zone":"fl-a","version":"v1","slots":128,"state":"draining","cold-left-ms":0,"seq":4,"born":1780000000000,"spot":true})"), error);
     ASSERT_TRUE(server) << error.message;
-    Routing::ListedServer const expected { "i-7f3a91c2", { "10.128.0.9", 8080 }, "huvo11a", "v1", "fl-a", "fl-a", 1780000000000, Routing::Lifecycle::Leaving, 128, true, 5 };
+    Routing::ListedServer const expected { "i-7f3a91c2", { "10.128.0.9", 8080 }, "huvo11a", "v1", "fl-a", "fl-a", 1780000000000, Routing::Lifecycle::Leaving, 128, true, { 1, 5 } };
     EXPECT_EQ(*server, expected);
 }
 
--- a/Tests/StandIns/ObjectTable.cpp
+++ b/Tests/StandIns/ObjectTable.cpp
@@ -23,7 +23,7 @@
 
 std::uint64_t ObjectTable::put(ObjectKey const& key, std::string value)
 {
-    StoredObject object { key, ++m_version, std::move(value) };
+    StoredObject object { key, { 0, ++m_version }, std::move(value) };
     m_objects[key] = object;
     addEvent(ObjectEventKind::Put, std::move(object));
     return m_version;
@@ -32,7 +32,7 @@
 std::uint64_t ObjectTable::remove(ObjectKey const& key)
 {
     auto node = m_objects.extract(key);
-    node.mapped().resourceVersion = ++m_version;
+    node.mapped().resourceVersion = { 0, ++m_version };
     addEvent(ObjectEventKind::Removed, std::move(node.mapped()));
     return m_version;
 }
@@ -49,7 +49,7 @@
     if (version < history->second.lastDroppedVersion)
         return std::nullopt;
     for (auto const& event : history->second.events) {
-        if (event.object.resourceVersion > version)
+        if (event.object.resourceVersion.number > version)
             changes.push_back(event);
     }
     return changes;
@@ -64,7 +64,7 @@
     history.events.push_back({ kind, std::move(object) });
     while (history.events.size() > m_maximumEventsPerKind || history.valueBytes > maximumValueBytes) {
         auto const& oldest = history.events.front().object;
-        history.lastDroppedVersion = oldest.resourceVersion;
+        history.lastDroppedVersion = oldest.resourceVersion.number;
         history.valueBytes -= oldest.value.size();
         history.events.pop_front();
     }
--- a/Tests/StandIns/PlatformObjects.cpp
+++ b/Tests/StandIns/PlatformObjects.cpp
@@ -14,7 +14,7 @@
 {
     // The value is already serialized JSON.
     return R"({"kind":")" + object.key.kind + R"(","name":")" + object.key.name + R"(","resourceVersion":)"
-        + std::to_string(object.resourceVersion) + R"(,"value":)" + object.value + "}";
+        + std::to_string(object.resourceVersion.number) + R"(,"value":)" + object.value + "}";
 }
 
 static HTTP::Response versionResponse(unsigned status, std::uint64_t version)
@@ -87,8 +87,8 @@
     }
     if (!object)
         return errorResponse(404, "no such object");
-    if (object->resourceVersion != *expectedVersion)
-        return errorResponse(409, "the object has version " + std::to_string(object->resourceVersion));
+    if (object->resourceVersion.number != *expectedVersion)
+        return errorResponse(409, "the object has version " + std::to_string(object->resourceVersion.number));
     return std::nullopt;
 }
 
--- a/Tests/Support/MemoryObjectStore.cpp
+++ b/Tests/Support/MemoryObjectStore.cpp
@@ -6,25 +6,39 @@
 using Core::RunState;
 using Platform::ObjectKey;
 
-std::uint64_t MemoryObjects::put(ObjectKey const& key, std::string value)
+Core::StoreRevision MemoryObjects::put(ObjectKey const& key, std::string value)
 {
-    objects[key] = { key, ++version, std::move(value) };
+    objects[key] = { key, { era, ++version }, std::move(value) };
     history.push_back({ Platform::ObjectEventKind::Put, objects[key] });
     for (auto* watcher : watchers)
         watcher->notifyAll();
-    return version;
+    return { era, version };
 }
 
 void MemoryObjects::erase(ObjectKey const& key)
 {
     auto object = objects[key];
-    object.resourceVersion = ++version;
+    object.resourceVersion = { era, ++version };
     objects.erase(key);
     history.push_back({ Platform::ObjectEventKind::Removed, std::move(object) });
     for (auto* watcher : watchers)
         watcher->notifyAll();
 }
 
+void MemoryObjects::restore(MemoryObjects const& copy)
+{
+    ++era;
+    objects = copy.objects;
+    version = copy.version;
+    history = copy.history;
+    for (auto& [key, object] : objects)
+        object.resourceVersion.era = era;
+    for (auto& event : history)
+        event.object.resourceVersion.era = era;
+    for (auto* watcher : watchers)
+        watcher->notifyAll();
+}
+
 MemoryObjectStore::MemoryObjectStore(Core::Runtime& runtime, Core::Random& random, std::shared_ptr<MemoryObjects> objects, Core::Runtime* network)
     : m_runtime(runtime)
     , m_random(random)
@@ -56,6 +70,8 @@
     Core::AsyncEvent done;
     bool isDone { false };
     bool succeeded { false };
+    /// The store's era when the call took effect; empty if the request or the response was lost.
+    std::optional<std::uint64_t> era;
     Core::Error error;
 };
 
@@ -84,12 +100,15 @@
             co_await store.m_network.sleepFor(delayBefore);
         if (losesRequest || store.faults.isDown)
             Core::fail(current->error, ErrorKind::StoreUnavailable, "the request was lost", runState);
-        else
+        else {
+            current->era = store.m_objects->era;
             current->succeeded = run(current->error);
+        }
         if (delayAfter.count() > 0)
             co_await store.m_network.sleepFor(delayAfter);
         if (losesResponse) {
             current->succeeded = false;
+            current->era.reset();
             Core::fail(current->error, ErrorKind::StoreUnavailable, "the response was lost", runState);
         }
         current->isDone = true;
@@ -112,6 +131,11 @@
         Core::fail(error, ErrorKind::StoreUnavailable, "the deadline passed before the response arrived", runStateIfLost);
         co_return false;
     }
+    if (call->era && *call->era < m_era) {
+        Core::fail(error, ErrorKind::StoreUnavailable, "the response is of an earlier era", runStateIfLost);
+        co_return false;
+    }
+    m_era = call->era.value_or(m_era);
     if (!call->succeeded)
         error = call->error;
     if (!call->succeeded && error.kind == ErrorKind::StoreConflict)
@@ -139,7 +163,7 @@
 {
     auto result = std::make_shared<Platform::ObjectList>();
     Effect effect = [objects = m_objects, kind, result](Core::Error&) {
-        result->resourceVersion = objects->version;
+        result->resourceVersion = { objects->era, objects->version };
         for (auto const& [key, object] : objects->objects) {
             if (key.kind == kind)
                 result->objects.push_back(object);
@@ -152,9 +176,9 @@
     co_return *result;
 }
 
-Core::Awaitable<std::optional<std::uint64_t>> MemoryObjectStore::create(ObjectKey key, std::string value, Core::MonotonicTime deadline, Core::Error& error)
+Core::Awaitable<std::optional<Core::StoreRevision>> MemoryObjectStore::create(ObjectKey key, std::string value, Core::MonotonicTime deadline, Core::Error& error)
 {
-    auto result = std::make_shared<std::uint64_t>(0);
+    auto result = std::make_shared<Core::StoreRevision>();
     Effect effect = [objects = m_objects, key, value, result](Core::Error& failure) {
         if (value.size() > Platform::maximumValueBytes)
             return Core::fail(failure, ErrorKind::StoreValueTooLarge, key.name), false;
@@ -169,16 +193,19 @@
     co_return *result;
 }
 
-Core::Awaitable<std::optional<std::uint64_t>> MemoryObjectStore::update(ObjectKey key, std::string value, std::uint64_t expectedVersion, Core::MonotonicTime deadline, Core::Error& error)
+Core::Awaitable<std::optional<Core::StoreRevision>> MemoryObjectStore::update(ObjectKey key, std::string value, Core::StoreRevision expectedVersion, Core::MonotonicTime deadline, Core::Error& error)
 {
-    auto result = std::make_shared<std::uint64_t>(0);
+    auto result = std::make_shared<Core::StoreRevision>();
     Effect effect = [objects = m_objects, key, value, expectedVersion, result](Core::Error& failure) {
         if (value.size() > Platform::maximumValueBytes)
             return Core::fail(failure, ErrorKind::StoreValueTooLarge, key.name), false;
         auto const position = objects->objects.find(key);
-        if (position == objects->objects.end() || position->second.resourceVersion != expectedVersion)
+        if (position == objects->objects.end() || position->second.resourceVersion.number != expectedVersion.number)
             return Core::fail(failure, ErrorKind::StoreConflict, key.name), false;
         *result = objects->put(key, value);
+        // As the platform's store, which knows only numbers, this one has written.
+        if (objects->era != expectedVersion.era)
+            return Core::fail(failure, ErrorKind::StoreConflict, key.name, RunState::Ran), false;
         return true;
     };
     bool const succeeded = co_await callWithFaults(CallKind::Write, std::move(effect), deadline, error);
@@ -187,13 +214,13 @@
     co_return *result;
 }
 
-Core::Awaitable<bool> MemoryObjectStore::remove(ObjectKey key, std::uint64_t expectedVersion, Core::MonotonicTime deadline, Core::Error& error)
+Core::Awaitable<bool> MemoryObjectStore::remove(ObjectKey key, Core::StoreRevision expectedVersion, Core::MonotonicTime deadline, Core::Error& error)
 {
     Effect effect = [objects = m_objects, key, expectedVersion](Core::Error& failure) {
         auto const position = objects->objects.find(key);
         if (position == objects->objects.end())
             return Core::fail(failure, ErrorKind::NotFound, key.name), false;
-        if (position->second.resourceVersion != expectedVersion)
+        if (position->second.resourceVersion.number != expectedVersion.number)
             return Core::fail(failure, ErrorKind::StoreConflict, key.name), false;
         objects->erase(key);
         return true;
@@ -201,13 +228,14 @@
     co_return co_await callWithFaults(CallKind::Write, std::move(effect), deadline, error);
 }
 
-Core::Awaitable<std::optional<Platform::ObjectChanges>> MemoryObjectStore::waitForChanges(std::string kind, std::uint64_t afterVersion, Core::MonotonicTime deadline, Core::Error& error)
+Core::Awaitable<std::optional<Platform::ObjectChanges>> MemoryObjectStore::waitForChanges(std::string kind, Core::StoreRevision afterVersion, Core::MonotonicTime deadline, Core::Error& error)
 {
     ++calls.reads;
     while (true) {
         if (faults.isDown)
             co_return Core::fail(error, ErrorKind::StoreUnavailable, "the object store is down");
-        if (afterVersion < m_objects->oldestWatchVersion)
+        m_era = m_objects->era;
+        if (afterVersion.era != m_objects->era || afterVersion.number < m_objects->oldestWatchVersion)
             co_return Core::fail(error, ErrorKind::StoreVersionExpired, kind);
         Platform::ObjectChanges changes { {}, afterVersion };
         for (auto const& event : m_objects->history) {
--- a/Tests/Support/MemoryObjectStore.h
+++ b/Tests/Support/MemoryObjectStore.h
@@ -13,13 +13,16 @@
 struct MemoryObjects {
     std::map<Platform::ObjectKey, Platform::StoredObject> objects;
     std::uint64_t version { 0 };
+    std::uint64_t era { 0 };
     std::vector<Platform::ObjectEvent> history;
     /// A watch from an earlier version fails with StoreVersionExpired.
     std::uint64_t oldestWatchVersion { 0 };
     std::set<Core::AsyncEvent*> watchers;
 
-    std::uint64_t put(Platform::ObjectKey const&, std::string value);
+    Core::StoreRevision put(Platform::ObjectKey const&, std::string value);
     void erase(Platform::ObjectKey const&);
+    /// Returns to the state of a copy of this object, in a new era.
+    void restore(MemoryObjects const& copy);
 };
 
 /// Injected faults of one store. Probabilities are per call.
@@ -52,12 +55,13 @@
     MemoryObjectCalls calls;
     [[nodiscard]] MemoryObjects& objects() { return *m_objects; }
 
+    [[nodiscard]] std::uint64_t era() const override { return m_era; }
     Core::Awaitable<std::optional<Platform::StoredObject>> read(Platform::ObjectKey, Core::MonotonicTime, Core::Error&) override;
     Core::Awaitable<std::optional<Platform::ObjectList>> list(std::string kind, Core::MonotonicTime, Core::Error&) override;
-    Core::Awaitable<std::optional<std::uint64_t>> create(Platform::ObjectKey, std::string value, Core::MonotonicTime, Core::Error&) override;
-    Core::Awaitable<std::optional<std::uint64_t>> update(Platform::ObjectKey, std::string value, std::uint64_t expectedVersion, Core::MonotonicTime, Core::Error&) override;
-    Core::Awaitable<bool> remove(Platform::ObjectKey, std::uint64_t expectedVersion, Core::MonotonicTime, Core::Error&) override;
-    Core::Awaitable<std::optional<Platform::ObjectChanges>> waitForChanges(std::string kind, std::uint64_t afterVersion, Core::MonotonicTime, Core::Error&) override;
+    Core::Awaitable<std::optional<Core::StoreRevision>> create(Platform::ObjectKey, std::string value, Core::MonotonicTime, Core::Error&) override;
+    Core::Awaitable<std::optional<Core::StoreRevision>> update(Platform::ObjectKey, std::string value, Core::StoreRevision expectedVersion, Core::MonotonicTime, Core::Error&) override;
+    Core::Awaitable<bool> remove(Platform::ObjectKey, Core::StoreRevision expectedVersion, Core::MonotonicTime, Core::Error&) override;
+    Core::Awaitable<std::optional<Platform::ObjectChanges>> waitForChanges(std::string kind, Core::StoreRevision afterVersion, Core::MonotonicTime, Core::Error&) override;
 
 private:
     enum class CallKind {
@@ -76,6 +80,8 @@
     std::shared_ptr<MemoryObjects> m_objects;
     Core::Runtime& m_network;
     Core::AsyncEvent m_changed;
+    /// The newest era of a response.
+    std::uint64_t m_era { 0 };
 };
 
 }
