LibForward, Edge: Report no window twice after the store was restored

Cause: the counts of a window are stored before they are reported, so that another holder of the duties reports the same ones. A store that returned from an older copy lacks the record. The holder, whose next write then conflicted, read the copy and decided anew on the windows that it had reported, and so did a new holder.

Change: the record says in which era of the store it was written. In a later era, the holder keeps its own decisions and writes them again; a new holder leaves out the windows that have ended before it took over, since it cannot know what was reported. The decisions moved from DutyRunner to Forward::loadUsageRecord() and decideUsageReport().

Ruled out: the windows reported so far in the reports between nodes; a restoration together with the loss of the holder is rare, and the price is one or two windows without a report.

Evidence: with the former logic in loadUsageRecord(), AHolderKeepsItsDecisionsWhenTheStoreIsRestored and ANewHolderInARestoredStoreLeavesOutWindowsThatMayHaveBeenReported fail; now they pass.

--- a/Services/Edge/DutyRunner.cpp
+++ b/Services/Edge/DutyRunner.cpp
@@ -2,14 +2,11 @@
 
 #include <LibCore/Log.h>
 #include <algorithm>
-#include <boost/json/parse.hpp>
-#include <boost/json/serialize.hpp>
 #include <ctime>
 
 namespace Edge {
 
 using namespace std::chrono_literals;
-namespace json = boost::json;
 
 static constexpr Core::Duration checkInterval = 500ms;
 static constexpr Core::Duration renewInterval = 1500ms;
@@ -115,7 +112,8 @@
     if (isHeld == m_wasHeld)
         co_return;
     m_wasHeld = isHeld;
-    m_usageRecordLoaded = false;
+    m_isUsageRecordLoaded = false;
+    m_usageLedger = {};
     m_orderTable = {};
     if (!isHeld)
         m_leaseLostAt = m_runtime.now();
@@ -129,71 +127,40 @@
     return (own + Forward::medianClockOffset(m_tables.peers, m_runtime.now())).count();
 }
 
-static std::string encodeWindows(Forward::CountsByWindow const& windows)
-{
-    json::object object;
-    for (auto const& [window, counts] : windows) {
-        json::object countsByTeam;
-        for (auto const& [team, count] : counts)
-            countsByTeam[team] = count;
-        object[std::to_string(window)] = std::move(countsByTeam);
-    }
-    return json::serialize(json::object { { "windows", std::move(object) } });
-}
-
-static std::optional<Forward::CountsByWindow> decodeWindows(std::string const& text)
-{
-    json::error_code errorCode;
-    auto const value = json::parse(text, errorCode);
-    auto const* object = errorCode ? nullptr : value.if_object();
-    auto const* windows = object ? object->if_contains("windows") : nullptr;
-    if (!windows || !windows->is_object())
-        return std::nullopt;
-    Forward::CountsByWindow counts;
-    for (auto const& [window, countsByTeam] : windows->get_object()) {
-        auto& teams = counts[std::strtoll(std::string(std::string_view(window)).c_str(), nullptr, 10)];
-        if (!countsByTeam.is_object())
-            return std::nullopt;
-        for (auto const& [team, count] : countsByTeam.get_object())
-            teams[std::string(std::string_view(team))] = count.to_number<std::uint64_t>();
-    }
-    return counts;
-}
-
-Core::Awaitable<bool> DutyRunner::loadUsageRecord(Core::Error& error)
+Core::Awaitable<bool> DutyRunner::loadUsageRecord(std::int64_t newestWindow, Core::Error& error)
 {
     auto const stored = co_await m_store.read(usageRecordKey, m_runtime.now() + callTimeout, error);
     if (!stored && error.kind != Core::ErrorKind::NotFound)
         co_return false;
-    m_usageRecordVersion = stored ? stored->resourceVersion : Core::StoreRevision {};
-    m_recordedCounts = stored ? decodeWindows(stored->value).value_or(Forward::CountsByWindow {}) : Forward::CountsByWindow {};
-    m_lastAcceptedWindow = 0;
-    m_usageRecordLoaded = true;
+    m_usageRecordVersion = stored ? stored->resourceVersion : Core::StoreRevision { m_store.era(), 0 };
+    std::optional<Forward::UsageRecord> record;
+    if (stored)
+        record = Forward::decodeUsageRecord(stored->value);
+    auto const settledBefore = m_usageLedger.settledUntil;
+    Forward::loadUsageRecord(m_usageLedger, record, m_usageRecordVersion.era, newestWindow);
+    if (m_usageLedger.settledUntil != settledBefore)
+        Core::logEvent(Core::LogLevel::Info, "usage_record_outdated", { { "record_era", record ? record->era : 0 }, { "revision", m_usageRecordVersion.toString() }, { "settled_until", m_usageLedger.settledUntil } });
+    m_isUsageRecordLoaded = true;
     co_return true;
 }
 
-// The counts of a window are stored before they are reported, so that a later holder reports the same counts or none.
 Core::Awaitable<bool> DutyRunner::storeWindowCounts(std::int64_t window, Forward::TeamCounts const& counts, Core::Error& error)
 {
-    static constexpr std::size_t retainedWindows = 4;
-    auto recorded = m_recordedCounts;
-    recorded[window] = counts;
-    while (recorded.size() > retainedWindows)
-        recorded.erase(recorded.begin());
-    auto text = encodeWindows(recorded);
+    Forward::UsageRecord record { Forward::withWindow(m_usageLedger, window, counts), m_usageRecordVersion.era };
+    auto text = Forward::encodeUsageRecord(record);
     auto const deadline = m_runtime.now() + callTimeout;
     std::optional<Core::StoreRevision> version;
     if (m_usageRecordVersion.number == 0)
         version = co_await m_store.create(usageRecordKey, std::move(text), deadline, error);
     else
         version = co_await m_store.update(usageRecordKey, std::move(text), m_usageRecordVersion, deadline, error);
-    if (!version) {
-        // Another holder wrote the record, or the response was lost; reading the record again tells which.
-        m_usageRecordLoaded = false;
+    if (!version || version->era != m_usageRecordVersion.era) {
+        // Another holder wrote the record, the response was lost, or the store was restored; reading the record again tells which.
+        m_isUsageRecordLoaded = false;
         co_return false;
     }
     m_usageRecordVersion = *version;
-    m_recordedCounts = std::move(recorded);
+    m_usageLedger.decided = std::move(record.counts);
     co_return true;
 }
 
@@ -204,23 +171,23 @@
     static constexpr std::int64_t maximumPendingWindows = 2;
     auto const length = m_settings.usageWindow.count();
     auto const newest = Forward::usageWindow(medianUnixMilliseconds() - settlingMilliseconds, length) - 1;
-    if (newest <= m_lastAcceptedWindow)
+    if (newest <= m_usageLedger.settledUntil)
         co_return;
     Core::Error error;
-    if (!m_usageRecordLoaded) {
-        bool const isLoaded = co_await loadUsageRecord(error);
+    if (!m_isUsageRecordLoaded) {
+        bool const isLoaded = co_await loadUsageRecord(newest, error);
         if (!isLoaded)
             co_return;
     }
-    auto const first = std::max(m_lastAcceptedWindow + 1, newest - maximumPendingWindows + 1);
+    auto const first = std::max(m_usageLedger.settledUntil + 1, newest - maximumPendingWindows + 1);
     for (auto window = first; window <= newest; ++window) {
-        if (!m_recordedCounts.contains(window)) {
-            auto const counts = Forward::totalCounts(m_tables.usage, window);
-            bool const isPast = !m_recordedCounts.empty() && m_recordedCounts.rbegin()->first > window;
-            if (counts.empty() || isPast) {
-                m_lastAcceptedWindow = window;
-                continue;
-            }
+        auto const counts = Forward::totalCounts(m_tables.usage, window);
+        auto const decision = Forward::decideUsageReport(m_usageLedger, counts, window);
+        if (decision == Forward::UsageDecision::Settled) {
+            m_usageLedger.settledUntil = window;
+            continue;
+        }
+        if (decision == Forward::UsageDecision::StoreFirst) {
             bool const isRecorded = co_await storeWindowCounts(window, counts, error);
             if (!isRecorded)
                 co_return;
@@ -228,11 +195,12 @@
         auto const credentials = currentCredentials();
         if (!credentials)
             co_return;
-        bool const isAccepted = co_await m_dutyApi.reportUsage(*credentials, window, m_recordedCounts.at(window), m_lease.callDeadline(callTimeout), error);
-        Core::logEvent(isAccepted ? Core::LogLevel::Info : Core::LogLevel::Warning, "usage_reported", { { "window", std::int64_t(window) }, { "teams", std::uint64_t(m_recordedCounts.at(window).size()) }, { "epoch", std::uint64_t(credentials->token) }, { "accepted", isAccepted ? "yes" : "no" }, { "reason", isAccepted ? std::string() : error.message } });
+        auto const decided = m_usageLedger.decided.at(window);
+        bool const isAccepted = co_await m_dutyApi.reportUsage(*credentials, window, decided, m_lease.callDeadline(callTimeout), error);
+        Core::logEvent(isAccepted ? Core::LogLevel::Info : Core::LogLevel::Warning, "usage_reported", { { "window", std::int64_t(window) }, { "teams", std::uint64_t(decided.size()) }, { "epoch", std::uint64_t(credentials->token) }, { "accepted", isAccepted ? "yes" : "no" }, { "reason", isAccepted ? std::string() : error.message } });
         if (!isAccepted)
             co_return;
-        m_lastAcceptedWindow = window;
+        m_usageLedger.settledUntil = window;
     }
 }
 
--- a/Services/Edge/DutyRunner.h
+++ b/Services/Edge/DutyRunner.h
@@ -7,6 +7,7 @@
 #include <LibFleet/Lease.h>
 #include <LibForward/PlatformCodec.h>
 #include <LibForward/ServerOrders.h>
+#include <LibForward/UsageRecord.h>
 
 namespace Edge {
 
@@ -29,7 +30,7 @@
     [[nodiscard]] Core::Awaitable<void> maintainLease();
     [[nodiscard]] Core::Awaitable<void> reportUsage();
     [[nodiscard]] Core::Awaitable<void> orderServers();
-    [[nodiscard]] Core::Awaitable<bool> loadUsageRecord(Core::Error&);
+    [[nodiscard]] Core::Awaitable<bool> loadUsageRecord(std::int64_t newestWindow, Core::Error&);
     [[nodiscard]] Core::Awaitable<bool> storeWindowCounts(std::int64_t window, Forward::TeamCounts const&, Core::Error&);
     void observeDemands();
     [[nodiscard]] std::optional<Forward::LeaseCredentials> currentCredentials();
@@ -51,12 +52,11 @@
     bool m_wasHeld { false };
     bool m_stopping { false };
 
-    /// Counts by window as written to the store before they were reported, and the version of that object; number 0 if there is none.
-    Forward::CountsByWindow m_recordedCounts;
+    Forward::UsageLedger m_usageLedger;
+    /// The version of the usage record in the store, as last read or written; number 0 if there is none.
     Core::StoreRevision m_usageRecordVersion;
-    bool m_usageRecordLoaded { false };
-    /// The newest window that the platform accepted, or that needed no report.
-    std::int64_t m_lastAcceptedWindow { 0 };
+    /// Whether the ledger holds what the store does, as far as this node knows.
+    bool m_isUsageRecordLoaded { false };
     Forward::OrderTable m_orderTable;
     Forward::ScalingPolicy m_scalingPolicy;
 
