--- a/Tests/PlatformAdapter/StoreCodecTest.cpp
+++ b/Tests/PlatformAdapter/StoreCodecTest.cpp
@@ -72,6 +72,16 @@
              R"({"service":"s","address":"nowhere","zone":"a","slots":1,"state":"ready","seq":1})",
              R"({"service":"s","address":"10.0.0.1:80","zone":"a","slots":1,"state":"resting","seq":1})",
              R"({"service":"s","address":"10.0.0.1:80","zone":"a","slots":1,"state":"ready","seq":1,"born":1.5})",
+             R"({"service":"s","address":"10.0.0.1:80","zone":"a","slots":1,"state":"ready","seq":1,"born":-1})",
+             R"({"service":"s","address":"10.0.0.1:80","zone":"a","slots":1,"state":"ready","seq":1,"born":1e400})",
+             R"({"service":"s","address":"10.0.0.1:80","zone":"a","slots":1099511627776,"state":"ready","seq":1})",
+             R"({"service":"s","address":"10.0.0.1:80","zone":"a","slots":-1,"state":"ready","seq":1})",
+             R"({"service":"s","address":"10.0.0.1:80","zone":"a","slots":1,"state":"ready","seq":1e99})",
+             R"({"service":"s","address":"10.0.0.1:0","zone":"a","slots":1,"state":"ready","seq":1})",
+             R"({"service":"s","address":"10.0.0.1:70000","zone":"a","slots":1,"state":"ready","seq":1})",
+             R"({"service":"s","address":"10.0.0.1:-1","zone":"a","slots":1,"state":"ready","seq":1})",
+             R"({"service":"s","address":"10.0.0.1:80x","zone":"a","slots":1,"state":"ready","seq":1})",
+             R"({"service":"s","address":"10.0.0.1:","zone":"a","slots":1,"state":"ready","seq":1})",
          })
         EXPECT_FALSE(codec.decodeServer(entry(text), error)) << text;
 }
