LibRouting: Take over a later entry of a server with a lower start time

What would be seen: requests to the address of an entry that was replaced since, and new requests for a server that is draining.

Cause: an entry of a known server replaced the row only if its start time was higher, to ignore lists of an earlier incarnation. After one entry of another writer with a start time in the far future, or of a server whose host's clock was set back, all later entries of that server were ignored, including the one that says that it is leaving.

Change: the row holds the store revision of its entry. An entry with a lower start time and a higher revision is a later one. Lists without revisions are handled as before.

Evidence: LaterEntryReplacesOneWithALaterStartTime failed before: the row kept the port of the odd entry, and the server was chosen although it was leaving.

--- a/Libraries/LibRouting/ServerTable.cpp
+++ b/Libraries/LibRouting/ServerTable.cpp
@@ -52,22 +52,31 @@
     row.lifecycle = listed.lifecycle;
     row.slots = listed.slots;
     row.reclaimable = listed.reclaimable;
+    row.revision = listed.revision;
     row.firstListedAt = now;
     return row;
 }
 
+// Start times are of other hosts' clocks, so that a later entry may have a lower one.
+static bool isLaterEntry(ListedServer const& listed, ServerRow const& row)
+{
+    return listed.incarnation > row.incarnation || (listed.incarnation < row.incarnation && listed.revision > row.revision);
+}
+
 void mergeHostList(ServerTable& table, std::vector<ListedServer> const& list, Core::MonotonicTime now)
 {
     for (auto const& listed : list) {
         auto* row = findServer(table, listed.id);
         if (!row) {
             row = &table.rows.emplace_back(rowFromListed(listed, now));
-        } else if (listed.incarnation > row->incarnation) {
+        } else if (isLaterEntry(listed, *row)) {
             auto const outstanding = row->outstanding;
             *row = rowFromListed(listed, now);
             row->outstanding = outstanding;
-        } else if (listed.incarnation == row->incarnation && listed.lifecycle == Lifecycle::Leaving) {
-            row->lifecycle = Lifecycle::Leaving;
+        } else if (listed.incarnation == row->incarnation) {
+            row->revision = std::max(row->revision, listed.revision);
+            if (listed.lifecycle == Lifecycle::Leaving)
+                row->lifecycle = Lifecycle::Leaving;
         }
         row->lastListedAt = now;
     }
--- a/Libraries/LibRouting/ServerTable.h
+++ b/Libraries/LibRouting/ServerTable.h
@@ -61,6 +61,8 @@
     std::uint32_t slots { 0 };
     /// Whether the platform may reclaim the server's host.
     bool reclaimable { false };
+    /// The store revision of the newest entry of this incarnation; 0 if it is unknown.
+    std::uint64_t revision { 0 };
     /// This node's requests in progress at the server.
     std::uint32_t outstanding { 0 };
     /// The other nodes' requests in progress at the server, as last reported.
--- a/Tests/LibRouting/RoutingTest.cpp
+++ b/Tests/LibRouting/RoutingTest.cpp
@@ -58,6 +58,26 @@
     EXPECT_EQ(choose(request()), "s0");
 }
 
+// Guards against requests for the address of an entry with a start time in the far future, which no later entry replaced.
+TEST_F(RoutingTest, LaterEntryReplacesOneWithALaterStartTime)
+{
+    Routing::ListedServer server { "s0", { "127.0.0.1", 1 }, "advisor", "v1", "dc1", "zone-a", 5, Routing::Lifecycle::Live, 1, false, 10 };
+    auto const merge = [&](std::uint64_t incarnation, std::uint16_t port, std::uint64_t revision) {
+        server.incarnation = incarnation;
+        server.endpoint.port = port;
+        server.revision = revision;
+        Routing::mergeHostList(m_table, { server }, m_now);
+        return m_table.rows.at(0).endpoint.port;
+    };
+    EXPECT_EQ(merge(5, 1, 10), 1);
+    EXPECT_EQ(merge(UINT64_MAX, 2, 11), 2);
+    EXPECT_EQ(merge(5, 1, 10), 2);
+    EXPECT_EQ(merge(5, 1, 12), 1);
+    server.lifecycle = Routing::Lifecycle::Leaving;
+    EXPECT_EQ(merge(5, 1, 13), 1);
+    EXPECT_EQ(choose(request()), "");
+}
+
 // Guards against all nodes choosing the same idle server at once.
 TEST_F(RoutingTest, LoadIsSpreadOverEqualServers)
 {
