--- a/Tests/PlatformAdapter/StoreClientTest.cpp
+++ b/Tests/PlatformAdapter/StoreClientTest.cpp
@@ -1,3 +1,4 @@
+#include <EdgeService/RawServer.h>
 #include <EdgeService/StoreStandIn.h>
 #include <Support/BlockingCall.h>
 #include <gtest/gtest.h>
@@ -48,6 +49,27 @@
     EXPECT_EQ(list->resourceVersion, 5u);
 }
 
+// Guards against a list that lacks the pages after one without a readable entry, and a watch that fails because of one event.
+TEST_F(StoreClientTest, UnreadableEntriesAndEventsAreSkipped)
+{
+    StandIns::RawServer server(m_loop.runtime(), [](std::string const& request) {
+        std::string body = R"({"items":[7,{"metadata":{"name":"a"}},{}],"more-pages":true,"store-revision":5})";
+        if (request.find("after=a ") != std::string::npos)
+            body = R"({"items":[{"metadata":{"name":"b","revision":4},"spec":1}],"more-pages":false,"store-revision":5})";
+        if (request.find("watch=5&") != std::string::npos)
+            body = R"({"events":[null,{"deleted":1,"object":{}},{"deleted":false,"object":{"metadata":{"name":"c","revision":6},"spec":2}}],"store-revision":7})";
+        return StandIns::RawServer::Reply { "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body };
+    });
+    PlatformAdapter::StoreClient store(m_loop.runtime(), m_client, server.endpoint());
+    auto const list = m_loop.run(store.list("servers", m_loop.deadline(), m_error));
+    ASSERT_TRUE(list) << m_error.message;
+    EXPECT_EQ(list->objects, (std::vector<Platform::StoredObject> { { { "servers", "b" }, 4, "1" } }));
+    auto const changes = m_loop.run(store.waitForChanges("servers", 5, m_loop.deadline(), m_error));
+    ASSERT_TRUE(changes) << m_error.message;
+    EXPECT_EQ(changes->events, (std::vector<Platform::ObjectEvent> { { Platform::ObjectEventKind::Put, { { "servers", "c" }, 6, "2" } } }));
+    EXPECT_EQ(changes->resourceVersion, 7u);
+}
+
 TEST_F(StoreClientTest, WatchesContinueFromTheStoresRevision)
 {
     m_standIn.put("servers", "s", "{}");
