--- a/Tests/PlatformAdapter/StoreClientTest.cpp
+++ b/Tests/PlatformAdapter/StoreClientTest.cpp
@@ -49,6 +49,16 @@
     EXPECT_EQ(list->resourceVersion, 5u);
 }
 
+// Guards against ignoring servers on the pages after an entry of another writer whose name needs encoding.
+TEST_F(StoreClientTest, ListsThePagesAfterAnEntryWithAnOddName)
+{
+    for (auto const* name : { "a", "b c&wait-ms=1#%\xc3\xa9\r\n", "c", "d" })
+        m_standIn.put("servers", name, "{}");
+    auto const list = m_loop.run(m_store.list("servers", m_loop.deadline(), m_error));
+    ASSERT_TRUE(list) << m_error.message;
+    EXPECT_EQ(list->objects.size(), 4u);
+}
+
 // Guards against a list that lacks the pages after one without a readable entry, and a watch that fails because of one event.
 TEST_F(StoreClientTest, UnreadableEntriesAndEventsAreSkipped)
 {
