--- a/Libraries/LibPlatform/PlatformCall.cpp
+++ b/Libraries/LibPlatform/PlatformCall.cpp
@@ -67,7 +67,16 @@
     return HTTP::ConnectionUse::NewConnection;
 }
 
-Core::Awaitable<std::optional<boost::json::value>> callPlatform(HTTP::Client& client, Core::Endpoint platform, HTTP::Request request, CallEffect effect, Core::MonotonicTime deadline, Error& error)
+std::optional<boost::json::value> parseJson(std::string_view body)
+{
+    boost::json::error_code errorCode;
+    auto value = boost::json::parse({ body.data(), body.size() }, errorCode);
+    if (errorCode)
+        return std::nullopt;
+    return value;
+}
+
+Core::Awaitable<std::optional<boost::json::value>> callPlatform(HTTP::Client& client, Core::Endpoint platform, HTTP::Request request, CallEffect effect, Core::MonotonicTime deadline, Error& error, ResponseParser parse)
 {
     auto const response = co_await client.send(platform, std::move(request), connectionUse(effect), deadline, error);
     if (!response) {
@@ -77,9 +86,8 @@
     }
     if (response->status >= 300)
         co_return failForStatus(*response, effect, error);
-    boost::json::error_code errorCode;
-    auto value = boost::json::parse(response->body, errorCode);
-    if (errorCode)
+    auto value = parse(response->body);
+    if (!value)
         co_return Core::fail(error, ErrorKind::StoreUnavailable, "the platform's response is not JSON", ambiguousRunState(effect));
     co_return value;
 }
--- a/Libraries/LibPlatform/PlatformCall.h
+++ b/Libraries/LibPlatform/PlatformCall.h
@@ -8,6 +8,7 @@
 #include <boost/json/value.hpp>
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace Platform {
 
@@ -19,11 +20,17 @@
     Write,
 };
 
-/// Sends one call to the platform and returns the JSON of its response. Internal to LibPlatform.
+/// Parses the body of a response. Returns nullopt if it cannot be read.
+using ResponseParser = std::optional<boost::json::value> (*)(std::string_view body);
+
+/// Parses a body that is JSON as a whole. Thread safe.
+[[nodiscard]] std::optional<boost::json::value> parseJson(std::string_view body);
+
+/// Sends one call to the platform and returns the JSON of its response. Internal to LibPlatform and the platform's adapter.
 /// Failures are NotFound (404), StoreConflict (409), StoreVersionExpired (410), StoreValueTooLarge (413), and
 /// StoreUnavailable for everything else. The run state of a write is NotRun if no byte was sent or the platform refused the
 /// call (404, 409, 413, 429, 503), else Unknown; that of other calls is always NotRun.
-[[nodiscard]] Core::Awaitable<std::optional<boost::json::value>> callPlatform(HTTP::Client&, Core::Endpoint, HTTP::Request, CallEffect, Core::MonotonicTime deadline, Core::Error&);
+[[nodiscard]] Core::Awaitable<std::optional<boost::json::value>> callPlatform(HTTP::Client&, Core::Endpoint, HTTP::Request, CallEffect, Core::MonotonicTime deadline, Core::Error&, ResponseParser = parseJson);
 
 /// Sets the error for a response with a status of 300 or above. Internal to LibPlatform.
 std::nullopt_t failForStatus(HTTP::Response const&, CallEffect, Core::Error&);
--- a/Tests/EdgeService/StoreStandIn.cpp
+++ b/Tests/EdgeService/StoreStandIn.cpp
@@ -10,14 +10,21 @@
 // Small, so that lists have several pages.
 static constexpr std::size_t pageLength = 2;
 
-static json::object objectJson(Platform::StoredObject const& object)
+// The value stays as it was put, even if it is not valid JSON.
+static std::string objectJson(Platform::StoredObject const& object)
 {
-    return { { "metadata", json::object { { "name", object.key.name }, { "revision", object.resourceVersion }, { "create-rev", 1 }, { "finalizers", json::array {} }, { "deleting", false } } }, { "spec", json::parse(object.value) }, { "status", nullptr } };
+    json::object const metadata { { "name", object.key.name }, { "revision", object.resourceVersion }, { "create-rev", 1 }, { "finalizers", json::array {} }, { "deleting", false } };
+    return R"({"metadata":)" + json::serialize(metadata) + R"(,"spec":)" + object.value + R"(,"status":null})";
 }
 
-static HTTP::Response jsonResponse(unsigned status, json::value const& body)
+static HTTP::Response jsonResponse(unsigned status, std::string body)
 {
-    return { status, { { "Content-Type", "application/json" } }, json::serialize(body) };
+    return { status, { { "Content-Type", "application/json" } }, std::move(body) };
+}
+
+static void appendElement(std::string& array, std::string const& element)
+{
+    array += (array.empty() ? "" : ",") + element;
 }
 
 StoreStandIn::StoreStandIn(Core::Runtime& runtime)
@@ -95,17 +102,19 @@
 HTTP::Response StoreStandIn::list(std::string const& kind, HTTP::Request const& request) const
 {
     auto const after = request.queryParameter("after").value_or("");
-    json::array items;
+    std::string items;
+    std::size_t length = 0;
     bool more = false;
     for (auto const& [key, object] : m_objects.objects) {
         if (key.kind != kind || (!after.empty() && key.name <= after))
             continue;
-        more = items.size() == pageLength;
+        more = length == pageLength;
         if (more)
             break;
-        items.push_back(objectJson(object));
+        appendElement(items, objectJson(object));
+        ++length;
     }
-    return jsonResponse(200, json::object { { "items", std::move(items) }, { "more-pages", more }, { "store-revision", m_objects.version } });
+    return jsonResponse(200, R"({"items":[)" + items + R"(],"more-pages":)" + (more ? "true" : "false") + R"(,"store-revision":)" + std::to_string(m_objects.version) + "}");
 }
 
 Core::Awaitable<std::optional<HTTP::Response>> StoreStandIn::watch(std::string kind, HTTP::Request const& request)
@@ -118,15 +127,15 @@
     while (true) {
         if (number <= m_cutWatches)
             co_return std::nullopt;
-        json::array events;
+        std::string events;
         bool const isHidden = hidesChanges || number <= m_watchesWithoutEvents;
         for (auto const& event : m_objects.history) {
             if (!isHidden && event.object.key.kind == kind && event.object.resourceVersion > since)
-                events.push_back(json::object { { "deleted", event.kind == Platform::ObjectEventKind::Removed }, { "object", objectJson(event.object) } });
+                appendElement(events, std::string(R"({"deleted":)") + (event.kind == Platform::ObjectEventKind::Removed ? "true" : "false") + R"(,"object":)" + objectJson(event.object) + "}");
         }
         bool const isSilent = number <= m_silencedWatches;
         if (!isSilent && (!events.empty() || m_runtime.now() >= deadline))
-            co_return jsonResponse(200, json::object { { "events", std::move(events) }, { "store-revision", m_objects.version } });
+            co_return jsonResponse(200, R"({"events":[)" + events + R"(],"store-revision":)" + std::to_string(m_objects.version) + "}");
         static constexpr Core::Duration silence = std::chrono::seconds(20);
         (void)co_await m_changed.waitUntil(isSilent ? m_runtime.now() + silence : deadline);
     }
--- a/Tests/EdgeService/StoreStandIn.h
+++ b/Tests/EdgeService/StoreStandIn.h
@@ -14,6 +14,7 @@
     /// Listens on a port of the loopback interface.
     [[nodiscard]] Core::Endpoint start();
 
+    /// The value may be any text, also one that is not valid JSON.
     void put(std::string const& kind, std::string const& name, std::string value);
     void erase(std::string const& kind, std::string const& name);
 
--- a/Tests/EdgeService/StoreWatcherTest.cpp
+++ b/Tests/EdgeService/StoreWatcherTest.cpp
@@ -170,3 +170,29 @@
     waitFor([&] { return m_service->tables().servers.rows.size() <= 1; });
     EXPECT_EQ(statusOf(exchange(request("/safe/1"))), "503");
 }
+
+// Guards against a node that stops following the store because of one entry of another writer, in a list and in a watch.
+TEST_F(EdgeServiceTest, UnreadableServerEntryNamesNoServerAndOthersHold)
+{
+    auto const nested = std::string(5'000, '[') + std::string(5'000, ']');
+    auto const withField = [&](std::string const& field) { return R"({"service":"app","address":"127.0.0.1:9","zone":"a","version":"v1","slots":6,"state":"ready","seq":1,)" + field + "}"; };
+    std::vector<std::string> const oddValues { nested, withField(R"("more":)" + nested), withField(R"("more":1e99999999999)"), withField(R"("born":-1)"), withField(R"("more":"\ud800")") };
+    for (std::size_t i = 0; i < oddValues.size(); ++i)
+        m_store.put("servers", "odd" + std::to_string(i), oddValues[i]);
+    for (int i = 0; i < 2; ++i)
+        addServer([](auto const& request) { return Reply { httpResponse(attemptIdOf(request), "body") }; });
+    start();
+    EXPECT_EQ(statusOf(exchange(request("/safe/1"))), "200");
+    auto const lists = m_store.calls - m_store.watches;
+    for (std::size_t i = 0; i < oddValues.size(); ++i) {
+        auto const later = "later" + std::to_string(i);
+        m_store.put("servers", "odd", oddValues[i]);
+        m_store.put("servers", later, R"({"service":"app","address":")" + m_servers[0]->endpoint().toString() + R"(","zone":"a","slots":6,"state":"ready","seq":1})");
+        waitFor([&] { return isLive(later); });
+        // The entry of a known server.
+        m_store.put("servers", later, oddValues[i]);
+        waitFor([&] { return !isLive(later); });
+    }
+    waitFor([&] { return m_service->tables().servers.rows.size() == 2; });
+    EXPECT_EQ(m_store.calls - m_store.watches, lists);
+}
