Edge: Believe only responses that name their request

What operators of similar systems saw: a faulty server wrote an earlier refusal once more on a kept connection. Clients were told "not run, try again" for requests that a server had run, or such a request ran at a second server.

Cause: a response with the attempt id of another request was skipped, but one without any attempt id was taken for the response to the request that waited. A refusal without it was thus believed: the request was sent to a second server, or refused with 503, while the first ran it. A signed response without an id was passed on.

Change: a response without an attempt id is as good as none: the request may have run. Servers echo the id in all their responses.

Ruled out: refusals with the id of another request. They are skipped together with their body, and the wait for the own response goes on; the test keeps that.

--- a/Services/Edge/RequestForwarder.cpp
+++ b/Services/Edge/RequestForwarder.cpp
@@ -357,11 +357,16 @@
             ++context.possibleExecutions;
     } else {
         attempt.attributes = m_dependencies.codec.decodeResponse(attempt.stream->status(), attempt.stream->headers());
-        if (!attempt.attributes.isNotExecuted)
+        // Without the id, it may be a late response to an earlier request on this connection.
+        bool const isIdentified = !attempt.attributes.attemptId.empty();
+        if (!attempt.attributes.isNotExecuted || !isIdentified)
             ++context.possibleExecutions;
         static constexpr unsigned ok = 200;
         bool const isStream = context.route->kind == RequestKind::Stream && attempt.stream->status() == ok;
-        outcome = isStream ? co_await forwardStream(context, attempt, error) : co_await readResponse(context, attempt, error);
+        if (!isIdentified)
+            Core::fail(error, ErrorKind::BackendAnswerInvalid, "the response with status " + std::to_string(attempt.stream->status()) + " has no attempt id", RunState::Unknown);
+        else
+            outcome = isStream ? co_await forwardStream(context, attempt, error) : co_await readResponse(context, attempt, error);
     }
     recordOutcome(context, attempt, outcome);
     bool const isCancelled = context.cancellation.isCancelled() || context.clientDisconnected;
@@ -390,10 +395,6 @@
         co_return AttemptOutcome::NotExecuted;
     }
     static constexpr unsigned firstServerError = 500;
-    if (!attempt.attributes.isSigned && response.status < firstServerError && attempt.attributes.attemptId.empty()) {
-        Core::fail(error, ErrorKind::BackendAnswerInvalid, "the response is unsigned and has no attempt id", RunState::Unknown);
-        co_return AttemptOutcome::Unknown;
-    }
     recordRequestStart(context);
     response.headers = m_dependencies.codec.filterResponseHeaders(attempt.stream->headers());
     bool const failed = response.status >= firstServerError;
@@ -428,10 +429,6 @@
 Core::Awaitable<AttemptOutcome> RequestForwarder::forwardStream(RequestContext& context, Attempt& attempt, Core::Error& error)
 {
     static constexpr std::size_t maximumEventBytes = 1024 * 1024;
-    if (!attempt.attributes.isSigned && attempt.attributes.attemptId.empty()) {
-        Core::fail(error, ErrorKind::BackendAnswerInvalid, "the stream is unsigned and has no attempt id", RunState::Unknown);
-        co_return AttemptOutcome::Unknown;
-    }
     context.events.dropPartial();
     auto lastEventAt = m_dependencies.runtime.now();
     while (true) {
--- a/Tests/EdgeService/EdgeServiceTest.cpp
+++ b/Tests/EdgeService/EdgeServiceTest.cpp
@@ -283,6 +283,33 @@
     EXPECT_EQ(m_servers[0]->connections, 1u);
 }
 
+// Guards against a promise that a request has not run that its server did not give: an earlier refusal that arrived once more, or one
+// that names no request.
+TEST_F(EdgeServiceTest, RefusalOfAnotherRequestIsNotBelieved)
+{
+    static constexpr auto refusalHeader = "X-Hyssopstep-Not-Executed: 1\r\n";
+    std::string refusal;
+    for (int i = 0; i < 2; ++i) {
+        addServer([&](auto const& request) {
+            auto const id = attemptIdOf(request);
+            if (id == "refused")
+                return Reply { .bytes = refusal = httpResponse(id, "", refusalHeader, "503 Service Unavailable") };
+            if (id == "repeated")
+                return Reply { .bytes = refusal, .trailingBytes = httpResponse(id, "ran"), .trailingDelay = 50ms };
+            return Reply { .bytes = "HTTP/1.1 503 Service Unavailable\r\nX-Hyssopstep-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n", .trailingBytes = httpResponse(id, "ran"), .trailingDelay = 50ms };
+        });
+    }
+    start();
+    auto const arrivals = [&] { return m_servers[0]->requests.size() + m_servers[1]->requests.size(); };
+    EXPECT_EQ(statusOf(exchange(request("/unsafe/1", "refused", "POST"), 100ms)), "503");
+    EXPECT_EQ(arrivals(), 2u);
+    EXPECT_TRUE(exchange(request("/unsafe/1", "repeated", "POST")).ends_with("ran"));
+    EXPECT_EQ(arrivals(), 3u);
+    EXPECT_EQ(m_servers[0]->connections + m_servers[1]->connections, 2u);
+    EXPECT_EQ(statusOf(exchange(request("/unsafe/1", "unnamed", "POST"))), "502");
+    EXPECT_EQ(arrivals(), 4u);
+}
+
 // The same without any mark of the request that it belongs to.
 TEST_F(EdgeServiceTest, UnmarkedStreamIsNotForwarded)
 {
