Edge: Send an attempt to an address twice only on a new connection

What would be seen: a client is told that its request has not run, while a server runs it.

Cause: an attempt goes to each server once, but two entries of servers may have the same address, for example after a replacement. The process there refuses the attempt as the first server (421), and runs it as the second. If it writes the refusal once more on the kept connection, the id is that of the request that waits, and the refusal was believed.

Change: an attempt that was sent to an address before uses a new connection, on which nothing earlier can arrive.

Evidence: RepeatedRefusalOfTheSameAttemptIsNotBelieved failed before.

--- a/Services/Edge/RequestForwarder.cpp
+++ b/Services/Edge/RequestForwarder.cpp
@@ -47,6 +47,7 @@
     std::uint32_t attempts { 0 };
     std::uint32_t possibleExecutions { 0 };
     std::vector<std::string> triedServers;
+    std::vector<Core::Endpoint> triedEndpoints;
     /// For the log: each server that was tried with the outcome of its attempt, and the placement data of the last one.
     std::string attemptTrace;
     /// When the server of the last attempt was chosen.
@@ -339,8 +340,11 @@
     if (context.events.lastId())
         attributes.lastEventId = context.events.lastId();
     attributes.cacheSource = attempt.placement.cacheSource;
+    // The endpoint's refusal of this attempt as another server may arrive once more on the same connection.
+    bool const wasTried = std::find(context.triedEndpoints.begin(), context.triedEndpoints.end(), attempt.placement.endpoint) != context.triedEndpoints.end();
+    context.triedEndpoints.push_back(attempt.placement.endpoint);
     HTTP::ExchangeOptions options {
-        .use = HTTP::ConnectionUse::PooledNoRetry,
+        .use = wasTried ? HTTP::ConnectionUse::NewConnection : HTTP::ConnectionUse::PooledNoRetry,
         .unframed = HTTP::UnframedResponse::ReadUntilClose,
         .matchesRequest = [this, &context](HTTP::Headers const& headers) {
             auto const id = m_dependencies.codec.decodeResponse(0, headers).attemptId;
--- a/Tests/EdgeService/EdgeServiceTest.cpp
+++ b/Tests/EdgeService/EdgeServiceTest.cpp
@@ -310,6 +310,22 @@
     EXPECT_EQ(arrivals(), 4u);
 }
 
+// Guards against the same at an address that has two entries: the refusal as the first server arrives once more while the request runs.
+TEST_F(EdgeServiceTest, RepeatedRefusalOfTheSameAttemptIsNotBelieved)
+{
+    std::string refusal;
+    addServer([&](auto const& request) {
+        auto const id = attemptIdOf(request);
+        if (refusal.empty())
+            return Reply { .bytes = refusal = httpResponse(id, "", {}, "421 Misdirected Request") };
+        return Reply { .bytes = m_servers[0]->connections == 1 ? refusal : "", .trailingBytes = httpResponse(id, "ran"), .trailingDelay = 50ms };
+    });
+    start();
+    m_store.put("servers", "other", R"({"service":"app","address":")" + m_servers[0]->endpoint().toString() + R"(","zone":"a","slots":6,"state":"ready","seq":1})");
+    waitFor([&] { return isLive("other"); });
+    EXPECT_TRUE(exchange(request("/unsafe/1", "u", "POST")).ends_with("ran"));
+}
+
 // The same without any mark of the request that it belongs to.
 TEST_F(EdgeServiceTest, UnmarkedStreamIsNotForwarded)
 {
