Edge: Do not pass on the status of a refusal that the server does not state

What would be seen: a client is told that its request has not run, while a server has run it.

Cause: clients take 408, 421, 429 and 503 as a promise that the request has not run and never will. Servers state that with a header of its own, and no other response of theirs states it. A 408, 429 or 503 without the header was passed on as the server's response.

Change: such a response counts as one that says nothing; the client gets 502, or the response of another server if the request may run twice. A 421 states it by itself.

--- a/Libraries/LibForward/RequestCodec.h
+++ b/Libraries/LibForward/RequestCodec.h
@@ -75,6 +75,8 @@
     /// Whether the response carries a server's signature.
     bool isSigned { false };
     std::optional<ServerLoad> load;
+    /// Whether clients take the status as a promise that the request was not executed and never will be.
+    bool hasRefusalStatus { false };
 
     bool operator==(ResponseAttributes const&) const = default;
 };
--- a/Services/Edge/RequestForwarder.cpp
+++ b/Services/Edge/RequestForwarder.cpp
@@ -398,6 +398,10 @@
         Core::fail(error, ErrorKind::Overloaded, "the server returned status " + std::to_string(response.status) + " without executing the request");
         co_return AttemptOutcome::NotExecuted;
     }
+    if (attempt.attributes.hasRefusalStatus) {
+        Core::fail(error, ErrorKind::BackendAnswerInvalid, "the server returned status " + std::to_string(response.status) + " without stating that it did not execute the request", RunState::Unknown);
+        co_return AttemptOutcome::Unknown;
+    }
     static constexpr unsigned firstServerError = 500;
     recordRequestStart(context);
     response.headers = m_dependencies.codec.filterResponseHeaders(attempt.stream->headers());
--- a/Tests/EdgeService/EdgeServiceTest.cpp
+++ b/Tests/EdgeService/EdgeServiceTest.cpp
@@ -326,6 +326,20 @@
     EXPECT_TRUE(exchange(request("/unsafe/1", "u", "POST")).ends_with("ran"));
 }
 
+// Guards against the status of a refusal for a request that its server may have run.
+TEST_F(EdgeServiceTest, RefusalStatusWithoutAStatementOfTheServerIsNotPassedOn)
+{
+    std::string status;
+    addServer([&](auto const& request) { return Reply { httpResponse(attemptIdOf(request), "", {}, status) }; });
+    start();
+    for (auto const* refusal : { "408 Request Timeout", "429 Too Many Requests", "503 Service Unavailable" }) {
+        status = refusal;
+        auto const response = exchange(request("/unsafe/1", "u", "POST"), 100ms);
+        EXPECT_EQ(statusOf(response), "502");
+        EXPECT_EQ(response.find("Seal"), std::string::npos);
+    }
+}
+
 // The same without any mark of the request that it belongs to.
 TEST_F(EdgeServiceTest, UnmarkedStreamIsNotForwarded)
 {
--- a/Tests/PlatformAdapter/HeaderCodecTest.cpp
+++ b/Tests/PlatformAdapter/HeaderCodecTest.cpp
@@ -96,6 +96,8 @@
     EXPECT_TRUE(codec.decodeResponse(503, { { "X-Hyssopstep-Not-Executed", "1" } }).isNotExecuted);
     EXPECT_TRUE(codec.decodeResponse(421, {}).isNotExecuted);
     EXPECT_FALSE(codec.decodeResponse(503, {}).isNotExecuted);
+    EXPECT_TRUE(codec.decodeResponse(503, {}).hasRefusalStatus);
+    EXPECT_FALSE(codec.decodeResponse(504, {}).hasRefusalStatus);
 }
 
 TEST(HeaderCodecTest, ResponsesKeepTheSignatureAndDropHopByHopHeaders)
