LibForward: Cut off a stream at an event that cannot follow

What operators of similar systems saw: a stream had begun and broke off; the next server answered with an error. Clients found the error's text, at times its whole head, in the middle of their stream.

Cause: whatever ended with a blank line in a response with status 200 was passed on as an event: an error's text, the head of a further response after one without a length, and events that the client had already, of a server that began from the start.

Change: an event must have an id above the last one, as all streams of the platform have; comments are passed on. At any other, the attempt ends as one that broke off: another server may continue, else the stream is cut off without its end.

--- a/Libraries/LibForward/EventSplitter.cpp
+++ b/Libraries/LibForward/EventSplitter.cpp
@@ -28,7 +28,9 @@
         if (end == std::string_view::npos)
             break;
         auto const last = searchFrom + end;
-        recordEvent(std::string_view(m_partial).substr(complete, last - complete));
+        m_isOutOfOrder = !recordEvent(std::string_view(m_partial).substr(complete, last - complete));
+        if (m_isOutOfOrder)
+            break;
         complete = searchFrom = last;
     }
     auto events = m_partial.substr(0, complete);
@@ -36,23 +38,40 @@
     return events;
 }
 
-void EventSplitter::recordEvent(std::string_view event)
+static std::optional<std::uint64_t> parseId(std::string_view text)
 {
-    ++m_eventCount;
+    while (text.starts_with(' '))
+        text.remove_prefix(1);
+    std::uint64_t id = 0;
+    auto const [last, error] = std::from_chars(text.data(), text.data() + text.size(), id);
+    if (error != std::errc {} || last != text.data() + text.size())
+        return std::nullopt;
+    return id;
+}
+
+// Returns false for an event that cannot follow those before it.
+bool EventSplitter::recordEvent(std::string_view event)
+{
+    static constexpr std::string_view idField = "id:";
+    bool isComment = true;
+    std::optional<std::uint64_t> id;
     while (!event.empty()) {
         auto const end = event.find('\n');
         auto line = event.substr(0, end);
         event.remove_prefix(end == std::string_view::npos ? event.size() : end + 1);
-        if (!line.starts_with("id:"))
-            continue;
-        line.remove_prefix(3);
-        while (line.starts_with(' '))
-            line.remove_prefix(1);
-        std::uint64_t id = 0;
-        auto const [last, error] = std::from_chars(line.data(), line.data() + line.size(), id);
-        if (error == std::errc {})
-            m_lastId = id;
+        if (line.ends_with('\r'))
+            line.remove_suffix(1);
+        isComment = isComment && (line.empty() || line.starts_with(':'));
+        if (line.starts_with(idField))
+            id = parseId(line.substr(idField.size()));
     }
+    if (isComment)
+        return true;
+    if (!id || (m_lastId && *id <= *m_lastId))
+        return false;
+    m_lastId = id;
+    ++m_eventCount;
+    return true;
 }
 
 }
--- a/Services/Edge/RequestForwarder.cpp
+++ b/Services/Edge/RequestForwarder.cpp
@@ -476,6 +476,10 @@
             Core::fail(error, ErrorKind::Cancelled, "the client disconnected", RunState::Ran);
             co_return AttemptOutcome::Unknown;
         }
+        if (context.events.isOutOfOrder()) {
+            Core::fail(error, ErrorKind::BackendAnswerInvalid, "an event of the stream has no id or not one above the last", RunState::Unknown);
+            co_return AttemptOutcome::Unknown;
+        }
         if (isEnd) {
             context.streamFinished = true;
             co_return AttemptOutcome::ResponseReceived;
--- a/Tests/LibForward/EventSplitterTest.cpp
+++ b/Tests/LibForward/EventSplitterTest.cpp
@@ -25,3 +25,17 @@
     EXPECT_EQ(splitter.feed("id: 8\ndata: b\n\n"), "id: 8\ndata: b\n\n");
     EXPECT_EQ(splitter.lastId(), 8u);
 }
+
+// Guards against an error's text, a response's head or a repeated event in the middle of a stream.
+TEST(EventSplitterTest, EventsThatCannotFollowAreNotReturned)
+{
+    for (auto const* unexpected : { "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 5\r\n\r\n", "{\"error\":\"failed\"}\n\n", "id: 7\ndata: a\n\n", "id: 3\ndata: a\n\n", "id: 8x\ndata: b\n\n", "data: b\n\n" }) {
+        Forward::EventSplitter splitter;
+        EXPECT_EQ(splitter.feed(std::string("id: 7\r\ndata: a\r\n\r\n: comment\n\n") + unexpected + "id: 9\ndata: c\n\n"), "id: 7\r\ndata: a\r\n\r\n: comment\n\n");
+        EXPECT_TRUE(splitter.isOutOfOrder()) << unexpected;
+        EXPECT_EQ(splitter.lastId(), 7u);
+        splitter.dropPartial();
+        EXPECT_FALSE(splitter.isOutOfOrder());
+        EXPECT_EQ(splitter.feed("id: 8\ndata: b\n\n"), "id: 8\ndata: b\n\n");
+    }
+}
