Edge: Take no error for the end of a stream

What operators of similar systems saw: a stream had begun and broke off; the next server answered with an error, and the stream ended as if it were complete.

Cause: a response with status 200 was taken for the rest of the stream whatever its type, so that one without a body, or one without a length whose connection ended at once, was the end of the stream.

Change: a response of another type than an event stream is no part of a stream. A stream without any event is complete only if it resumes an earlier one, is signed, and has a length or chunks; that is what a server answers after the last event.

Ruled out: other statuses than 200. A stream that has begun was cut off at each of them already; the test keeps that.

--- a/Services/Edge/RequestForwarder.cpp
+++ b/Services/Edge/RequestForwarder.cpp
@@ -3,6 +3,7 @@
 #include <LibCore/Log.h>
 #include <LibHTTP/Problem.h>
 #include <algorithm>
+#include <boost/beast/core/string.hpp>
 #include <xxhash.h>
 
 namespace Edge {
@@ -313,6 +314,14 @@
     }
 }
 
+static bool isEventStream(HTTP::ResponseStream const& response)
+{
+    static constexpr unsigned ok = 200;
+    static constexpr std::string_view eventStreamType = "text/event-stream";
+    auto const type = response.headers().find("Content-Type").value_or(eventStreamType);
+    return response.status() == ok && boost::beast::iequals(type.substr(0, eventStreamType.size()), eventStreamType);
+}
+
 Core::Awaitable<AttemptOutcome> RequestForwarder::attempt(RequestContext& context, Core::Error& error)
 {
     auto& tables = m_dependencies.tables;
@@ -365,8 +374,7 @@
         bool const isIdentified = !attempt.attributes.attemptId.empty();
         if (!attempt.attributes.isNotExecuted || !isIdentified)
             ++context.possibleExecutions;
-        static constexpr unsigned ok = 200;
-        bool const isStream = context.route->kind == RequestKind::Stream && attempt.stream->status() == ok;
+        bool const isStream = context.route->kind == RequestKind::Stream && isEventStream(*attempt.stream);
         if (!isIdentified)
             Core::fail(error, ErrorKind::BackendAnswerInvalid, "the response with status " + std::to_string(attempt.stream->status()) + " has no attempt id", RunState::Unknown);
         else
@@ -434,10 +442,19 @@
     return mayContinue ? std::min(context.deadline, lastEventAt + maximumEventGap) : context.deadline;
 }
 
+// A stream that is resumed after its last event has no more events. A response that ends with its connection may lack some.
+bool RequestForwarder::mayBeEmpty(RequestContext const& context, Attempt const& attempt)
+{
+    auto const& headers = attempt.stream->headers();
+    bool const isResumed = context.streamStarted || context.attributes.lastEventId;
+    return isResumed && attempt.attributes.isSigned && (headers.find("Content-Length") || headers.find("Transfer-Encoding"));
+}
+
 Core::Awaitable<AttemptOutcome> RequestForwarder::forwardStream(RequestContext& context, Attempt& attempt, Core::Error& error)
 {
     static constexpr std::size_t maximumEventBytes = 1024 * 1024;
     context.events.dropPartial();
+    auto const earlierEvents = context.events.eventCount();
     auto lastEventAt = m_dependencies.runtime.now();
     while (true) {
         auto piece = co_await attempt.stream->readSome(stallDeadline(context, lastEventAt), error);
@@ -455,6 +472,10 @@
             Core::fail(error, ErrorKind::BackendAnswerInvalid, "the stream ended in the middle of an event", RunState::Unknown);
             co_return AttemptOutcome::Unknown;
         }
+        if (isEnd && context.events.eventCount() == earlierEvents && !mayBeEmpty(context, attempt)) {
+            Core::fail(error, ErrorKind::BackendAnswerInvalid, "the stream ended before its first event", RunState::Unknown);
+            co_return AttemptOutcome::Unknown;
+        }
         if (!events.empty()) {
             if (++attempt.eventPieces > 1)
                 Limits::recordSound(m_dependencies.tables.crashSuspects, context.service, context.sharedParts, lastEventAt);
--- a/Services/Edge/RequestForwarder.h
+++ b/Services/Edge/RequestForwarder.h
@@ -53,6 +53,8 @@
     [[nodiscard]] Core::Awaitable<Forward::AttemptOutcome> readResponse(RequestContext&, Attempt&, Core::Error&);
     [[nodiscard]] Core::Awaitable<void> finish(RequestContext&, Forward::AttemptOutcome, Core::Error);
     [[nodiscard]] Core::Awaitable<void> refuse(RequestContext&, Core::Error);
+    /// Whether the stream of an attempt may end without an event.
+    [[nodiscard]] static bool mayBeEmpty(RequestContext const&, Attempt const&);
     /// The deadline for the next event of a stream.
     [[nodiscard]] Core::MonotonicTime stallDeadline(RequestContext const&, Core::MonotonicTime lastEventAt);
     /// Returns whether a body of that size may be held in memory, in addition to those of the other requests.
--- a/Tests/EdgeService/EdgeServiceTest.cpp
+++ b/Tests/EdgeService/EdgeServiceTest.cpp
@@ -509,3 +509,64 @@
     EXPECT_EQ(broken.find("\r\n0\r\n\r\n"), std::string::npos) << broken;
     EXPECT_EQ(broken.find("id: 2"), std::string::npos) << broken;
 }
+
+// Guards against an error of the next server in the middle of a stream that has begun, and a stream that looks complete after it.
+TEST_F(EdgeServiceTest, BrokenStreamThatCannotContinueIsCutOff)
+{
+    auto const head = streamHead("ID");
+    auto const unframed = [&](std::string text) { return text.erase(text.find("Transfer-Encoding"), std::string("Transfer-Encoding: chunked\r\n").size()); };
+    auto const withType = [&](std::string text) { return text.replace(text.find("text/event-stream"), 17, "application/json"); };
+    std::string const end = "0\r\n\r\n";
+    std::string const errorHead = "HTTP/1.1 500 Internal Server Error\r\nX-Hyssopstep-Attempt-Id: ID\r\n\r\n";
+    struct Continuation {
+        std::string_view name;
+        std::string bytes;
+        Reply::Ending ending { Reply::Ending::KeepOpen };
+    };
+    std::vector<Continuation> const continuations {
+        { "error", httpResponse("ID", "text\n\n", {}, "500 Internal Server Error") },
+        { "refusal", httpResponse("ID", "text\n\n", "X-Hyssopstep-Not-Executed: 1\r\n", "503 Service Unavailable") },
+        { "notFound", httpResponse("ID", "text\n\n", {}, "404 Not Found") },
+        { "emptyBody", httpResponse("ID", "", "Content-Type: application/json\r\n") },
+        { "errorWithStatus200", withType(head) + chunk("{\"error\":\"text\"}\n\n") + end },
+        { "errorInStream", head + chunk("event: error\ndata: text\n\n") + end },
+        { "errorHeadInStream", head + chunk(errorHead + "text\n\n") + end },
+        { "errorAfterStream", unframed(head) + errorHead + "text\n\n", Reply::Ending::Close },
+        { "nothing", unframed(head), Reply::Ending::Close },
+        { "reset", unframed(head), Reply::Ending::Reset },
+        { "fromTheStart", head + chunk(event(1) + event(2)) + end },
+        { "unsigned", "HTTP/1.1 200 OK\r\nX-Hyssopstep-Attempt-Id: ID\r\nContent-Length: 0\r\n\r\n" },
+    };
+    std::size_t current = 0;
+    for (int i = 0; i < 2; ++i) {
+        addServer([&](auto const& request) {
+            auto const id = attemptIdOf(request);
+            if (request.find("Last-Event-Id: 1\r\n") == std::string::npos)
+                return Reply { .bytes = streamHead(id) + chunk(event(1) + "id: 2\nda"), .ending = Reply::Ending::Reset };
+            auto bytes = continuations[current].bytes;
+            for (auto at = bytes.find("ID"); at != std::string::npos; at = bytes.find("ID"))
+                bytes.replace(at, 2, id);
+            return Reply { .bytes = bytes, .ending = continuations[current].ending };
+        });
+    }
+    start();
+    for (; current < continuations.size(); ++current) {
+        auto const response = exchange(request("/resume/1", "s" + std::to_string(current), "POST"), 300ms);
+        auto const body = response.substr(std::min(response.find("\r\n\r\n") + 4, response.size()));
+        EXPECT_EQ(body, chunk(event(1))) << continuations[current].name;
+    }
+}
+
+// A stream whose server broke off after the last event, before its end.
+TEST_F(EdgeServiceTest, ResumedStreamWithoutFurtherEventsIsComplete)
+{
+    for (int i = 0; i < 2; ++i) {
+        addServer([](auto const& request) {
+            if (request.find("Last-Event-Id: 1\r\n") != std::string::npos)
+                return Reply { streamHead(attemptIdOf(request)) + "0\r\n\r\n" };
+            return Reply { .bytes = streamHead(attemptIdOf(request)) + chunk(event(1)), .ending = Reply::Ending::Reset };
+        });
+    }
+    start();
+    EXPECT_TRUE(exchange(request("/resume/1", "s", "POST")).ends_with(chunk(event(1)) + "0\r\n\r\n"));
+}
