--- a/Libraries/LibPlatform/PlatformCall.cpp
+++ b/Libraries/LibPlatform/PlatformCall.cpp
@@ -67,6 +67,15 @@
     return HTTP::ConnectionUse::NewConnection;
 }
 
+std::optional<boost::json::value> parseJson(std::string_view body)
+{
+    boost::json::error_code errorCode;
+    auto value = boost::json::parse({ body.data(), body.size() }, errorCode);
+    if (errorCode)
+        return std::nullopt;
+    return value;
+}
+
 Core::Awaitable<std::optional<HTTP::Response>> sendToPlatform(HTTP::Client& client, Core::Endpoint platform, HTTP::Request request, CallEffect effect, Core::MonotonicTime deadline, Error& error)
 {
     auto response = co_await client.send(platform, std::move(request), connectionUse(effect), deadline, error);
@@ -78,13 +87,12 @@
     co_return response;
 }
 
-std::optional<boost::json::value> decodeResponse(HTTP::Response const& response, CallEffect effect, Error& error)
+std::optional<boost::json::value> decodeResponse(HTTP::Response const& response, CallEffect effect, Error& error, ResponseParser parse)
 {
     if (response.status >= 300)
         return failForStatus(response, effect, error);
-    boost::json::error_code errorCode;
-    auto value = boost::json::parse(response.body, errorCode);
-    if (errorCode)
+    auto value = parse(response.body);
+    if (!value)
         return Core::fail(error, ErrorKind::StoreUnavailable, "the platform's response is not JSON", ambiguousRunState(effect));
     return value;
 }
--- a/Libraries/LibRouting/ServerTable.h
+++ b/Libraries/LibRouting/ServerTable.h
@@ -62,6 +62,8 @@
     std::uint32_t slots { 0 };
     /// Whether the platform may reclaim the server's host.
     bool reclaimable { false };
+    /// The store revision of the newest entry of this incarnation; number 0 if it is unknown.
+    Core::StoreRevision revision;
     /// This node's requests in progress at the server.
     std::uint32_t outstanding { 0 };
     /// The other nodes' requests in progress at the server, as last reported.
--- a/Services/Edge/RequestForwarder.cpp
+++ b/Services/Edge/RequestForwarder.cpp
@@ -3,6 +3,7 @@
 #include <LibCore/Log.h>
 #include <LibHTTP/Problem.h>
 #include <algorithm>
+#include <boost/beast/core/string.hpp>
 #include <xxhash.h>
 
 namespace Edge {
@@ -47,6 +48,7 @@
     std::uint32_t attempts { 0 };
     std::uint32_t possibleExecutions { 0 };
     std::vector<std::string> triedServers;
+    std::vector<Core::Endpoint> triedEndpoints;
     /// For the log: each server that was tried with the outcome of its attempt, and the placement data of the last one.
     std::string attemptTrace;
     /// When the server of the last attempt was chosen.
@@ -312,6 +314,14 @@
     }
 }
 
+static bool isEventStream(HTTP::ResponseStream const& response)
+{
+    static constexpr unsigned ok = 200;
+    static constexpr std::string_view eventStreamType = "text/event-stream";
+    auto const type = response.headers().find("Content-Type").value_or(eventStreamType);
+    return response.status() == ok && boost::beast::iequals(type.substr(0, eventStreamType.size()), eventStreamType);
+}
+
 Core::Awaitable<AttemptOutcome> RequestForwarder::attempt(RequestContext& context, Core::Error& error)
 {
     auto& tables = m_dependencies.tables;
@@ -339,8 +349,11 @@
     if (context.events.lastId())
         attributes.lastEventId = context.events.lastId();
     attributes.cacheSource = attempt.placement.cacheSource;
+    // The endpoint's refusal of this attempt as another server may arrive once more on the same connection.
+    bool const wasTried = std::find(context.triedEndpoints.begin(), context.triedEndpoints.end(), attempt.placement.endpoint) != context.triedEndpoints.end();
+    context.triedEndpoints.push_back(attempt.placement.endpoint);
     HTTP::ExchangeOptions options {
-        .use = HTTP::ConnectionUse::PooledNoRetry,
+        .use = wasTried ? HTTP::ConnectionUse::NewConnection : HTTP::ConnectionUse::PooledNoRetry,
         .unframed = HTTP::UnframedResponse::ReadUntilClose,
         .matchesRequest = [this, &context](HTTP::Headers const& headers) {
             auto const id = m_dependencies.codec.decodeResponse(0, headers).attemptId;
@@ -357,11 +370,15 @@
             ++context.possibleExecutions;
     } else {
         attempt.attributes = m_dependencies.codec.decodeResponse(attempt.stream->status(), attempt.stream->headers());
-        if (!attempt.attributes.isNotExecuted)
+        // Without the id, it may be a late response to an earlier request on this connection.
+        bool const isIdentified = !attempt.attributes.attemptId.empty();
+        if (!attempt.attributes.isNotExecuted || !isIdentified)
             ++context.possibleExecutions;
-        static constexpr unsigned ok = 200;
-        bool const isStream = context.route->kind == RequestKind::Stream && attempt.stream->status() == ok;
-        outcome = isStream ? co_await forwardStream(context, attempt, error) : co_await readResponse(context, attempt, error);
+        bool const isStream = context.route->kind == RequestKind::Stream && isEventStream(*attempt.stream);
+        if (!isIdentified)
+            Core::fail(error, ErrorKind::BackendAnswerInvalid, "the response with status " + std::to_string(attempt.stream->status()) + " has no attempt id", RunState::Unknown);
+        else
+            outcome = isStream ? co_await forwardStream(context, attempt, error) : co_await readResponse(context, attempt, error);
     }
     recordOutcome(context, attempt, outcome);
     bool const isCancelled = context.cancellation.isCancelled() || context.clientDisconnected;
@@ -389,11 +406,11 @@
         Core::fail(error, ErrorKind::Overloaded, "the server returned status " + std::to_string(response.status) + " without executing the request");
         co_return AttemptOutcome::NotExecuted;
     }
-    static constexpr unsigned firstServerError = 500;
-    if (!attempt.attributes.isSigned && response.status < firstServerError && attempt.attributes.attemptId.empty()) {
-        Core::fail(error, ErrorKind::BackendAnswerInvalid, "the response is unsigned and has no attempt id", RunState::Unknown);
+    if (attempt.attributes.hasRefusalStatus) {
+        Core::fail(error, ErrorKind::BackendAnswerInvalid, "the server returned status " + std::to_string(response.status) + " without stating that it did not execute the request", RunState::Unknown);
         co_return AttemptOutcome::Unknown;
     }
+    static constexpr unsigned firstServerError = 500;
     recordRequestStart(context);
     response.headers = m_dependencies.codec.filterResponseHeaders(attempt.stream->headers());
     bool const failed = response.status >= firstServerError;
@@ -425,14 +442,19 @@
     return mayContinue ? std::min(context.deadline, lastEventAt + maximumEventGap) : context.deadline;
 }
 
+// A stream that is resumed after its last event has no more events. A response that ends with its connection may lack some.
+bool RequestForwarder::mayBeEmpty(RequestContext const& context, Attempt const& attempt)
+{
+    auto const& headers = attempt.stream->headers();
+    bool const isResumed = context.streamStarted || context.attributes.lastEventId;
+    return isResumed && attempt.attributes.isSigned && (headers.find("Content-Length") || headers.find("Transfer-Encoding"));
+}
+
 Core::Awaitable<AttemptOutcome> RequestForwarder::forwardStream(RequestContext& context, Attempt& attempt, Core::Error& error)
 {
     static constexpr std::size_t maximumEventBytes = 1024 * 1024;
-    if (!attempt.attributes.isSigned && attempt.attributes.attemptId.empty()) {
-        Core::fail(error, ErrorKind::BackendAnswerInvalid, "the stream is unsigned and has no attempt id", RunState::Unknown);
-        co_return AttemptOutcome::Unknown;
-    }
     context.events.dropPartial();
+    auto const earlierEvents = context.events.eventCount();
     auto lastEventAt = m_dependencies.runtime.now();
     while (true) {
         auto piece = co_await attempt.stream->readSome(stallDeadline(context, lastEventAt), error);
@@ -450,6 +472,10 @@
             Core::fail(error, ErrorKind::BackendAnswerInvalid, "the stream ended in the middle of an event", RunState::Unknown);
             co_return AttemptOutcome::Unknown;
         }
+        if (isEnd && context.events.eventCount() == earlierEvents && !mayBeEmpty(context, attempt)) {
+            Core::fail(error, ErrorKind::BackendAnswerInvalid, "the stream ended before its first event", RunState::Unknown);
+            co_return AttemptOutcome::Unknown;
+        }
         if (!events.empty()) {
             if (++attempt.eventPieces > 1)
                 Limits::recordSound(m_dependencies.tables.crashSuspects, context.service, context.sharedParts, lastEventAt);
@@ -471,6 +497,10 @@
             Core::fail(error, ErrorKind::Cancelled, "the client disconnected", RunState::Ran);
             co_return AttemptOutcome::Unknown;
         }
+        if (context.events.isOutOfOrder()) {
+            Core::fail(error, ErrorKind::BackendAnswerInvalid, "an event of the stream has no id or not one above the last", RunState::Unknown);
+            co_return AttemptOutcome::Unknown;
+        }
         if (isEnd) {
             context.streamFinished = true;
             co_return AttemptOutcome::ResponseReceived;
--- a/Tests/EdgeService/EdgeServiceTest.cpp
+++ b/Tests/EdgeService/EdgeServiceTest.cpp
@@ -283,6 +283,63 @@
     EXPECT_EQ(m_servers[0]->connections, 1u);
 }
 
+// Guards against a promise that a request has not run that its server did not give: an earlier refusal that arrived once more, or one
+// that names no request.
+TEST_F(EdgeServiceTest, RefusalOfAnotherRequestIsNotBelieved)
+{
+    static constexpr auto refusalHeader = "X-Hyssopstep-Not-Executed: 1\r\n";
+    std::string refusal;
+    for (int i = 0; i < 2; ++i) {
+        addServer([&](auto const& request) {
+            auto const id = attemptIdOf(request);
+            if (id == "refused")
+                return Reply { .bytes = refusal = httpResponse(id, "", refusalHeader, "503 Service Unavailable") };
+            if (id == "repeated")
+                return Reply { .bytes = refusal, .trailingBytes = httpResponse(id, "ran"), .trailingDelay = 50ms };
+            return Reply { .bytes = "HTTP/1.1 503 Service Unavailable\r\nX-Hyssopstep-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n", .trailingBytes = httpResponse(id, "ran"), .trailingDelay = 50ms };
+        });
+    }
+    start();
+    auto const arrivals = [&] { return m_servers[0]->requests.size() + m_servers[1]->requests.size(); };
+    EXPECT_EQ(statusOf(exchange(request("/unsafe/1", "refused", "POST"), 100ms)), "503");
+    EXPECT_EQ(arrivals(), 2u);
+    EXPECT_TRUE(exchange(request("/unsafe/1", "repeated", "POST")).ends_with("ran"));
+    EXPECT_EQ(arrivals(), 3u);
+    EXPECT_EQ(m_servers[0]->connections + m_servers[1]->connections, 2u);
+    EXPECT_EQ(statusOf(exchange(request("/unsafe/1", "unnamed", "POST"))), "502");
+    EXPECT_EQ(arrivals(), 4u);
+}
+
+// Guards against the same at an address that has two entries: the refusal as the first server arrives once more while the request runs.
+TEST_F(EdgeServiceTest, RepeatedRefusalOfTheSameAttemptIsNotBelieved)
+{
+    std::string refusal;
+    addServer([&](auto const& request) {
+        auto const id = attemptIdOf(request);
+        if (refusal.empty())
+            return Reply { .bytes = refusal = httpResponse(id, "", {}, "421 Misdirected Request") };
+        return Reply { .bytes = m_servers[0]->connections == 1 ? refusal : "", .trailingBytes = httpResponse(id, "ran"), .trailingDelay = 50ms };
+    });
+    start();
+    m_store.put("servers", "other", R"({"service":"app","address":")" + m_servers[0]->endpoint().toString() + R"(","zone":"a","slots":6,"state":"ready","seq":1})");
+    waitFor([&] { return isLive("other"); });
+    EXPECT_TRUE(exchange(request("/unsafe/1", "u", "POST")).ends_with("ran"));
+}
+
+// Guards against the status of a refusal for a request that its server may have run.
+TEST_F(EdgeServiceTest, RefusalStatusWithoutAStatementOfTheServerIsNotPassedOn)
+{
+    std::string status;
+    addServer([&](auto const& request) { return Reply { httpResponse(attemptIdOf(request), "", {}, status) }; });
+    start();
+    for (auto const* refusal : { "408 Request Timeout", "429 Too Many Requests", "503 Service Unavailable" }) {
+        status = refusal;
+        auto const response = exchange(request("/unsafe/1", "u", "POST"), 100ms);
+        EXPECT_EQ(statusOf(response), "502");
+        EXPECT_EQ(response.find("Seal"), std::string::npos);
+    }
+}
+
 // The same without any mark of the request that it belongs to.
 TEST_F(EdgeServiceTest, UnmarkedStreamIsNotForwarded)
 {
@@ -310,14 +367,17 @@
 TEST_F(EdgeServiceTest, SlowStreamIsNotCutOffWithoutARetryBudget)
 {
     m_retrySlack = 0;
-    for (int i = 0; i < 2; ++i)
-        addServer([](auto const& request) { return Reply { .bytes = streamHead(attemptIdOf(request)) + chunk(event(1)), .trailingBytes = chunk(event(2)) + "0\r\n\r\n", .trailingDelay = 1400ms }; });
+    for (int i = 0; i < 2; ++i) {
+        addServer([](auto const& request) {
+            bool const isResumed = request.find("Last-Event-Id: 1\r\n") != std::string::npos;
+            return Reply { .bytes = streamHead(attemptIdOf(request)) + (isResumed ? "" : chunk(event(1))), .trailingBytes = chunk(event(2)) + "0\r\n\r\n", .trailingDelay = 1400ms };
+        });
+    }
     start();
     // A new budget holds a few retries.
     for (int i = 0; i < 3; ++i) {
-        auto const response = exchange(request("/resume/1", "s" + std::to_string(i), "POST"), 2s);
-        EXPECT_NE(response.find(chunk(event(2))), std::string::npos) << response;
-        EXPECT_TRUE(response.ends_with("0\r\n\r\n")) << response;
+        auto const response = exchange(request("/resume/1", "s" + std::to_string(i), "POST"), 3s);
+        EXPECT_TRUE(response.ends_with("\r\n\r\n" + chunk(event(1)) + chunk(event(2)) + "0\r\n\r\n")) << response;
     }
 }
 
@@ -449,3 +509,64 @@
     EXPECT_EQ(broken.find("\r\n0\r\n\r\n"), std::string::npos) << broken;
     EXPECT_EQ(broken.find("id: 2"), std::string::npos) << broken;
 }
+
+// Guards against an error of the next server in the middle of a stream that has begun, and a stream that looks complete after it.
+TEST_F(EdgeServiceTest, BrokenStreamThatCannotContinueIsCutOff)
+{
+    auto const head = streamHead("ID");
+    auto const unframed = [&](std::string text) { return text.erase(text.find("Transfer-Encoding"), std::string("Transfer-Encoding: chunked\r\n").size()); };
+    auto const withType = [&](std::string text) { return text.replace(text.find("text/event-stream"), 17, "application/json"); };
+    std::string const end = "0\r\n\r\n";
+    std::string const errorHead = "HTTP/1.1 500 Internal Server Error\r\nX-Hyssopstep-Attempt-Id: ID\r\n\r\n";
+    struct Continuation {
+        std::string_view name;
+        std::string bytes;
+        Reply::Ending ending { Reply::Ending::KeepOpen };
+    };
+    std::vector<Continuation> const continuations {
+        { "error", httpResponse("ID", "text\n\n", {}, "500 Internal Server Error") },
+        { "refusal", httpResponse("ID", "text\n\n", "X-Hyssopstep-Not-Executed: 1\r\n", "503 Service Unavailable") },
+        { "notFound", httpResponse("ID", "text\n\n", {}, "404 Not Found") },
+        { "emptyBody", httpResponse("ID", "", "Content-Type: application/json\r\n") },
+        { "errorWithStatus200", withType(head) + chunk("{\"error\":\"text\"}\n\n") + end },
+        { "errorInStream", head + chunk("event: error\ndata: text\n\n") + end },
+        { "errorHeadInStream", head + chunk(errorHead + "text\n\n") + end },
+        { "errorAfterStream", unframed(head) + errorHead + "text\n\n", Reply::Ending::Close },
+        { "nothing", unframed(head), Reply::Ending::Close },
+        { "reset", unframed(head), Reply::Ending::Reset },
+        { "fromTheStart", head + chunk(event(1) + event(2)) + end },
+        { "unsigned", "HTTP/1.1 200 OK\r\nX-Hyssopstep-Attempt-Id: ID\r\nContent-Length: 0\r\n\r\n" },
+    };
+    std::size_t current = 0;
+    for (int i = 0; i < 2; ++i) {
+        addServer([&](auto const& request) {
+            auto const id = attemptIdOf(request);
+            if (request.find("Last-Event-Id: 1\r\n") == std::string::npos)
+                return Reply { .bytes = streamHead(id) + chunk(event(1) + "id: 2\nda"), .ending = Reply::Ending::Reset };
+            auto bytes = continuations[current].bytes;
+            for (auto at = bytes.find("ID"); at != std::string::npos; at = bytes.find("ID"))
+                bytes.replace(at, 2, id);
+            return Reply { .bytes = bytes, .ending = continuations[current].ending };
+        });
+    }
+    start();
+    for (; current < continuations.size(); ++current) {
+        auto const response = exchange(request("/resume/1", "s" + std::to_string(current), "POST"), 300ms);
+        auto const body = response.substr(std::min(response.find("\r\n\r\n") + 4, response.size()));
+        EXPECT_EQ(body, chunk(event(1))) << continuations[current].name;
+    }
+}
+
+// A stream whose server broke off after the last event, before its end.
+TEST_F(EdgeServiceTest, ResumedStreamWithoutFurtherEventsIsComplete)
+{
+    for (int i = 0; i < 2; ++i) {
+        addServer([](auto const& request) {
+            if (request.find("Last-Event-Id: 1\r\n") != std::string::npos)
+                return Reply { streamHead(attemptIdOf(request)) + "0\r\n\r\n" };
+            return Reply { .bytes = streamHead(attemptIdOf(request)) + chunk(event(1)), .ending = Reply::Ending::Reset };
+        });
+    }
+    start();
+    EXPECT_TRUE(exchange(request("/resume/1", "s", "POST")).ends_with(chunk(event(1)) + "0\r\n\r\n"));
+}
--- a/Tests/EdgeService/StoreWatcherTest.cpp
+++ b/Tests/EdgeService/StoreWatcherTest.cpp
@@ -89,6 +89,33 @@
     EXPECT_FALSE(isUsed);
 }
 
+// Guards against an older configuration, a server that has left, and changes that are never seen, after the store returned from a copy
+// and gave its revisions out again.
+TEST_F(EdgeServiceTest, RestoredStoreBringsBackNothingAndItsNewChangesAreSeen)
+{
+    for (int i = 0; i < 4; ++i)
+        addServer([](auto const& request) { return Reply { httpResponse(attemptIdOf(request), "body") }; });
+    start();
+    waitFor([&] { return isLive("s1") && isLive("s2") && isLive("s3"); });
+    auto const copy = m_store.objects();
+    putConfiguration(2);
+    putServerState("s1", "draining");
+    m_store.erase("servers", "s2");
+    waitFor([&] { return m_service->tables().routes->version == 2 && !isLive("s1") && !isLive("s2"); });
+    m_store.restore(copy);
+    // The numbers that these changes get are those of the changes which were lost.
+    putConfiguration(3);
+    putServerState("s3", "draining");
+    bool isUsed = false;
+    waitFor([&] {
+        isUsed = isUsed || isLive("s1") || isLive("s2");
+        return m_service->tables().routes->version == 3 && !isLive("s3");
+    });
+    EXPECT_FALSE(isUsed);
+    EXPECT_EQ(m_service->tables().serversRevision.era, 2u);
+    EXPECT_TRUE(isLive("s4"));
+}
+
 // Guards against an old configuration at a node that the store turns away: the peer that it asks first delays the list of servers, and
 // the configuration waited for it.
 TEST_F(EdgeServiceTest, ConfigurationIsFetchedWhileAServerListIsDelayed)
@@ -170,3 +197,29 @@
     waitFor([&] { return m_service->tables().servers.rows.size() <= 1; });
     EXPECT_EQ(statusOf(exchange(request("/safe/1"))), "503");
 }
+
+// Guards against a node that stops following the store because of one entry of another writer, in a list and in a watch.
+TEST_F(EdgeServiceTest, UnreadableServerEntryNamesNoServerAndOthersHold)
+{
+    auto const nested = std::string(5'000, '[') + std::string(5'000, ']');
+    auto const withField = [&](std::string const& field) { return R"({"service":"app","address":"127.0.0.1:9","zone":"a","version":"v1","slots":6,"state":"ready","seq":1,)" + field + "}"; };
+    std::vector<std::string> const oddValues { nested, withField(R"("more":)" + nested), withField(R"("more":1e99999999999)"), withField(R"("born":-1)"), withField(R"("more":"\ud800")") };
+    for (std::size_t i = 0; i < oddValues.size(); ++i)
+        m_store.put("servers", "odd" + std::to_string(i), oddValues[i]);
+    for (int i = 0; i < 2; ++i)
+        addServer([](auto const& request) { return Reply { httpResponse(attemptIdOf(request), "body") }; });
+    start();
+    EXPECT_EQ(statusOf(exchange(request("/safe/1"))), "200");
+    auto const lists = m_store.calls - m_store.watches;
+    for (std::size_t i = 0; i < oddValues.size(); ++i) {
+        auto const later = "later" + std::to_string(i);
+        m_store.put("servers", "odd", oddValues[i]);
+        m_store.put("servers", later, R"({"service":"app","address":")" + m_servers[0]->endpoint().toString() + R"(","zone":"a","slots":6,"state":"ready","seq":1})");
+        waitFor([&] { return isLive(later); });
+        // The entry of a known server.
+        m_store.put("servers", later, oddValues[i]);
+        waitFor([&] { return !isLive(later); });
+    }
+    waitFor([&] { return m_service->tables().servers.rows.size() == 2; });
+    EXPECT_EQ(m_store.calls - m_store.watches, lists);
+}
--- a/Tests/PlatformAdapter/StoreClientTest.cpp
+++ b/Tests/PlatformAdapter/StoreClientTest.cpp
@@ -1,3 +1,4 @@
+#include <EdgeService/RawServer.h>
 #include <EdgeService/StoreStandIn.h>
 #include <Support/BlockingCall.h>
 #include <gtest/gtest.h>
@@ -48,23 +49,87 @@
     EXPECT_EQ(list->resourceVersion.number, 5u);
 }
 
+// Guards against ignoring servers on the pages after an entry of another writer whose name needs encoding.
+TEST_F(StoreClientTest, ListsThePagesAfterAnEntryWithAnOddName)
+{
+    for (auto const* name : { "a", "b c&wait-ms=1#%\xc3\xa9\r\n", "c", "d" })
+        m_standIn.put("servers", name, "{}");
+    auto const list = m_loop.run(m_store.list("servers", m_loop.deadline(), m_error));
+    ASSERT_TRUE(list) << m_error.message;
+    EXPECT_EQ(list->objects.size(), 4u);
+}
+
+// Guards against a list that lacks the pages after one without a readable entry, and a watch that fails because of one event.
+TEST_F(StoreClientTest, UnreadableEntriesAndEventsAreSkipped)
+{
+    StandIns::RawServer server(m_loop.runtime(), [](std::string const& request) {
+        std::string body = R"({"items":[7,{"metadata":{"name":"a"}},{}],"more-pages":true,"store-revision":5})";
+        if (request.find("after=a ") != std::string::npos)
+            body = R"({"items":[{"metadata":{"name":"b","revision":4},"spec":1}],"more-pages":false,"store-revision":5})";
+        if (request.find("watch=5&") != std::string::npos)
+            body = R"({"events":[null,{"deleted":1,"object":{}},{"deleted":false,"object":{"metadata":{"name":"c","revision":6},"spec":2}}],"store-revision":7})";
+        return StandIns::RawServer::Reply { "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body };
+    });
+    PlatformAdapter::StoreClient store(m_loop.runtime(), m_client, server.endpoint());
+    auto const list = m_loop.run(store.list("servers", m_loop.deadline(), m_error));
+    ASSERT_TRUE(list) << m_error.message;
+    EXPECT_EQ(list->objects, (std::vector<Platform::StoredObject> { { { "servers", "b" }, { 0, 4 }, "1" } }));
+    auto const changes = m_loop.run(store.waitForChanges("servers", { 0, 5 }, m_loop.deadline(), m_error));
+    ASSERT_TRUE(changes) << m_error.message;
+    EXPECT_EQ(changes->events, (std::vector<Platform::ObjectEvent> { { Platform::ObjectEventKind::Put, { { "servers", "c" }, { 0, 6 }, "2" } } }));
+    EXPECT_EQ(changes->resourceVersion.number, 7u);
+}
+
 TEST_F(StoreClientTest, WatchesContinueFromTheStoresRevision)
 {
     m_standIn.put("servers", "s", "{}");
     m_standIn.put("config", "main", "{}");
-    auto changes = m_loop.run(m_store.waitForChanges("servers", { m_store.era(), 0 }, m_loop.deadline(), m_error));
+    auto changes = m_loop.run(m_store.waitForChanges("servers", { 1, 0 }, m_loop.deadline(), m_error));
     ASSERT_TRUE(changes) << m_error.message;
     EXPECT_EQ(changes->events.size(), 1u);
     // Changes of other kinds advance the revision, so that the next watch does not start at a revision that has expired.
     EXPECT_EQ(changes->resourceVersion.number, 2u);
-    changes = m_loop.run(m_store.waitForChanges("servers", { m_store.era(), 2 }, m_loop.runtime().now() + 100ms, m_error));
+    changes = m_loop.run(m_store.waitForChanges("servers", { 1, 2 }, m_loop.runtime().now() + 100ms, m_error));
     ASSERT_TRUE(changes) << m_error.message;
     EXPECT_TRUE(changes->events.empty());
     m_standIn.oldestRevision = 2;
-    EXPECT_FALSE(m_loop.run(m_store.waitForChanges("servers", { m_store.era(), 1 }, m_loop.deadline(), m_error)));
+    EXPECT_FALSE(m_loop.run(m_store.waitForChanges("servers", { 1, 1 }, m_loop.deadline(), m_error)));
     EXPECT_EQ(m_error.kind, ErrorKind::StoreVersionExpired);
 }
 
+// Guards against calls that take a revision of a restored store for the one with the same number before.
+TEST_F(StoreClientTest, RevisionsOfAnEarlierEraAreNotContinuedFrom)
+{
+    auto const copy = m_standIn.objects();
+    auto const before = m_loop.run(m_store.create(m_key, "1", m_loop.deadline(), m_error));
+    ASSERT_EQ(before, (Core::StoreRevision { 1, 1 })) << m_error.message;
+    m_standIn.restore(copy);
+    m_standIn.put(m_key.kind, m_key.name, "2");
+    EXPECT_EQ(m_loop.run(m_store.read(m_key, m_loop.deadline(), m_error)), (Platform::StoredObject { m_key, { 2, 1 }, "2" }));
+    EXPECT_EQ(m_store.era(), 2u);
+    EXPECT_FALSE(m_loop.run(m_store.waitForChanges(m_key.kind, *before, m_loop.deadline(), m_error)));
+    EXPECT_EQ(m_error.kind, ErrorKind::StoreVersionExpired);
+    EXPECT_FALSE(m_loop.run(m_store.update(m_key, "3", *before, m_loop.deadline(), m_error)));
+    EXPECT_EQ(m_error.kind, ErrorKind::StoreConflict);
+    // The store itself compares numbers only.
+    EXPECT_EQ(m_error.runState, RunState::Ran);
+}
+
+// Guards against a late response of an earlier era that replaces what the restored store said.
+TEST_F(StoreClientTest, ResponsesOfAnEarlierEraAreRefused)
+{
+    unsigned era = 3;
+    StandIns::RawServer server(m_loop.runtime(), [&](std::string const&) {
+        return StandIns::RawServer::Reply { "HTTP/1.1 404 -\r\nStore-Era: " + std::to_string(era--) + "\r\nContent-Length: 0\r\n\r\n" };
+    });
+    PlatformAdapter::StoreClient store(m_loop.runtime(), m_client, server.endpoint());
+    EXPECT_FALSE(m_loop.run(store.read(m_key, m_loop.deadline(), m_error)));
+    EXPECT_EQ(m_error.kind, ErrorKind::NotFound);
+    EXPECT_FALSE(m_loop.run(store.read(m_key, m_loop.deadline(), m_error)));
+    EXPECT_EQ(m_error.kind, ErrorKind::StoreUnavailable);
+    EXPECT_EQ(store.era(), 3u);
+}
+
 TEST_F(StoreClientTest, RefusedCallsAreReportedAsNotRun)
 {
     for (unsigned const status : { 429U, 503U }) {
