--- a/Tests/PlatformAdapter/StoreCodecTest.cpp
+++ b/Tests/PlatformAdapter/StoreCodecTest.cpp
@@ -85,3 +85,16 @@
          })
         EXPECT_FALSE(codec.decodeServer(entry(text), error)) << text;
 }
+
+// Guards against a header that another writer adds to the requests for a server.
+TEST(StoreCodecTest, RefusesServerEntriesWhoseNameIsNoHeaderValue)
+{
+    PlatformAdapter::StoreCodec const codec;
+    Core::Error error;
+    auto server = entry(R"({"service":"s","address":"10.0.0.1:80","zone":"a","slots":1,"state":"ready","seq":1})");
+    EXPECT_TRUE(codec.decodeServer(server, error));
+    for (auto const* name : { "", "a b", "a\r\nTransfer-Encoding: chunked", "\xc3\xa9" }) {
+        server.key.name = name;
+        EXPECT_FALSE(codec.decodeServer(server, error)) << name;
+    }
+}
