Tests: Let the store stand-in count its eras with the objects

MemoryObjects keeps the era and returns to copies since its revisions are ordered by era, so the stand-in's own counter goes. Its answers now name an era (1 at first), as the platform's do; WatchesContinueFromTheStoresRevision watched from era 0 without having made a call, and lists first now, as each caller does. RestoredStoreAcceptsNoWatchFromBefore shows the client against a restored store, also once the number is assigned again.

--- a/Tests/EdgeService/StoreStandIn.cpp
+++ b/Tests/EdgeService/StoreStandIn.cpp
@@ -25,6 +25,7 @@
     , m_changed(runtime)
     , m_server(runtime, {}, [this](auto const& request, auto& writer) { return handle(request, writer); })
 {
+    m_objects.era = 1;
 }
 
 Core::Endpoint StoreStandIn::start()
@@ -47,8 +48,7 @@
 
 void StoreStandIn::restore(TestSupport::MemoryObjects const& copy)
 {
-    m_objects = copy;
-    ++m_era;
+    m_objects.restore(copy);
     cutWatches();
 }
 
@@ -96,7 +96,7 @@
             response = jsonResponse(200, objectJson(found->second));
         }
     }
-    response.headers.add("Store-Era", std::to_string(m_era));
+    response.headers.add("Store-Era", std::to_string(m_objects.era));
     (void)co_await writer.send(std::move(response));
 }
 
--- a/Tests/EdgeService/StoreStandIn.h
+++ b/Tests/EdgeService/StoreStandIn.h
@@ -47,7 +47,6 @@
 
     Core::Runtime& m_runtime;
     TestSupport::MemoryObjects m_objects;
-    std::uint64_t m_era { 1 };
     Core::AsyncEvent m_changed;
     /// The number of watches when they were last silenced, cut or left without events; later ones are answered.
     std::size_t m_silencedWatches { 0 };
--- a/Tests/PlatformAdapter/StoreClientTest.cpp
+++ b/Tests/PlatformAdapter/StoreClientTest.cpp
@@ -52,6 +52,8 @@
 {
     m_standIn.put("servers", "s", "{}");
     m_standIn.put("config", "main", "{}");
+    // The client learns the store's era from the first response.
+    ASSERT_TRUE(m_loop.run(m_store.list("servers", m_loop.deadline(), m_error)));
     auto changes = m_loop.run(m_store.waitForChanges("servers", { m_store.era(), 0 }, m_loop.deadline(), m_error));
     ASSERT_TRUE(changes) << m_error.message;
     EXPECT_EQ(changes->events.size(), 1u);
@@ -65,6 +67,26 @@
     EXPECT_EQ(m_error.kind, ErrorKind::StoreVersionExpired);
 }
 
+// Guards against a watch that goes on from a revision of a store that has returned from a copy since, and so misses changes.
+TEST_F(StoreClientTest, RestoredStoreAcceptsNoWatchFromBefore)
+{
+    m_standIn.put("servers", "s", "{}");
+    auto const copy = m_standIn.objects();
+    m_standIn.put("servers", "t", "{}");
+    auto const before = m_loop.run(m_store.list("servers", m_loop.deadline(), m_error));
+    ASSERT_TRUE(before) << m_error.message;
+    m_standIn.restore(copy);
+    EXPECT_FALSE(m_loop.run(m_store.waitForChanges("servers", before->resourceVersion, m_loop.deadline(), m_error)));
+    EXPECT_EQ(m_error.kind, ErrorKind::StoreVersionExpired);
+    // Also once the number is assigned again.
+    m_standIn.put("servers", "u", "{}");
+    EXPECT_FALSE(m_loop.run(m_store.waitForChanges("servers", before->resourceVersion, m_loop.runtime().now() + 100ms, m_error)));
+    EXPECT_EQ(m_error.kind, ErrorKind::StoreVersionExpired);
+    auto const after = m_loop.run(m_store.list("servers", m_loop.deadline(), m_error));
+    ASSERT_TRUE(after) << m_error.message;
+    EXPECT_EQ(after->resourceVersion, (Core::StoreRevision { before->resourceVersion.era + 1, before->resourceVersion.number }));
+}
+
 TEST_F(StoreClientTest, RefusedCallsAreReportedAsNotRun)
 {
     for (unsigned const status : { 429U, 503U }) {
