Tests/Soak: Check that a configuration is in force in time

Now a 404 for a route of a version that was written more than 2 s (config-ms) before the request is a violation, at a node that was started more than 3 s before (a node that has just started is not in touch) and if no unplanned fault was active within 5 s: 3 s until the platform's store and the nodes count as calm again, and the 2 s.

--- a/Tests/Soak/SoakRun.cpp
+++ b/Tests/Soak/SoakRun.cpp
@@ -9,6 +9,7 @@
 #include <Support/BlockingCall.h>
 #include <Support/ChildProcess.h>
 #include <csignal>
+#include <map>
 #include <set>
 #include <unistd.h>
 
@@ -36,6 +37,7 @@
     Core::Endpoint storeEndpoint;
     std::optional<ChildProcess> process;
     std::uint64_t startCount { 0 };
+    Core::MonotonicTime startedAt {};
     /// Newest configuration version that the process has served since its last start.
     std::uint64_t servedVersion { 0 };
     bool isStoppedOrPaused { false };
@@ -161,6 +163,7 @@
             "--duties=usage_report,autoscale", "--lease_ms=" + std::to_string(leaseTime.count()),
             "--usage_window_s=" + std::to_string(1 + m_options.seed % longestUsageWindowSeconds) });
         ++node.startCount;
+        node.startedAt = m_runtime.now();
         node.servedVersion = 0;
     }
 
@@ -187,7 +190,9 @@
     // Each version adds one route and keeps those of the earlier versions.
     void publishConfiguration()
     {
+        auto const publishedAt = m_versions.empty() ? 0ms : elapsed();
         m_versions.push_back(m_versions.empty() ? 1 : m_versions.back() + 2);
+        m_publishedAt[m_versions.back()] = publishedAt;
         std::string routes;
         auto const addRoute = [&](std::string const& path, std::string const& kind, std::string const& options = {}) {
             routes += (routes.empty() ? "" : ",") + (R"({"name":")" + path + R"(","host":"h.example","path-prefix":"/)" + path + R"(/","kind":")" + kind + R"(","timeout-ms":3000,"service":"app","max-attempts":2)" + options + "}");
@@ -269,12 +274,23 @@
                     node.servedVersion = std::max(node.servedVersion, version);
                 else if (response.status == 404 && version <= servedVersionBefore)
                     addViolation("n" + std::to_string(index) + " refused a route of version " + std::to_string(version) + " after it had served " + std::to_string(servedVersionBefore));
+                else if (response.status == 404 && isOverdue(node, version, sentAt))
+                    addViolation("n" + std::to_string(index) + " refused a route of version " + std::to_string(version) + " that had been published at " + std::to_string(m_publishedAt.at(version).count()) + " ms");
             }
             co_await m_runtime.sleepFor(response.isComplete && response.status == 200 ? Core::Duration(2ms) : delayAfterFailure);
         }
         --m_activeClients;
     }
 
+    // Whether a version must have been in force on a node when a request was sent, by the platform's time limit.
+    [[nodiscard]] bool isOverdue(Node const& node, std::uint64_t version, milliseconds sentAt) const
+    {
+        static constexpr milliseconds timeLimit { 2000 };
+        static constexpr milliseconds startTime { 3000 };
+        bool const hasJustStarted = m_startedAt + sentAt < node.startedAt + startTime;
+        return !hasJustStarted && sentAt > m_publishedAt.at(version) + timeLimit && hasNoUnplannedFault(m_faults, sentAt - timeLimit, elapsed());
+    }
+
     void checkResponse(std::string const& id, std::string const& path, ClientResponse const& response, milliseconds sentAt)
     {
         bool const isRefusal = response.status == 429 || response.status == 503 || response.status == 408 || response.status == 421;
@@ -560,6 +576,7 @@
     std::vector<Backend> m_backends;
     std::vector<Node> m_nodes;
     std::vector<std::uint64_t> m_versions;
+    std::map<std::uint64_t, milliseconds> m_publishedAt;
     std::string m_configuration;
     std::set<std::string> m_refused;
     std::set<std::string> m_retryable;
