Edge, LibHTTP: Do not break off a stream whose silent server goes on

What callers saw: a resumable stream ended in the middle, without its end and without an error, although its server was running and would have gone on after a silence of a second or so.

Cause: after one second without an event the node closed the connection to the server, and only then looked for another one. If there was none, if it rejected the request or failed, or if the retry budget was used up, nothing was left to read from. The budget was looked at when the wait began and charged a second later; all streams of a server stall at once, so most of them found it empty. Class: a resource that works is given up before its replacement is secured, and a check that is separate from its use.

Change: a stalled stream keeps its connection. The attempt ends as "stalled" in the log's trace of servers, another server is asked as before, and the first one is left once the other has sent an event or has had the request for 250 ms, since two servers must not work on one stream for long. If no other server can be asked or its attempt fails, the first stream is read on, with the bytes of its incomplete event, and another server is asked again after 250 ms within the limits of the route, the attempts and the budget. LibHTTP can read a body with a deadline after which the connection is kept. The time without an event counts from when the event was forwarded, so that a slow client does not make its server look silent.

Ruled out: never leaving a silent server, since a hung one would hold the stream until its client gives up; reading both at once, which lets two servers run one stream for longer.

Evidence: four of the five tests in SilentServerTest failed before, the streams ended after their first event: the only server (1006 ms), a rejected continuation (1006 ms), a failed one (error and reset), four streams with a budget for one (three broken off). The fifth, which bounds the time that two servers work on a stream, passed before and passes. All 67 tests of TestEdgeService pass.

--- a/Libraries/LibForward/AttemptPolicy.h
+++ b/Libraries/LibForward/AttemptPolicy.h
@@ -16,6 +16,8 @@
     NotSent,
     /// The server states that it did not execute the request.
     NotExecuted,
+    /// A resumable stream has sent no event for some time, but its connection is open.
+    Stalled,
     /// The connection broke, or the response is incomplete or invalid: the request may have been executed.
     Unknown,
 };
--- a/Libraries/LibForward/EventSplitter.h
+++ b/Libraries/LibForward/EventSplitter.h
@@ -20,6 +20,9 @@
     /// Drops the bytes of an incomplete event, before another server resumes the stream.
     void dropPartial() { m_partial.clear(); }
 
+    /// Replaces the bytes of an incomplete event by those that partial() returned earlier, before the server that sent them is read further.
+    void restorePartial(std::string partial) { m_partial = std::move(partial); }
+
     /// The last `id` field among the complete events.
     [[nodiscard]] std::optional<std::uint64_t> lastId() const { return m_lastId; }
 
--- a/Libraries/LibHTTP/Client.cpp
+++ b/Libraries/LibHTTP/Client.cpp
@@ -41,6 +41,12 @@
         socket.close(ignored);
     }
 
+    void cancelRead()
+    {
+        boost::system::error_code ignored;
+        socket.cancel(ignored);
+    }
+
     tcp::socket socket;
     beast::flat_buffer buffer;
     Core::MonotonicTime idleSince;
@@ -240,7 +246,7 @@
     unsigned status() const override { return m_parser->get().result_int(); }
     Headers const& headers() const override { return m_headers; }
 
-    Core::Awaitable<std::optional<std::string>> readSome(Core::MonotonicTime deadline, Core::Error& error) override
+    Core::Awaitable<std::optional<std::string>> readSome(Core::MonotonicTime deadline, AfterReadDeadline afterDeadline, Core::Error& error) override
     {
         std::string bytes;
         while (bytes.empty() && !m_parser->is_done()) {
@@ -255,7 +261,10 @@
                 AbortScope const abort(m_cancellation, *m_connection);
                 auto timer = m_runtime.callAt(deadline, [&] {
                     timedOut = true;
-                    m_connection->close();
+                    if (afterDeadline == AfterReadDeadline::CloseConnection)
+                        m_connection->close();
+                    else
+                        m_connection->cancelRead();
                 });
                 auto [readError, length] = co_await beast::http::async_read_some(m_connection->socket, m_connection->buffer, *m_parser, useTuple);
                 errorCode = readError;
@@ -265,10 +274,13 @@
             m_parser->get().body().data = nullptr;
             m_parser->get().body().size = 0;
             if (errorCode && errorCode != beast::http::error::need_buffer) {
+                bool const isCancelled = m_cancellation && m_cancellation->isCancelled();
+                if (timedOut && !isCancelled && afterDeadline == AfterReadDeadline::KeepConnection && errorCode == asio::error::operation_aborted)
+                    co_return Core::fail(error, ErrorKind::DeadlineExceeded, "no byte of the response from " + m_endpoint.toString() + " in time", RunState::Unknown);
                 m_connection.reset();
-                if (m_cancellation && m_cancellation->isCancelled())
+                if (isCancelled)
                     co_return Core::fail(error, ErrorKind::Cancelled, "the response from " + m_endpoint.toString() + " was cancelled", RunState::Unknown);
-                if (timedOut)
+                if (timedOut && afterDeadline == AfterReadDeadline::CloseConnection)
                     co_return Core::fail(error, ErrorKind::DeadlineExceeded, "no response from " + m_endpoint.toString() + " within the deadline", RunState::Unknown);
                 co_return Core::fail(error, ErrorKind::BackendAnswerInvalid, "the response from " + m_endpoint.toString() + " was truncated: " + errorCode.message(), RunState::Unknown);
             }
@@ -417,6 +429,8 @@
             Core::fail(error, ErrorKind::DeadlineExceeded, "the deadline passed before the request was sent", runState);
             co_return nullptr;
         }
+        if (options.onSending)
+            options.onSending();
         bool timedOut = false;
         HeaderOutcome outcome;
         {
--- a/Libraries/LibHTTP/Client.h
+++ b/Libraries/LibHTTP/Client.h
@@ -63,6 +63,13 @@
     ReadUntilClose,
 };
 
+/// What happens to the connection if a response's body brings no byte before the deadline of a read.
+enum class AfterReadDeadline {
+    CloseConnection,
+    /// The body can be read further.
+    KeepConnection,
+};
+
 /// Cancels an exchange in progress, for example when the client it is made for disconnects. Not thread safe.
 class Cancellation {
 public:
@@ -93,6 +100,8 @@
     ResponsePredicate matchesRequest;
     /// May be null. Precondition: outlives the exchange. A cancelled exchange fails with Cancelled.
     Cancellation* cancellation { nullptr };
+    /// Called once a connection is established, before the first byte of the request is written. May be empty.
+    std::function<void()> onSending;
 };
 
 /// A response whose body is read incrementally. Destroying it before the end of the body closes the connection. Not thread safe.
@@ -105,7 +114,8 @@
 
     /// Returns the next bytes of the body, or an empty string after its last byte. Fails with BackendAnswerInvalid if the
     /// connection closes before the end of the body, and with DeadlineExceeded; both with RunState::Unknown.
-    [[nodiscard]] virtual Core::Awaitable<std::optional<std::string>> readSome(Core::MonotonicTime deadline, Core::Error&) = 0;
+    [[nodiscard]] virtual Core::Awaitable<std::optional<std::string>> readSome(Core::MonotonicTime deadline, AfterReadDeadline, Core::Error&) = 0;
+    [[nodiscard]] Core::Awaitable<std::optional<std::string>> readSome(Core::MonotonicTime deadline, Core::Error& error) { return readSome(deadline, AfterReadDeadline::CloseConnection, error); }
 
     /// Whether the last byte of the body was read.
     [[nodiscard]] virtual bool isComplete() const = 0;
--- a/Libraries/LibLimits/RetryBudget.cpp
+++ b/Libraries/LibLimits/RetryBudget.cpp
@@ -25,15 +25,10 @@
     m_level = std::min(m_capacity, m_level + m_retriesPerRequest);
 }
 
-bool RetryBudget::canTake(Core::MonotonicTime now)
-{
-    refill(now);
-    return m_level >= 1;
-}
-
 bool RetryBudget::tryTake(Core::MonotonicTime now)
 {
-    if (!canTake(now))
+    refill(now);
+    if (m_level < 1)
         return false;
     m_level -= 1;
     return true;
--- a/Libraries/LibLimits/RetryBudget.h
+++ b/Libraries/LibLimits/RetryBudget.h
@@ -20,9 +20,6 @@
 
     void recordRequest(Core::MonotonicTime now);
 
-    /// Returns whether tryTake() would succeed.
-    [[nodiscard]] bool canTake(Core::MonotonicTime now);
-
     /// Takes one retry from the budget. Returns false if less than one is available.
     [[nodiscard]] bool tryTake(Core::MonotonicTime now);
 
--- a/Services/Edge/RequestForwarder.cpp
+++ b/Services/Edge/RequestForwarder.cpp
@@ -21,11 +21,69 @@
 // A node learns its configuration and servers within about one poll of the store.
 static constexpr std::chrono::milliseconds retryAfterNotReady { 500 };
 
+// A resumable stream without an event for this time is offered to another server, before its client times out. Clients wait at least
+// two seconds for the next event; engines under load pause for some hundred milliseconds.
+static constexpr Core::Duration maximumEventGap = 1s;
+
 static std::chrono::milliseconds toMilliseconds(Core::Duration duration)
 {
     return std::chrono::duration_cast<std::chrono::milliseconds>(duration);
 }
 
+namespace {
+
+// Counts a request as outstanding at a server for the lifetime of an attempt.
+class OutstandingScope {
+public:
+    OutstandingScope(EdgeTables& tables, std::string serverId, Limits::RequestFingerprint fingerprint)
+        : m_tables(tables)
+        , m_serverId(std::move(serverId))
+        , m_fingerprint(m_tables.runningByServer.emplace(m_serverId, fingerprint))
+    {
+        if (auto* row = Routing::findServer(m_tables.servers, m_serverId))
+            ++row->outstanding;
+    }
+
+    ~OutstandingScope()
+    {
+        m_tables.runningByServer.erase(m_fingerprint);
+        auto* row = Routing::findServer(m_tables.servers, m_serverId);
+        if (row && row->outstanding > 0)
+            --row->outstanding;
+    }
+
+    OutstandingScope(OutstandingScope const&) = delete;
+    OutstandingScope& operator=(OutstandingScope const&) = delete;
+
+private:
+    EdgeTables& m_tables;
+    std::string m_serverId;
+    std::multimap<std::string, Limits::RequestFingerprint>::iterator m_fingerprint;
+};
+
+}
+
+struct RequestForwarder::Attempt {
+    Attempt(EdgeTables& tables, Routing::Placement chosen, Limits::RequestFingerprint fingerprint, Core::MonotonicTime now)
+        : placement(std::move(chosen))
+        , sentAt(now)
+        , outstanding(tables, placement.serverId, fingerprint)
+    {
+    }
+
+    Routing::Placement placement;
+    Core::MonotonicTime sentAt;
+    OutstandingScope outstanding;
+    std::unique_ptr<HTTP::ResponseStream> stream;
+    Forward::ResponseAttributes attributes;
+    /// Number of pieces of the stream that held complete events.
+    std::size_t eventPieces { 0 };
+    /// When the stream counts as stalled, unless an event is forwarded before.
+    Core::MonotonicTime stallsAt {};
+    /// Of a stalled stream: the bytes of an incomplete event.
+    std::string partialEvent;
+};
+
 struct RequestForwarder::RequestContext {
     HTTP::Request const& request;
     HTTP::ResponseWriter& writer;
@@ -65,51 +123,11 @@
     bool streamFinished { false };
     Forward::EventSplitter events;
     std::optional<Core::MonotonicTime> firstEventAt;
+    /// The attempt that sent the last event, while another server is asked to continue the stream.
+    std::unique_ptr<Attempt> stalled;
     std::string failureReason;
 };
 
-struct RequestForwarder::Attempt {
-    Routing::Placement placement;
-    Core::MonotonicTime sentAt;
-    std::unique_ptr<HTTP::ResponseStream> stream;
-    Forward::ResponseAttributes attributes;
-    /// Number of pieces of the stream that held complete events.
-    std::size_t eventPieces { 0 };
-};
-
-namespace {
-
-// Counts a request as outstanding at a server for the lifetime of an attempt.
-class OutstandingScope {
-public:
-    OutstandingScope(EdgeTables& tables, std::string serverId, Limits::RequestFingerprint fingerprint)
-        : m_tables(tables)
-        , m_serverId(std::move(serverId))
-        , m_fingerprint(m_tables.runningByServer.emplace(m_serverId, fingerprint))
-    {
-        if (auto* row = Routing::findServer(m_tables.servers, m_serverId))
-            ++row->outstanding;
-    }
-
-    ~OutstandingScope()
-    {
-        m_tables.runningByServer.erase(m_fingerprint);
-        auto* row = Routing::findServer(m_tables.servers, m_serverId);
-        if (row && row->outstanding > 0)
-            --row->outstanding;
-    }
-
-    OutstandingScope(OutstandingScope const&) = delete;
-    OutstandingScope& operator=(OutstandingScope const&) = delete;
-
-private:
-    EdgeTables& m_tables;
-    std::string m_serverId;
-    std::multimap<std::string, Limits::RequestFingerprint>::iterator m_fingerprint;
-};
-
-}
-
 static std::string_view outcomeName(AttemptOutcome outcome)
 {
     switch (outcome) {
@@ -121,6 +139,8 @@
         return "not_sent";
     case AttemptOutcome::NotExecuted:
         return "not_executed";
+    case AttemptOutcome::Stalled:
+        return "stalled";
     case AttemptOutcome::Unknown:
         break;
     }
@@ -292,23 +312,31 @@
     return found->second.tryTake(m_dependencies.runtime.now());
 }
 
+bool RequestForwarder::shouldRetry(RequestContext const& context, AttemptOutcome outcome)
+{
+    bool const hadServer = context.triedServers.size() == context.attempts;
+    Core::Error refusal;
+    if (!hadServer || context.cancellation.isCancelled() || context.streamFinished || isPartRefused(context, refusal))
+        return false;
+    auto const next = Forward::decideNextStep(outcome, attemptHistory(context));
+    return next == Forward::NextStep::Retry || (next == Forward::NextStep::RetryWithinBudget && chargeRetryBudget(context));
+}
+
 Core::Awaitable<void> RequestForwarder::run(RequestContext& context)
 {
     (void)chargeRetryBudget(context);
     Core::Error error;
-    while (true) {
-        auto const outcome = co_await attempt(context, error);
-        if (context.clientDisconnected)
-            co_return;
-        auto const next = context.triedServers.size() < context.attempts ? Forward::NextStep::Finish : Forward::decideNextStep(outcome, attemptHistory(context));
-        Core::Error refusal;
-        bool const shouldRetry = !context.cancellation.isCancelled() && !context.streamFinished && !isPartRefused(context, refusal)
-            && (next == Forward::NextStep::Retry || (next == Forward::NextStep::RetryWithinBudget && chargeRetryBudget(context)));
+    auto outcome = co_await attempt(context, error);
+    while (!context.clientDisconnected) {
         // A server's error response is kept and returned unless a later attempt replaces it.
-        if (shouldRetry)
-            continue;
-        co_await finish(context, outcome, std::move(error));
-        co_return;
+        if (shouldRetry(context, outcome)) {
+            outcome = co_await attempt(context, error);
+        } else if (context.stalled && !context.streamFinished && !context.cancellation.isCancelled()) {
+            outcome = co_await resumeStalled(context, error);
+        } else {
+            co_await finish(context, outcome, std::move(error));
+            co_return;
+        }
     }
 }
 
@@ -324,13 +352,12 @@
     context.chosenServerLoad = placement->requestsInProgress;
     context.chosenHomeRank = placement->homeRank;
     context.cacheSource = placement->cacheSource;
-    Attempt attempt { .placement = std::move(*placement), .sentAt = m_dependencies.runtime.now() };
-    context.placedAt = attempt.sentAt;
-    OutstandingScope const scope(tables, attempt.placement.serverId, context.fingerprint);
+    auto attempt = std::make_unique<Attempt>(tables, std::move(*placement), context.fingerprint, m_dependencies.runtime.now());
+    context.placedAt = attempt->sentAt;
 
     Forward::ForwardAttributes attributes;
-    attributes.timeLeft = toMilliseconds(context.deadline - attempt.sentAt);
-    attributes.serverId = attempt.placement.serverId;
+    attributes.timeLeft = toMilliseconds(context.deadline - attempt->sentAt);
+    attributes.serverId = attempt->placement.serverId;
     if (context.team) {
         static constexpr std::uint32_t lowestPriority = 9;
         attributes.team = context.team->name;
@@ -338,7 +365,10 @@
     }
     if (context.events.lastId())
         attributes.lastEventId = context.events.lastId();
-    attributes.cacheSource = attempt.placement.cacheSource;
+    attributes.cacheSource = attempt->placement.cacheSource;
+    // A server that rejects a request does so within some round trips. Two servers must not work on a request for long.
+    static constexpr Core::Duration maximumOverlap = 250ms;
+    Core::Timer overlapTimer;
     HTTP::ExchangeOptions options {
         .use = HTTP::ConnectionUse::PooledNoRetry,
         .unframed = HTTP::UnframedResponse::ReadUntilClose,
@@ -348,28 +378,58 @@
         },
         .cancellation = &context.cancellation,
     };
+    options.onSending = [this, &context, &overlapTimer] {
+        overlapTimer = m_dependencies.runtime.callAt(m_dependencies.runtime.now() + maximumOverlap, [&context] { context.stalled.reset(); });
+    };
     auto forwarded = m_dependencies.codec.encodeForward(context.request, attributes);
-    attempt.stream = co_await m_dependencies.client.openStream(attempt.placement.endpoint, std::move(forwarded), std::move(options), context.deadline, error);
+    attempt->stream = co_await m_dependencies.client.openStream(attempt->placement.endpoint, std::move(forwarded), std::move(options), context.deadline, error);
     auto outcome = AttemptOutcome::Unknown;
-    if (!attempt.stream) {
+    if (!attempt->stream) {
         outcome = error.runState == RunState::NotRun ? AttemptOutcome::NotSent : AttemptOutcome::Unknown;
         if (outcome == AttemptOutcome::Unknown)
             ++context.possibleExecutions;
     } else {
-        attempt.attributes = m_dependencies.codec.decodeResponse(attempt.stream->status(), attempt.stream->headers());
-        if (!attempt.attributes.isNotExecuted)
+        attempt->attributes = m_dependencies.codec.decodeResponse(attempt->stream->status(), attempt->stream->headers());
+        if (!attempt->attributes.isNotExecuted)
             ++context.possibleExecutions;
         static constexpr unsigned ok = 200;
-        bool const isStream = context.route->kind == RequestKind::Stream && attempt.stream->status() == ok;
-        outcome = isStream ? co_await forwardStream(context, attempt, error) : co_await readResponse(context, attempt, error);
+        bool const isStream = context.route->kind == RequestKind::Stream && attempt->stream->status() == ok;
+        attempt->stallsAt = m_dependencies.runtime.now() + maximumEventGap;
+        context.events.dropPartial();
+        outcome = isStream ? co_await forwardStream(context, *attempt, error) : co_await readResponse(context, *attempt, error);
     }
-    recordOutcome(context, attempt, outcome);
-    bool const isCancelled = context.cancellation.isCancelled() || context.clientDisconnected;
-    if (outcome == AttemptOutcome::Unknown && !isCancelled && error.kind != ErrorKind::DeadlineExceeded)
-        co_await recordCrashIfServerIsGone(context, attempt);
+    overlapTimer.cancel();
+    recordOutcome(context, *attempt, outcome);
+    co_await conclude(context, std::move(attempt), outcome, error);
+    co_return outcome;
+}
+
+Core::Awaitable<AttemptOutcome> RequestForwarder::resumeStalled(RequestContext& context, Core::Error& error)
+{
+    // Until the stream is offered to another server again.
+    static constexpr Core::Duration interval = 250ms;
+    auto attempt = std::move(context.stalled);
+    attempt->stallsAt = m_dependencies.runtime.now() + interval;
+    context.events.restorePartial(std::move(attempt->partialEvent));
+    auto const outcome = co_await forwardStream(context, *attempt, error);
+    if (outcome != AttemptOutcome::Stalled)
+        recordOutcome(context, *attempt, outcome);
+    co_await conclude(context, std::move(attempt), outcome, error);
     co_return outcome;
 }
 
+// Keeps the attempt if its server stalled, and ends it otherwise.
+Core::Awaitable<void> RequestForwarder::conclude(RequestContext& context, std::unique_ptr<Attempt> attempt, AttemptOutcome outcome, Core::Error const& error)
+{
+    bool const isCancelled = context.cancellation.isCancelled() || context.clientDisconnected;
+    if (outcome == AttemptOutcome::Stalled) {
+        attempt->partialEvent = context.events.partial();
+        context.stalled = std::move(attempt);
+    } else if (outcome == AttemptOutcome::Unknown && !isCancelled && error.kind != ErrorKind::DeadlineExceeded) {
+        co_await recordCrashIfServerIsGone(context, *attempt);
+    }
+}
+
 Core::Awaitable<AttemptOutcome> RequestForwarder::readResponse(RequestContext& context, Attempt& attempt, Core::Error& error)
 {
     HTTP::Response response { attempt.stream->status(), {}, {} };
@@ -413,16 +473,9 @@
     return true;
 }
 
-// A resumable stream that stalls between two events is continued at another server before its client times out. Clients wait at
-// least two seconds for the next event; engines under load pause for some hundred milliseconds. Without a retry budget the stream
-// would only be cut off, so a slow server keeps it.
-Core::MonotonicTime RequestForwarder::stallDeadline(RequestContext const& context, Core::MonotonicTime lastEventAt)
+bool RequestForwarder::mayContinueElsewhere(RequestContext const& context)
 {
-    static constexpr Core::Duration maximumEventGap = 1s;
-    auto const budget = m_dependencies.tables.retryBudgets.find(context.service);
-    bool const hasBudget = budget != m_dependencies.tables.retryBudgets.end() && budget->second.canTake(m_dependencies.runtime.now());
-    bool const mayContinue = context.route->isResumable && context.firstEventAt && context.possibleExecutions < context.route->maximumServers && hasBudget;
-    return mayContinue ? std::min(context.deadline, lastEventAt + maximumEventGap) : context.deadline;
+    return context.route->isResumable && context.firstEventAt && context.possibleExecutions < context.route->maximumServers;
 }
 
 Core::Awaitable<AttemptOutcome> RequestForwarder::forwardStream(RequestContext& context, Attempt& attempt, Core::Error& error)
@@ -432,15 +485,18 @@
         Core::fail(error, ErrorKind::BackendAnswerInvalid, "the stream is unsigned and has no attempt id", RunState::Unknown);
         co_return AttemptOutcome::Unknown;
     }
-    context.events.dropPartial();
-    auto lastEventAt = m_dependencies.runtime.now();
     while (true) {
-        auto piece = co_await attempt.stream->readSome(stallDeadline(context, lastEventAt), error);
+        bool const mayStall = mayContinueElsewhere(context) && attempt.stallsAt < context.deadline;
+        if (mayStall && m_dependencies.runtime.now() >= attempt.stallsAt) {
+            Core::fail(error, ErrorKind::DeadlineExceeded, "no event from " + attempt.placement.endpoint.toString() + " in time", RunState::Unknown);
+            co_return AttemptOutcome::Stalled;
+        }
+        auto piece = co_await attempt.stream->readSome(mayStall ? attempt.stallsAt : context.deadline, mayStall ? HTTP::AfterReadDeadline::KeepConnection : HTTP::AfterReadDeadline::CloseConnection, error);
+        if (!piece && mayStall && error.kind == ErrorKind::DeadlineExceeded)
+            co_return AttemptOutcome::Stalled;
         if (!piece)
             co_return AttemptOutcome::Unknown;
         auto events = context.events.feed(*piece);
-        if (!events.empty())
-            lastEventAt = m_dependencies.runtime.now();
         if (context.events.partial().size() > maximumEventBytes) {
             Core::fail(error, ErrorKind::BackendAnswerInvalid, "an event of the stream is larger than " + std::to_string(maximumEventBytes) + " bytes", RunState::Unknown);
             co_return AttemptOutcome::Unknown;
@@ -451,8 +507,9 @@
             co_return AttemptOutcome::Unknown;
         }
         if (!events.empty()) {
+            context.stalled.reset();
             if (++attempt.eventPieces > 1)
-                Limits::recordSound(m_dependencies.tables.crashSuspects, context.service, context.sharedParts, lastEventAt);
+                Limits::recordSound(m_dependencies.tables.crashSuspects, context.service, context.sharedParts, m_dependencies.runtime.now());
             recordRequestStart(context);
             if (!context.firstEventAt)
                 context.firstEventAt = m_dependencies.runtime.now();
@@ -466,6 +523,7 @@
         if (!events.empty() && !context.clientDisconnected) {
             bool const isConnected = co_await context.writer.write(std::move(events));
             context.clientDisconnected = context.clientDisconnected || !isConnected;
+            attempt.stallsAt = m_dependencies.runtime.now() + maximumEventGap;
         }
         if (context.clientDisconnected) {
             Core::fail(error, ErrorKind::Cancelled, "the client disconnected", RunState::Ran);
@@ -501,7 +559,7 @@
         if (row)
             Routing::recordSuccess(*row);
     }
-    if (row && !cancelledLocally && (outcome == AttemptOutcome::NotSent || outcome == AttemptOutcome::Unknown))
+    if (row && !cancelledLocally && (outcome == AttemptOutcome::NotSent || outcome == AttemptOutcome::Unknown || outcome == AttemptOutcome::Stalled))
         Routing::recordFailure(*row, now);
     // For a stream, the service time ends at the first event, which follows queueing and prefill.
     if (row && outcome == AttemptOutcome::ResponseReceived && context.attempts == 1) {
--- a/Services/Edge/RequestForwarder.h
+++ b/Services/Edge/RequestForwarder.h
@@ -53,8 +53,13 @@
     [[nodiscard]] Core::Awaitable<Forward::AttemptOutcome> readResponse(RequestContext&, Attempt&, Core::Error&);
     [[nodiscard]] Core::Awaitable<void> finish(RequestContext&, Forward::AttemptOutcome, Core::Error);
     [[nodiscard]] Core::Awaitable<void> refuse(RequestContext&, Core::Error);
-    /// The deadline for the next event of a stream.
-    [[nodiscard]] Core::MonotonicTime stallDeadline(RequestContext const&, Core::MonotonicTime lastEventAt);
+    /// Reads the stream of the stalled attempt further. Precondition: there is one.
+    [[nodiscard]] Core::Awaitable<Forward::AttemptOutcome> resumeStalled(RequestContext&, Core::Error&);
+    [[nodiscard]] Core::Awaitable<void> conclude(RequestContext&, std::unique_ptr<Attempt>, Forward::AttemptOutcome, Core::Error const&);
+    /// Whether to send the request to a further server after an attempt.
+    [[nodiscard]] bool shouldRetry(RequestContext const&, Forward::AttemptOutcome);
+    /// Whether the stream may continue at another server if its server stalls.
+    [[nodiscard]] static bool mayContinueElsewhere(RequestContext const&);
     /// Returns whether a body of that size may be held in memory, in addition to those of the other requests.
     [[nodiscard]] bool mayBuffer(RequestContext&, std::size_t bytes);
     [[nodiscard]] bool chargeRetryBudget(RequestContext const&);
--- a/Tests/EdgeService/EdgeServiceFixture.h
+++ b/Tests/EdgeService/EdgeServiceFixture.h
@@ -131,22 +131,24 @@
     // Sends bytes on a new connection and returns what is received until the node closes it or sends nothing for idleTimeout.
     std::string exchange(std::string bytes, Core::Duration idleTimeout = 700ms)
     {
-        auto task = [&]() -> Core::Awaitable<std::string> {
-            tcp::socket socket(m_loop.runtime().context());
-            auto const& endpoint = m_service->settings().clientListen;
-            (void)co_await socket.async_connect({ asio::ip::make_address(endpoint.address), endpoint.port }, useTuple);
-            (void)co_await asio::async_write(socket, asio::buffer(bytes), useTuple);
-            std::string received;
-            while (true) {
-                std::array<char, 4096> buffer {};
-                auto timer = m_loop.runtime().callAt(m_loop.runtime().now() + idleTimeout, [&] { socket.cancel(); });
-                auto [error, length] = co_await socket.async_read_some(asio::buffer(buffer), useTuple);
-                received.append(buffer.data(), length);
-                if (error)
-                    co_return received;
-            }
-        };
-        return m_loop.run(task());
+        return m_loop.run(exchangeTask(std::move(bytes), idleTimeout));
+    }
+
+    Core::Awaitable<std::string> exchangeTask(std::string bytes, Core::Duration idleTimeout)
+    {
+        tcp::socket socket(m_loop.runtime().context());
+        auto const& endpoint = m_service->settings().clientListen;
+        (void)co_await socket.async_connect({ asio::ip::make_address(endpoint.address), endpoint.port }, useTuple);
+        (void)co_await asio::async_write(socket, asio::buffer(bytes), useTuple);
+        std::string received;
+        while (true) {
+            std::array<char, 4096> buffer {};
+            auto timer = m_loop.runtime().callAt(m_loop.runtime().now() + idleTimeout, [&] { socket.cancel(); });
+            auto [error, length] = co_await socket.async_read_some(asio::buffer(buffer), useTuple);
+            received.append(buffer.data(), length);
+            if (error)
+                co_return received;
+        }
     }
 
     // Sends a stream request with a prompt of three parts, of which the last is its own, and returns the status. Takes more than half a second.
--- /dev/null
+++ b/Tests/EdgeService/SilentServerTest.cpp
@@ -0,0 +1,108 @@
+#include <EdgeService/EdgeServiceFixture.h>
+
+using namespace EdgeServiceTests;
+
+// A sound server may send nothing for a second or so within a stream and go on. The node asks another server to continue the stream
+// in the meantime, which may fail.
+class SilentServerTest : public EdgeServiceTest {
+protected:
+    static bool isContinuation(std::string const& request) { return request.find("Last-Event-Id: 1\r\n") != std::string::npos; }
+
+    // The silence begins within the second event.
+    static Reply silentStream(std::string const& request, Core::Duration silence = 1400ms)
+    {
+        return { .bytes = streamHead(attemptIdOf(request)) + chunk(event(1) + "id: 2\nda"), .trailingBytes = chunk("ta: e2\n\n" + event(3)) + "0\r\n\r\n", .trailingDelay = silence };
+    }
+
+    void addServers(std::size_t count, RawServer::Script const& continuation = {})
+    {
+        for (std::size_t i = 0; i < count; ++i)
+            addServer([continuation](auto const& request) { return isContinuation(request) ? continuation(request) : silentStream(request); });
+    }
+
+    std::size_t continuations() const
+    {
+        std::size_t count = 0;
+        for (auto const& server : m_servers)
+            count += static_cast<std::size_t>(std::count_if(server->requests.begin(), server->requests.end(), isContinuation));
+        return count;
+    }
+
+    Core::Awaitable<void> receive(std::string bytes)
+    {
+        auto response = co_await exchangeTask(std::move(bytes), 2500ms);
+        m_responses.push_back(std::move(response));
+    }
+
+    static void expectWholeStream(std::string const& response)
+    {
+        EXPECT_TRUE(response.ends_with(chunk(event(1)) + chunk(event(2) + event(3)) + "0\r\n\r\n")) << response;
+    }
+
+    std::vector<std::string> m_responses;
+};
+
+// Guards against a stream that is broken off because a silent server is the only one (LOST).
+TEST_F(SilentServerTest, StreamOfTheOnlyServerIsNotBrokenOff)
+{
+    addServers(1);
+    start();
+    expectWholeStream(exchange(request("/resume/1", "s", "POST"), 2s));
+}
+
+// Guards against a stream that is broken off because another server rejects its continuation (LOST).
+TEST_F(SilentServerTest, StreamIsNotBrokenOffIfItsContinuationIsRejected)
+{
+    addServers(2, [](auto const& request) { return Reply { httpResponse(attemptIdOf(request), "full", "X-Hyssopstep-Not-Executed: 1\r\n", "503 Service Unavailable") }; });
+    start();
+    expectWholeStream(exchange(request("/resume/1", "s", "POST"), 2s));
+    EXPECT_EQ(continuations(), 1u);
+}
+
+// Guards against a stream that is broken off because another server fails to continue it, by an error or a broken connection (LOST).
+TEST_F(SilentServerTest, StreamIsNotBrokenOffIfItsContinuationFails)
+{
+    addServers(2, [](auto const& request) {
+        if (request.find("/resume/error") != std::string::npos)
+            return Reply { httpResponse(attemptIdOf(request), "failed", {}, "500 Internal Server Error") };
+        return Reply { .bytes = streamHead(attemptIdOf(request)) + chunk("id: 2\n"), .ending = Reply::Ending::Reset };
+    });
+    start();
+    expectWholeStream(exchange(request("/resume/error", "s1", "POST"), 2s));
+    expectWholeStream(exchange(request("/resume/reset", "s2", "POST"), 2s));
+    EXPECT_EQ(continuations(), 2u);
+}
+
+// Guards against streams that are broken off because all streams of a silent server stall at once, but the retry budget is only enough to
+// continue some of them (LOST).
+TEST_F(SilentServerTest, StreamsThatStallAtOnceAreNotBrokenOffWithoutRetryBudget)
+{
+    m_retrySlack = 0;
+    addServers(2, [](auto const& request) { return Reply { streamHead(attemptIdOf(request)) + chunk(event(2) + event(3)) + "0\r\n\r\n" }; });
+    start();
+    for (int i = 0; i < 4; ++i)
+        m_loop.runtime().spawn(receive(request("/resume/1", "s" + std::to_string(i), "POST")));
+    waitFor([&] { return m_responses.size() == 4; });
+    for (auto const& response : m_responses)
+        expectWholeStream(response);
+    EXPECT_EQ(continuations(), 1u);
+}
+
+// Guards against two servers that work on a stream at the same time (TWICE) while the second prepares its first event.
+TEST_F(SilentServerTest, SilentServerIsLeftSoonAfterAnotherAcceptedTheContinuation)
+{
+    for (int i = 0; i < 2; ++i) {
+        addServer([](auto const& request) {
+            if (isContinuation(request))
+                return Reply { .bytes = streamHead(attemptIdOf(request)), .trailingBytes = chunk(event(2) + event(3)) + "0\r\n\r\n", .trailingDelay = 900ms };
+            return silentStream(request, 5s);
+        });
+    }
+    start();
+    auto const startedAt = m_loop.runtime().now();
+    m_loop.runtime().spawn(receive(request("/resume/1", "s", "POST")));
+    waitFor([&] { return m_servers[0]->abortedConnections + m_servers[1]->abortedConnections == 1; });
+    EXPECT_LT(m_loop.runtime().now() - startedAt, 1400ms);
+    waitFor([&] { return m_responses.size() == 1; });
+    expectWholeStream(m_responses[0]);
+}
--- a/Tests/LibForward/AttemptPolicyTest.cpp
+++ b/Tests/LibForward/AttemptPolicyTest.cpp
@@ -20,7 +20,7 @@
 // Guards against a second execution of a request that must run at most once.
 TEST(AttemptPolicyTest, RequestsThatMayHaveRunAreRetriedOnlyIfTheyMayRunTwice)
 {
-    for (auto const outcome : { AttemptOutcome::Unknown, AttemptOutcome::ServerError }) {
+    for (auto const outcome : { AttemptOutcome::Unknown, AttemptOutcome::ServerError, AttemptOutcome::Stalled }) {
         EXPECT_EQ(Forward::decideNextStep(outcome, history(RequestKind::NonIdempotent, 1)), NextStep::Finish);
         EXPECT_EQ(Forward::decideNextStep(outcome, history(RequestKind::Stream, 1)), NextStep::Finish);
         EXPECT_EQ(Forward::decideNextStep(outcome, history(RequestKind::Idempotent, 1)), NextStep::RetryWithinBudget);
--- a/Tests/LibHTTP/ClientServerTest.cpp
+++ b/Tests/LibHTTP/ClientServerTest.cpp
@@ -163,6 +163,35 @@
     EXPECT_EQ(executions, 2u);
 }
 
+// Guards against a body that is lost because one of its reads timed out, within a chunk and between two.
+TEST_F(ClientServerTest, BodyCanBeReadFurtherAfterADeadlineThatKeepsTheConnection)
+{
+    startServer([this](auto const&, auto& writer) -> Awaitable<void> {
+        (void)co_await writer.begin(200, {});
+        for (auto const* bytes : { "first", "second" }) {
+            (void)co_await writer.write(bytes);
+            co_await m_runtime.sleepFor(150ms);
+        }
+        (void)co_await writer.finish();
+    });
+    run([](Core::Runtime& runtime, Core::Endpoint endpoint, HTTP::Client& client, Core::Error& error) -> Awaitable<void> {
+        HTTP::Request request { "GET", "/", {}, "" };
+        auto const stream = co_await client.openStream(endpoint, request, HTTP::ConnectionUse::NewConnection, runtime.now() + 5s, error);
+        std::string body;
+        std::size_t timeouts = 0;
+        while (stream && !stream->isComplete()) {
+            auto const bytes = co_await stream->readSome(runtime.now() + 40ms, HTTP::AfterReadDeadline::KeepConnection, error);
+            timeouts += bytes ? 0 : 1;
+            EXPECT_TRUE(bytes || error.kind == Core::ErrorKind::DeadlineExceeded) << error.message;
+            if (!bytes && error.kind != Core::ErrorKind::DeadlineExceeded)
+                break;
+            body += bytes.value_or("");
+        }
+        EXPECT_EQ(body, "firstsecond");
+        EXPECT_GE(timeouts, 4u);
+    }(m_runtime, m_endpoint, m_client, m_error));
+}
+
 // Guards against malformed input that ends the process or gets no problem details.
 TEST_F(ClientServerTest, BadInputGetsProblemDetails)
 {
