Tests/EdgeService, KNOWN-RED: Let a server read a long body late

Found in the search for other places where the silence of a sound server ends a request: a server that reads nothing for over 1.5 s while a long body is sent gets its connection closed by TCP_USER_TIMEOUT (HTTP::ClientLimits::unacknowledgedTimeout), and the client gets 502 although the server would have answered. Not mended here: a connection whose peer has closed its window has to be told from one whose link is cut.

--- a/Tests/EdgeService/SilentServerTest.cpp
+++ b/Tests/EdgeService/SilentServerTest.cpp
@@ -1,4 +1,5 @@
 #include <EdgeService/EdgeServiceFixture.h>
+#include <boost/asio/read_until.hpp>
 
 using namespace EdgeServiceTests;
 
@@ -106,3 +107,26 @@
     waitFor([&] { return m_responses.size() == 1; });
     expectWholeStream(m_responses[0]);
 }
+
+// Guards against a request that is given up because its server reads the body late.
+TEST_F(SilentServerTest, RequestIsNotGivenUpWhileItsServerReadsNothing)
+{
+    static constexpr std::size_t bodyBytes = 3'000'000;
+    static constexpr int receiveBufferBytes = 4096;
+    tcp::acceptor acceptor(m_loop.runtime().context(), tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+    acceptor.set_option(tcp::acceptor::receive_buffer_size(receiveBufferBytes));
+    m_servers.push_back(nullptr);
+    m_store.put("servers", "s1", R"({"service":"app","address":"127.0.0.1:)" + std::to_string(acceptor.local_endpoint().port()) + R"(","zone":"a","version":"v1","slots":6,"state":"ready","seq":1})");
+    start();
+    m_loop.runtime().spawn([](Core::Runtime& runtime, tcp::acceptor& listening) -> Core::Awaitable<void> {
+        auto [acceptError, socket] = co_await listening.async_accept(useTuple);
+        co_await runtime.sleepFor(2s);
+        std::string bytes;
+        auto [headError, headLength] = co_await asio::async_read_until(socket, asio::dynamic_buffer(bytes), "\r\n\r\n", useTuple);
+        auto const missing = headLength + bodyBytes - bytes.size();
+        (void)co_await asio::async_read(socket, asio::dynamic_buffer(bytes), asio::transfer_exactly(missing), useTuple);
+        (void)co_await asio::async_write(socket, asio::buffer(httpResponse("u", "late")), useTuple);
+    }(m_loop.runtime(), acceptor));
+    auto const response = exchange(request("/unsafe/1", "u", "POST", "Content-Length: " + std::to_string(bodyBytes) + "\r\n") + std::string(bodyBytes, 'x'), 3s);
+    EXPECT_EQ(statusOf(response), "200") << response;
+}
