--- a/Libraries/LibForward/EventSplitter.h
+++ b/Libraries/LibForward/EventSplitter.h
@@ -28,6 +28,13 @@
         m_isOutOfOrder = false;
     }
 
+    /// Replaces the bytes of an incomplete event by those that partial() returned earlier, before the server that sent them is read further.
+    void restorePartial(std::string partial)
+    {
+        m_partial = std::move(partial);
+        m_isOutOfOrder = false;
+    }
+
     /// The id of the last complete event.
     [[nodiscard]] std::optional<std::uint64_t> lastId() const { return m_lastId; }
 
