LibRouting: Use a server again whose entry was missing for a while

What callers would see: fewer servers, node by node, after the store was restored from a copy that lacked their entries, or after entries expired: refusals and longer waits under load.

Cause: a row that the list of servers lacked was marked as leaving, which is one way within an incarnation. If the node had a request in progress there, the row stayed, and the server got no new request after its entry had returned.

Change: a row remembers that it is leaving only because it is missing, and follows the list when it is listed again. What a server has announced stays one way.

Evidence: ServerWhoseEntryReturnsIsUsedAgain failed before (no server was chosen) and passes.

--- a/Libraries/LibRouting/ServerTable.cpp
+++ b/Libraries/LibRouting/ServerTable.cpp
@@ -75,14 +75,17 @@
             row->outstanding = outstanding;
         } else if (listed.incarnation == row->incarnation) {
             row->revision = std::max(row->revision, listed.revision);
-            if (listed.lifecycle == Lifecycle::Leaving)
-                row->lifecycle = Lifecycle::Leaving;
+            if (listed.lifecycle == Lifecycle::Leaving || row->isMissing)
+                row->lifecycle = listed.lifecycle;
+            row->isMissing = false;
         }
         row->lastListedAt = now;
     }
     for (auto& row : table.rows) {
-        if (row.lastListedAt != now)
-            row.lifecycle = Lifecycle::Leaving;
+        if (row.lastListedAt == now)
+            continue;
+        row.isMissing = row.isMissing || row.lifecycle == Lifecycle::Live;
+        row.lifecycle = Lifecycle::Leaving;
     }
     std::erase_if(table.rows, [&](auto const& row) { return row.lastListedAt != now && row.outstanding == 0; });
 }
@@ -93,6 +96,7 @@
     if (!row || row->incarnation != incarnation || row->lifecycle == Lifecycle::Leaving)
         return false;
     row->lifecycle = Lifecycle::Leaving;
+    row->isMissing = false;
     return true;
 }
 
--- a/Libraries/LibRouting/ServerTable.h
+++ b/Libraries/LibRouting/ServerTable.h
@@ -58,6 +58,8 @@
     std::string zone;
     std::uint64_t incarnation { 0 };
     Lifecycle lifecycle { Lifecycle::Live };
+    /// Whether it is leaving only because the host list lacks it.
+    bool isMissing { false };
     /// Requests that the server runs concurrently, from the host list; 0 if the list does not give the number.
     std::uint32_t slots { 0 };
     /// Whether the platform may reclaim the server's host.
@@ -130,8 +132,8 @@
     bool operator==(ListedServer const&) const = default;
 };
 
-/// Merges a host list that may be stale: adds new servers, resets the row of a new incarnation, preserves the Leaving state,
-/// and removes servers that are no longer listed and have no request of this node in progress.
+/// Merges a host list that may be stale: adds new servers, resets the row of a new incarnation, preserves the Leaving state of servers that
+/// were listed or marked as leaving, and removes servers that are no longer listed and have no request of this node in progress.
 void mergeHostList(ServerTable&, std::vector<ListedServer> const&, Core::MonotonicTime now);
 
 /// Marks a server as leaving. Has no effect on another incarnation. Returns false if the server was marked already or is unknown.
--- a/Tests/LibRouting/RoutingTest.cpp
+++ b/Tests/LibRouting/RoutingTest.cpp
@@ -58,6 +58,28 @@
     EXPECT_EQ(choose(request()), "s0");
 }
 
+// Guards against a running server that gets no requests any more: its entry was missing while it had a request in progress, as after the
+// store was restored from a copy.
+TEST_F(RoutingTest, ServerWhoseEntryReturnsIsUsedAgain)
+{
+    Routing::ListedServer server { "s0", { "127.0.0.1", 1 }, "advisor", "v1", "dc1", "zone-a", 5, Routing::Lifecycle::Live, 1, false, { 1, 10 } };
+    Routing::mergeHostList(m_table, { server }, m_now);
+    m_table.rows.at(0).outstanding = 1;
+    auto const chosenAfterItsEntryReturns = [&](Routing::Lifecycle lifecycle) {
+        m_now += 1s;
+        Routing::mergeHostList(m_table, {}, m_now);
+        EXPECT_EQ(choose(request()), "");
+        server.lifecycle = lifecycle;
+        m_now += 1s;
+        Routing::mergeHostList(m_table, { server }, m_now);
+        return choose(request());
+    };
+    EXPECT_EQ(chosenAfterItsEntryReturns(Routing::Lifecycle::Live), "s0");
+    EXPECT_EQ(chosenAfterItsEntryReturns(Routing::Lifecycle::Leaving), "");
+    // It has announced its leaving before.
+    EXPECT_EQ(chosenAfterItsEntryReturns(Routing::Lifecycle::Live), "");
+}
+
 // Guards against requests for the address of an entry with a start time in the far future, which no later entry replaced.
 TEST_F(RoutingTest, LaterEntryReplacesOneWithALaterStartTime)
 {
