LibFleet, Edge: Derive fencing tokens from the version that is replaced, and acquire at once at the first start

Found in review.

Cause: the epoch was one above the one in the visible record. A renewal from before the restoration can take effect seconds later, on a version number that was assigned again, and hides the record of a later holder. And an absent record counted as one that a restored store has lost, also when the system starts for the first time; a renewal that failed was tried again after 1.5 s only.

Change: in a store with eras, the epoch follows from the version that the write replaces, which two conditional writes of an era never share. A process that starts with the whole system takes an absent lease at once, in the era that it saw first. A failed renewal is tried again after half a second.

--- a/Libraries/LibFleet/Lease.cpp
+++ b/Libraries/LibFleet/Lease.cpp
@@ -38,13 +38,14 @@
     }
 }
 
-Lease::Lease(Core::Runtime& runtime, Platform::ObjectStore& store, Core::Random& random, std::string role, std::string nodeId, std::chrono::milliseconds duration)
+Lease::Lease(Core::Runtime& runtime, Platform::ObjectStore& store, Core::Random& random, std::string role, std::string nodeId, std::chrono::milliseconds duration, SystemStart systemStart)
     : m_runtime(runtime)
     , m_store(store)
     , m_random(random)
     , m_key { "leases", std::move(role) }
     , m_nodeId(std::move(nodeId))
     , m_duration(duration)
+    , m_systemStart(systemStart)
 {
 }
 
@@ -82,6 +83,7 @@
         co_return std::nullopt;
     if (!stored)
         stored = Platform::StoredObject { m_key, { m_store.era(), 0 }, {} };
+    m_firstEra = m_firstEra.value_or(stored->resourceVersion.era);
     if (m_unchangedSince && stored->resourceVersion == m_lastVersion)
         co_return stored;
     LeaseRecord record;
@@ -138,14 +140,16 @@
         co_return false;
     // No other candidate was given this epoch, and this candidate no longer holds it, so there is nothing to wait for.
     bool const isOwnExpired = m_epoch != 0 && m_lastRecord.holder == m_nodeId && m_lastRecord.epoch == m_epoch;
-    bool const isFree = isLastRecordCurrent() && (m_lastVersion.number == 0 || m_lastRecord.holder.empty() || isOwnExpired);
+    bool const wasNeverHeld = m_lastVersion.number == 0 && m_systemStart == SystemStart::First && m_lastVersion.era == m_firstEra;
+    bool const isFree = wasNeverHeld || (isLastRecordCurrent() && (m_lastVersion.number == 0 || m_lastRecord.holder.empty() || isOwnExpired));
     if (!isFree && m_runtime.now() - *m_unchangedSince < std::max(m_lastRecord.duration, m_duration)) {
         Core::fail(error, Core::ErrorKind::StoreConflict, isLastRecordCurrent() ? "the lease is held by " + m_lastRecord.holder : "a holder of era " + std::to_string(m_lastRecord.era) + " may still hold the lease");
         co_return false;
     }
     // The epoch also increases if this candidate was the last holder, since commands of its earlier lease may still be in flight.
-    LeaseRecord record { m_nodeId, std::max({ m_lastRecord.epoch + 1, m_epoch + 1, firstEpochOfEra(m_lastVersion.era) }), m_duration, newWriteId() };
-    auto const epoch = record.epoch;
+    auto const lowest = m_lastVersion.era > 0 ? epochAfter(m_lastVersion) : firstEpochOfEra(0);
+    auto const epoch = std::max({ m_lastRecord.epoch + 1, m_epoch + 1, lowest });
+    LeaseRecord record { m_nodeId, epoch, m_duration, newWriteId() };
     auto const startedAt = m_runtime.now();
     bool const isWritten = co_await write(std::move(record), deadline, error);
     if (!isWritten)
--- a/Libraries/LibFleet/Lease.h
+++ b/Libraries/LibFleet/Lease.h
@@ -14,8 +14,8 @@
 struct LeaseRecord {
     /// The node id of the holder; empty after a release.
     std::string holder;
-    /// The fencing token. Increases with each change of holder, and when a holder reacquires a lease that it lost. The first one that is
-    /// assigned in an era of the store is firstEpochOfEra().
+    /// The fencing token. Increases with each change of holder, and when a holder reacquires a lease that it lost. In a store
+    /// with eras, it also follows from the version that was replaced; see epochAfter().
     std::uint64_t epoch { 0 };
     std::chrono::milliseconds duration { 0 };
     /// Unique to each write: distinguishes a renewal from an unchanged record, and shows whether a write took effect whose response
@@ -33,19 +33,35 @@
     return (era << 32) + 1;
 }
 
+/// Returns the epoch that is assigned by a conditional write which replaces a version. Two such writes of one era never replace the same
+/// version, so that epochs rise even if the record of a holder was overwritten by a delayed write of an earlier era. Thread safe.
+[[nodiscard]] constexpr std::uint64_t epochAfter(Core::StoreRevision version)
+{
+    return firstEpochOfEra(version.era) + version.number;
+}
+
 /// JSON codec of LeaseRecord. Decoding fails with Internal if the text is not a valid record. Thread safe.
 [[nodiscard]] std::string encodeLease(LeaseRecord const&);
 [[nodiscard]] std::optional<LeaseRecord> decodeLease(std::string_view text, Core::Error&);
 
+/// What a candidate knows of the time before it started.
+enum class SystemStart {
+    /// Nothing: there may have been holders.
+    Unknown,
+    /// The whole system starts for the first time, so that there was no holder.
+    First,
+};
+
 /// One candidate's view of a lease. The clocks of candidates are never compared: the holder considers its lease expired one
 /// duration after the start of its last successful renewal, and another candidate acquires the lease only after it has observed the
 /// record unchanged for the whole duration. After the store was restored from a copy, the holder replaces the record of the copy, and
-/// another candidate waits for the whole duration whatever the copy says. Must be called on the runtime's thread only, with one call of acquire, renew or
+/// another candidate waits for the whole duration whatever the copy says, also if there is no record when it starts, unless the whole
+/// system does. Must be called on the runtime's thread only, with one call of acquire, renew or
 /// release at a time.
 class Lease {
 public:
     /// Precondition: duration > 0.
-    Lease(Core::Runtime&, Platform::ObjectStore&, Core::Random&, std::string role, std::string nodeId, std::chrono::milliseconds duration);
+    Lease(Core::Runtime&, Platform::ObjectStore&, Core::Random&, std::string role, std::string nodeId, std::chrono::milliseconds duration, SystemStart = SystemStart::Unknown);
 
     /// Acquires the lease if it does not exist, was released, or was unchanged for its whole duration; renews it if held already. What a
     /// restored copy says of its absence or release does not count. Returns whether the lease is held. Fails with StoreConflict if another candidate holds it, else with the store's errors.
@@ -86,6 +102,9 @@
     Platform::ObjectKey m_key;
     std::string m_nodeId;
     std::chrono::milliseconds m_duration;
+    SystemStart m_systemStart;
+    /// The store's era when this candidate first read it.
+    std::optional<std::uint64_t> m_firstEra;
     /// The version last read or written (number 0: no object), and when this candidate first observed it.
     Core::StoreRevision m_lastVersion;
     std::optional<Core::MonotonicTime> m_unchangedSince;
--- a/Services/Edge/DutyRunner.cpp
+++ b/Services/Edge/DutyRunner.cpp
@@ -10,6 +10,8 @@
 
 static constexpr Core::Duration checkInterval = 500ms;
 static constexpr Core::Duration renewInterval = 1500ms;
+// After a failed renewal, so that the lease outlasts an outage of the store of two seconds.
+static constexpr Core::Duration renewRetryInterval = 500ms;
 static constexpr Core::Duration acquireInterval = 1000ms;
 static constexpr Core::Duration callTimeout = 800ms;
 // Added to the period during which a former holder must not acquire the duties again.
@@ -25,7 +27,7 @@
     , m_settings(settings)
     , m_random(random)
     , m_metrics(metrics)
-    , m_lease(runtime, store, random, "duties", settings.nodeId, settings.leaseDuration + leaseMargin)
+    , m_lease(runtime, store, random, "duties", settings.nodeId, settings.leaseDuration + leaseMargin, settings.isFirstStart ? Fleet::SystemStart::First : Fleet::SystemStart::Unknown)
 {
 }
 
@@ -94,8 +96,8 @@
     Core::Error error;
     if (m_lease.epoch()) {
         if (now - m_renewedAt >= renewInterval) {
-            m_renewedAt = now;
-            (void)co_await m_lease.renew(now + callTimeout, error);
+            bool const isRenewed = co_await m_lease.renew(now + callTimeout, error);
+            m_renewedAt = isRenewed ? now : now - renewInterval + renewRetryInterval;
         }
     } else {
         bool const isHeldElsewhere = Forward::areDutiesHeldElsewhere(m_tables.peers, now);
