LibForward: Decide on entries of a restored store by what happened before and after

What callers would see: new requests for a server that left shortly after a restoration, when a second one brings its entry back (DRAIN); a running server that gets no requests any more, since its entry came back unchanged after it had been removed; requests for the former process of a server that started again shortly before the restoration. Found in review.

Cause: whether a removal is final was decided when it was read, and an entry from before a final removal was ignored for good. Revisions of different eras decided which of two incarnations is the later one.

Change: a removal is final as soon as the time in which servers register again has passed. An ignored entry is kept aside and used if it is still registered after the time in which the entry of a server that has left expires. An entry of an earlier incarnation that a restored store has with its former number is not taken over.

Evidence: SecondRestorationDoesNotBringBackAServerThatLeftAfterTheFirst, RunningServerWhoseEntryIsRestoredUnchangedIsUsedAgain and RestoredStoreDoesNotBringBackAnEarlierIncarnation failed before and pass.

--- a/Libraries/LibForward/ServerDirectory.cpp
+++ b/Libraries/LibForward/ServerDirectory.cpp
@@ -35,8 +35,12 @@
 {
     auto const departure = directory.departures.find(server.id);
     if (departure == directory.departures.end()) {
-        auto const known = directory.entries.find(server.id);
-        return known != directory.entries.end() && server.revision < known->second.server.revision;
+        auto const found = directory.entries.find(server.id);
+        if (found == directory.entries.end())
+            return false;
+        auto const& known = found->second.server;
+        bool const isRestored = server.revision.era > known.revision.era && server.revision.number <= known.revision.number;
+        return server.revision < known.revision || (isRestored && server.incarnation < known.incarnation);
     }
     auto const& departed = departure->second.server;
     if (server.revision.era <= departed.revision.era) {
@@ -55,10 +59,8 @@
     return (known != directory.entries.end() && says(known->second.server)) || (departure != directory.departures.end() && says(departure->second.server));
 }
 
-void registerServer(ServerDirectory& directory, Routing::ListedServer server)
+static void addEntry(ServerDirectory& directory, Routing::ListedServer server)
 {
-    if (isOutdated(directory, server))
-        return;
     if (isLeaving(directory, server.id, server.incarnation))
         server.lifecycle = Routing::Lifecycle::Leaving;
     auto id = server.id;
@@ -66,13 +68,30 @@
     directory.entries[std::move(id)] = { std::move(server), std::nullopt };
 }
 
+void registerServer(ServerDirectory& directory, Routing::ListedServer server, Core::MonotonicTime now)
+{
+    if (!isOutdated(directory, server)) {
+        addEntry(directory, std::move(server));
+        return;
+    }
+    auto const departure = directory.departures.find(server.id);
+    if (departure == directory.departures.end() || server.revision.era <= departure->second.server.revision.era)
+        return;
+    if (!departure->second.restored)
+        departure->second.restoredAt = now;
+    departure->second.restored = std::move(server);
+}
+
 void unregisterServer(ServerDirectory& directory, std::string const& id, Core::MonotonicTime now)
 {
+    auto const departure = directory.departures.find(id);
+    if (departure != directory.departures.end())
+        departure->second.restored.reset();
     auto const found = directory.entries.find(id);
     if (found == directory.entries.end() || found->second.removedAt)
         return;
     found->second.removedAt = now;
-    directory.departures[id] = { found->second.server, now, !isStoreOutageRecent(directory, now) };
+    directory.departures[id] = { found->second.server, now, !isStoreOutageRecent(directory, now), std::nullopt };
     if (!isMassRemoval(directory, now))
         return;
     for (auto& [other, departure] : directory.departures) {
@@ -89,7 +108,11 @@
     std::set<std::string> listed;
     for (auto const& server : servers) {
         listed.insert(server.id);
-        registerServer(directory, server);
+        registerServer(directory, server, now);
+    }
+    for (auto& [id, departure] : directory.departures) {
+        if (!listed.contains(id))
+            departure.restored.reset();
     }
     for (auto const& [id, entry] : directory.entries) {
         if (!listed.contains(id) && entry.server.revision <= listRevision)
@@ -97,8 +120,25 @@
     }
 }
 
+// Departures become final when servers whose entries expired have had time to register again.
+static void updateDepartures(ServerDirectory& directory, Core::MonotonicTime now)
+{
+    // Longer than a peer's list can be out of date.
+    static constexpr Core::Duration departureRetention = 30s;
+    std::vector<Routing::ListedServer> running;
+    for (auto& [id, departure] : directory.departures) {
+        departure.isFinal = departure.isFinal || now - departure.at >= removalGracePeriod;
+        if (departure.restored && now - departure.restoredAt >= restoredEntryTimeout)
+            running.push_back(*departure.restored);
+    }
+    for (auto& server : running)
+        addEntry(directory, std::move(server));
+    std::erase_if(directory.departures, [&](auto const& item) { return now - item.second.at > departureRetention && !item.second.restored; });
+}
+
 std::vector<Routing::ListedServer> serversInUse(ServerDirectory& directory, Core::MonotonicTime now)
 {
+    updateDepartures(directory, now);
     bool const storeWasUnavailable = isStoreOutageRecent(directory, now);
     bool const manyWereRemoved = isMassRemoval(directory, now);
     // Entries removed before the outage were removed by a working store.
@@ -107,9 +147,6 @@
         auto const& entry = item.second;
         return entry.removedAt && now - *entry.removedAt >= removalGracePeriod && !mayHaveExpired(entry);
     });
-    // Longer than a peer's list can be out of date.
-    static constexpr Core::Duration departureRetention = 30s;
-    std::erase_if(directory.departures, [&](auto const& item) { return now - item.second.at > departureRetention; });
     std::vector<Routing::ListedServer> servers;
     for (auto const& [id, entry] : directory.entries) {
         if (!entry.removedAt || ((manyWereRemoved || mayHaveExpired(entry)) && entry.server.lifecycle == Routing::Lifecycle::Live))
--- a/Libraries/LibForward/ServerDirectory.h
+++ b/Libraries/LibForward/ServerDirectory.h
@@ -30,8 +30,11 @@
         /// The entry before it was removed.
         Routing::ListedServer server;
         Core::MonotonicTime at;
-        /// Whether a working store removed the entry, so that the server does not register again.
+        /// Whether the entry did not expire in an outage of the store, so that the server does not register again.
         bool isFinal { false };
+        /// An entry from before the removal that a restored store has, and when this node first read it.
+        std::optional<Routing::ListedServer> restored;
+        Core::MonotonicTime restoredAt {};
 
         bool operator==(Departure const&) const = default;
     };
@@ -48,9 +51,13 @@
 /// Records that the store failed, or responded again after a failure.
 void recordStoreOutage(ServerDirectory&, Core::MonotonicTime now);
 
+/// How long an entry that a restored store has from before its removal is ignored: the three heartbeat intervals after which the entry of a
+/// server that has left expires, with a margin. A server that is still registered then is running.
+inline constexpr Core::Duration restoredEntryTimeout = std::chrono::seconds(6);
+
 /// Adds or updates a registered entry, unless this node knows of a later change. A server that is leaving stays so, and an entry that a
-/// restored store has from before its removal is ignored.
-void registerServer(ServerDirectory&, Routing::ListedServer);
+/// restored store has from before its removal is ignored for restoredEntryTimeout.
+void registerServer(ServerDirectory&, Routing::ListedServer, Core::MonotonicTime now);
 
 /// Marks an entry as removed.
 void unregisterServer(ServerDirectory&, std::string const& id, Core::MonotonicTime now);
--- a/Services/Edge/StoreWatcher.cpp
+++ b/Services/Edge/StoreWatcher.cpp
@@ -192,7 +192,7 @@
     Core::Error error;
     auto server = m_codec.decodeServer(object, error);
     if (server) {
-        Forward::registerServer(m_tables.directory, std::move(*server));
+        Forward::registerServer(m_tables.directory, std::move(*server), m_runtime.now());
         return;
     }
     Core::logEvent(Core::LogLevel::Warning, "server_entry_refused", { { "entry", object.key.name }, { "reason", error.message } });
--- a/Tests/LibForward/ServerDirectoryTest.cpp
+++ b/Tests/LibForward/ServerDirectoryTest.cpp
@@ -11,7 +11,7 @@
     void SetUp() override
     {
         for (int i = 0; i < 6; ++i)
-            Forward::registerServer(m_directory, { .id = "s" + std::to_string(i), .service = "model" });
+            Forward::registerServer(m_directory, { .id = "s" + std::to_string(i), .service = "model" }, m_now);
     }
 
     std::size_t inUse() { return Forward::serversInUse(m_directory, m_now).size(); }
@@ -36,7 +36,7 @@
     Forward::mergeServers(m_directory, {}, {}, m_now);
     EXPECT_EQ(inUse(), 6u);
     m_now += 1s;
-    Forward::registerServer(m_directory, { .id = "s1", .service = "model" });
+    Forward::registerServer(m_directory, { .id = "s1", .service = "model" }, m_now);
     EXPECT_EQ(inUse(), 6u);
     m_now += 700ms;
     EXPECT_EQ(inUse(), 1u);
@@ -79,7 +79,7 @@
 TEST_F(ServerDirectoryTest, ALeavingServerIsNotKept)
 {
     Forward::recordStoreOutage(m_directory, m_now);
-    Forward::registerServer(m_directory, { .id = "s1", .service = "model", .lifecycle = Routing::Lifecycle::Leaving });
+    Forward::registerServer(m_directory, { .id = "s1", .service = "model", .lifecycle = Routing::Lifecycle::Leaving }, m_now);
     Forward::unregisterServer(m_directory, "s1", m_now);
     EXPECT_EQ(inUse(), 5u);
 }
@@ -89,7 +89,7 @@
 TEST_F(ServerDirectoryTest, ListOfAPeerDoesNotRestoreARemovedServer)
 {
     Routing::ListedServer server { .id = "s9", .service = "model", .revision = { 0, 10 } };
-    Forward::registerServer(m_directory, server);
+    Forward::registerServer(m_directory, server, m_now);
     Forward::unregisterServer(m_directory, "s9", m_now);
     auto const isInUse = [&](Core::Duration later) {
         auto const servers = Forward::serversInUse(m_directory, m_now + later);
@@ -106,7 +106,7 @@
     auto leaving = server;
     leaving.lifecycle = Routing::Lifecycle::Leaving;
     leaving.revision.number = 210;
-    Forward::registerServer(m_directory, leaving);
+    Forward::registerServer(m_directory, leaving, m_now);
     Forward::mergeServers(m_directory, { server }, { 0, 211 }, m_now + 5s);
     EXPECT_EQ(m_directory.entries.at("s9").server.lifecycle, Routing::Lifecycle::Leaving);
     // An entry newer than a peer's list stays although the list lacks it.
@@ -125,9 +125,9 @@
     Forward::mergeServers(m_directory, { entry("s1", { 1, 10 }), entry("s2", { 1, 11 }), entry("s3", { 1, 12 }), entry("s4", { 1, 13 }) }, { 1, 20 }, m_now);
     m_now += 10s;
     ASSERT_EQ(inUse(), 4u);
-    Forward::registerServer(m_directory, entry("s1", { 1, 21 }, Routing::Lifecycle::Leaving));
+    Forward::registerServer(m_directory, entry("s1", { 1, 21 }, Routing::Lifecycle::Leaving), m_now);
     Forward::unregisterServer(m_directory, "s2", m_now);
-    Forward::registerServer(m_directory, entry("s3", { 1, 23 }, Routing::Lifecycle::Leaving));
+    Forward::registerServer(m_directory, entry("s3", { 1, 23 }, Routing::Lifecycle::Leaving), m_now);
     Forward::unregisterServer(m_directory, "s3", m_now);
     m_now += 2s;
     // The copy is of revision 20. Other changes have been given the numbers up to 25 since.
@@ -142,8 +142,8 @@
     // It has started again, or registered again since.
     auto restarted = entry("s3", { 2, 26 });
     restarted.incarnation = 8;
-    Forward::registerServer(m_directory, restarted);
-    Forward::registerServer(m_directory, entry("s2", { 2, 27 }));
+    Forward::registerServer(m_directory, restarted, m_now);
+    Forward::registerServer(m_directory, entry("s2", { 2, 27 }), m_now);
     EXPECT_EQ(m_directory.entries.at("s3").server.lifecycle, Routing::Lifecycle::Live);
     EXPECT_FALSE(m_directory.entries.at("s2").removedAt);
 }
@@ -160,7 +160,7 @@
     auto again = added;
     again.revision = { 2, 260 };
     m_now += 1s;
-    Forward::registerServer(m_directory, again);
+    Forward::registerServer(m_directory, again, m_now);
     m_now += 10s;
     EXPECT_EQ(inUse(), 1u);
 }
@@ -173,8 +173,52 @@
     auto after = before;
     after.revision = { 2, 255 };
     after.version = "v2";
-    Forward::registerServer(m_directory, after);
+    Forward::registerServer(m_directory, after, m_now);
     EXPECT_EQ(m_directory.entries.at("s9").server.version, "v2");
-    Forward::registerServer(m_directory, before);
+    Forward::registerServer(m_directory, before, m_now);
     EXPECT_EQ(m_directory.entries.at("s9").server.version, "v2");
 }
+
+// Guards against a running server that stays unused: its entry was removed while it was silent, the copy is from before that, and its
+// writes after the restoration change nothing.
+TEST_F(ServerDirectoryTest, RunningServerWhoseEntryIsRestoredUnchangedIsUsedAgain)
+{
+    auto const entry = [](std::string id, Core::StoreRevision revision) { return Routing::ListedServer { .id = std::move(id), .service = "model", .incarnation = 7, .revision = revision }; };
+    Forward::mergeServers(m_directory, { entry("s1", { 1, 10 }), entry("s2", { 1, 11 }) }, { 1, 20 }, m_now);
+    m_now += 10s;
+    Forward::unregisterServer(m_directory, "s1", m_now);
+    m_now += 3s;
+    Forward::mergeServers(m_directory, { entry("s1", { 2, 10 }), entry("s2", { 2, 11 }) }, { 2, 20 }, m_now);
+    // No event follows, since the entry does not change. Its entry is still there after the time in which silent ones expire.
+    for (int i = 0; i < 60; ++i) {
+        m_now += 1s;
+        (void)inUse();
+    }
+    EXPECT_EQ(inUse(), 2u);
+}
+
+// Guards against new requests for a server that left shortly after the end of a store outage, when a second restoration brings its entry back.
+TEST_F(ServerDirectoryTest, SecondRestorationDoesNotBringBackAServerThatLeftAfterTheFirst)
+{
+    auto const entry = [](std::string id, Core::StoreRevision revision) { return Routing::ListedServer { .id = std::move(id), .service = "model", .incarnation = 7, .revision = revision }; };
+    Forward::mergeServers(m_directory, { entry("s1", { 1, 10 }), entry("s2", { 1, 11 }) }, { 1, 20 }, m_now);
+    m_now += 10s;
+    Forward::mergeServers(m_directory, { entry("s1", { 2, 10 }), entry("s2", { 2, 11 }) }, { 2, 20 }, m_now);
+    m_now += 1s;
+    Forward::unregisterServer(m_directory, "s1", m_now);
+    m_now += 3s;
+    EXPECT_EQ(inUse(), 1u);
+    Forward::mergeServers(m_directory, { entry("s1", { 3, 10 }), entry("s2", { 3, 11 }) }, { 3, 20 }, m_now);
+    EXPECT_EQ(inUse(), 1u);
+}
+
+// Guards against requests for the former process of a server that started again shortly before the restoration.
+TEST_F(ServerDirectoryTest, RestoredStoreDoesNotBringBackAnEarlierIncarnation)
+{
+    auto const entry = [](Core::StoreRevision revision, std::uint64_t incarnation) { return Routing::ListedServer { .id = "s1", .service = "model", .incarnation = incarnation, .revision = revision }; };
+    Forward::mergeServers(m_directory, { entry({ 1, 10 }, 1000) }, { 1, 20 }, m_now);
+    Forward::registerServer(m_directory, entry({ 1, 25 }, 2000), m_now);
+    m_now += 3s;
+    Forward::mergeServers(m_directory, { entry({ 2, 10 }, 1000) }, { 2, 20 }, m_now);
+    EXPECT_EQ(m_directory.entries.at("s1").server.incarnation, 2000u);
+}
