Edge: Do not end at a reload that is requested during the start

What callers would see: a node fewer.

Cause: SIGHUP ends a process that has not installed its handler yet, which happens after the settings are read and the service is built.

Change: SIGHUP is blocked until the handler is installed, and handled then. A signal before main() still ends the process.

--- a/Services/Edge/EdgeCommand.cpp
+++ b/Services/Edge/EdgeCommand.cpp
@@ -79,8 +79,18 @@
     });
 }
 
+// A reload that is requested while the process starts waits until it is handled, since it would end the process by default.
+static void setReloadSignalMask(int operation)
+{
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGHUP);
+    pthread_sigmask(operation, &signals, nullptr);
+}
+
 int runEdgeCommand(int argc, char** argv)
 {
+    setReloadSignalMask(SIG_BLOCK);
     std::vector<std::string> errors;
     std::optional<std::string> help;
     auto const settings = readEdgeSettings(argc, argv, errors, help);
@@ -113,6 +123,7 @@
         return usageExitCode;
     }
     handleSignals(service, watcher, signals);
+    setReloadSignalMask(SIG_UNBLOCK);
     runtime.spawn(watcher.run());
     context.run();
     return 0;
