--- a/Libraries/LibFleet/Lease.h
+++ b/Libraries/LibFleet/Lease.h
@@ -56,15 +56,15 @@
 /// duration after the start of its last successful renewal, and another candidate acquires the lease only after it has observed the
 /// record unchanged for the whole duration. After the store was restored from a copy, the holder replaces the record of the copy, and
 /// another candidate waits for the whole duration whatever the copy says, also if there is no record when it starts, unless the whole
-/// system does. Must be called on the runtime's thread only, with one call of acquire, renew or
-/// release at a time.
+/// system does. Must be called on the runtime's thread only, with one call of acquire, renew or release at a time.
 class Lease {
 public:
     /// Precondition: duration > 0.
     Lease(Core::Runtime&, Platform::ObjectStore&, Core::Random&, std::string role, std::string nodeId, std::chrono::milliseconds duration, SystemStart = SystemStart::Unknown);
 
     /// Acquires the lease if it does not exist, was released, or was unchanged for its whole duration; renews it if held already. What a
-    /// restored copy says of its absence or release does not count. Returns whether the lease is held. Fails with StoreConflict if another candidate holds it, else with the store's errors.
+    /// restored copy says of its absence or release does not count. Returns whether the lease is held. Fails with StoreConflict if another
+    /// candidate holds it, else with the store's errors.
     [[nodiscard]] Core::Awaitable<bool> acquire(Core::MonotonicTime deadline, Core::Error&);
 
     /// Extends a held lease. Fails with StoreConflict if this candidate no longer holds it, else with the store's errors.
--- a/Libraries/LibForward/ServerDirectory.cpp
+++ b/Libraries/LibForward/ServerDirectory.cpp
@@ -94,9 +94,9 @@
     directory.departures[id] = { found->second.server, now, !isStoreOutageRecent(directory, now), std::nullopt };
     if (!isMassRemoval(directory, now))
         return;
-    for (auto& [other, departure] : directory.departures) {
-        if (now - departure.at < removalGracePeriod)
-            departure.isFinal = false;
+    for (auto& [other, recent] : directory.departures) {
+        if (now - recent.at < removalGracePeriod)
+            recent.isFinal = false;
     }
 }
 
@@ -120,7 +120,8 @@
     }
 }
 
-// Departures become final when servers whose entries expired have had time to register again.
+// Makes departures final once servers whose entries expired have had time to register again, and takes over the entries of a restored store
+// that did not expire.
 static void updateDepartures(ServerDirectory& directory, Core::MonotonicTime now)
 {
     // Longer than a peer's list can be out of date.
