Tests/Soak: Tell only the first processes that the system starts for the first time

The platform's settings say so only when the whole system starts for the first time. The soak said it to each process that it started again, which the lease now relies on: such a process would take a lease without a record at once. No check is changed.

--- a/Tests/Soak/SoakRun.cpp
+++ b/Tests/Soak/SoakRun.cpp
@@ -158,7 +158,7 @@
             HYSSOPSTEP_BINARY, "edge", "--node_id=n" + std::to_string(index), "--data_centre=" + std::string(1, static_cast<char>('a' + index % 2)),
             "--client_listen=" + endpointAt(clientPort), "--ready_listen=" + endpointAt(readyPort), "--metrics_listen=" + endpointAt(metricsPort),
             "--peer_address=" + node.address, "--peer_ports=" + std::to_string(peerPort) + "," + std::to_string(peerPort + 1),
-            "--seeds=" + seeds, "--platform=" + node.storeEndpoint.toString(), "--first_start=true",
+            "--seeds=" + seeds, "--platform=" + node.storeEndpoint.toString(), std::string("--first_start=") + (node.startCount == 0 ? "true" : "false"),
             "--grace_s=" + std::to_string(gracePeriod.count()), "--retry_slack=100", "--cloud=" + node.dutyEndpoint.toString(),
             "--duties=usage_report,autoscale", "--lease_ms=" + std::to_string(leaseTime.count()),
             "--usage_window_s=" + std::to_string(1 + m_options.seed % longestUsageWindowSeconds) });
