LibFleet: Keep the wait of a former holder across restarts

Cause: a process that lost the lease waited for a lease time before it acquired it again, but noted that in its memory only. A restarted node found a record that its successor had released at its own planned stop, and acquired it at once.

Change: the record names the holders of the last lease time, and Lease::acquire lets a node wait for a lease time after it was last active, at the earliest its start, if another holder followed it. The duty runner's own wait goes: the lease knows whether another holder followed. A holder drops the names once it has held the lease for its duration, so that the list stays short.

--- a/Libraries/LibFleet/Lease.cpp
+++ b/Libraries/LibFleet/Lease.cpp
@@ -17,6 +17,7 @@
     object["durationMs"] = record.duration.count();
     object["writeId"] = record.writeId;
     object["era"] = record.era;
+    object["formerHolders"] = json::value_from(record.formerHolders);
     return json::serialize(object);
 }
 
@@ -29,15 +30,31 @@
         record.epoch = value.at("epoch").to_number<std::uint64_t>();
         record.duration = std::chrono::milliseconds(value.at("durationMs").to_number<std::int64_t>());
         record.writeId = value.at("writeId").as_string();
-        // Earlier versions do not write it.
+        // Earlier versions do not write these.
         if (auto const* era = value.as_object().if_contains("era"))
             record.era = era->to_number<std::uint64_t>();
+        if (auto const* formerHolders = value.as_object().if_contains("formerHolders"))
+            record.formerHolders = json::value_to<std::vector<std::string>>(*formerHolders);
         return record;
     } catch (std::exception const& exception) {
         return Core::fail(error, Core::ErrorKind::Internal, std::string("invalid lease record: ") + exception.what());
     }
 }
 
+static std::vector<std::string> holdersIncludingLast(LeaseRecord const& record)
+{
+    auto holders = record.formerHolders;
+    if (!record.holder.empty())
+        holders.push_back(record.holder);
+    return holders;
+}
+
+static bool wasFollowedByAnother(LeaseRecord const& record, std::string const& nodeId)
+{
+    auto const holders = holdersIncludingLast(record);
+    return !holders.empty() && holders.back() != nodeId && std::find(holders.begin(), holders.end(), nodeId) != holders.end();
+}
+
 Lease::Lease(Core::Runtime& runtime, Platform::ObjectStore& store, Core::Random& random, std::string role, std::string nodeId, std::chrono::milliseconds duration, SystemStart systemStart)
     : m_runtime(runtime)
     , m_store(store)
@@ -46,6 +63,7 @@
     , m_nodeId(std::move(nodeId))
     , m_duration(duration)
     , m_systemStart(systemStart)
+    , m_inactiveSince(runtime.now())
 {
 }
 
@@ -56,6 +74,13 @@
     return m_nodeId + buffer;
 }
 
+void Lease::endTenure()
+{
+    if (m_heldUntil)
+        m_inactiveSince = std::min(m_runtime.now(), *m_heldUntil);
+    m_heldUntil.reset();
+}
+
 std::optional<std::uint64_t> Lease::epoch() const
 {
     if (remaining() <= Core::Duration::zero())
@@ -134,7 +159,7 @@
 {
     if (remaining() > Core::Duration::zero())
         co_return co_await renew(deadline, error);
-    m_heldUntil.reset();
+    endTenure();
     auto const stored = co_await observe(deadline, error);
     if (!stored)
         co_return false;
@@ -142,26 +167,37 @@
     bool const isOwnExpired = m_epoch != 0 && m_lastRecord.holder == m_nodeId && m_lastRecord.epoch == m_epoch;
     bool const wasNeverHeld = m_lastVersion.number == 0 && m_systemStart == SystemStart::First && m_lastVersion.era == m_firstEra;
     bool const isFree = wasNeverHeld || (isLastRecordCurrent() && (m_lastVersion.number == 0 || m_lastRecord.holder.empty() || isOwnExpired));
-    if (!isFree && m_runtime.now() - *m_unchangedSince < std::max(m_lastRecord.duration, m_duration)) {
+    auto const duration = std::max(m_lastRecord.duration, m_duration);
+    if (wasFollowedByAnother(m_lastRecord, m_nodeId) && m_runtime.now() - m_inactiveSince < duration) {
+        Core::fail(error, Core::ErrorKind::StoreConflict, "another holder followed this one less than the lease's duration ago");
+        co_return false;
+    }
+    if (!isFree && m_runtime.now() - *m_unchangedSince < duration) {
         Core::fail(error, Core::ErrorKind::StoreConflict, isLastRecordCurrent() ? "the lease is held by " + m_lastRecord.holder : "a holder of era " + std::to_string(m_lastRecord.era) + " may still hold the lease");
         co_return false;
     }
     // The epoch also increases if this candidate was the last holder, since commands of its earlier lease may still be in flight.
     auto const lowest = m_lastVersion.era > 0 ? epochAfter(m_lastVersion) : firstEpochOfEra(0);
     auto const epoch = std::max({ m_lastRecord.epoch + 1, m_epoch + 1, lowest });
-    LeaseRecord record { m_nodeId, epoch, m_duration, newWriteId() };
+    auto formerHolders = holdersIncludingLast(m_lastRecord);
+    std::erase(formerHolders, m_nodeId);
+    LeaseRecord record { .holder = m_nodeId, .epoch = epoch, .duration = m_duration, .writeId = newWriteId(), .formerHolders = formerHolders };
     auto const startedAt = m_runtime.now();
     bool const isWritten = co_await write(std::move(record), deadline, error);
     if (!isWritten)
         co_return false;
     m_epoch = epoch;
+    m_formerHolders = std::move(formerHolders);
+    m_acquiredAt = m_runtime.now();
     m_heldUntil = startedAt + m_duration;
     co_return remaining() > Core::Duration::zero();
 }
 
 Core::Awaitable<bool> Lease::writeRenewal(Core::MonotonicTime deadline, Core::Error& error)
 {
-    LeaseRecord record { m_nodeId, m_epoch, m_duration, newWriteId() };
+    if (m_runtime.now() - m_acquiredAt > m_duration)
+        m_formerHolders.clear();
+    LeaseRecord record { .holder = m_nodeId, .epoch = m_epoch, .duration = m_duration, .writeId = newWriteId(), .formerHolders = m_formerHolders };
     auto const startedAt = m_runtime.now();
     bool const isWritten = co_await write(std::move(record), deadline, error);
     if (isWritten)
@@ -172,7 +208,7 @@
 Core::Awaitable<bool> Lease::renew(Core::MonotonicTime deadline, Core::Error& error)
 {
     if (remaining() <= Core::Duration::zero() || isHeldByAnother()) {
-        m_heldUntil.reset();
+        endTenure();
         Core::fail(error, Core::ErrorKind::StoreConflict, "the lease is not held");
         co_return false;
     }
@@ -186,17 +222,18 @@
     // The write may have failed because an earlier renewal of this holder took effect late. Only another holder or epoch ends the lease
     // at once.
     if (isHeldByAnother())
-        m_heldUntil.reset();
+        endTenure();
     co_return false;
 }
 
 Core::Awaitable<bool> Lease::release(Core::MonotonicTime deadline, Core::Error& error)
 {
     bool const wasHeld = remaining() > Core::Duration::zero();
-    m_heldUntil.reset();
+    endTenure();
     if (!wasHeld)
         co_return true;
-    LeaseRecord record { "", m_epoch, m_duration, newWriteId() };
+    LeaseRecord record { .epoch = m_epoch, .duration = m_duration, .writeId = newWriteId(), .formerHolders = m_formerHolders };
+    record.formerHolders.push_back(m_nodeId);
     co_return co_await write(std::move(record), deadline, error);
 }
 
--- a/Libraries/LibFleet/Lease.h
+++ b/Libraries/LibFleet/Lease.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace Fleet {
 
@@ -23,6 +24,8 @@
     std::string writeId;
     /// The store's era in which it was written. In a later era, it is from a copy, and the holders since then are unknown.
     std::uint64_t era { 0 };
+    /// Earlier holders, the latest last, which may have acted within the last duration.
+    std::vector<std::string> formerHolders;
 
     bool operator==(LeaseRecord const&) const = default;
 };
@@ -56,7 +59,8 @@
 /// duration after the start of its last successful renewal, and another candidate acquires the lease only after it has observed the
 /// record unchanged for the whole duration. After the store was restored from a copy, the holder replaces the record of the copy, and
 /// another candidate waits for the whole duration whatever the copy says, also if there is no record when it starts, unless the whole
-/// system does. Must be called on the runtime's thread only, with one call of acquire, renew or release at a time.
+/// system does. A former holder that another one followed waits for the whole duration before it holds the lease again, also after its
+/// process restarted. Must be called on the runtime's thread only, with one call of acquire, renew or release at a time.
 class Lease {
 public:
     /// Precondition: duration > 0.
@@ -64,7 +68,7 @@
 
     /// Acquires the lease if it does not exist, was released, or was unchanged for its whole duration; renews it if held already. What a
     /// restored copy says of its absence or release does not count. Returns whether the lease is held. Fails with StoreConflict if another
-    /// candidate holds it, else with the store's errors.
+    /// candidate holds it, or followed this one less than the duration ago; else with the store's errors.
     [[nodiscard]] Core::Awaitable<bool> acquire(Core::MonotonicTime deadline, Core::Error&);
 
     /// Extends a held lease. Fails with StoreConflict if this candidate no longer holds it, else with the store's errors.
@@ -75,7 +79,7 @@
 
     /// Stops holding the lease without writing, for example after the system was suspended and the monotonic clock did not advance.
     /// The record stays until it expires.
-    void abandon() { m_heldUntil.reset(); }
+    void abandon() { endTenure(); }
 
     /// The fencing token, or nothing if the lease is not held.
     [[nodiscard]] std::optional<std::uint64_t> epoch() const;
@@ -92,6 +96,7 @@
     [[nodiscard]] Core::Awaitable<bool> write(LeaseRecord, Core::MonotonicTime deadline, Core::Error&);
     [[nodiscard]] Core::Awaitable<bool> writeRenewal(Core::MonotonicTime deadline, Core::Error&);
     [[nodiscard]] std::string newWriteId();
+    void endTenure();
     /// Whether the last observed record, or its absence, is of the store's current era.
     [[nodiscard]] bool isLastRecordCurrent() const { return m_lastRecord.era == m_lastVersion.era; }
     [[nodiscard]] bool isHeldByAnother() const { return isLastRecordCurrent() && (m_lastRecord.holder != m_nodeId || m_lastRecord.epoch != m_epoch); }
@@ -111,6 +116,11 @@
     LeaseRecord m_lastRecord;
     std::optional<Core::MonotonicTime> m_heldUntil;
     std::uint64_t m_epoch { 0 };
+    Core::MonotonicTime m_acquiredAt {};
+    /// While the lease is not held: this node has not acted as its holder since then.
+    Core::MonotonicTime m_inactiveSince;
+    /// While the lease is held: LeaseRecord::formerHolders.
+    std::vector<std::string> m_formerHolders;
 };
 
 struct LeaseManagerSettings {
--- a/Services/Edge/DutyRunner.cpp
+++ b/Services/Edge/DutyRunner.cpp
@@ -14,7 +14,7 @@
 static constexpr Core::Duration renewRetryInterval = 500ms;
 static constexpr Core::Duration acquireInterval = 1000ms;
 static constexpr Core::Duration callTimeout = 800ms;
-// Added to the period during which a former holder must not acquire the duties again.
+// Added to the period during which a former holder must not act again after another one did.
 static constexpr std::chrono::milliseconds leaseMargin { 1500 };
 
 static Platform::ObjectKey const usageRecordKey { "usagereports", "recorded" };
@@ -103,8 +103,7 @@
         bool const isHeldElsewhere = Forward::areDutiesHeldElsewhere(m_tables.peers, now);
         // The others would only add calls to the store, and in a large deployment lack the usage counts.
         bool const isCandidate = Forward::shouldWatchStore(m_tables.peers, m_settings.nodeId, m_settings.dataCentre, now);
-        bool const isReacquireAllowed = m_leaseLostAt == Core::MonotonicTime {} || now - m_leaseLostAt > m_settings.leaseDuration + leaseMargin;
-        if (isCandidate && !isHeldElsewhere && isReacquireAllowed && !m_tables.isDraining && now - m_acquireAttemptedAt >= acquireInterval) {
+        if (isCandidate && !isHeldElsewhere && !m_tables.isDraining && now - m_acquireAttemptedAt >= acquireInterval) {
             m_acquireAttemptedAt = now;
             m_renewedAt = now;
             (void)co_await m_lease.acquire(now + callTimeout, error);
@@ -117,8 +116,6 @@
     m_isUsageRecordLoaded = false;
     m_usageLedger = {};
     m_orderTable = {};
-    if (!isHeld)
-        m_leaseLostAt = m_runtime.now();
     m_metrics.gauge("hyssopstep_lease_held", { { "role", "duties" } }).set(isHeld ? 1 : 0);
     Core::logEvent(Core::LogLevel::Info, isHeld ? "lease_acquired" : "lease_lost", { { "role", "duties" }, { "epoch", std::uint64_t(m_lease.epoch().value_or(0)) }, { "reason", error.message } });
 }
--- a/Services/Edge/DutyRunner.h
+++ b/Services/Edge/DutyRunner.h
@@ -47,7 +47,6 @@
     Fleet::Lease m_lease;
     Core::MonotonicTime m_renewedAt {};
     Core::MonotonicTime m_acquireAttemptedAt {};
-    Core::MonotonicTime m_leaseLostAt {};
     std::optional<std::chrono::nanoseconds> m_suspendedTime;
     bool m_wasHeld { false };
     bool m_stopping { false };
--- a/Tests/LibFleet/LeaseTest.cpp
+++ b/Tests/LibFleet/LeaseTest.cpp
@@ -328,11 +328,48 @@
     }
 }
 
+// Guards against a node that acts as holder, is restarted, and acts again soon after another holder did.
+TEST_F(LeaseTest, RestartedHolderWaitsIfAnotherHolderFollowedIt)
+{
+    auto objects = std::make_shared<TestSupport::MemoryObjects>();
+    TestSupport::MemoryObjectStore store(m_network, m_random, objects);
+    auto const start = [&](std::string const& id) { return Fleet::Lease(m_network, store, m_random, "planner", id, 1000ms); };
+    auto const acquires = [&](Fleet::Lease& lease) {
+        Core::Error error;
+        m_network.spawn([&]() -> Core::Awaitable<void> { (void)co_await lease.acquire(m_network.now() + 1s, error); }());
+        m_context.restart();
+        m_context.poll();
+        return lease.epoch().has_value();
+    };
+    auto const holdAndRelease = [&](std::string const& id) {
+        auto lease = start(id);
+        bool const isAcquired = acquires(lease);
+        Core::Error error;
+        m_network.spawn([&]() -> Core::Awaitable<void> { (void)co_await lease.release(m_network.now() + 1s, error); }());
+        m_context.restart();
+        m_context.poll();
+        return isAcquired;
+    };
+    EXPECT_TRUE(holdAndRelease("n1"));
+    EXPECT_TRUE(holdAndRelease("n1"));
+    EXPECT_TRUE(holdAndRelease("n2"));
+    EXPECT_TRUE(holdAndRelease("n3"));
+    for (auto const* id : { "n1", "n2" }) {
+        auto restarted = start(id);
+        EXPECT_FALSE(acquires(restarted)) << id;
+        advance(990ms);
+        EXPECT_FALSE(acquires(restarted)) << id;
+        advance(10ms);
+        EXPECT_TRUE(acquires(restarted)) << id;
+        advance(1010ms);
+    }
+}
+
 // Guards against treating a damaged record as a free lease.
 TEST(LeaseCodec, RoundTripsAndRejectsDamagedRecords)
 {
     Core::Error error;
-    Fleet::LeaseRecord const record { "node-1", 7, 1000ms, "id", 2 };
+    Fleet::LeaseRecord const record { "node-1", 7, 1000ms, "id", 2, { "node-2", "node-3" } };
     EXPECT_EQ(Fleet::decodeLease(Fleet::encodeLease(record), error), record);
     for (auto const* text : { "", "{}", "[]", R"({"holder":"a","epoch":"x","durationMs":1,"writeId":""})" })
         EXPECT_FALSE(Fleet::decodeLease(text, error)) << text;
