Edge: Release the lease of the duties after the last call

What can happen: a planned stop released the lease while a call of a duty was in flight.

Cause: DutyRunner::stop() did not wait for the task that makes the calls, and called Lease::release() while the task could be inside acquire() or renew(), which the lease does not allow.

LeaseIsReleasedAfterTheLastCall failed before. TestEdgeService: all others pass, but for the known RequestIsNotGivenUpWhileItsServerReadsNothing.

--- a/Services/Edge/DutyRunner.cpp
+++ b/Services/Edge/DutyRunner.cpp
@@ -28,17 +28,27 @@
     , m_random(random)
     , m_metrics(metrics)
     , m_lease(runtime, store, random, "duties", settings.nodeId, settings.leaseDuration + leaseMargin, settings.isFirstStart ? Fleet::SystemStart::First : Fleet::SystemStart::Unknown)
+    , m_runStateChanged(runtime)
 {
 }
 
 void DutyRunner::start()
 {
+    m_isRunning = true;
     m_runtime.spawn(run());
 }
 
 Core::Awaitable<void> DutyRunner::stop()
 {
     m_stopping = true;
+    m_runStateChanged.notifyAll();
+    auto const deadline = m_runtime.now() + callTimeout;
+    while (m_isRunning && m_runtime.now() < deadline)
+        (void)co_await m_runStateChanged.waitUntil(deadline);
+    if (m_isRunning) {
+        Core::logEvent(Core::LogLevel::Warning, "lease_not_released", { { "role", "duties" }, { "reason", "a call is still in flight" } });
+        co_return;
+    }
     Core::Error error;
     bool const isReleased = co_await m_lease.release(m_runtime.now() + callTimeout, error);
     if (m_wasHeld)
@@ -56,8 +66,11 @@
             if (m_settings.ordersServers)
                 co_await orderServers();
         }
-        co_await m_runtime.sleepFor(checkInterval);
+        if (!m_stopping)
+            (void)co_await m_runStateChanged.waitUntil(m_runtime.now() + checkInterval);
     }
+    m_isRunning = false;
+    m_runStateChanged.notifyAll();
 }
 
 // The monotonic clock stops while the host is suspended, so a lease that expired meanwhile would still appear to be held.
--- a/Services/Edge/DutyRunner.h
+++ b/Services/Edge/DutyRunner.h
@@ -20,7 +20,8 @@
 
     void start();
 
-    /// Releases the lease, so that another node can take over without waiting for it to expire.
+    /// Waits until no call is in flight, then releases the lease, so that another node can take over without waiting for it to expire. A
+    /// call that takes longer keeps the lease from being released.
     [[nodiscard]] Core::Awaitable<void> stop();
 
     [[nodiscard]] bool holdsDuties() const { return m_lease.epoch().has_value(); }
@@ -50,6 +51,8 @@
     std::optional<std::chrono::nanoseconds> m_suspendedTime;
     bool m_wasHeld { false };
     bool m_stopping { false };
+    bool m_isRunning { false };
+    Core::AsyncEvent m_runStateChanged;
 
     Forward::UsageLedger m_usageLedger;
     /// The version of the usage record in the store, as last read or written; number 0 if there is none.
