Tests/LibFleet: Restart candidates in the schedules of the lease

The schedules paused candidates and disturbed the store, but no candidate was stopped, killed or started again, and nothing checked the order of holders: ONE also forbids that a node acts, another one does, and the first one acts again within a lease time, whatever processes of the nodes these are.

--- a/Tests/LibFleet/LeaseTest.cpp
+++ b/Tests/LibFleet/LeaseTest.cpp
@@ -24,6 +24,7 @@
     TestSupport::MemoryObjectStore store;
     Fleet::LeaseManager leaseManager;
     int pausedSteps { 0 };
+    bool isStopping { false };
     Core::Duration clockLag { 0 };
 
     /// The epoch that this candidate holds by its own clock, which stands still while it is paused.
@@ -73,6 +74,8 @@
             EXPECT_EQ(holder->second, index) << "epoch " << *epoch << " has two holders";
             m_changesOfHolder += isNew ? 1 : 0;
             (m_candidates[index]->clockLag > Core::Duration::zero() ? paused : running).push_back(*epoch);
+            if (m_candidates[index]->clockLag == Core::Duration::zero())
+                checkOrderOfHolders(index);
         }
         EXPECT_LE(running.size(), 1U);
         for (auto const epoch : running) {
@@ -83,6 +86,24 @@
             EXPECT_TRUE(running.empty() || epoch < running[0]);
     }
 
+    // No holder acts again within the lease's duration after another one did, whatever process of the node it is.
+    void checkOrderOfHolders(std::size_t index)
+    {
+        static constexpr Core::Duration duration = 1000ms;
+        auto const previous = m_lastActs.find(index);
+        bool const isSoon = previous != m_lastActs.end() && m_network.now() - previous->second < duration;
+        EXPECT_FALSE(isSoon && m_lastActor != index) << "node-" << index << " acts again after node-" << m_lastActor;
+        m_lastActs[index] = m_network.now();
+        m_lastActor = index;
+    }
+
+    // What the process has sent still takes effect.
+    void startAgain(std::size_t index)
+    {
+        m_ended.push_back(std::move(m_candidates[index]));
+        m_candidates[index] = std::make_unique<Candidate>(m_context, m_objects, m_network, "node-" + std::to_string(index), m_random.bits());
+    }
+
     std::optional<std::size_t> holder() const
     {
         for (std::size_t index = 0; index < m_candidates.size(); ++index) {
@@ -96,7 +117,10 @@
     Core::Random m_random;
     Core::Runtime m_network { m_context };
     std::shared_ptr<TestSupport::MemoryObjects> m_objects = std::make_shared<TestSupport::MemoryObjects>();
+    std::vector<std::unique_ptr<Candidate>> m_ended;
     std::vector<std::unique_ptr<Candidate>> m_candidates;
+    std::map<std::size_t, Core::MonotonicTime> m_lastActs;
+    std::size_t m_lastActor { 0 };
     std::map<std::uint64_t, std::size_t> m_holderOfEpoch;
     std::uint64_t m_newestEpoch { 0 };
     int m_changesOfHolder { 0 };
@@ -107,11 +131,17 @@
     Yes,
 };
 
+enum class Restarts {
+    No,
+    Yes,
+};
+
 class LeaseSchedule : public LeaseTest {
 public:
-    LeaseSchedule(std::uint64_t seed, Restorations restorations)
+    LeaseSchedule(std::uint64_t seed, Restorations restorations, Restarts restarts)
         : LeaseTest(seed)
         , m_restorations(restorations)
+        , m_restarts(restarts)
     {
     }
 
@@ -131,10 +161,15 @@
                 m_objects->restore(m_copy);
             if (m_random.below(100) == 0)
                 candidate.pausedSteps = static_cast<int>(m_random.below(250));
+            if (m_restarts == Restarts::Yes)
+                stopOrStartAgain();
             advance(10ms);
         }
-        for (auto& candidate : m_candidates)
-            candidate->store.faults = {};
+        for (std::size_t index = 0; index < m_candidates.size(); ++index) {
+            if (m_candidates[index]->isStopping)
+                startAgain(index);
+            m_candidates[index]->store.faults = {};
+        }
         advance(6s);
         EXPECT_TRUE(holder()) << "no candidate acquired the lease after the faults ended";
         return m_changesOfHolder;
@@ -143,7 +178,21 @@
 private:
     void TestBody() override { }
 
+    // Stops a candidate, a holder more often, or ends its process, as a kill does if it was not stopped.
+    void stopOrStartAgain()
+    {
+        auto const index = m_random.below(m_candidates.size());
+        auto& candidate = *m_candidates[index];
+        if (candidate.pausedSteps == 0 && m_random.below(candidate.epoch() ? 30 : 300) == 0) {
+            candidate.isStopping = true;
+            candidate.runtime.spawn(candidate.leaseManager.stop());
+        }
+        if (m_random.below(candidate.isStopping ? 10 : 300) == 0)
+            startAgain(index);
+    }
+
     Restorations m_restorations;
+    Restarts m_restarts;
     TestSupport::MemoryObjects m_copy;
 };
 
@@ -375,7 +424,7 @@
         EXPECT_FALSE(Fleet::decodeLease(text, error)) << text;
 }
 
-static void playSchedules(Restorations restorations, int minimumChanges)
+static void playSchedules(Restorations restorations, Restarts restarts, int minimumChanges)
 {
     auto const* seedText = std::getenv("HYSSOPSTEP_TEST_SEED");
     std::uint64_t const first = seedText ? std::strtoull(seedText, nullptr, 10) : 1;
@@ -383,7 +432,7 @@
     int changes = 0;
     for (std::uint64_t seed = first; seed <= last && !testing::Test::HasFailure(); ++seed) {
         SCOPED_TRACE("HYSSOPSTEP_TEST_SEED=" + std::to_string(seed));
-        LeaseSchedule schedule(seed, restorations);
+        LeaseSchedule schedule(seed, restorations, restarts);
         changes += schedule.run();
     }
     EXPECT_TRUE(seedText || changes > minimumChanges) << changes;
@@ -392,11 +441,23 @@
 // Guards against two holders during pauses, outages, and delayed or lost writes. HYSSOPSTEP_TEST_SEED=<n> runs one seed.
 TEST(LeaseInterleaving, NeverTwoHolders)
 {
-    playSchedules(Restorations::No, 600);
+    playSchedules(Restorations::No, Restarts::No, 600);
 }
 
 // Guards against the same beside restorations of the store from copies.
 TEST(LeaseInterleaving, NeverTwoHoldersInARestoredStore)
 {
-    playSchedules(Restorations::Yes, 600);
+    playSchedules(Restorations::Yes, Restarts::No, 600);
+}
+
+// Guards against a holder that acts, is stopped or killed, and acts again soon after another one did.
+TEST(LeaseInterleaving, NoHolderActsAgainSoonAfterAnotherOne)
+{
+    playSchedules(Restorations::No, Restarts::Yes, 1200);
+}
+
+// Guards against the same beside restorations of the store from copies.
+TEST(LeaseInterleaving, NoHolderActsAgainSoonAfterAnotherOneInARestoredStore)
+{
+    playSchedules(Restorations::Yes, Restarts::Yes, 1200);
 }
