LibFleet: Let a former holder that a restored store forgot wait

What a caller saw: nothing yet; found by a review of the wait of former holders. A node acts as holder, the store returns from a copy without the node's record and does not let the node renew its lease, another node waits for a lease time, acts, and releases the lease at a planned stop.

Cause: the wait follows from the names in the record, and the second holder's record is derived from the copy, which does not name the first one. The same holds for a record that an earlier version of the program wrote, which names nobody.

Change: the record says whether it names all former holders. It does not if it replaces a record, or the absence of one, of an earlier era, or follows one that does not, until its holder has held the lease for its duration. A candidate that may be a former holder then waits for a lease time after it was last active or started; one that has run for longer does not.

HolderThatARestoredStoreForgotWaitsIfAnotherHolderFollowedIt failed before, in the same process and with a restart.

--- a/Libraries/LibFleet/Lease.cpp
+++ b/Libraries/LibFleet/Lease.cpp
@@ -18,6 +18,7 @@
     object["writeId"] = record.writeId;
     object["era"] = record.era;
     object["formerHolders"] = json::value_from(record.formerHolders);
+    object["hasAllFormerHolders"] = record.hasAllFormerHolders;
     return json::serialize(object);
 }
 
@@ -35,6 +36,8 @@
             record.era = era->to_number<std::uint64_t>();
         if (auto const* formerHolders = value.as_object().if_contains("formerHolders"))
             record.formerHolders = json::value_to<std::vector<std::string>>(*formerHolders);
+        auto const* hasAllFormerHolders = value.as_object().if_contains("hasAllFormerHolders");
+        record.hasAllFormerHolders = hasAllFormerHolders && hasAllFormerHolders->as_bool();
         return record;
     } catch (std::exception const& exception) {
         return Core::fail(error, Core::ErrorKind::Internal, std::string("invalid lease record: ") + exception.what());
@@ -49,10 +52,11 @@
     return holders;
 }
 
-static bool wasFollowedByAnother(LeaseRecord const& record, std::string const& nodeId)
+static bool mayHaveBeenFollowed(LeaseRecord const& record, std::string const& nodeId)
 {
     auto const holders = holdersIncludingLast(record);
-    return !holders.empty() && holders.back() != nodeId && std::find(holders.begin(), holders.end(), nodeId) != holders.end();
+    bool const isLast = !holders.empty() && holders.back() == nodeId;
+    return !isLast && (!record.hasAllFormerHolders || std::find(holders.begin(), holders.end(), nodeId) != holders.end());
 }
 
 Lease::Lease(Core::Runtime& runtime, Platform::ObjectStore& store, Core::Random& random, std::string role, std::string nodeId, std::chrono::milliseconds duration, SystemStart systemStart)
@@ -168,8 +172,8 @@
     bool const wasNeverHeld = m_lastVersion.number == 0 && m_systemStart == SystemStart::First && m_lastVersion.era == m_firstEra;
     bool const isFree = wasNeverHeld || (isLastRecordCurrent() && (m_lastVersion.number == 0 || m_lastRecord.holder.empty() || isOwnExpired));
     auto const duration = std::max(m_lastRecord.duration, m_duration);
-    if (wasFollowedByAnother(m_lastRecord, m_nodeId) && m_runtime.now() - m_inactiveSince < duration) {
-        Core::fail(error, Core::ErrorKind::StoreConflict, "another holder followed this one less than the lease's duration ago");
+    if (mayHaveBeenFollowed(m_lastRecord, m_nodeId) && m_runtime.now() - m_inactiveSince < duration) {
+        Core::fail(error, Core::ErrorKind::StoreConflict, "another holder may have followed this one less than the lease's duration ago");
         co_return false;
     }
     if (!isFree && m_runtime.now() - *m_unchangedSince < duration) {
@@ -181,13 +185,16 @@
     auto const epoch = std::max({ m_lastRecord.epoch + 1, m_epoch + 1, lowest });
     auto formerHolders = holdersIncludingLast(m_lastRecord);
     std::erase(formerHolders, m_nodeId);
-    LeaseRecord record { .holder = m_nodeId, .epoch = epoch, .duration = m_duration, .writeId = newWriteId(), .formerHolders = formerHolders };
+    // A holder from before a restoration whose record is gone may have acted until now.
+    bool const hasAllFormerHolders = wasNeverHeld || (isLastRecordCurrent() && m_lastRecord.hasAllFormerHolders);
+    LeaseRecord record { .holder = m_nodeId, .epoch = epoch, .duration = m_duration, .writeId = newWriteId(), .formerHolders = formerHolders, .hasAllFormerHolders = hasAllFormerHolders };
     auto const startedAt = m_runtime.now();
     bool const isWritten = co_await write(std::move(record), deadline, error);
     if (!isWritten)
         co_return false;
     m_epoch = epoch;
     m_formerHolders = std::move(formerHolders);
+    m_hasAllFormerHolders = hasAllFormerHolders;
     m_acquiredAt = m_runtime.now();
     m_heldUntil = startedAt + m_duration;
     co_return remaining() > Core::Duration::zero();
@@ -195,9 +202,11 @@
 
 Core::Awaitable<bool> Lease::writeRenewal(Core::MonotonicTime deadline, Core::Error& error)
 {
-    if (m_runtime.now() - m_acquiredAt > m_duration)
+    if (m_runtime.now() - m_acquiredAt > m_duration) {
         m_formerHolders.clear();
-    LeaseRecord record { .holder = m_nodeId, .epoch = m_epoch, .duration = m_duration, .writeId = newWriteId(), .formerHolders = m_formerHolders };
+        m_hasAllFormerHolders = true;
+    }
+    LeaseRecord record { .holder = m_nodeId, .epoch = m_epoch, .duration = m_duration, .writeId = newWriteId(), .formerHolders = m_formerHolders, .hasAllFormerHolders = m_hasAllFormerHolders };
     auto const startedAt = m_runtime.now();
     bool const isWritten = co_await write(std::move(record), deadline, error);
     if (isWritten)
@@ -232,7 +241,7 @@
     endTenure();
     if (!wasHeld)
         co_return true;
-    LeaseRecord record { .epoch = m_epoch, .duration = m_duration, .writeId = newWriteId(), .formerHolders = m_formerHolders };
+    LeaseRecord record { .epoch = m_epoch, .duration = m_duration, .writeId = newWriteId(), .formerHolders = m_formerHolders, .hasAllFormerHolders = m_hasAllFormerHolders };
     record.formerHolders.push_back(m_nodeId);
     co_return co_await write(std::move(record), deadline, error);
 }
--- a/Libraries/LibFleet/Lease.h
+++ b/Libraries/LibFleet/Lease.h
@@ -26,6 +26,9 @@
     std::uint64_t era { 0 };
     /// Earlier holders, the latest last, which may have acted within the last duration.
     std::vector<std::string> formerHolders;
+    /// Whether no other node may have acted within the last duration. False after a restoration, and if an earlier version wrote the
+    /// record.
+    bool hasAllFormerHolders { true };
 
     bool operator==(LeaseRecord const&) const = default;
 };
@@ -60,7 +63,8 @@
 /// record unchanged for the whole duration. After the store was restored from a copy, the holder replaces the record of the copy, and
 /// another candidate waits for the whole duration whatever the copy says, also if there is no record when it starts, unless the whole
 /// system does. A former holder that another one followed waits for the whole duration before it holds the lease again, also after its
-/// process restarted. Must be called on the runtime's thread only, with one call of acquire, renew or release at a time.
+/// process restarted; if the record does not name all former holders, so does a candidate that may be one. Must be called on the runtime's
+/// thread only, with one call of acquire, renew or release at a time.
 class Lease {
 public:
     /// Precondition: duration > 0.
@@ -68,7 +72,7 @@
 
     /// Acquires the lease if it does not exist, was released, or was unchanged for its whole duration; renews it if held already. What a
     /// restored copy says of its absence or release does not count. Returns whether the lease is held. Fails with StoreConflict if another
-    /// candidate holds it, or followed this one less than the duration ago; else with the store's errors.
+    /// candidate holds it, or may have followed this one less than the duration ago; else with the store's errors.
     [[nodiscard]] Core::Awaitable<bool> acquire(Core::MonotonicTime deadline, Core::Error&);
 
     /// Extends a held lease. Fails with StoreConflict if this candidate no longer holds it, else with the store's errors.
@@ -119,8 +123,9 @@
     Core::MonotonicTime m_acquiredAt {};
     /// While the lease is not held: this node has not acted as its holder since then.
     Core::MonotonicTime m_inactiveSince;
-    /// While the lease is held: LeaseRecord::formerHolders.
+    /// While the lease is held: the members of LeaseRecord.
     std::vector<std::string> m_formerHolders;
+    bool m_hasAllFormerHolders { true };
 };
 
 struct LeaseManagerSettings {
--- a/Tests/LibFleet/LeaseTest.cpp
+++ b/Tests/LibFleet/LeaseTest.cpp
@@ -414,12 +414,47 @@
     }
 }
 
+// Guards against the same after the store returned from a copy that lacks the first holder's record: the second holder cannot name it.
+TEST_F(LeaseTest, HolderThatARestoredStoreForgotWaitsIfAnotherHolderFollowedIt)
+{
+    for (bool const isRestarted : { false, true }) {
+        auto objects = std::make_shared<TestSupport::MemoryObjects>();
+        objects->era = 1;
+        TestSupport::MemoryObjectStore store(m_network, m_random, objects);
+        auto const run = [&](Core::Awaitable<bool> call) {
+            m_network.spawn([](Core::Awaitable<bool> task) -> Core::Awaitable<void> { (void)co_await std::move(task); }(std::move(call)));
+            m_context.restart();
+            m_context.poll();
+        };
+        Core::Error error;
+        auto const acquires = [&](Fleet::Lease& lease) { return run(lease.acquire(m_network.now() + 1s, error)), lease.epoch().has_value(); };
+        Fleet::Lease first(m_network, store, m_random, "planner", "n1", 1000ms, Fleet::SystemStart::First);
+        Fleet::Lease second(m_network, store, m_random, "planner", "n2", 1000ms);
+        auto const copy = *objects;
+        EXPECT_TRUE(acquires(first));
+        objects->restore(copy);
+        EXPECT_FALSE(acquires(second));
+        advance(990ms);
+        EXPECT_TRUE(first.epoch());
+        Fleet::Lease restarted(m_network, store, m_random, "planner", "n1", 1000ms);
+        auto& again = isRestarted ? restarted : first;
+        advance(10ms);
+        EXPECT_TRUE(acquires(second));
+        run(second.release(m_network.now() + 1s, error));
+        EXPECT_FALSE(acquires(again)) << (isRestarted ? "restarted" : "the same process");
+        advance(1000ms);
+        EXPECT_TRUE(acquires(again));
+    }
+}
+
 // Guards against treating a damaged record as a free lease.
 TEST(LeaseCodec, RoundTripsAndRejectsDamagedRecords)
 {
     Core::Error error;
-    Fleet::LeaseRecord const record { "node-1", 7, 1000ms, "id", 2, { "node-2", "node-3" } };
+    Fleet::LeaseRecord const record { "node-1", 7, 1000ms, "id", 2, { "node-2", "node-3" }, true };
     EXPECT_EQ(Fleet::decodeLease(Fleet::encodeLease(record), error), record);
+    auto const earlier = Fleet::decodeLease(R"({"holder":"","epoch":7,"durationMs":1000,"writeId":"id"})", error);
+    EXPECT_TRUE(earlier && !earlier->hasAllFormerHolders);
     for (auto const* text : { "", "{}", "[]", R"({"holder":"a","epoch":"x","durationMs":1,"writeId":""})" })
         EXPECT_FALSE(Fleet::decodeLease(text, error)) << text;
 }
