LibHTTP: Keep the connection of a server that reads nothing

Cause: TCP_USER_TIMEOUT, which detects cut links, counts a closed receive window as unacknowledged data.

Change: HTTP::updateSendWatch decides from the connection's own counters (TCP_INFO) whether the peer can be reached: not if it has acknowledged nothing for the bound and has left data or a probe of the closed window unanswered. The client checks the counters from half the bound after the start of a request until all bytes are acknowledged, mostly once, and switches the kernel's timeout off while the window is closed. A connection to an unreachable peer is reset, so that the peer does not get the rest once the link is back. Where the counters are not available, the kernel's timeout decides as before, with event=connection_counters_unavailable.

A probe may stay unanswered although the peer is sound: Linux answers one in 500 ms (seen from 0.75 s to 1.55 s). It counts only if it comes later than that after the last answer, or if another one is unanswered, and each has 300 ms. On Linux 6.15 and newer the time between probes is limited to 1 s; on older ones it doubles, and a cut behind a closed window is noticed with the next probe.

Cut links: CutLinkTest drops what arrives at the server by a socket filter.

Ruled out: only a longer timeout, which would notice cuts later; keep-alive probes, which are not sent while data waits.

--- a/Libraries/LibHTTP/Client.cpp
+++ b/Libraries/LibHTTP/Client.cpp
@@ -1,6 +1,8 @@
 #include <LibHTTP/Client.h>
 
+#include <LibCore/Log.h>
 #include <LibHTTP/BeastConversion.h>
+#include <LibHTTP/SendWatch.h>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -10,10 +12,11 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
+#include <cerrno>
 #include <charconv>
 #include <deque>
 #include <map>
-#include <netinet/tcp.h>
+#include <system_error>
 #include <vector>
 
 namespace HTTP {
@@ -28,6 +31,101 @@
 
 namespace {
 
+// Closes the connection if its peer cannot be reached while it has a request to send. The system's own timeout does so as well, but also if
+// the peer reads nothing for that time; it is off while the peer's receive window is closed.
+class ReachabilityWatch {
+public:
+    ReachabilityWatch(Core::Runtime& runtime, tcp::socket& socket, std::chrono::milliseconds bound)
+        : m_runtime(runtime)
+        , m_socket(socket)
+        , m_bound(bound)
+    {
+    }
+
+    ~ReachabilityWatch() { stop(); }
+    ReachabilityWatch(ReachabilityWatch const&) = delete;
+    ReachabilityWatch& operator=(ReachabilityWatch const&) = delete;
+
+    // Called before the first byte of a request is written. Ends by itself.
+    void start()
+    {
+        stop();
+        m_watch = { .startedAt = m_runtime.now() };
+        // Before the system's timeout passes, with time for a late check.
+        m_timer = m_runtime.callAt(m_watch.startedAt + m_bound / 2, [this] { check(); });
+    }
+
+    void endWriting() { m_watch.isWriting = false; }
+
+    // Hands the connection back to the system, also for what it still sends after the connection was closed.
+    void stop()
+    {
+        m_timer.cancel();
+        if (std::exchange(m_isSystemTimeoutOff, false) && m_socket.is_open())
+            changeSystemTimeout(m_bound);
+    }
+
+    [[nodiscard]] bool isUnreachable() const { return m_isUnreachable; }
+
+private:
+    static constexpr auto checkInterval = std::chrono::milliseconds(100);
+    // Shorter than the bound, so that a link that is cut between two probes is noticed in time.
+    static constexpr auto probeInterval = std::chrono::seconds(1);
+
+    void check()
+    {
+        auto const counters = readSendCounters(m_socket.native_handle());
+        if (!counters) {
+            Core::logEvent(Core::LogLevel::Warning, "connection_counters_unreadable", { { "reason", std::generic_category().message(errno) } });
+            stop();
+            return;
+        }
+        auto const now = m_runtime.now();
+        switch (updateSendWatch(m_watch, *counters, m_bound, now)) {
+        case SendState::Complete:
+            stop();
+            return;
+        case SendState::Unreachable:
+            closeUnreachable();
+            return;
+        case SendState::WindowClosed:
+            if (!m_isSystemTimeoutOff && changeSystemTimeout(std::chrono::milliseconds::zero())) {
+                m_isSystemTimeoutOff = true;
+                (void)limitProbeInterval(m_socket.native_handle(), probeInterval);
+            }
+            break;
+        case SendState::InFlight:
+            break;
+        }
+        m_timer = m_runtime.callAt(std::min(now + checkInterval, m_watch.unreachableAt.value_or(now + checkInterval)), [this] { check(); });
+    }
+
+    // Drops what has not been sent, as the system's timeout does: the peer must not receive it once the link is back.
+    void closeUnreachable()
+    {
+        m_isUnreachable = true;
+        boost::system::error_code ignored;
+        m_socket.set_option(asio::socket_base::linger(true, 0), ignored);
+        m_socket.close(ignored);
+    }
+
+    bool changeSystemTimeout(std::chrono::milliseconds timeout)
+    {
+        if (setSystemTimeout(m_socket.native_handle(), timeout))
+            return true;
+        Core::logEvent(Core::LogLevel::Warning, "connection_timeout_unchanged", { { "reason", std::generic_category().message(errno) } });
+        return false;
+    }
+
+    Core::Runtime& m_runtime;
+    tcp::socket& m_socket;
+    std::chrono::milliseconds m_bound;
+    SendWatch m_watch;
+    Core::Timer m_timer;
+    bool m_isSystemTimeoutOff { false };
+    bool m_isUnreachable { false };
+};
+
 struct Connection {
     Connection(asio::io_context& context, std::size_t maximumBufferedBytes)
         : socket(context)
@@ -37,10 +135,18 @@
 
     void close()
     {
+        if (watch)
+            watch->stop();
         boost::system::error_code ignored;
         socket.close(ignored);
     }
 
+    // The reason why an operation failed, given its own error.
+    [[nodiscard]] boost::system::error_code failureReason(boost::system::error_code errorCode) const
+    {
+        return errorCode && watch && watch->isUnreachable() ? make_error_code(asio::error::timed_out) : errorCode;
+    }
+
     void cancelRead()
     {
         boost::system::error_code ignored;
@@ -48,6 +154,8 @@
     }
 
     tcp::socket socket;
+    /// Null if the system's timeout, if any, decides alone.
+    std::unique_ptr<ReachabilityWatch> watch;
     beast::flat_buffer buffer;
     Core::MonotonicTime idleSince;
     /// From the Keep-Alive header of the last response; zero if there was none.
@@ -177,6 +285,20 @@
         return errorCode == asio::error::would_block;
     }
 
+    void detectUnreachablePeer(Connection& connection)
+    {
+        auto const descriptor = connection.socket.native_handle();
+        if (!setSystemTimeout(descriptor, m_limits.unacknowledgedTimeout))
+            Core::logEvent(Core::LogLevel::Warning, "connection_timeout_unavailable", { { "reason", std::generic_category().message(errno) } });
+        if (!m_areCountersAvailable) {
+            m_areCountersAvailable = readSendCounters(descriptor).has_value();
+            if (!*m_areCountersAvailable)
+                Core::logEvent(Core::LogLevel::Info, "connection_counters_unavailable", { { "reason", std::generic_category().message(errno) } });
+        }
+        if (*m_areCountersAvailable)
+            connection.watch = std::make_unique<ReachabilityWatch>(m_runtime, connection.socket, m_limits.unacknowledgedTimeout);
+    }
+
     Core::Awaitable<AcquiredConnection> acquire(Core::Endpoint const& endpoint, ConnectionUse use, Cancellation* cancellation, Core::MonotonicTime deadline, Core::Error& error)
     {
         if (use != ConnectionUse::NewConnection) {
@@ -210,15 +332,15 @@
         }
         boost::system::error_code ignored;
         connection->socket.set_option(tcp::no_delay(true), ignored);
-        if (m_limits.unacknowledgedTimeout.count() > 0) {
-            using UserTimeout = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
-            connection->socket.set_option(UserTimeout(static_cast<int>(m_limits.unacknowledgedTimeout.count())), ignored);
-        }
+        if (m_limits.unacknowledgedTimeout.count() > 0)
+            detectUnreachablePeer(*connection);
         co_return AcquiredConnection { std::move(connection), ConnectionOrigin::New };
     }
 
     Core::Runtime& m_runtime;
     ClientLimits m_limits;
+    /// Unknown before the first connection.
+    std::optional<bool> m_areCountersAvailable;
     /// Shared with the streams, which may outlive the client.
     std::shared_ptr<ClientTraffic> m_traffic { std::make_shared<ClientTraffic>() };
     std::map<Core::Endpoint, std::deque<ConnectionPointer>> m_idle;
@@ -274,6 +396,7 @@
             m_parser->get().body().data = nullptr;
             m_parser->get().body().size = 0;
             if (errorCode && errorCode != beast::http::error::need_buffer) {
+                errorCode = m_connection->failureReason(errorCode);
                 bool const isCancelled = m_cancellation && m_cancellation->isCancelled();
                 if (timedOut && !isCancelled && afterDeadline == AfterReadDeadline::KeepConnection && errorCode == asio::error::operation_aborted)
                     co_return Core::fail(error, ErrorKind::DeadlineExceeded, "no byte of the response from " + m_endpoint.toString() + " in time", RunState::Unknown);
@@ -366,7 +489,11 @@
 
 static Core::Awaitable<HeaderOutcome> exchangeHeaders(Connection& connection, beast::http::request<beast::http::string_body>& message, ResponsePredicate const& matchesRequest, ClientLimits const& limits, ClientTraffic& traffic)
 {
+    if (connection.watch)
+        connection.watch->start();
     auto [writeError, written] = co_await beast::http::async_write(connection.socket, message, useTuple);
+    if (connection.watch)
+        connection.watch->endWriting();
     ++traffic.requests;
     traffic.sentBytes += written;
     // The peer may respond and close before it has read the whole body, so its response is read even if the write failed.
@@ -441,6 +568,7 @@
             });
             AbortScope const abort(options.cancellation, *connection);
             outcome = co_await exchangeHeaders(*connection, message, options.matchesRequest, m_limits, *m_traffic);
+            outcome.errorCode = connection->failureReason(outcome.errorCode);
         }
         if (options.cancellation && options.cancellation->isCancelled()) {
             Core::fail(error, ErrorKind::Cancelled, "the exchange with " + endpoint.toString() + " was cancelled", RunState::Unknown);
--- a/Libraries/LibHTTP/Client.h
+++ b/Libraries/LibHTTP/Client.h
@@ -20,7 +20,9 @@
     std::size_t idleConnectionsPerEndpoint { 64 };
     /// Maximum idle time of a pooled connection; a shorter Keep-Alive timeout of the peer takes precedence.
     Core::Duration idleTimeout { std::chrono::seconds(20) };
-    /// A connection whose sent data stays unacknowledged for this time is closed (TCP_USER_TIMEOUT); zero keeps the system's default.
+    /// A connection whose sent data stays unacknowledged for this time is closed; zero keeps the system's default. A peer that reads nothing, but
+    /// whose system answers, keeps its connection. Where the system does not provide a connection's counters (TCP_INFO), TCP_USER_TIMEOUT
+    /// decides, which also closes the connection of such a peer.
     std::chrono::milliseconds unacknowledgedTimeout { 0 };
 
     bool operator==(ClientLimits const&) const = default;
