LibForward, Edge: Charge the admissions of other nodes from the start of a node

What a caller sees: after a restart of the nodes in turn, a team that sends four times its limit gets more than its quota (QUOTA). Found by a review of what a node forgets at its restart.

Cause: a node accounts for a team from the team's first request on. After a restart the team's bucket starts at less than nothing, but it was refilled for the time since the start, while what the others admitted in that time was charged to no bucket. A node that got its first request of the team a second and more after its start took the limit for unused.

Change: the bucket exists as soon as the configuration is known (prepareQuota). Teams without requests at a node stay out of its reports.

NodesThatStartAgainInTurnDoNotGrantTheBurstAgain fails without the call of prepareQuota.

--- a/Libraries/LibForward/TeamQuota.cpp
+++ b/Libraries/LibForward/TeamQuota.cpp
@@ -59,25 +59,42 @@
     return std::max(highestFactor + level / capacity * (highestFactor - lowestFactor), lowestFactor);
 }
 
+// The rest of the slack covers what the nodes admit before they receive each other's reports.
+static constexpr double usableSlackFraction = 0.4;
+// Fraction of the burst that a node's share may accumulate.
+static constexpr double nodeBurstFraction = 0.25;
+
+static double bucketCapacity(Team const& team, QuotaTolerance const& tolerance)
+{
+    return std::max(team.burst + usableSlackFraction * tolerance.slack, 1.0);
+}
+
+static QuotaTable::Row& rowOf(QuotaTable& table, Team const& team, QuotaTolerance const& tolerance)
+{
+    auto [position, isNew] = table.rows.try_emplace(team.name);
+    // What the nodes admit from their shares of the burst after a restart is repaid later.
+    if (isNew && table.initialQuota == InitialQuota::Empty)
+        position->second.deploymentBucket = { .level = -nodeBurstFraction * bucketCapacity(team, tolerance), .refilledAt = table.startedAt, .initialized = true };
+    return position->second;
+}
+
+void prepareQuota(QuotaTable& table, Team const& team, QuotaTolerance const& tolerance)
+{
+    if (team.ratePerSecond > 0 && table.initialQuota == InitialQuota::Empty)
+        (void)rowOf(table, team, tolerance);
+}
+
 std::optional<std::chrono::milliseconds> admitToQuota(QuotaTable& table, Team const& team, double cost, double share, QuotaTolerance const& tolerance, Core::MonotonicTime now)
 {
-    // The rest of the slack covers what the nodes admit before they receive each other's reports.
-    static constexpr double usableSlackFraction = 0.4;
     // A team whose traffic multiplies uses up this fraction of the burst within about the delay of the reports.
     static constexpr double reservedFraction = 0.5;
-    // Fraction of the burst that a node's share may accumulate.
-    static constexpr double nodeBurstFraction = 0.25;
     static double const arrivalWeight = std::log(2.0) / demandHalfLifeSeconds;
-    auto [position, isNew] = table.rows.try_emplace(team.name);
-    auto& row = position->second;
+    auto& row = rowOf(table, team, tolerance);
     row.demand = decayedDemand(row, now) + cost * arrivalWeight;
     row.demandUpdatedAt = now;
     if (team.ratePerSecond <= 0)
         return std::nullopt;
-    double const capacity = std::max(team.burst + usableSlackFraction * tolerance.slack, 1.0);
-    // What the nodes admit from their shares of the burst after a restart is repaid later.
-    if (isNew && table.initialQuota == InitialQuota::Empty)
-        row.deploymentBucket = { .level = -nodeBurstFraction * capacity, .refilledAt = table.startedAt, .initialized = true };
+    double const capacity = bucketCapacity(team, tolerance);
     // Refill the bucket without taking anything.
     (void)Limits::takeFromBucket(row.deploymentBucket, 0, team.ratePerSecond * (1 - tolerance.silentShare), capacity, now);
     // With many nodes the reports arrive too late to show when the burst is used up.
--- a/Libraries/LibForward/TeamQuota.h
+++ b/Libraries/LibForward/TeamQuota.h
@@ -63,6 +63,10 @@
 /// from the backend servers, which the store lists at once.
 [[nodiscard]] double admissionShare(QuotaTable const&, PeerTable const&, std::size_t servers, std::string const& team, Core::MonotonicTime now);
 
+/// Begins to account for a team when its configuration is known, so that after a restart the admissions of other nodes are charged also
+/// before the team's first request at this node.
+void prepareQuota(QuotaTable&, Team const&, QuotaTolerance const&);
+
 /// Charges what another node admitted since its last report to the quota of the deployment.
 void chargeQuota(QuotaTable&, std::string_view team, double admittedElsewhere);
 
--- a/Services/Edge/EdgeService.cpp
+++ b/Services/Edge/EdgeService.cpp
@@ -171,8 +171,10 @@
         if (row.outstanding > 0)
             report.loads[Forward::serverKey(row.id)] = static_cast<std::uint16_t>(std::min<std::uint32_t>(row.outstanding, UINT16_MAX));
     }
-    for (auto const& [team, row] : m_tables.quotas.rows)
-        report.demands[team] = { static_cast<float>(Forward::quotaDemand(m_tables.quotas, team, now)), row.admitted };
+    for (auto const& [team, row] : m_tables.quotas.rows) {
+        if (row.demand > 0)
+            report.demands[team] = { static_cast<float>(Forward::quotaDemand(m_tables.quotas, team, now)), row.admitted };
+    }
     auto const usage = m_tables.usage.nodes.find({ m_settings.nodeId, m_incarnation });
     if (usage != m_tables.usage.nodes.end()) {
         for (auto entry = usage->second.rbegin(); entry != usage->second.rend() && report.usage.size() < maximumReportedWindows; ++entry)
@@ -238,6 +240,8 @@
         serverLimits.idleTimeout = limits.idleTimeout;
         serverLimits.maximumConnections = maximumClientConnections;
         m_clientServer.setLimits(serverLimits);
+        for (auto const& team : m_tables.routes->teams)
+            Forward::prepareQuota(m_tables.quotas, team, { .window = m_settings.quotaWindow, .slack = m_settings.quotaSlack });
     }
 }
 
--- a/Tests/LibForward/TeamQuotaTest.cpp
+++ b/Tests/LibForward/TeamQuotaTest.cpp
@@ -32,6 +32,7 @@
         , m_interval(Forward::reportInterval(nodes - 1))
         , m_tables(nodes)
         , m_peers(nodes)
+        , m_startedAt(nodes)
     {
         m_team.name = "team";
         m_team.unit = Forward::LimitUnit::Tokens;
@@ -49,7 +50,10 @@
                 exchange();
                 m_nextExchange = m_now + m_interval;
             }
-            arrive(chooseNode(), meanCost * (0.5 + m_random.unit()));
+            auto node = chooseNode();
+            while (m_usedFrom.contains(node) && m_now < m_usedFrom.at(node))
+                node = chooseNode();
+            arrive(node, meanCost * (0.5 + m_random.unit()));
         }
     }
 
@@ -66,6 +70,16 @@
         m_nextExchange = m_now + discoveryTime;
     }
 
+    // One node is restarted and gets no requests until some time after its start.
+    void restart(std::size_t node, Core::Duration timeWithoutRequests)
+    {
+        m_tables[node] = { .initialQuota = Forward::InitialQuota::Empty, .startedAt = m_now };
+        m_peers[node] = {};
+        m_startedAt[node] = m_now;
+        Forward::prepareQuota(m_tables[node], m_team, { 8s, 190'000, m_interval });
+        m_usedFrom[node] = m_now + timeWithoutRequests;
+    }
+
     [[nodiscard]] double maximumAdmittedWithin(Core::Duration window) const
     {
         double most = 0;
@@ -107,6 +121,7 @@
         for (std::size_t from = 0; from < m_tables.size(); ++from) {
             Forward::NodeReport report;
             report.node = "n" + std::to_string(from);
+            report.incarnation = static_cast<std::uint64_t>(m_startedAt[from].time_since_epoch().count());
             report.endpoint = "127.0.0.1:1";
             if (auto const row = m_tables[from].rows.find("team"); row != m_tables[from].rows.end())
                 report.demands["team"] = { static_cast<float>(Forward::quotaDemand(m_tables[from], "team", m_now)), row->second.admitted };
@@ -126,6 +141,8 @@
     std::chrono::milliseconds m_interval;
     std::vector<Forward::QuotaTable> m_tables;
     std::vector<Forward::PeerTable> m_peers;
+    std::vector<Core::MonotonicTime> m_startedAt;
+    std::map<std::size_t, Core::MonotonicTime> m_usedFrom;
     std::vector<Sent> m_sent;
     std::size_t m_refused { 0 };
     Core::MonotonicTime m_now { 100s };
@@ -174,6 +191,23 @@
     }
 }
 
+// The nodes restart in turn while a team is at its limit, and get requests only once they are ready: the team's first request at a node
+// must not find a full bucket.
+TEST(TeamQuotaTest, NodesThatStartAgainInTurnDoNotGrantTheBurstAgain)
+{
+    for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+        QuotaSimulation simulation(seed);
+        simulation.run(4 * rate, 4s);
+        for (std::size_t node = 0; node < fewNodes; ++node) {
+            simulation.restart(node, 1500ms);
+            simulation.run(4 * rate, 500ms);
+        }
+        simulation.run(4 * rate, 4s);
+        EXPECT_LE(simulation.maximumAdmittedWithin(8s), (rate * 8 + rate) * 1.1 + 190'000) << "seed " << seed;
+        EXPECT_GE(simulation.maximumAdmittedWithin(8s), rate * 8 * 0.9) << "seed " << seed;
+    }
+}
+
 // Load pattern: a team at half of its limit with few requests at each node. Requests within the limit must not be refused.
 TEST(TeamQuotaTest, ATeamWithinItsLimitIsHardlyRefused)
 {
