Tests/LibForward: Show a node that admits the whole limit after a restart behind a partition

A node that is started again and hears none of the others takes itself for the only one 1.5 s later (admissionShare, discoveryTime): in 8 s it admits 2.87 million tokens of a team whose limit is 0.4 million a second, while the others, which it cannot hear, admit all but the share that it had before (silentShare, 12 s). No fix: the share is one part, the headroom of the deployment's bucket, which nobody charges, is the other; the number of nodes is known to nobody who starts behind a partition.

NodeThatStartsAgainBehindAPartitionDoesNotAdmitTheWholeLimit fails.

--- a/Tests/LibForward/TeamQuotaTest.cpp
+++ b/Tests/LibForward/TeamQuotaTest.cpp
@@ -208,6 +208,26 @@
     }
 }
 
+// Guards against a node that admits the whole limit since it is started again behind a partition: the others, which it cannot hear, keep
+// only the share free that it had before.
+TEST(TeamQuotaTest, NodeThatStartsAgainBehindAPartitionDoesNotAdmitTheWholeLimit)
+{
+    static constexpr double cost = 17'000;
+    Forward::Team const team { .name = "team", .unit = Forward::LimitUnit::Tokens, .ratePerSecond = rate, .burst = rate };
+    Core::MonotonicTime const start { 100s };
+    Forward::QuotaTable table { .initialQuota = Forward::InitialQuota::Empty, .startedAt = start };
+    Forward::PeerTable peers;
+    for (auto const* seed : { "10.0.0.1", "10.0.1.1", "10.0.2.1" })
+        Forward::addCandidate(peers, { seed, 7600 }, start);
+    double admitted = 0;
+    for (auto now = start; now < start + 8s; now += 10ms) {
+        auto const share = Forward::admissionShare(table, peers, serversPerNode * fewNodes, "team", now);
+        Forward::QuotaTolerance const tolerance { 8s, 190'000, Forward::reportDelay(peers, now), Forward::silentShare(peers, "team") };
+        admitted += Forward::admitToQuota(table, team, cost, share, tolerance, now) ? 0 : cost;
+    }
+    EXPECT_LE(admitted, rate * 8 / 2);
+}
+
 // Load pattern: a team at half of its limit with few requests at each node. Requests within the limit must not be refused.
 TEST(TeamQuotaTest, ATeamWithinItsLimitIsHardlyRefused)
 {
