LibRouting: Send no requests by an entry whose server is not there

What callers saw: a node that starts in a restored store reads entries of servers that had left, and their addresses refuse the requests with 421. Clients got 503 although other servers were free.

Cause: a 421 counted as a refusal of the server itself. The row was not changed, so that an address that refuses at once always had the least load and was chosen for each next request. A request got four attempts at most, each after the first charged to the retry budget of the service. The first requests used it up, and the others were refused after one 421.

Change: the first 421 makes the server absent (Routing::recordAbsence): no request until its entry has a newer revision or its process a newer start, but for one probe at a time after 1 s, doubling up to 6 s. Any other response with the request's id ends it at once. A 421 to a request that was sent by an earlier revision of the entry does not count. Only the row of the entry is concerned, so that a server can only make itself unused. It is not counted as a failure. The line server_absent names the entry. The names of the outcomes move to LibForward, so that RequestForwarder.cpp shrinks.

Ruled out: to retry after a 421 without the budget, since arrivals that a server rejects count as well; the backoff of failures, which is left out when no other server remains, lets all requests through at its end and outlasts a change of the entry; to tell a started node the departures that its peers know, which the reports do not carry: no peer knows them if all start again, nor for a server that crashed, and a 421 proves it anyway.

--- a/Libraries/LibForward/AttemptPolicy.cpp
+++ b/Libraries/LibForward/AttemptPolicy.cpp
@@ -8,6 +8,25 @@
 // Shorter than a round trip plus the shortest work: a further attempt would load a server without result.
 static constexpr std::chrono::milliseconds minimumUsefulTime { 20 };
 
+std::string_view outcomeName(AttemptOutcome outcome)
+{
+    switch (outcome) {
+    case AttemptOutcome::ResponseReceived:
+        return "answered";
+    case AttemptOutcome::ServerError:
+        return "failure_answered";
+    case AttemptOutcome::NotSent:
+        return "not_sent";
+    case AttemptOutcome::NotExecuted:
+        return "not_executed";
+    case AttemptOutcome::Stalled:
+        return "stalled";
+    case AttemptOutcome::Unknown:
+        break;
+    }
+    return "unknown";
+}
+
 static bool mayExecuteTwice(AttemptHistory const& history)
 {
     return history.kind == RequestKind::Idempotent || (history.kind == RequestKind::Stream && history.isResumable);
--- a/Libraries/LibForward/AttemptPolicy.h
+++ b/Libraries/LibForward/AttemptPolicy.h
@@ -3,6 +3,7 @@
 #include <LibCore/ErrorKind.h>
 #include <LibForward/RouteTable.h>
 #include <cstdint>
+#include <string_view>
 
 namespace Forward {
 
@@ -22,6 +23,9 @@
     Unknown,
 };
 
+/// The name of an outcome in the log. Thread safe.
+[[nodiscard]] std::string_view outcomeName(AttemptOutcome);
+
 /// The state of a request after an attempt.
 struct AttemptHistory {
     RequestKind kind { RequestKind::Idempotent };
--- a/Libraries/LibForward/RequestCodec.h
+++ b/Libraries/LibForward/RequestCodec.h
@@ -77,6 +77,8 @@
     std::optional<ServerLoad> load;
     /// Whether clients take the status as a promise that the request was not executed and never will be.
     bool hasRefusalStatus { false };
+    /// Whether another process than the intended server listens at the address, and refused the request.
+    bool isFromOtherServer { false };
 
     bool operator==(ResponseAttributes const&) const = default;
 };
--- a/Libraries/LibRouting/Placement.cpp
+++ b/Libraries/LibRouting/Placement.cpp
@@ -15,7 +15,7 @@
 {
     std::optional<double> shortest;
     for (auto const& row : table.rows) {
-        if (row.service != service || row.lifecycle != Lifecycle::Live || row.slots == 0 || row.serviceTime.samples == 0)
+        if (row.service != service || row.lifecycle != Lifecycle::Live || row.absence || row.slots == 0 || row.serviceTime.samples == 0)
             continue;
         auto const load = requestsInProgress(row) + 1;
         double const waiting = load > row.slots ? load - row.slots : 0;
@@ -27,9 +27,9 @@
     return std::chrono::duration_cast<Core::Duration>(std::chrono::duration<double>(*shortest));
 }
 
-static bool isUsable(ServerRow const& row, PlacementRequest const& request)
+static bool isUsable(ServerRow const& row, PlacementRequest const& request, Core::MonotonicTime now)
 {
-    return row.service == request.service && row.lifecycle == Lifecycle::Live
+    return row.service == request.service && row.lifecycle == Lifecycle::Live && !isAbsent(row, now)
         && std::find(request.excludedServers.begin(), request.excludedServers.end(), row.id) == request.excludedServers.end();
 }
 
@@ -50,11 +50,11 @@
 }
 
 // Sorted by home rank if the request has a shared prefix, else in no particular order.
-static std::vector<Candidate> candidatesFor(ServerTable const& table, PlacementRequest const& request)
+static std::vector<Candidate> candidatesFor(ServerTable const& table, PlacementRequest const& request, Core::MonotonicTime now)
 {
     std::vector<Candidate> candidates;
     for (auto const& row : table.rows) {
-        if (isUsable(row, request))
+        if (isUsable(row, request, now))
             candidates.push_back({ &row, homeWeight(request.sharedPrefixHash, row.id) });
     }
     if (request.sharedPrefixHash == 0)
@@ -108,7 +108,7 @@
 
 std::optional<Placement> placeRequest(ServerTable const& table, PlacementRequest const& request, PlacementCosts const& costs, Core::Random& random, Core::MonotonicTime now, Core::Error& error)
 {
-    auto const candidates = candidatesFor(table, request);
+    auto const candidates = candidatesFor(table, request, now);
     // Servers in backoff are used only if there is no other.
     bool const anyNotBackingOff = std::any_of(candidates.begin(), candidates.end(), [&](auto const& candidate) { return candidate.row->backoffUntil <= now; });
     Candidate const* best = nullptr;
@@ -126,7 +126,7 @@
     if (!best)
         return Core::fail(error, Core::ErrorKind::NoServerAvailable, "no backend server of service " + request.service + " accepts new requests");
     auto const& row = *best->row;
-    return Placement { row.id, row.incarnation, row.endpoint, best->homeRank, cacheSourceFor(candidates, *best, request, costs, now), requestsInProgress(row), lowestCost };
+    return Placement { row.id, row.incarnation, row.revision, row.endpoint, best->homeRank, cacheSourceFor(candidates, *best, request, costs, now), requestsInProgress(row), lowestCost };
 }
 
 }
--- a/Libraries/LibRouting/Placement.h
+++ b/Libraries/LibRouting/Placement.h
@@ -60,6 +60,8 @@
 struct Placement {
     std::string serverId;
     std::uint64_t incarnation { 0 };
+    /// The revision of the entry by which the server was chosen.
+    Core::StoreRevision revision;
     Core::Endpoint endpoint;
     /// The server's rank among the prefix's homes; 0 is the first.
     std::uint32_t homeRank { 0 };
--- a/Libraries/LibRouting/ServerTable.cpp
+++ b/Libraries/LibRouting/ServerTable.cpp
@@ -74,6 +74,8 @@
             *row = rowFromListed(listed, now);
             row->outstanding = outstanding;
         } else if (listed.incarnation == row->incarnation) {
+            if (listed.revision > row->revision)
+                row->absence.reset();
             row->revision = std::max(row->revision, listed.revision);
             if (listed.lifecycle == Lifecycle::Leaving || row->isMissing)
                 row->lifecycle = listed.lifecycle;
@@ -181,8 +183,44 @@
     return std::max(minimumThresholdSeconds, estimate.meanSeconds + deviations * estimate.deviationSeconds);
 }
 
+static void extendAbsence(Absence& absence, Core::MonotonicTime now)
+{
+    // Short for a server that refused by mistake.
+    static constexpr Core::Duration initialDuration = 1s;
+    // About the time in which the entry of a server that has left expires.
+    static constexpr Core::Duration maximumDuration = 6s;
+    static constexpr std::uint32_t maximumDoublings = 3;
+    absence.until = now + std::min<Core::Duration>(initialDuration * (1U << std::min(absence.refusals - 1, maximumDoublings)), maximumDuration);
+}
+
+bool recordAbsence(ServerRow& row, Core::StoreRevision revision, Core::MonotonicTime now)
+{
+    // Requests that were sent together are refused together.
+    bool const isRecorded = row.absence && now < row.absence->until;
+    if (row.revision != revision || isRecorded)
+        return false;
+    bool const wasPresent = !row.absence;
+    if (wasPresent)
+        row.absence.emplace();
+    ++row.absence->refusals;
+    extendAbsence(*row.absence, now);
+    return wasPresent;
+}
+
+void recordPresence(ServerRow& row)
+{
+    row.absence.reset();
+}
+
+bool isAbsent(ServerRow const& row, Core::MonotonicTime now)
+{
+    return row.absence && (now < row.absence->until || row.outstanding > 0);
+}
+
 void recordFailure(ServerRow& row, Core::MonotonicTime now)
 {
+    if (row.absence)
+        extendAbsence(*row.absence, now);
     static constexpr std::uint32_t maximumDoublings = 8;
     auto const doublings = std::min(row.consecutiveFailures, maximumDoublings);
     auto const backoff = std::min<Core::Duration>(initialBackoff * (1U << doublings), maximumBackoff);
--- a/Libraries/LibRouting/ServerTable.h
+++ b/Libraries/LibRouting/ServerTable.h
@@ -48,6 +48,16 @@
     Leaving,
 };
 
+/// Another process listens at a server's endpoint, as its refusal of a request for the server proves.
+struct Absence {
+    /// Consecutive refusals.
+    std::uint32_t refusals { 0 };
+    /// The server gets no requests before this time.
+    Core::MonotonicTime until;
+
+    bool operator==(Absence const&) const = default;
+};
+
 /// This node's state of a backend server.
 struct ServerRow {
     std::string id;
@@ -82,6 +92,7 @@
     std::uint32_t consecutiveFailures { 0 };
     /// The server receives no new requests before this time, after connection failures.
     Core::MonotonicTime backoffUntil;
+    std::optional<Absence> absence;
     /// When the platform's host list last contained the server.
     Core::MonotonicTime lastListedAt;
     /// When the host list first contained this incarnation.
@@ -133,7 +144,8 @@
 };
 
 /// Merges a host list that may be stale: adds new servers, resets the row of a new incarnation, preserves the Leaving state of servers that
-/// were listed or marked as leaving, and removes servers that are no longer listed and have no request of this node in progress.
+/// were listed or marked as leaving, ends the absence of servers whose entry changed, and removes servers that are no longer listed and have
+/// no request of this node in progress.
 void mergeHostList(ServerTable&, std::vector<ListedServer> const&, Core::MonotonicTime now);
 
 /// Marks a server as leaving. Has no effect on another incarnation. Returns false if the server was marked already or is unknown.
@@ -168,6 +180,15 @@
 void recordFailure(ServerRow&, Core::MonotonicTime now);
 void recordSuccess(ServerRow&);
 
+/// Records that another process refused a request that was sent by the entry of this revision. The server is absent: it gets no requests for
+/// a time that doubles from 1 s up to 6 s, then one as a probe, until it answers or its entry changes. Returns whether it was present before.
+/// Has no effect if its entry has changed since.
+bool recordAbsence(ServerRow&, Core::StoreRevision, Core::MonotonicTime now);
+void recordPresence(ServerRow&);
+
+/// Whether a server gets no new request because it is absent.
+[[nodiscard]] bool isAbsent(ServerRow const&, Core::MonotonicTime now);
+
 /// Updates the load assumed for servers without a recent report.
 void updateAssumedLoads(ServerTable&, Core::MonotonicTime now);
 
--- a/Services/Edge/RequestForwarder.cpp
+++ b/Services/Edge/RequestForwarder.cpp
@@ -132,25 +132,6 @@
     std::string failureReason;
 };
 
-static std::string_view outcomeName(AttemptOutcome outcome)
-{
-    switch (outcome) {
-    case AttemptOutcome::ResponseReceived:
-        return "answered";
-    case AttemptOutcome::ServerError:
-        return "failure_answered";
-    case AttemptOutcome::NotSent:
-        return "not_sent";
-    case AttemptOutcome::NotExecuted:
-        return "not_executed";
-    case AttemptOutcome::Stalled:
-        return "stalled";
-    case AttemptOutcome::Unknown:
-        break;
-    }
-    return "unknown";
-}
-
 RequestForwarder::RequestForwarder(Dependencies dependencies)
     : m_dependencies(dependencies)
 {
@@ -409,6 +390,8 @@
         bool const isIdentified = !attempt->attributes.attemptId.empty();
         if (!attempt->attributes.isNotExecuted || !isIdentified)
             ++context.possibleExecutions;
+        if (isIdentified)
+            recordWhoAnswered(*attempt);
         bool const isStream = context.route->kind == RequestKind::Stream && isEventStream(*attempt->stream);
         attempt->stallsAt = m_dependencies.runtime.now() + maximumEventGap;
         attempt->eventsBefore = context.events.eventCount();
@@ -582,7 +565,7 @@
 void RequestForwarder::recordOutcome(RequestContext& context, Attempt const& attempt, AttemptOutcome outcome)
 {
     auto const now = m_dependencies.runtime.now();
-    context.attemptTrace += (context.attemptTrace.empty() ? "" : ",") + attempt.placement.serverId + ":" + std::string(outcomeName(outcome));
+    context.attemptTrace += (context.attemptTrace.empty() ? "" : ",") + attempt.placement.serverId + ":" + std::string(Forward::outcomeName(outcome));
     auto* row = Routing::findServer(m_dependencies.tables.servers, attempt.placement.serverId);
     bool const cancelledLocally = context.cancellation.isCancelled() || context.clientDisconnected;
     if (outcome == AttemptOutcome::ResponseReceived) {
@@ -600,6 +583,16 @@
     }
 }
 
+void RequestForwarder::recordWhoAnswered(Attempt const& attempt)
+{
+    auto const& placement = attempt.placement;
+    auto* row = Routing::findServer(m_dependencies.tables.servers, placement.serverId);
+    if (row && !attempt.attributes.isFromOtherServer)
+        Routing::recordPresence(*row);
+    else if (row && Routing::recordAbsence(*row, placement.revision, m_dependencies.runtime.now()))
+        Core::logEvent(Core::LogLevel::Info, "server_absent", { { "server", placement.serverId }, { "address", placement.endpoint.toString() }, { "revision", placement.revision.toString() } });
+}
+
 // The connection of the request ended. Servers and networks also reset single connections; a server that crashed refuses new ones.
 Core::Awaitable<void> RequestForwarder::recordCrashIfServerIsGone(RequestContext const& context, Attempt const& attempt)
 {
--- a/Services/Edge/RequestForwarder.h
+++ b/Services/Edge/RequestForwarder.h
@@ -71,6 +71,8 @@
     [[nodiscard]] Core::Awaitable<void> recordCrashIfServerIsGone(RequestContext const&, Attempt const&);
     void recordSuspectParts(RequestContext const&, std::string const& serverId, Core::MonotonicTime crashedAt);
     void recordRequestStart(RequestContext&);
+    /// Precondition: the answer has the id of the request.
+    void recordWhoAnswered(Attempt const&);
     void recordOutcome(RequestContext&, Attempt const&, Forward::AttemptOutcome);
     void logRequest(RequestContext const&) const;
 
--- a/Tests/EdgeService/StoreWatcherTest.cpp
+++ b/Tests/EdgeService/StoreWatcherTest.cpp
@@ -116,6 +116,39 @@
     EXPECT_TRUE(isLive("s4"));
 }
 
+// Guards against clients that are refused although a server is free: a node that starts in a restored store reads entries of servers that
+// have left, and their addresses belong to another server now.
+TEST_F(EdgeServiceTest, ClientsAreNotRefusedForEntriesOfServersThatHaveLeft)
+{
+    static constexpr std::size_t departed = 3;
+    static constexpr int count = 40;
+    bool hasReturned = false;
+    for (std::size_t i = 0; i < departed; ++i) {
+        addServer([&](auto const& request) {
+            return Reply { hasReturned ? httpResponse(attemptIdOf(request), "body") : httpResponse(attemptIdOf(request), "", {}, "421 Misdirected Request") };
+        });
+    }
+    auto& sound = addServer([](auto const& request) { return Reply { httpResponse(attemptIdOf(request), "body") }; });
+    m_retrySlack = 10;
+    start();
+    int refused = 0;
+    for (int i = 0; i < count; ++i)
+        refused += statusOf(exchange(request("/unsafe/1", "u" + std::to_string(i), "POST", "Connection: close\r\n"))) == "200" ? 0 : 1;
+    std::size_t misdirected = 0;
+    for (std::size_t i = 0; i < departed; ++i)
+        misdirected += m_servers[i]->requests.size();
+    // One each, and later probes on a slow machine.
+    EXPECT_LE(misdirected, 3 * departed);
+    EXPECT_LE(refused, static_cast<int>(departed));
+    EXPECT_GE(sound.requests.size(), count - departed);
+    // A server that is there is used again once its entry changes.
+    hasReturned = true;
+    putServerState("s1", "ready");
+    m_store.erase("servers", "s4");
+    waitFor([&] { return !isLive("s4"); });
+    EXPECT_EQ(statusOf(exchange(request("/unsafe/1", "v", "POST", "Connection: close\r\n"))), "200");
+}
+
 // Guards against an old configuration at a node that the store turns away: the peer that it asks first delays the list of servers, and
 // the configuration waited for it.
 TEST_F(EdgeServiceTest, ConfigurationIsFetchedWhileAServerListIsDelayed)
--- a/Tests/LibRouting/PlacementTest.cpp
+++ b/Tests/LibRouting/PlacementTest.cpp
@@ -260,6 +260,34 @@
     EXPECT_FALSE(Routing::predictedWait(servers, "other"));
 }
 
+// Guards against requests for an address that belongs to another process, and against a server that stays unused when it is there again.
+TEST(PlacementTest, AbsentServerGetsOneProbeAtATimeUntilItsEntryChanges)
+{
+    Routing::ListedServer entry { .id = "s0", .service = "model", .revision = { 1, 10 } };
+    Routing::ServerTable servers;
+    Routing::mergeHostList(servers, { entry }, now);
+    auto& row = servers.rows.at(0);
+    EXPECT_TRUE(Routing::recordAbsence(row, { 1, 10 }, now - 1s));
+    EXPECT_EQ(place(servers, { .service = "model" }), "s0");
+    row.outstanding = 1;
+    EXPECT_EQ(place(servers, { .service = "model" }), "none");
+    row.outstanding = 0;
+    // Refusals of requests that were sent together count once, and a probe that fails delays the next one.
+    for (int i = 0; i < 2; ++i)
+        EXPECT_FALSE(Routing::recordAbsence(row, { 1, 10 }, now));
+    EXPECT_TRUE(Routing::isAbsent(row, now + 1999ms));
+    EXPECT_FALSE(Routing::isAbsent(row, now + 2s));
+    Routing::recordFailure(row, now + 2s);
+    EXPECT_TRUE(Routing::isAbsent(row, now + 3999ms));
+    Routing::mergeHostList(servers, { entry }, now);
+    EXPECT_TRUE(row.absence);
+    entry.revision = { 1, 11 };
+    Routing::mergeHostList(servers, { entry }, now);
+    // A refusal by the entry before comes late.
+    EXPECT_FALSE(Routing::recordAbsence(row, { 1, 10 }, now));
+    EXPECT_FALSE(row.absence);
+}
+
 // Guards against new requests for servers that are leaving, failed recently, or were tried before.
 TEST(PlacementTest, UnusableServersAreExcluded)
 {
