LibLimits, LibForward, Edge: Do not refuse sound parts in the batches of a deadly one

Callers saw 503 for ten minutes for each request with a sound prompt part that happened to be in three crashes together with a deadly part (known red). Cause: the evidence was kept for each part alone, and a crash was known by a random number of each request, so that nodes could not tell which requests had been in the same server.

A crash names its server now, and parts also keep (64) and report (12, of two parts) the crashes that do not count as evidence. Crashes are explained by few parts, the one in most of them first (greedy set cover). A part is not refused if refused parts that were in at least twice as many crashes explain each of its own; if a success clears one of these, it is decided again. Which crashes count and how many are needed is unchanged, so that a deadly part is refused after as many crashes as before. Memory stays bounded, and at most 32 parts are compared. Earlier versions ignore the new fields; the crashes that they report name no server and are not explained.

SoundPartInTheBatchesOfADeadlyOneIsNotRefused failed before. It gives both requests of a crash the same server now; with that and the explanation switched off it still fails, as does DeadlyPartsOfRandomBatchesAreRefusedAndSoundOnesAreNot, and PartIsRefusedOnceItsCrashesAreNoLongerExplained.

TestLibLimits passes; TestLibForward and TestEdgeService pass but for the tests listed in KNOWN-RED.txt.

--- a/Libraries/LibForward/NodeReport.capnp
+++ b/Libraries/LibForward/NodeReport.capnp
@@ -41,6 +41,8 @@
     # Random number that identifies the crash in later reports.
     crash @0 :UInt32;
     ageMilliseconds @1 :UInt32;
+    # Lower half of the hash of the server's id; 0 in reports of earlier versions.
+    server @2 :UInt32;
 }
 
 # Evidence on a prompt part that may crash servers.
@@ -52,6 +54,8 @@
     soundAgeMilliseconds @2 :Int32 = -1;
     # Whether another shared part followed it in the prompt of one of the requests.
     isPrefix @3 :Bool;
+    # Further crashes, which explain those of other parts and do not count against this one.
+    otherCrashes @4 :List(PartCrash);
 }
 
 struct NodeContact {
--- a/Libraries/LibForward/NodeReport.capnp.h
+++ b/Libraries/LibForward/NodeReport.capnp.h
@@ -122,7 +122,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c267006d9d80ad32, 1, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(c267006d9d80ad32, 2, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -137,7 +137,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(be04872d23276574, 2, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(be04872d23276574, 2, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -624,6 +624,8 @@
 
   inline  ::uint32_t getAgeMilliseconds() const;
 
+  inline  ::uint32_t getServer() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -658,6 +660,9 @@
   inline  ::uint32_t getAgeMilliseconds();
   inline void setAgeMilliseconds( ::uint32_t value);
 
+  inline  ::uint32_t getServer();
+  inline void setServer( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -710,6 +715,9 @@
 
   inline bool getIsPrefix() const;
 
+  inline bool hasOtherCrashes() const;
+  inline  ::capnp::List< ::Forward::wire::PartCrash,  ::capnp::Kind::STRUCT>::Reader getOtherCrashes() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -754,6 +762,13 @@
   inline bool getIsPrefix();
   inline void setIsPrefix(bool value);
 
+  inline bool hasOtherCrashes();
+  inline  ::capnp::List< ::Forward::wire::PartCrash,  ::capnp::Kind::STRUCT>::Builder getOtherCrashes();
+  inline void setOtherCrashes( ::capnp::List< ::Forward::wire::PartCrash,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::Forward::wire::PartCrash,  ::capnp::Kind::STRUCT>::Builder initOtherCrashes(unsigned int size);
+  inline void adoptOtherCrashes(::capnp::Orphan< ::capnp::List< ::Forward::wire::PartCrash,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::Forward::wire::PartCrash,  ::capnp::Kind::STRUCT>> disownOtherCrashes();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1419,6 +1434,20 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t PartCrash::Reader::getServer() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t PartCrash::Builder::getServer() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void PartCrash::Builder::setServer( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t SuspectPart::Reader::getPart() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -1495,6 +1524,40 @@
       ::capnp::bounded<96>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool SuspectPart::Reader::hasOtherCrashes() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool SuspectPart::Builder::hasOtherCrashes() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::Forward::wire::PartCrash,  ::capnp::Kind::STRUCT>::Reader SuspectPart::Reader::getOtherCrashes() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Forward::wire::PartCrash,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::Forward::wire::PartCrash,  ::capnp::Kind::STRUCT>::Builder SuspectPart::Builder::getOtherCrashes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Forward::wire::PartCrash,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void SuspectPart::Builder::setOtherCrashes( ::capnp::List< ::Forward::wire::PartCrash,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Forward::wire::PartCrash,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::Forward::wire::PartCrash,  ::capnp::Kind::STRUCT>::Builder SuspectPart::Builder::initOtherCrashes(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Forward::wire::PartCrash,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void SuspectPart::Builder::adoptOtherCrashes(
+    ::capnp::Orphan< ::capnp::List< ::Forward::wire::PartCrash,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Forward::wire::PartCrash,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::Forward::wire::PartCrash,  ::capnp::Kind::STRUCT>> SuspectPart::Builder::disownOtherCrashes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Forward::wire::PartCrash,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 inline bool NodeContact::Reader::hasNode() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/Libraries/LibForward/NodeReport.cpp
+++ b/Libraries/LibForward/NodeReport.cpp
@@ -35,6 +35,25 @@
     return brief;
 }
 
+static void encodeCrashes(PartCrashReports const& crashes, capnp::List<wire::PartCrash>::Builder list)
+{
+    unsigned index = 0;
+    for (auto const& [id, crash] : crashes) {
+        auto item = list[index++];
+        item.setCrash(id);
+        item.setAgeMilliseconds(static_cast<std::uint32_t>(crash.age.count()));
+        item.setServer(crash.server);
+    }
+}
+
+static PartCrashReports crashesFrom(capnp::List<wire::PartCrash>::Reader list)
+{
+    PartCrashReports crashes;
+    for (auto const item : list)
+        crashes[item.getCrash()] = { std::chrono::milliseconds(item.getAgeMilliseconds()), item.getServer() };
+    return crashes;
+}
+
 static void encodeSuspects(std::vector<SuspectPartReport> const& suspects, capnp::List<wire::SuspectPart>::Builder list)
 {
     unsigned index = 0;
@@ -44,12 +63,8 @@
         item.setIsPrefix(suspect.isPrefix);
         if (suspect.soundAge)
             item.setSoundAgeMilliseconds(static_cast<std::int32_t>(suspect.soundAge->count()));
-        auto crashes = item.initCrashes(static_cast<unsigned>(suspect.crashAges.size()));
-        unsigned crashIndex = 0;
-        for (auto const& [crash, age] : suspect.crashAges) {
-            crashes[crashIndex].setCrash(crash);
-            crashes[crashIndex++].setAgeMilliseconds(static_cast<std::uint32_t>(age.count()));
-        }
+        encodeCrashes(suspect.crashes, item.initCrashes(static_cast<unsigned>(suspect.crashes.size())));
+        encodeCrashes(suspect.otherCrashes, item.initOtherCrashes(static_cast<unsigned>(suspect.otherCrashes.size())));
     }
 }
 
@@ -62,8 +77,8 @@
         suspect.isPrefix = item.getIsPrefix();
         if (item.getSoundAgeMilliseconds() >= 0)
             suspect.soundAge = std::chrono::milliseconds(item.getSoundAgeMilliseconds());
-        for (auto const crash : item.getCrashes())
-            suspect.crashAges[crash.getCrash()] = std::chrono::milliseconds(crash.getAgeMilliseconds());
+        suspect.crashes = crashesFrom(item.getCrashes());
+        suspect.otherCrashes = crashesFrom(item.getOtherCrashes());
     }
     return suspects;
 }
--- a/Libraries/LibForward/NodeReport.h
+++ b/Libraries/LibForward/NodeReport.h
@@ -46,10 +46,23 @@
     bool operator==(NodeContact const&) const = default;
 };
 
+/// A crash of a backend server (Limits::SuspectCrash), with its age at the time of the report.
+struct PartCrashReport {
+    std::chrono::milliseconds age { 0 };
+    /// By serverKey(); 0 if the sender did not say it.
+    std::uint32_t server { 0 };
+
+    bool operator==(PartCrashReport const&) const = default;
+};
+
+/// By the number of the crash.
+using PartCrashReports = std::map<std::uint32_t, PartCrashReport>;
+
 /// Evidence on a prompt part that may crash backend servers (Limits::SuspectPart), with ages at the time of the report.
 struct SuspectPartReport {
     std::uint64_t part { 0 };
-    std::map<std::uint32_t, std::chrono::milliseconds> crashAges;
+    PartCrashReports crashes;
+    PartCrashReports otherCrashes;
     std::optional<std::chrono::milliseconds> soundAge;
     bool isPrefix { false };
 
--- a/Services/Edge/EdgeService.cpp
+++ b/Services/Edge/EdgeService.cpp
@@ -191,8 +191,10 @@
         auto& suspect = report.suspectParts.emplace_back();
         suspect.part = part;
         suspect.isPrefix = evidence.isPrefix;
-        for (auto const& [crash, at] : evidence.crashes)
-            suspect.crashAges[crash] = ageOf(at);
+        for (auto const& [id, crash] : evidence.crashes)
+            suspect.crashes[id] = { ageOf(crash.at), crash.server };
+        for (auto const& [id, crash] : evidence.otherCrashes)
+            suspect.otherCrashes[id] = { ageOf(crash.at), crash.server };
         if (evidence.soundAt)
             suspect.soundAge = ageOf(*evidence.soundAt);
     }
@@ -222,7 +224,7 @@
     m_tables.placementCosts.unreportedRequests = unreportedRequestsPerPeer * static_cast<double>(Forward::countLivePeers(m_tables.peers, now));
     Routing::updateStragglerStates(m_tables.servers, now);
     Limits::expire(m_tables.quarantine, now);
-    Limits::expire(m_tables.crashSuspects, now);
+    logRefusedParts(Limits::expire(m_tables.crashSuspects, now), "own");
     // Older windows have been reported or can no longer be reported.
     static constexpr std::int64_t retainedWindows = 6;
     auto const unixTime = std::chrono::duration_cast<std::chrono::milliseconds>(m_runtime.wallNow().time_since_epoch()).count();
--- a/Services/Edge/EdgeTables.h
+++ b/Services/Edge/EdgeTables.h
@@ -13,6 +13,8 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <string_view>
+#include <vector>
 
 namespace Edge {
 
@@ -50,4 +52,7 @@
     bool isDraining { false };
 };
 
+/// The source is "own" or the node whose report decided.
+void logRefusedParts(std::vector<Limits::PromptPartHash> const&, std::string_view source);
+
 }
--- a/Services/Edge/PeerExchange.cpp
+++ b/Services/Edge/PeerExchange.cpp
@@ -86,12 +86,13 @@
     auto const now = m_runtime.now();
     for (auto const& suspect : report.suspectParts) {
         Limits::SuspectPart evidence { .isPrefix = suspect.isPrefix };
-        for (auto const& [crash, age] : suspect.crashAges)
-            evidence.crashes[crash] = now - age;
+        for (auto const& [id, crash] : suspect.crashes)
+            evidence.crashes[id] = { crash.server, now - crash.age };
+        for (auto const& [id, crash] : suspect.otherCrashes)
+            evidence.otherCrashes[id] = { crash.server, now - crash.age };
         if (suspect.soundAge)
             evidence.soundAt = now - *suspect.soundAge;
-        if (Limits::mergeSuspect(m_tables.crashSuspects, suspect.part, evidence, now))
-            Core::logEvent(Core::LogLevel::Warning, "prompt_part_refused", { { "part", suspect.part }, { "source", report.node } });
+        logRefusedParts(Limits::mergeSuspect(m_tables.crashSuspects, suspect.part, evidence, now), report.node);
     }
 }
 
--- a/Services/Edge/RequestForwarder.cpp
+++ b/Services/Edge/RequestForwarder.cpp
@@ -537,7 +537,7 @@
         if (!events.empty()) {
             context.stalled.reset();
             if (++attempt.eventPieces > 1)
-                Limits::recordSound(m_dependencies.tables.crashSuspects, context.service, context.sharedParts, m_dependencies.runtime.now());
+                recordSoundParts(context);
             recordRequestStart(context);
             if (!context.firstEventAt)
                 context.firstEventAt = m_dependencies.runtime.now();
@@ -587,7 +587,7 @@
     bool const cancelledLocally = context.cancellation.isCancelled() || context.clientDisconnected;
     if (outcome == AttemptOutcome::ResponseReceived) {
         Limits::recordFinished(m_dependencies.tables.quarantine, context.fingerprint);
-        Limits::recordSound(m_dependencies.tables.crashSuspects, context.service, context.sharedParts, now);
+        recordSoundParts(context);
         if (row)
             Routing::recordSuccess(*row);
     }
@@ -630,8 +630,13 @@
     for (auto const part : context.sharedParts)
         parts += (parts.empty() ? "" : ",") + std::to_string(part);
     Core::logEvent(Core::LogLevel::Info, "server_crash_suspected", { { "server", serverId }, { "request", context.attributes.attemptId }, { "parts", parts } });
-    for (auto const part : Limits::recordCrash(m_dependencies.tables.crashSuspects, context.service, context.sharedParts, crash, crashedAt))
-        Core::logEvent(Core::LogLevel::Warning, "prompt_part_refused", { { "part", part }, { "source", "own" } });
+    auto const server = Forward::serverKey(serverId);
+    logRefusedParts(Limits::recordCrash(m_dependencies.tables.crashSuspects, context.service, context.sharedParts, crash, { server, crashedAt }), "own");
+}
+
+void RequestForwarder::recordSoundParts(RequestContext const& context)
+{
+    logRefusedParts(Limits::recordSound(m_dependencies.tables.crashSuspects, context.service, context.sharedParts, m_dependencies.runtime.now()), "own");
 }
 
 Core::Awaitable<void> RequestForwarder::finish(RequestContext& context, AttemptOutcome outcome, Core::Error error)
--- a/Services/Edge/RequestForwarder.h
+++ b/Services/Edge/RequestForwarder.h
@@ -70,6 +70,7 @@
     [[nodiscard]] bool isPartRefused(RequestContext const&, Core::Error&) const;
     [[nodiscard]] Core::Awaitable<void> recordCrashIfServerIsGone(RequestContext const&, Attempt const&);
     void recordSuspectParts(RequestContext const&, std::string const& serverId, Core::MonotonicTime crashedAt);
+    void recordSoundParts(RequestContext const&);
     void recordRequestStart(RequestContext&);
     void recordOutcome(RequestContext&, Attempt const&, Forward::AttemptOutcome);
     void logRequest(RequestContext const&) const;
--- a/Tests/LibForward/PeerTableTest.cpp
+++ b/Tests/LibForward/PeerTableTest.cpp
@@ -20,7 +20,7 @@
     result.usage = { { 353, { { "team", 4 } } } };
     result.peers = { "10.0.0.2:7600" };
     result.quarantined = { 99 };
-    result.suspectParts = { { 7, { { 3, 20ms }, { 4, 30ms } }, 10ms, false }, { 8, {}, std::nullopt, true } };
+    result.suspectParts = { { 7, { { 3, { 20ms, 5 } }, { 4, { 30ms, 6 } } }, { { 5, { 40ms, 6 } } }, 10ms, false }, { 8, {}, {}, std::nullopt, true } };
     result.isLeaving = true;
     result.holdsDuties = true;
     return result;
--- a/Tests/LibLimits/LimitsTest.cpp
+++ b/Tests/LibLimits/LimitsTest.cpp
@@ -5,6 +5,7 @@
 #include <LibLimits/TeamLimitTable.h>
 #include <algorithm>
 #include <gtest/gtest.h>
+#include <random>
 
 using namespace std::chrono_literals;
 
@@ -157,10 +158,10 @@
 namespace {
 
 // A crash at a service whose other requests succeed.
-std::vector<Limits::PromptPartHash> recordCrash(Limits::CrashSuspectTable& table, std::vector<Limits::PromptPartHash> const& parts, Limits::CrashId crash, Core::MonotonicTime now)
+std::vector<Limits::PromptPartHash> recordCrash(Limits::CrashSuspectTable& table, std::vector<Limits::PromptPartHash> const& parts, Limits::CrashId crash, Core::MonotonicTime now, std::optional<Limits::ServerHash> server = {})
 {
     Limits::recordSound(table, "llm", {}, now);
-    return Limits::recordCrash(table, "llm", parts, crash, now);
+    return Limits::recordCrash(table, "llm", parts, crash, { server.value_or(crash), now });
 }
 
 // Nodes that exchange their evidence after each step, as in a round of reports.
@@ -258,10 +259,10 @@
 {
     Limits::CrashSuspectTable table;
     for (std::uint32_t crash = 0; crash < 10; ++crash)
-        EXPECT_TRUE(Limits::recordCrash(table, "llm", { 5 }, crash, start + crash * 1s).empty());
+        EXPECT_TRUE(Limits::recordCrash(table, "llm", { 5 }, crash, { crash, start + crash * 1s }).empty());
     EXPECT_FALSE(Limits::crashesServers(table, 5, start + 10s));
     Limits::recordSound(table, "other", { 6 }, start + 10s);
-    EXPECT_TRUE(Limits::recordCrash(table, "llm", { 5 }, 10, start + 11s).empty());
+    EXPECT_TRUE(Limits::recordCrash(table, "llm", { 5 }, 10, { 10, start + 11s }).empty());
     EXPECT_EQ(table.parts.at(5).crashes.size(), 1u);
 }
 
@@ -274,9 +275,9 @@
     SuspectNodes nodes { std::vector<Limits::CrashSuspectTable>(4) };
     for (std::uint32_t crash = 0; crash < 20; ++crash) {
         auto const now = start + crash * 90ms;
-        (void)recordCrash(nodes.tables[crash % 3], { deadly }, 1000 + crash, now);
+        (void)recordCrash(nodes.tables[crash % 3], { deadly }, 1000 + crash, now, 1 + crash);
         if (crash % 8 == 0)
-            (void)recordCrash(nodes.tables[3], { sound }, 2000 + crash, now + 1ms);
+            (void)recordCrash(nodes.tables[3], { sound }, 2000 + crash, now + 1ms, 1 + crash);
         nodes.exchange(now + 50ms);
     }
     for (auto const& table : nodes.tables) {
@@ -285,6 +286,44 @@
     }
 }
 
+// The same with random batches; a deadly part in most of those of another one is not explained by it.
+TEST(CrashSuspectTest, DeadlyPartsOfRandomBatchesAreRefusedAndSoundOnesAreNot)
+{
+    std::set<std::pair<std::uint32_t, Limits::PromptPartHash>> soundRefused;
+    for (std::uint32_t seed = 0; seed < 50; ++seed) {
+        std::mt19937 random(seed);
+        SuspectNodes nodes { std::vector<Limits::CrashSuspectTable>(4) };
+        Limits::CrashId id = 0;
+        Limits::PromptPartHash const lastDeadly = 100 + seed % 2;
+        for (std::uint32_t crash = 0; crash < 30; ++crash) {
+            auto const now = start + crash * 90ms;
+            for (auto const part : { std::min<Limits::PromptPartHash>(lastDeadly, 100 + crash % 2), 1 + random() % 20, 1 + random() % 20, 1 + random() % 20 })
+                (void)recordCrash(nodes.tables[random() % 4], { part }, ++id, now, 1 + crash);
+            nodes.exchange(now + 50ms);
+            for (auto const& table : nodes.tables)
+                EXPECT_TRUE(crash < 13 || (table.refused.contains(100) && table.refused.contains(lastDeadly)));
+        }
+        for (auto const& table : nodes.tables)
+            std::for_each(table.refused.begin(), table.refused.lower_bound(100), [&](auto const part) { soundRefused.emplace(seed, part); });
+    }
+    // Of 1000, with two deadly parts only: in half of the crashes of each.
+    EXPECT_LE(soundRefused.size(), 10u);
+}
+
+// Guards against a deadly part that stays admitted after the part that explained its crashes has turned out to be sound.
+TEST(CrashSuspectTest, PartIsRefusedOnceItsCrashesAreNoLongerExplained)
+{
+    Limits::CrashSuspectTable table;
+    for (std::uint32_t crash = 1; crash <= 6; ++crash) {
+        (void)recordCrash(table, { 1 }, crash, start + crash * 500ms, crash);
+        if (crash % 2 == 0)
+            (void)recordCrash(table, { 66 }, 10 + crash, start + crash * 500ms, crash);
+    }
+    EXPECT_EQ(table.refused, std::set<Limits::PromptPartHash> { 1 });
+    EXPECT_EQ(Limits::recordSound(table, "llm", { 1 }, start + 4s), std::vector<Limits::PromptPartHash> { 66 });
+    EXPECT_TRUE(Limits::crashesServers(table, 66, start + 4s));
+}
+
 // Guards against a sound part that all nodes refuse for minutes, because one that was cut off did not hear of its success and reports
 // old crashes.
 TEST(CrashSuspectTest, OldCrashesFromANodeThatWasCutOffDoNotRefuseASoundPart)
@@ -317,7 +356,7 @@
     auto const later = Limits::suspectsToReport(table, start + 30s);
     ASSERT_EQ(later.size(), 1u);
     Limits::CrashSuspectTable fresh;
-    EXPECT_TRUE(Limits::mergeSuspect(fresh, 66, later[0].second, start + 30s));
+    EXPECT_EQ(Limits::mergeSuspect(fresh, 66, later[0].second, start + 30s), std::vector<Limits::PromptPartHash> { 66 });
 }
 
 // Guards against evidence that grows without bound, and that is kept for ever.
@@ -327,6 +366,7 @@
     for (std::uint32_t crash = 0; crash < 5000; ++crash)
         (void)recordCrash(table, { crash, 1 }, crash, start + crash * 10ms);
     EXPECT_LE(table.parts.size(), 256u);
+    EXPECT_LE(table.parts.at(1).otherCrashes.size(), 64u);
     EXPECT_LE(Limits::suspectsToReport(table, start + 50s).size(), 8u);
     // A full table does not hide a new cause, and one that crashes a server a minute is a cause as well.
     for (std::uint32_t crash = 0; crash < 3; ++crash) {
