LibLimits: Do not refuse the parts before a deadly one after further crashes

Both are in the same crashes, so that neither explained the other.

A crash tells four times as much against a part that no shared one follows, so that it explains one that it follows and that was in up to twice as many crashes, and is explained by it only if that one was in eight times as many. If the earlier part is the cause, its crash without the later one is not explained. Reports carry the further crashes of four parts instead of two, so that parts of one prompt are compared by the same ones.

--- a/Libraries/LibLimits/CrashSuspectTable.cpp
+++ b/Libraries/LibLimits/CrashSuspectTable.cpp
@@ -13,6 +13,8 @@
 static constexpr Core::Duration sameCrashWindow = 1s;
 // Two parts that crash servers may be in the same ones at the same time; a sound part is in a minority of the crashes of another.
 static constexpr std::size_t crashRatioToExplain = 2;
+// A part is in all crashes of one that follows it, and in some others.
+static constexpr std::size_t weightOfLastPart = 4;
 static constexpr Core::Duration evidenceDuration = 10min;
 // Several rounds of reports, each of which may be lost or pass through an aggregating node.
 static constexpr Core::Duration reportDuration = 3s;
@@ -22,8 +24,8 @@
 static constexpr std::size_t maximumOtherCrashesOfASuspect = 64;
 static constexpr std::size_t maximumReportedSuspects = 8;
 static constexpr std::size_t maximumReportedCrashes = 4;
-// Only parts that are about to be refused can explain the crashes of others.
-static constexpr std::size_t maximumReportedExplanations = 2;
+// Further crashes are reported of the strongest suspects, which may explain those of others: two parts, and one before each in the prompt.
+static constexpr std::size_t maximumReportedExplanations = 4;
 static constexpr std::size_t maximumReportedOtherCrashes = 12;
 // Bounds the time to compare suspects with each other; further ones are refused without it.
 static constexpr std::size_t maximumComparedSuspects = 32;
@@ -131,6 +133,8 @@
 // A part that may be refused.
 struct Suspicion {
     PromptPartHash part { 0 };
+    // How much a crash tells against it.
+    std::size_t weight { 1 };
     std::size_t crashes { 0 };
     // Those that no refused part explains: the ones that count, and these with all others.
     std::vector<SuspectCrash> counted;
@@ -141,7 +145,7 @@
 
 static Suspicion suspicionOf(PromptPartHash part, SuspectPart const& evidence)
 {
-    Suspicion suspicion { .part = part };
+    Suspicion suspicion { .part = part, .weight = evidence.isPrefix ? 1 : weightOfLastPart };
     auto const append = [&](auto const& crashes, std::vector<SuspectCrash>& list) {
         for (auto const& [id, crash] : crashes) {
             if (isEvidence(evidence, crash.at))
@@ -157,7 +161,7 @@
 
 static void eraseExplained(Suspicion& suspicion, Suspicion const& cause)
 {
-    if (suspicion.crashes * crashRatioToExplain > cause.crashes)
+    if (suspicion.weight * suspicion.crashes * crashRatioToExplain > cause.weight * cause.crashes)
         return;
     auto const isExplained = [&](SuspectCrash const& crash) {
         return std::any_of(cause.unexplained.begin(), cause.unexplained.end(), [&](auto const& other) { return isSameCrash(crash, other); });
@@ -180,7 +184,7 @@
             causes.insert(part);
     }
     while (!suspicions.empty()) {
-        std::iter_swap(suspicions.rbegin(), std::max_element(suspicions.begin(), suspicions.end(), [](auto const& a, auto const& b) { return a.unexplained.size() < b.unexplained.size(); }));
+        std::iter_swap(suspicions.rbegin(), std::max_element(suspicions.begin(), suspicions.end(), [](auto const& a, auto const& b) { return a.weight * a.unexplained.size() < b.weight * b.unexplained.size(); }));
         auto const cause = std::move(suspicions.back());
         suspicions.pop_back();
         causes.insert(cause.part);
--- a/Libraries/LibLimits/CrashSuspectTable.h
+++ b/Libraries/LibLimits/CrashSuspectTable.h
@@ -72,7 +72,8 @@
 /// Whether requests with the part are refused: servers crashed under it at three or more times half a second apart, and no request with
 /// it succeeded since. Many servers may be lost at once for another reason, which counts as one time. A part that is followed by
 /// another shared one needs one time more, so that the later one is refused alone if it explains all crashes. A part is not refused
-/// if refused parts explain each of its crashes: such a part was in at least twice as many, and at the same server when it crashed.
+/// if refused parts explain each of its crashes: such a part was in at least twice as many, and at the same server when it crashed. For a
+/// part that is followed by another shared one, one that is not may also have been in half as many.
 [[nodiscard]] bool crashesServers(CrashSuspectTable const&, PromptPartHash, Core::MonotonicTime now);
 
 /// Returns the evidence that other nodes need, the strongest first, bounded in size: what is new or contradicts theirs, and parts that are
