--- a/Services/Edge/RequestForwarder.h
+++ b/Services/Edge/RequestForwarder.h
@@ -70,6 +70,7 @@
     [[nodiscard]] bool isPartRefused(RequestContext const&, Core::Error&) const;
     [[nodiscard]] Core::Awaitable<void> recordCrashIfServerIsGone(RequestContext const&, Attempt const&);
     void recordSuspectParts(RequestContext const&, std::string const& serverId, Core::MonotonicTime crashedAt);
+    void recordSoundParts(RequestContext const&);
     void recordRequestStart(RequestContext&);
     /// Precondition: the answer has the id of the request.
     void recordWhoAnswered(Attempt const&);
