Tests/LibFleet: Keep the captures of coroutines while they run

Three tests of leases spawned a coroutine from a temporary lambda, whose captures were gone when the coroutine ran. Under -fsanitize=address, AbsentLeaseIsFreeOnlyAtTheFirstStartOfTheSystem ended with stack-use-after-scope. The lambdas now live as long as the call. What the tests check is unchanged.

--- a/Tests/LibFleet/LeaseTest.cpp
+++ b/Tests/LibFleet/LeaseTest.cpp
@@ -313,7 +313,8 @@
         Fleet::Lease lease(m_network, store, m_random, "planner", "n1", 1000ms, systemStart);
         auto const acquire = [&] {
             Core::Error error;
-            m_network.spawn([&]() -> Core::Awaitable<void> { (void)co_await lease.acquire(m_network.now() + 1s, error); }());
+            auto const call = [&]() -> Core::Awaitable<void> { (void)co_await lease.acquire(m_network.now() + 1s, error); };
+            m_network.spawn(call());
             m_context.restart();
             m_context.poll();
             return lease.epoch().has_value();
@@ -336,7 +337,8 @@
     auto const start = [&](std::string const& id) { return Fleet::Lease(m_network, store, m_random, "planner", id, 1000ms); };
     auto const acquires = [&](Fleet::Lease& lease) {
         Core::Error error;
-        m_network.spawn([&]() -> Core::Awaitable<void> { (void)co_await lease.acquire(m_network.now() + 1s, error); }());
+        auto const call = [&]() -> Core::Awaitable<void> { (void)co_await lease.acquire(m_network.now() + 1s, error); };
+        m_network.spawn(call());
         m_context.restart();
         m_context.poll();
         return lease.epoch().has_value();
@@ -345,7 +347,8 @@
         auto lease = start(id);
         bool const isAcquired = acquires(lease);
         Core::Error error;
-        m_network.spawn([&]() -> Core::Awaitable<void> { (void)co_await lease.release(m_network.now() + 1s, error); }());
+        auto const call = [&]() -> Core::Awaitable<void> { (void)co_await lease.release(m_network.now() + 1s, error); };
+        m_network.spawn(call());
         m_context.restart();
         m_context.poll();
         return isAcquired;
