LibFleet: Replace a damaged lease record after the lease's duration

What operators saw: another writer's odd entry may stop the duties of all nodes for ever.

Cause: a record that could not be decoded was an error of each call, so that nobody acquired the lease again. One that could be decoded did harm too: an epoch of 2^64-1 let the next one wrap around, a duration of INT64_MAX ms overflowed the clock's range and never passed, and a record with names of 1 MB could not be written back, since the names of former holders are taken over.

Change: decodeLease refuses numbers, names and lists larger than this system writes. A damaged record counts as that of an unknown holder: its version is remembered, it is neither renewed nor released, and it is replaced once it was unchanged for the whole duration, with an epoch from the version. A holder that meets one keeps the lease until it ends and then waits as well, since the damage may hide another holder. One log line for each damaged version.

Ruled out: letting the holder write its record back at once. A holder whose clock stood still would replace its successor's record with an older epoch.

DamagedRecordIsReplacedAfterTheWholeDuration and RejectsRecordsWithValuesOutOfRange failed before.

--- a/Libraries/LibFleet/Lease.cpp
+++ b/Libraries/LibFleet/Lease.cpp
@@ -1,6 +1,7 @@
 #include <LibFleet/Lease.h>
 
 #include <LibCore/Log.h>
+#include <LibPlatform/JsonFields.h>
 #include <algorithm>
 #include <boost/json.hpp>
 #include <cstdio>
@@ -21,31 +22,53 @@
     return json::serialize(object);
 }
 
+// Another writer's record may exceed these; this system's does not. The next epoch and the end of the lease stay in range.
+static constexpr std::uint64_t maximumEpoch = UINT64_MAX / 2;
+static constexpr std::uint64_t maximumDurationMilliseconds = 3'600'000;
+static constexpr std::size_t maximumTextBytes = 1024;
+static constexpr std::size_t maximumFormerHolders = 256;
+
 std::optional<LeaseRecord> decodeLease(std::string_view text, Core::Error& error)
 {
-    try {
-        auto const value = json::parse({ text.data(), text.size() });
-        LeaseRecord record;
-        record.holder = value.at("holder").as_string();
-        record.epoch = value.at("epoch").to_number<std::uint64_t>();
-        record.duration = std::chrono::milliseconds(value.at("durationMs").to_number<std::int64_t>());
-        record.writeId = value.at("writeId").as_string();
-        // Earlier versions do not write these.
-        if (auto const* era = value.as_object().if_contains("era"))
-            record.era = era->to_number<std::uint64_t>();
-        if (auto const* formerHolders = value.as_object().if_contains("formerHolders"))
-            record.formerHolders = json::value_to<std::vector<std::string>>(*formerHolders);
-        return record;
-    } catch (std::exception const& exception) {
-        return Core::fail(error, Core::ErrorKind::Internal, std::string("invalid lease record: ") + exception.what());
+    json::error_code errorCode;
+    auto const value = json::parse({ text.data(), text.size() }, errorCode);
+    Platform::JsonFields fields(value);
+    LeaseRecord record;
+    record.holder = fields.text("holder");
+    record.epoch = fields.number("epoch");
+    auto const milliseconds = fields.number("durationMs");
+    record.writeId = fields.text("writeId");
+    bool isInRange = record.epoch <= maximumEpoch && milliseconds <= maximumDurationMilliseconds && record.holder.size() <= maximumTextBytes && record.writeId.size() <= maximumTextBytes;
+    // Earlier versions do not write these.
+    if (fields.has("era"))
+        record.era = fields.number("era");
+    if (fields.has("formerHolders")) {
+        auto const& formerHolders = fields.elements("formerHolders");
+        isInRange = isInRange && formerHolders.size() <= maximumFormerHolders;
+        for (auto const& holder : formerHolders) {
+            isInRange = isInRange && holder.is_string() && holder.get_string().size() <= maximumTextBytes;
+            if (isInRange)
+                record.formerHolders.emplace_back(std::string_view(holder.get_string()));
+        }
     }
+    if (errorCode || !fields.areValid() || !isInRange)
+        return Core::fail(error, Core::ErrorKind::Internal, "the lease record is not JSON, or lacks a field, or has one of the wrong type or out of range");
+    record.duration = std::chrono::milliseconds(milliseconds);
+    return record;
+}
+
+static void addFormerHolder(std::vector<std::string>& holders, std::string holder)
+{
+    holders.push_back(std::move(holder));
+    if (holders.size() > maximumFormerHolders)
+        holders.erase(holders.begin());
 }
 
 static std::vector<std::string> holdersIncludingLast(LeaseRecord const& record)
 {
     auto holders = record.formerHolders;
     if (!record.holder.empty())
-        holders.push_back(record.holder);
+        addFormerHolder(holders, record.holder);
     return holders;
 }
 
@@ -112,13 +135,16 @@
     if (m_unchangedSince && stored->resourceVersion == m_lastVersion)
         co_return stored;
     LeaseRecord record;
+    m_isLastRecordDamaged = false;
     if (stored->resourceVersion.number != 0) {
-        auto const decoded = decodeLease(stored->value, error);
+        Core::Error damage;
+        auto decoded = decodeLease(stored->value, damage);
+        m_isLastRecordDamaged = !decoded;
         if (!decoded)
-            co_return std::nullopt;
-        record = *decoded;
+            Core::logEvent(Core::LogLevel::Warning, "lease_record_damaged", { { "role", m_key.name }, { "revision", stored->resourceVersion.toString() }, { "reason", damage.message } });
+        record = std::move(decoded).value_or(LeaseRecord { .era = stored->resourceVersion.era });
     }
-    m_lastRecord = record;
+    m_lastRecord = std::move(record);
     m_lastVersion = stored->resourceVersion;
     // Taken after the read, so that it is not before the write of the record.
     m_unchangedSince = m_runtime.now();
@@ -138,6 +164,7 @@
         version = co_await m_store.update(m_key, text, expected, deadline, error);
     if (version && version->era == expected.era) {
         m_lastRecord = std::move(record);
+        m_isLastRecordDamaged = false;
         m_lastVersion = *version;
         m_unchangedSince = m_runtime.now();
         co_return true;
@@ -166,18 +193,20 @@
     // No other candidate was given this epoch, and this candidate no longer holds it, so there is nothing to wait for.
     bool const isOwnExpired = m_epoch != 0 && m_lastRecord.holder == m_nodeId && m_lastRecord.epoch == m_epoch;
     bool const wasNeverHeld = m_lastVersion.number == 0 && m_systemStart == SystemStart::First && m_lastVersion.era == m_firstEra;
-    bool const isFree = wasNeverHeld || (isLastRecordCurrent() && (m_lastVersion.number == 0 || m_lastRecord.holder.empty() || isOwnExpired));
+    bool const isFree = wasNeverHeld || (isLastRecordCurrent() && !m_isLastRecordDamaged && (m_lastVersion.number == 0 || m_lastRecord.holder.empty() || isOwnExpired));
     auto const duration = std::max(m_lastRecord.duration, m_duration);
     if (wasFollowedByAnother(m_lastRecord, m_nodeId) && m_runtime.now() - m_inactiveSince < duration) {
         Core::fail(error, Core::ErrorKind::StoreConflict, "another holder followed this one less than the lease's duration ago");
         co_return false;
     }
     if (!isFree && m_runtime.now() - *m_unchangedSince < duration) {
-        Core::fail(error, Core::ErrorKind::StoreConflict, isLastRecordCurrent() ? "the lease is held by " + m_lastRecord.holder : "a holder of era " + std::to_string(m_lastRecord.era) + " may still hold the lease");
+        auto const reason = m_isLastRecordDamaged ? "the record is damaged, and a holder may still hold the lease" : "the lease is held by " + m_lastRecord.holder;
+        Core::fail(error, Core::ErrorKind::StoreConflict, isLastRecordCurrent() ? reason : "a holder of era " + std::to_string(m_lastRecord.era) + " may still hold the lease");
         co_return false;
     }
     // The epoch also increases if this candidate was the last holder, since commands of its earlier lease may still be in flight.
-    auto const lowest = m_lastVersion.era > 0 ? epochAfter(m_lastVersion) : firstEpochOfEra(0);
+    // In a store without eras, epochs rise by one with a write, which raises the version too.
+    auto const lowest = m_lastVersion.era > 0 || m_isLastRecordDamaged ? epochAfter(m_lastVersion) : firstEpochOfEra(0);
     auto const epoch = std::max({ m_lastRecord.epoch + 1, m_epoch + 1, lowest });
     auto formerHolders = holdersIncludingLast(m_lastRecord);
     std::erase(formerHolders, m_nodeId);
@@ -212,10 +241,15 @@
         Core::fail(error, Core::ErrorKind::StoreConflict, "the lease is not held");
         co_return false;
     }
+    // A damaged record may have replaced that of another holder; acquire() replaces it in time.
+    if (m_isLastRecordDamaged) {
+        Core::fail(error, Core::ErrorKind::StoreConflict, "the record is damaged");
+        co_return false;
+    }
     auto const era = m_lastVersion.era;
     bool isWritten = co_await writeRenewal(deadline, error);
     // The store was restored. Nobody else acquires the lease before this holder's has expired, so that it may replace the copy's record.
-    if (!isWritten && m_lastVersion.era != era && !isHeldByAnother() && remaining() > Core::Duration::zero())
+    if (!isWritten && m_lastVersion.era != era && !m_isLastRecordDamaged && !isHeldByAnother() && remaining() > Core::Duration::zero())
         isWritten = co_await writeRenewal(deadline, error);
     if (isWritten)
         co_return remaining() > Core::Duration::zero();
@@ -232,8 +266,12 @@
     endTenure();
     if (!wasHeld)
         co_return true;
+    if (m_isLastRecordDamaged) {
+        Core::fail(error, Core::ErrorKind::StoreConflict, "the record is damaged");
+        co_return false;
+    }
     LeaseRecord record { .epoch = m_epoch, .duration = m_duration, .writeId = newWriteId(), .formerHolders = m_formerHolders };
-    record.formerHolders.push_back(m_nodeId);
+    addFormerHolder(record.formerHolders, m_nodeId);
     co_return co_await write(std::move(record), deadline, error);
 }
 
--- a/Libraries/LibFleet/Lease.h
+++ b/Libraries/LibFleet/Lease.h
@@ -43,7 +43,8 @@
     return firstEpochOfEra(version.era) + version.number;
 }
 
-/// JSON codec of LeaseRecord. Decoding fails with Internal if the text is not a valid record. Thread safe.
+/// JSON codec of LeaseRecord. Decoding fails with Internal if the text is not a valid record: a field is missing, of another type, or larger
+/// than this system writes it. Thread safe.
 [[nodiscard]] std::string encodeLease(LeaseRecord const&);
 [[nodiscard]] std::optional<LeaseRecord> decodeLease(std::string_view text, Core::Error&);
 
@@ -60,7 +61,9 @@
 /// record unchanged for the whole duration. After the store was restored from a copy, the holder replaces the record of the copy, and
 /// another candidate waits for the whole duration whatever the copy says, also if there is no record when it starts, unless the whole
 /// system does. A former holder that another one followed waits for the whole duration before it holds the lease again, also after its
-/// process restarted. Must be called on the runtime's thread only, with one call of acquire, renew or release at a time.
+/// process restarted. A damaged record, as of another writer, counts as that of an unknown holder: it is not renewed or released, and
+/// replaced once it was unchanged for the whole duration. Must be called on the runtime's thread only, with one call of acquire, renew or
+/// release at a time.
 class Lease {
 public:
     /// Precondition: duration > 0.
@@ -99,7 +102,7 @@
     void endTenure();
     /// Whether the last observed record, or its absence, is of the store's current era.
     [[nodiscard]] bool isLastRecordCurrent() const { return m_lastRecord.era == m_lastVersion.era; }
-    [[nodiscard]] bool isHeldByAnother() const { return isLastRecordCurrent() && (m_lastRecord.holder != m_nodeId || m_lastRecord.epoch != m_epoch); }
+    [[nodiscard]] bool isHeldByAnother() const { return isLastRecordCurrent() && !m_isLastRecordDamaged && (m_lastRecord.holder != m_nodeId || m_lastRecord.epoch != m_epoch); }
 
     Core::Runtime& m_runtime;
     Platform::ObjectStore& m_store;
@@ -114,6 +117,8 @@
     Core::StoreRevision m_lastVersion;
     std::optional<Core::MonotonicTime> m_unchangedSince;
     LeaseRecord m_lastRecord;
+    /// Whether the last observed record could not be decoded; `m_lastRecord` is empty then.
+    bool m_isLastRecordDamaged { false };
     std::optional<Core::MonotonicTime> m_heldUntil;
     std::uint64_t m_epoch { 0 };
     Core::MonotonicTime m_acquiredAt {};
--- a/Tests/LibFleet/LeaseTest.cpp
+++ b/Tests/LibFleet/LeaseTest.cpp
@@ -1,5 +1,6 @@
 #include <LibFleet/Lease.h>
 #include <Support/MemoryObjectStore.h>
+#include <boost/json.hpp>
 #include <cstdlib>
 #include <gtest/gtest.h>
 
@@ -378,6 +379,53 @@
         EXPECT_FALSE(Fleet::decodeLease(text, error)) << text;
 }
 
+// Guards against an epoch that wraps around, and a lease that lasts for years, by a record of another writer.
+TEST(LeaseCodec, RejectsRecordsWithValuesOutOfRange)
+{
+    std::string const odd[] { "1e308", "-1", "18446744073709551615", "18446744073709551616", "9223372036854775808", "1.5", "null", "[\"" + std::string(8'000'000, 'x') + "\"]", std::string(100'000, '[') };
+    for (auto const& value : odd) {
+        for (auto const* field : { "holder", "epoch", "durationMs", "writeId", "formerHolders" }) {
+            auto record = boost::json::object { { "holder", "a" }, { "epoch", 1 }, { "durationMs", 1 }, { "writeId", "b" } };
+            record.erase(field);
+            auto text = boost::json::serialize(record);
+            text.back() = ',';
+            text.append("\"").append(field).append("\":").append(value).append("}");
+            Core::Error error;
+            EXPECT_FALSE(Fleet::decodeLease(text, error)) << field << value.substr(0, 30);
+        }
+    }
+}
+
+// Guards against duties that nobody performs any more, or that another node performs at once, because another writer damaged the record.
+TEST_F(LeaseTest, DamagedRecordIsReplacedAfterTheWholeDuration)
+{
+    std::string const start = R"({"holder":"a","writeId":"b",)";
+    std::string const damaged[] {
+        "null",
+        std::string(100'000, '['),
+        start + R"("epoch":18446744073709551615,"durationMs":1000})",
+        start + R"("epoch":18446744073709551616,"durationMs":1000})",
+        start + R"("epoch":1,"durationMs":9223372036854775807})",
+        start + R"("epoch":1,"durationMs":-1})",
+        start + R"("epoch":1,"durationMs":1000,"formerHolders":[")" + std::string(1'100'000, 'x') + R"("]})",
+    };
+    Platform::ObjectKey const key { "leases", "planner" };
+    advance(500ms);
+    for (auto const& value : damaged) {
+        SCOPED_TRACE(value.substr(0, 100));
+        ASSERT_TRUE(holder());
+        auto const before = m_newestEpoch;
+        for (int i = 0; i < 3; ++i) {
+            m_objects->put(key, value);
+            advance(900ms);
+            EXPECT_EQ(m_newestEpoch, before);
+        }
+        advance(2s);
+        EXPECT_TRUE(holder());
+        EXPECT_GT(m_newestEpoch, before);
+    }
+}
+
 static void playSchedules(Restorations restorations, int minimumChanges)
 {
     auto const* seedText = std::getenv("HYSSOPSTEP_TEST_SEED");
