LibForward, Edge: Report usage in spite of a damaged usage record

A record with a window far in the future, such as 2^63-1, settled all windows before it, so that no holder reported usage any more. A record that could not be decoded counted as absent in a store without eras, so that windows which had been reported could be reported again with other counts. A key such as "353x" was read as 353.

Windows more than 1,000 ahead are ignored, which leaves room for a clock that is behind; keys must be whole numbers of at least 0; and a damaged record is treated as one of an earlier era: a holder that had loaded it before keeps what it knows, another one leaves out the windows up to the newest. The next window's counts replace the record. A log line names the damaged version.

DamagedRecordDoesNotStopTheReports failed before (with the new function as a call of loadUsageRecord without a record).

--- a/Libraries/LibForward/UsageRecord.cpp
+++ b/Libraries/LibForward/UsageRecord.cpp
@@ -45,7 +45,7 @@
     for (auto const& [key, countsByTeam] : windows->get_object()) {
         std::int64_t window = 0;
         auto const parsed = std::from_chars(key.data(), key.data() + key.size(), window);
-        if (parsed.ec != std::errc() || !countsByTeam.is_object())
+        if (parsed.ec != std::errc() || parsed.ptr != key.data() + key.size() || window < 0 || !countsByTeam.is_object())
             return std::nullopt;
         auto& teams = record.counts[window];
         for (auto const& [team, count] : countsByTeam.get_object()) {
@@ -61,9 +61,20 @@
 void loadUsageRecord(UsageLedger& ledger, std::optional<UsageRecord> const& stored, std::uint64_t storeEra, std::int64_t newestWindow)
 {
     bool const isCurrent = (stored ? stored->era : 0) == storeEra;
-    if (isCurrent)
-        ledger.decided = stored ? stored->counts : CountsByWindow {};
-    else if (!ledger.isLoaded)
+    if (!isCurrent) {
+        loadDamagedUsageRecord(ledger, newestWindow);
+        return;
+    }
+    // The clock of the holder that wrote it may have been ahead of this one's. A window far ahead would settle all before it.
+    static constexpr std::int64_t maximumWindowsAhead = 1000;
+    ledger.decided = stored ? stored->counts : CountsByWindow {};
+    std::erase_if(ledger.decided, [&](auto const& item) { return item.first > newestWindow + maximumWindowsAhead; });
+    ledger.isLoaded = true;
+}
+
+void loadDamagedUsageRecord(UsageLedger& ledger, std::int64_t newestWindow)
+{
+    if (!ledger.isLoaded)
         ledger.settledUntil = newestWindow;
     ledger.isLoaded = true;
 }
--- a/Libraries/LibForward/UsageRecord.h
+++ b/Libraries/LibForward/UsageRecord.h
@@ -36,8 +36,12 @@
 
 /// Takes over the record in the store, or its absence, at an era of the store. If the store was restored since the record was written, a
 /// holder that had loaded it before keeps what it knows, and another one leaves out the windows up to the newest one that has ended.
+/// Windows far after that one, as of another writer, are ignored.
 void loadUsageRecord(UsageLedger&, std::optional<UsageRecord> const& stored, std::uint64_t storeEra, std::int64_t newestWindow);
 
+/// The same for a record that can't be read: what it said is as unknown as what is missing in a copy.
+void loadDamagedUsageRecord(UsageLedger&, std::int64_t newestWindow);
+
 enum class UsageDecision {
     /// The counts of the window are decided and stored.
     Report,
--- a/Services/Edge/DutyRunner.cpp
+++ b/Services/Edge/DutyRunner.cpp
@@ -136,7 +136,12 @@
     if (stored)
         record = Forward::decodeUsageRecord(stored->value);
     auto const settledBefore = m_usageLedger.settledUntil;
-    Forward::loadUsageRecord(m_usageLedger, record, m_usageRecordVersion.era, newestWindow);
+    if (stored && !record) {
+        Core::logEvent(Core::LogLevel::Warning, "usage_record_damaged", { { "revision", m_usageRecordVersion.toString() } });
+        Forward::loadDamagedUsageRecord(m_usageLedger, newestWindow);
+    } else {
+        Forward::loadUsageRecord(m_usageLedger, record, m_usageRecordVersion.era, newestWindow);
+    }
     if (m_usageLedger.settledUntil != settledBefore)
         Core::logEvent(Core::LogLevel::Info, "usage_record_outdated", { { "record_era", record ? record->era : 0 }, { "revision", m_usageRecordVersion.toString() }, { "settled_until", m_usageLedger.settledUntil } });
     m_isUsageRecordLoaded = true;
--- a/Tests/LibForward/UsageRecordTest.cpp
+++ b/Tests/LibForward/UsageRecordTest.cpp
@@ -14,6 +14,24 @@
         EXPECT_FALSE(Forward::decodeUsageRecord(text)) << text;
 }
 
+// Guards against windows that are never reported, or reported twice, after another writer damaged the record.
+TEST(UsageRecordTest, DamagedRecordDoesNotStopTheReports)
+{
+    for (auto const* text : { "null", "1e308", "[[[[", R"({"windows":{"353x":{}}})", R"({"windows":{"-1":{}}})", R"({"windows":{"9223372036854775808":{}}})", R"({"windows":{"353":{"a":1e308}}})", R"({"windows":{"353":{"a":1.5}}})", R"({"windows":{"353":{"a":null}}})" })
+        EXPECT_FALSE(Forward::decodeUsageRecord(text)) << text;
+    for (auto const* future : { "2000", "9223372036854775807" }) {
+        auto const record = Forward::decodeUsageRecord(R"({"era":3,"windows":{"352":{"a":4},")" + std::string(future) + R"(":{"a":1}}})");
+        Forward::UsageLedger ledger;
+        Forward::loadUsageRecord(ledger, record, era, 353);
+        EXPECT_EQ(Forward::decideUsageReport(ledger, { { "a", 5 } }, 352), UsageDecision::Report) << future;
+        EXPECT_EQ(Forward::decideUsageReport(ledger, { { "a", 5 } }, 353), UsageDecision::StoreFirst) << future;
+    }
+    Forward::UsageLedger ledger;
+    Forward::loadDamagedUsageRecord(ledger, 353);
+    EXPECT_EQ(Forward::decideUsageReport(ledger, { { "a", 5 } }, 353), UsageDecision::Settled);
+    EXPECT_EQ(Forward::decideUsageReport(ledger, { { "a", 5 } }, 354), UsageDecision::StoreFirst);
+}
+
 // Guards against two reports of one window with different counts: a later holder reports those of the earlier one.
 TEST(UsageRecordTest, ALaterHolderReportsTheDecidedCounts)
 {
