LibForward, Edge: Drop usage windows that are far ahead

A window far ahead in one report stayed for ever, and displaced one of the three newest windows that sums of usage contain, so that counts were lost in deployments with aggregating nodes.

--- a/Libraries/LibForward/UsageTable.cpp
+++ b/Libraries/LibForward/UsageTable.cpp
@@ -105,12 +105,16 @@
     return allCounts(table)[window];
 }
 
-void dropWindowsBefore(UsageTable& table, std::int64_t window)
+void dropWindowsOutside(UsageTable& table, std::int64_t first, std::int64_t last)
 {
+    auto const drop = [&](CountsByWindow& windows) {
+        windows.erase(windows.begin(), windows.lower_bound(first));
+        windows.erase(windows.upper_bound(last), windows.end());
+    };
     for (auto& [node, windows] : table.nodes)
-        windows.erase(windows.begin(), windows.lower_bound(window));
+        drop(windows);
     for (auto& [dataCentre, windows] : table.sums)
-        windows.erase(windows.begin(), windows.lower_bound(window));
+        drop(windows);
     std::erase_if(table.nodes, [](auto const& item) { return item.second.empty(); });
     std::erase_if(table.sums, [](auto const& item) { return item.second.empty(); });
     std::erase_if(table.dataCentres, [&](auto const& item) {
--- a/Libraries/LibForward/UsageTable.h
+++ b/Libraries/LibForward/UsageTable.h
@@ -47,7 +47,7 @@
 /// Returns the sum over all nodes and incarnations.
 [[nodiscard]] TeamCounts totalCounts(UsageTable const&, std::int64_t window);
 
-/// Drops the windows before the given one.
-void dropWindowsBefore(UsageTable&, std::int64_t window);
+/// Drops the windows before the first and after the last one.
+void dropWindowsOutside(UsageTable&, std::int64_t first, std::int64_t last);
 
 }
--- a/Services/Edge/EdgeService.cpp
+++ b/Services/Edge/EdgeService.cpp
@@ -226,7 +226,10 @@
     // Older windows have been reported or can no longer be reported.
     static constexpr std::int64_t retainedWindows = 6;
     auto const unixTime = std::chrono::duration_cast<std::chrono::milliseconds>(m_runtime.wallNow().time_since_epoch()).count();
-    Forward::dropWindowsBefore(m_tables.usage, Forward::usageWindow(unixTime, m_settings.usageWindow.count()) - retainedWindows);
+    auto const window = Forward::usageWindow(unixTime, m_settings.usageWindow.count());
+    // This node's clock may have been set back, but not by a day.
+    auto const windowsOfADay = std::chrono::milliseconds(24h) / m_settings.usageWindow;
+    Forward::dropWindowsOutside(m_tables.usage, window - retainedWindows, window + windowsOfADay);
     m_tables.usage.dataCentres[m_settings.nodeId] = m_settings.dataCentre;
     if (m_tables.routes && m_tables.routes->version != m_limitsVersion) {
         m_limitsVersion = m_tables.routes->version;
