LibForward: Refuse node reports with numbers out of range

A report with an infinite number of admissions emptied the team's quota for ever, a processor share that is not a number broke the order of the nodes, a time of INT64_MIN overflowed the clock offset, and a node count of 2^32-1 changed the exchange. A packed datagram may also stand for many MB of zeros. decodeReport refuses such reports, and messages of more than 1 MB; the receiver logs a refused report as before. NumbersOutOfRangeAreRefused failed before.

--- a/Libraries/LibForward/NodeReport.cpp
+++ b/Libraries/LibForward/NodeReport.cpp
@@ -1,8 +1,10 @@
 #include <LibForward/NodeReport.h>
 
 #include <LibForward/NodeReport.capnp.h>
+#include <algorithm>
 #include <capnp/message.h>
 #include <capnp/serialize-packed.h>
+#include <cmath>
 #include <kj/exception.h>
 #include <xxhash.h>
 
@@ -196,15 +198,29 @@
     return report;
 }
 
+// The sums, ranks and times that are computed from reports stay in range.
+static bool areNumbersInRange(NodeReport const& report)
+{
+    static constexpr std::int64_t maximumUnixMilliseconds = std::int64_t(1) << 53;
+    static constexpr std::uint32_t maximumNodes = 100'000;
+    auto const isQuantity = [](float value) { return std::isfinite(value) && value >= 0; };
+    bool const isSenderInRange = report.sentAtUnixMilliseconds >= -maximumUnixMilliseconds && report.sentAtUnixMilliseconds <= maximumUnixMilliseconds && report.nodes <= maximumNodes && isQuantity(report.processorShare);
+    return isSenderInRange
+        && std::all_of(report.demands.begin(), report.demands.end(), [&](auto const& item) { return isQuantity(item.second.perSecond) && std::isfinite(item.second.admitted); })
+        && std::all_of(report.contacts.begin(), report.contacts.end(), [&](auto const& contact) { return isQuantity(contact.processorShare); });
+}
+
 std::optional<NodeReport> decodeReport(std::string_view bytes)
 {
+    // A packed datagram of 64 KB may stand for many MB of zeros.
+    static constexpr std::uint64_t maximumWords = 1024 * 1024 / sizeof(capnp::word);
     // Cap'n Proto throws on malformed messages.
     try {
         kj::ArrayPtr<kj::byte const> const array(reinterpret_cast<kj::byte const*>(bytes.data()), bytes.size());
         kj::ArrayInputStream input(array);
-        capnp::PackedMessageReader reader(input);
+        capnp::PackedMessageReader reader(input, { .traversalLimitInWords = maximumWords });
         auto report = reportFrom(reader.getRoot<wire::NodeReport>());
-        if (report.node.empty())
+        if (report.node.empty() || !areNumbersInRange(report))
             return std::nullopt;
         return report;
     } catch (kj::Exception const&) {
--- a/Libraries/LibForward/NodeReport.h
+++ b/Libraries/LibForward/NodeReport.h
@@ -117,7 +117,7 @@
 /// Encodes a report as packed Cap'n Proto. Thread safe.
 [[nodiscard]] std::string encodeReport(NodeReport const&);
 
-/// Returns an empty optional for bytes that are not a valid report. Thread safe.
+/// Returns an empty optional for bytes that are not a valid report, or one with numbers that no node sends. Thread safe.
 [[nodiscard]] std::optional<NodeReport> decodeReport(std::string_view);
 
 }
--- a/Tests/LibForward/PeerTableTest.cpp
+++ b/Tests/LibForward/PeerTableTest.cpp
@@ -1,5 +1,7 @@
 #include <LibForward/PeerTable.h>
+#include <functional>
 #include <gtest/gtest.h>
+#include <limits>
 
 using namespace std::chrono_literals;
 
@@ -45,6 +47,31 @@
         EXPECT_FALSE(Forward::decodeReport(std::string_view(bytes).substr(0, length))) << length;
 }
 
+// Guards against one report that refuses a team's requests for ever, or breaks the order of the nodes or the arithmetic on times.
+TEST(NodeReportTest, NumbersOutOfRangeAreRefused)
+{
+    auto const nan = std::numeric_limits<double>::quiet_NaN();
+    auto const infinity = std::numeric_limits<double>::infinity();
+    std::vector<std::function<void(Forward::NodeReport&)>> changes;
+    for (double const odd : { nan, infinity, -infinity, -1.0 }) {
+        changes.emplace_back([odd](auto& report) { report.processorShare = static_cast<float>(odd); });
+        changes.emplace_back([odd](auto& report) { report.contacts = { { .node = "n2", .processorShare = static_cast<float>(odd) } }; });
+        changes.emplace_back([odd](auto& report) { report.demands["team"].perSecond = static_cast<float>(odd); });
+        // What an aggregating node has not observed yet may be deducted.
+        changes.emplace_back([odd](auto& report) { report.demands["team"].admitted = odd == -1 ? std::numeric_limits<double>::infinity() : odd; });
+    }
+    for (auto const odd : { INT64_MIN, INT64_MAX })
+        changes.emplace_back([odd](auto& report) { report.sentAtUnixMilliseconds = odd; });
+    changes.emplace_back([](auto& report) { report.nodes = UINT32_MAX; });
+    // A datagram that is decoded to many times its size.
+    changes.emplace_back([](auto& report) { report.quarantined.resize(1'000'000); });
+    for (std::size_t i = 0; i < changes.size(); ++i) {
+        auto odd = report("n1");
+        changes[i](odd);
+        EXPECT_FALSE(Forward::decodeReport(Forward::encodeReport(odd))) << i;
+    }
+}
+
 TEST(PeerTableTest, ReportsOfAnEarlierStartAreIgnored)
 {
     Forward::PeerTable table;
