LibForward: Do not charge a request that is larger than a quota window

A request whose token counts are far above the team's limit was admitted from a full bucket and charged, at all nodes by their reports. With counts of 64 bits that used up the team's quota of years, and its demand moved the team's share to one node for minutes. A request that costs more than rate x window + burst + slack fits into no window; it is refused with the window as Retry-After, and is not part of the demand. A limit of less than one unit in a window still admits single units. ARequestLargerThanAWindowIsRefusedAndNotCharged failed before.

--- a/Libraries/LibForward/TeamQuota.cpp
+++ b/Libraries/LibForward/TeamQuota.cpp
@@ -70,6 +70,10 @@
     static double const arrivalWeight = std::log(2.0) / demandHalfLifeSeconds;
     auto [position, isNew] = table.rows.try_emplace(team.name);
     auto& row = position->second;
+    // No window has room for it, and its costs would displace the team's other requests for long.
+    double const mostOfAWindow = std::max(team.ratePerSecond * static_cast<double>(tolerance.window.count()) + team.burst + tolerance.slack, 1.0);
+    if (team.ratePerSecond > 0 && cost > mostOfAWindow)
+        return tolerance.window;
     row.demand = decayedDemand(row, now) + cost * arrivalWeight;
     row.demandUpdatedAt = now;
     if (team.ratePerSecond <= 0)
--- a/Libraries/LibForward/TeamQuota.h
+++ b/Libraries/LibForward/TeamQuota.h
@@ -71,7 +71,7 @@
 /// While much of the deployment's quota is left, any node admits the request, so that a team within its limit is not refused because
 /// its requests are few or unevenly distributed. Once little is left, each node admits only its share of the rate, since it learns of
 /// the others' admissions only from their next reports; the shares of all nodes add up to one. This bounds a team that sends a multiple
-/// of its usual traffic.
+/// of its usual traffic. A request that costs more than a whole window allows is refused, and is not part of the demand.
 [[nodiscard]] std::optional<std::chrono::milliseconds> admitToQuota(QuotaTable&, Team const&, double cost, double share, QuotaTolerance const&, Core::MonotonicTime now);
 
 }
--- a/Tests/LibForward/TeamQuotaTest.cpp
+++ b/Tests/LibForward/TeamQuotaTest.cpp
@@ -216,3 +216,23 @@
     team.unit = Forward::LimitUnit::Requests;
     EXPECT_EQ(Forward::quotaCost(team, Forward::TokenCounts { 1460, 80 }), 1);
 }
+
+// Guards against one request that uses up its team's quota of years: its costs were charged, and reported to the other nodes.
+TEST(TeamQuotaTest, ARequestLargerThanAWindowIsRefusedAndNotCharged)
+{
+    Forward::Team const team { .name = "t", .unit = Forward::LimitUnit::Tokens, .ratePerSecond = 1000, .burst = 1000 };
+    Core::MonotonicTime now { 100s };
+    Forward::QuotaTable table;
+    for (double const cost : { 1e4, 1e10, 1e308 }) {
+        auto const wait = Forward::admitToQuota(table, team, cost, 1, {}, now);
+        ASSERT_TRUE(wait) << cost;
+        EXPECT_GT(*wait, 0ms);
+        EXPECT_LE(*wait, 8s);
+        EXPECT_EQ(table.rows.at("t").admitted, 0);
+        now += 1s;
+        EXPECT_FALSE(Forward::admitToQuota(table, team, 500, 1, {}, now)) << cost;
+        table.rows.clear();
+    }
+    // Less than one request in a window.
+    EXPECT_FALSE(Forward::admitToQuota(table, { .name = "slow", .ratePerSecond = 0.1 }, 1, 1, {}, now));
+}
