LibLimits: Bound the wait for a token bucket

With a very low rate the wait in seconds was converted to a duration out of the clock's range, which is undefined: "inf is outside the range of representable values" under -fsanitize=float-cast-overflow in WaitsAreAtMostADay.

--- a/Libraries/LibLimits/TeamLimitTable.cpp
+++ b/Libraries/LibLimits/TeamLimitTable.cpp
@@ -36,8 +36,10 @@
         bucket.level -= amount;
         return std::nullopt;
     }
+    // Longer waits need not be in the range of the clock.
+    static constexpr std::chrono::duration<double> maximumWait = std::chrono::hours(24);
     std::chrono::duration<double> const wait((needed - bucket.level) / rate);
-    return std::chrono::duration_cast<Core::Duration>(wait);
+    return std::chrono::duration_cast<Core::Duration>(std::min(wait, maximumWait));
 }
 
 static double decayedDemand(TeamLimitTable::Row const& row, Core::MonotonicTime now)
--- a/Libraries/LibLimits/TeamLimitTable.h
+++ b/Libraries/LibLimits/TeamLimitTable.h
@@ -46,7 +46,7 @@
     bool operator==(TokenBucket const&) const = default;
 };
 
-/// Takes an amount from a bucket, or returns the time until it is available. The rate is in units per second and above zero.
+/// Takes an amount from a bucket, or returns the time until it is available, at most a day. The rate is in units per second and above zero.
 [[nodiscard]] std::optional<Core::Duration> takeFromBucket(TokenBucket&, double amount, double rate, Core::MonotonicTime now);
 
 /// The same with the given capacity, which is above zero.
--- a/Tests/LibLimits/LimitsTest.cpp
+++ b/Tests/LibLimits/LimitsTest.cpp
@@ -10,6 +10,15 @@
 
 static constexpr Core::MonotonicTime start { 1000s };
 
+// Guards against a wait that is out of the range of the clock.
+TEST(TokenBucketTest, WaitsAreAtMostADay)
+{
+    for (double const rate : { 1e-300, 1e-9, 0.0 }) {
+        Limits::TokenBucket bucket { .level = 0, .refilledAt = Core::MonotonicTime { 1s }, .initialized = true };
+        EXPECT_EQ(Limits::takeFromBucket(bucket, 1e15, rate, 1e15, Core::MonotonicTime { 1s }), Core::Duration(24h)) << rate;
+    }
+}
+
 // Guards against a limit that grows with the number of nodes, for any distribution of the demand.
 TEST(TeamLimitTest, SharesAddUpToTheLimit)
 {
