--- a/Tests/PlatformAdapter/HeaderCodecTest.cpp
+++ b/Tests/PlatformAdapter/HeaderCodecTest.cpp
@@ -47,6 +47,35 @@
     EXPECT_FALSE(attributes.lastEventId);
 }
 
+// Guards against a request that is refused at once or counted as a small one, because its numbers are too large or of another form.
+TEST(HeaderCodecTest, NumbersOutOfRangeAreNotTakenForSmallOnes)
+{
+    PlatformAdapter::HeaderCodec const codec;
+    struct Row {
+        std::string text;
+        std::optional<std::uint64_t> number;
+    };
+    Row const rows[] { { "0", 0 }, { "8000", 8000 }, { " 8000 ", 8000 }, { "1500.5", 1500 }, { "4294967296", UINT32_MAX }, { "9223372036854775808", UINT32_MAX }, { "18446744073709551615", UINT32_MAX },
+        { "18446744073709551616", {} }, { "1e5", {} }, { "1e308", {} }, { "-1", {} }, { "NaN", {} }, { "0x10", {} }, { "1.", 1 }, { "1.5.5", {} }, { "", {} }, { std::string(8'000'000, '9'), {} } };
+    for (auto const& [text, number] : rows) {
+        SCOPED_TRACE(text.substr(0, 30));
+        auto const parts = std::string("a:").append(text).append(",b:1");
+        HTTP::Request const request { "GET", "/", { { "X-Hyssopstep-Deadline-Ms", text }, { "X-Hyssopstep-Token-Usage", text + "," + text }, { "X-Hyssopstep-Prompt-Prefix", parts } }, {} };
+        auto const attributes = codec.decodeRequest(request);
+        EXPECT_EQ(attributes.timeLeft.has_value(), number.has_value());
+        if (attributes.timeLeft)
+            EXPECT_EQ(std::min<std::int64_t>(attributes.timeLeft->count(), UINT32_MAX), *number);
+        // The sum with the current time is in the range of the clock.
+        EXPECT_LE(attributes.timeLeft.value_or(0ms), std::chrono::hours(24 * 366));
+        EXPECT_EQ(attributes.tokens, number ? std::optional(Forward::TokenCounts { *number, *number }) : std::nullopt);
+        EXPECT_EQ(attributes.prompt.front(), number ? (Forward::PromptPart { "a", static_cast<std::uint32_t>(*number) }) : (Forward::PromptPart { "b", 1 }));
+        auto const load = codec.decodeResponse(200, { { "X-Hyssopstep-Server-Load", text + ",0,8" } }).load;
+        EXPECT_EQ(load.has_value(), number.has_value());
+        if (load)
+            EXPECT_EQ(load->running, *number);
+    }
+}
+
 // Guards against servers receiving the client's key, and against clients setting reserved headers.
 TEST(HeaderCodecTest, ForwardedRequestsCarryNoKeyAndNoReservedHeaderOfTheClient)
 {
