--- a/Tests/PlatformAdapter/StoreCodecTest.cpp
+++ b/Tests/PlatformAdapter/StoreCodecTest.cpp
@@ -48,6 +48,62 @@
     }
 }
 
+// Guards against numbers that are converted to others, such as a limit of -1 to none, and against lists that are taken for empty ones.
+TEST(StoreCodecTest, RefusesConfigurationsWithValuesOutOfRange)
+{
+    PlatformAdapter::StoreCodec const codec;
+    auto const decode = [&](std::string const& start, std::string const& value, std::string const& end) {
+        Core::Error error;
+        bool const isValid = codec.decodeConfiguration(start + value + end, error).has_value();
+        EXPECT_NE(isValid, error.kind == Core::ErrorKind::InvalidConfiguration);
+        return isValid;
+    };
+    std::string const route = R"({"version":3,"routes":[{"host":"a","path-prefix":"/","kind":"safe",)";
+    std::string const service = R"({"version":3,"services":[{"name":"s",)";
+    std::string const scale = service + R"("scale":{)";
+    std::string const team = R"({"version":3,"tenants":[{"name":"t",)";
+    std::string const limits = R"({"version":3,"limits":{)";
+    struct Field {
+        std::string start;
+        char const* end;
+    };
+    std::vector<Field> fields {
+        { route + R"("traffic-split":[{"service":"s","weight":)", "}]}]}" },
+        { service + R"("engine":{"slots":)", "}}]}" },
+        { service + R"("engine":{"kv-cache-tokens":)", "}}]}" },
+        { scale + R"("zone-prices":{"a":)", "}}}]}" },
+    };
+    for (auto const* name : { "timeout-ms", "target-latency-ms", "priority", "max-attempts" })
+        fields.push_back({ route + '"' + name + "\":", "}]}" });
+    for (auto const* name : { "min", "max", "boot-s", "spot-price" })
+        fields.push_back({ scale + '"' + name + "\":", "}}]}" });
+    for (auto const* name : { "priority", "plain-tokens", "rate-per-s", "burst" })
+        fields.push_back({ team + '"' + name + "\":", "}]}" });
+    for (auto const* name : { "max-header-bytes", "max-body-bytes", "header-timeout-ms", "idle-timeout-ms" })
+        fields.push_back({ limits + '"' + name + "\":", "}}" });
+    fields.push_back({ service + R"("max-conns":)", "}]}" });
+    std::string const odd[] { "1e308", "1e400", "-1", "-1e308", "18446744073709551616", "18446744073709551615", "\"NaN\"", "[]", '"' + std::string(8'000'000, 'x') + '"', std::string(100'000, '[') };
+    for (auto const& field : fields) {
+        for (auto const* value : { "null", "0", "1", "1.5" })
+            EXPECT_TRUE(decode(field.start, value, field.end)) << field.start << value;
+        for (auto const& value : odd)
+            EXPECT_FALSE(decode(field.start, value, field.end)) << field.start << value.substr(0, 30);
+    }
+    for (auto const* value : { "1e308", "-1", "1.5", "18446744073709551616", "null", "\"NaN\"" })
+        EXPECT_FALSE(decode(R"({"version":)", value, "}")) << value;
+    for (auto const* name : { "routes", "services", "tenants" })
+        EXPECT_FALSE(decode(R"({"version":3,")" + std::string(name) + "\":", "{}", "}")) << name;
+}
+
+// Guards against a version that is rounded to that of the configuration before.
+TEST(StoreCodecTest, VersionsAreExact)
+{
+    PlatformAdapter::StoreCodec const codec;
+    Core::Error error;
+    for (auto const* version : { "9007199254740993", "18446744073709551615" })
+        EXPECT_EQ(std::to_string(codec.decodeConfiguration(R"({"version":)" + std::string(version) + "}", error).value_or(Forward::RouteTable {}).version), version);
+}
+
 TEST(StoreCodecTest, DecodesServers)
 {
     PlatformAdapter::StoreCodec const codec;
