platform, LibForward: Keep the fractions of traffic weights

Weights below one became 0, so that their services got no requests, and none at all if all weights of a route were fractions. The weight is now a floating-point number, as chooseService uses it. WeightsMayBeFractions failed before.

--- a/Libraries/LibForward/RouteTable.h
+++ b/Libraries/LibForward/RouteTable.h
@@ -22,7 +22,7 @@
 
 struct WeightedService {
     std::string service;
-    std::uint32_t weight { 1 };
+    double weight { 1 };
 
     bool operator==(WeightedService const&) const = default;
 };
--- a/Tests/PlatformAdapter/StoreCodecTest.cpp
+++ b/Tests/PlatformAdapter/StoreCodecTest.cpp
@@ -104,6 +104,17 @@
         EXPECT_EQ(std::to_string(codec.decodeConfiguration(R"({"version":)" + std::string(version) + "}", error).value_or(Forward::RouteTable {}).version), version);
 }
 
+// Guards against a service that gets no requests because its weight is below one.
+TEST(StoreCodecTest, WeightsMayBeFractions)
+{
+    PlatformAdapter::StoreCodec const codec;
+    Core::Error error;
+    auto const table = codec.decodeConfiguration(R"({"version":3,"routes":[{"host":"a","path-prefix":"/","kind":"safe","traffic-split":[{"service":"s","weight":0.25},{"service":"t","weight":0.75}]}]})", error);
+    ASSERT_TRUE(table) << error.message;
+    EXPECT_EQ(Forward::chooseService(table->routes[0], 0.2), "s");
+    EXPECT_EQ(Forward::chooseService(table->routes[0], 0.3), "t");
+}
+
 TEST(StoreCodecTest, DecodesServers)
 {
     PlatformAdapter::StoreCodec const codec;
