Edge: Log each version of a refused server entry once

Entries that are skipped in a list were not logged, those in a watch at each event. Both are now logged once for each version, with the revision, and counted in hyssopstep_server_entries_refused_total. EachVersionOfAnEntryThatNamesNoServerIsLoggedOnce failed before (there was no count and no line for listed entries).

--- a/Services/Edge/StoreWatcher.cpp
+++ b/Services/Edge/StoreWatcher.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
+#include <set>
 
 namespace Edge {
 
@@ -195,18 +196,34 @@
         Forward::registerServer(m_tables.directory, std::move(*server), m_runtime.now());
         return;
     }
-    Core::logEvent(Core::LogLevel::Warning, "server_entry_refused", { { "entry", object.key.name }, { "reason", error.message } });
+    logRefusedEntry(object, error);
     Forward::unregisterServer(m_tables.directory, object.key.name, m_runtime.now());
 }
 
+// An entry is in each list until it changes, and in those that follow a failed watch.
+void StoreWatcher::logRefusedEntry(Platform::StoredObject const& object, Core::Error const& error)
+{
+    auto const [found, isNew] = m_refusedEntries.try_emplace(object.key.name, object.resourceVersion);
+    if (!isNew && std::exchange(found->second, object.resourceVersion) == object.resourceVersion)
+        return;
+    m_metrics.counter("hyssopstep_server_entries_refused_total").add();
+    Core::logEvent(Core::LogLevel::Warning, "server_entry_refused", { { "entry", object.key.name }, { "revision", object.resourceVersion.toString() }, { "reason", error.message } });
+}
+
 void StoreWatcher::mergeServers(Platform::ObjectList const& list)
 {
     std::vector<Routing::ListedServer> servers;
+    std::set<std::string_view> refused;
     for (auto const& object : list.objects) {
         Core::Error error;
-        if (auto server = m_codec.decodeServer(object, error))
+        if (auto server = m_codec.decodeServer(object, error)) {
             servers.push_back(std::move(*server));
+            continue;
+        }
+        logRefusedEntry(object, error);
+        refused.insert(object.key.name);
     }
+    std::erase_if(m_refusedEntries, [&](auto const& item) { return !refused.contains(item.first); });
     Forward::mergeServers(m_tables.directory, servers, list.resourceVersion, m_runtime.now());
     updateServerTable("store");
 }
--- a/Services/Edge/StoreWatcher.h
+++ b/Services/Edge/StoreWatcher.h
@@ -82,6 +82,8 @@
     void recordSuccess(Resource);
     void applyConfiguration(std::string const& value, std::string_view source);
     void applyServerEntry(Platform::StoredObject const&);
+    /// Logs an entry that names no server, once for each version.
+    void logRefusedEntry(Platform::StoredObject const&, Core::Error const&);
     void mergeServers(Platform::ObjectList const&);
     void logServersLeftOut(std::vector<Routing::ListedServer> const& used, std::string_view source) const;
     /// Takes over the servers in use. The source, the store or a peer, is for the log.
@@ -102,6 +104,8 @@
     /// The last result of Forward::shouldWatchStore().
     bool m_shouldWatch { true };
     std::function<void()> m_changeListener;
+    /// The versions of the refused entries that were logged, by name.
+    std::map<std::string, Core::StoreRevision> m_refusedEntries;
     Core::MonotonicTime m_serversFetchedAt {};
     /// The last call of updateServerTable().
     Core::MonotonicTime m_serversUpdatedAt {};
--- a/Tests/EdgeService/StoreWatcherTest.cpp
+++ b/Tests/EdgeService/StoreWatcherTest.cpp
@@ -223,3 +223,50 @@
     waitFor([&] { return m_service->tables().servers.rows.size() == 2; });
     EXPECT_EQ(m_store.calls - m_store.watches, lists);
 }
+
+namespace {
+
+// A watcher without the rest of the service.
+class LoneStoreWatcherTest : public EdgeServiceTest {
+protected:
+    LoneStoreWatcherTest()
+    {
+        m_settings.nodeId = "n1";
+        m_storeConnection.emplace(m_loop.runtime(), m_store.start());
+        m_watcher.emplace(m_loop.runtime(), m_storeConnection->store, m_client, m_objectCodec, m_tables, m_settings, m_random, m_metrics);
+    }
+
+    std::uint64_t refusedEntries() { return m_metrics.counter("hyssopstep_server_entries_refused_total").value(); }
+
+    Edge::EdgeTables m_tables { m_loop.runtime() };
+    Edge::EdgeSettings m_settings;
+    HTTP::Client m_client { m_loop.runtime(), {} };
+    Core::Random m_random { 1 };
+    Core::Metrics m_metrics;
+    std::optional<Edge::StoreWatcher> m_watcher;
+};
+
+}
+
+// Guards against an odd entry that is skipped in silence, or logged with each list.
+TEST_F(LoneStoreWatcherTest, EachVersionOfAnEntryThatNamesNoServerIsLoggedOnce)
+{
+    m_store.put("servers", "odd1", "null");
+    m_store.put("servers", "odd2", std::string(100'000, '[') + std::string(100'000, ']'));
+    m_watcher->start();
+    waitFor([&] { return refusedEntries() == 2; });
+    std::size_t cut = 0;
+    for (int i = 0; i < 2; ++i) {
+        waitFor([&] { return m_store.watches >= cut + 2; });
+        cut = m_store.watches;
+        auto const lists = m_store.calls - m_store.watches;
+        m_store.cutWatches();
+        waitFor([&] { return m_store.calls - m_store.watches >= lists + 2; });
+        EXPECT_EQ(refusedEntries(), 2u);
+    }
+    m_store.put("servers", "odd1", "7");
+    waitFor([&] { return refusedEntries() == 3; });
+    m_store.put("servers", "sound", R"({"service":"app","address":"127.0.0.1:9","zone":"a","slots":6,"state":"ready","seq":1})");
+    waitFor([&] { return m_tables.servers.rows.size() == 1; });
+    EXPECT_EQ(refusedEntries(), 3u);
+}
