Edge: Refuse odd numbers in a peer's server list

Slots above 32 bits lost their upper part and port 0 was accepted: three servers instead of one in OddListsOfAPeerNameNoServerAndCountAsFailures. A list that is not valid was ignored in silence, so that the same peer was asked for it again; it now counts as a failed fetch, with a log line.

--- a/Services/Edge/StoreWatcher.cpp
+++ b/Services/Edge/StoreWatcher.cpp
@@ -381,15 +381,22 @@
     server.zone = server.dataCentre;
     server.incarnation = fields.number("incarnation");
     server.lifecycle = fields.flag("leaving") ? Routing::Lifecycle::Leaving : Routing::Lifecycle::Live;
-    server.slots = static_cast<std::uint32_t>(fields.number("slots"));
+    auto const slots = fields.number("slots");
     server.reclaimable = fields.flag("reclaimable");
     server.revision = { era, numberFromPeer(value, "revision") };
-    if (!endpoint || !fields.areValid())
+    if (!endpoint || endpoint->port == 0 || !fields.areValid() || !std::in_range<std::uint32_t>(slots))
         return std::nullopt;
+    server.slots = static_cast<std::uint32_t>(slots);
     server.endpoint = *endpoint;
     return server;
 }
 
+void StoreWatcher::recordFailedFetch(Resource resource, std::string const& peer, std::string const& reason)
+{
+    Forward::recordFailedFetch(m_tables.peers, peer, m_runtime.now());
+    Core::logEvent(Core::LogLevel::Warning, "peer_fetch_failed", { { "peer", peer }, { "data", resource == Resource::Configuration ? "configuration" : "servers" }, { "reason", reason } });
+}
+
 Core::Awaitable<void> StoreWatcher::fetchFromPeer(Resource resource, std::string peer, Core::Endpoint endpoint)
 {
     // Each node serves HTTP on the port after its UDP port.
@@ -400,18 +407,17 @@
     callStatus(resource).isFetching = false;
     static constexpr unsigned ok = 200;
     if (!response || response->status != ok) {
-        Forward::recordFailedFetch(m_tables.peers, peer, m_runtime.now());
-        Core::logEvent(Core::LogLevel::Warning, "peer_fetch_failed", { { "peer", peer }, { "data", resource == Resource::Configuration ? "configuration" : "servers" }, { "reason", response ? "the peer returned status " + std::to_string(response->status) : error.message } });
+        recordFailedFetch(resource, peer, response ? "the peer returned status " + std::to_string(response->status) : error.message);
         co_return;
     }
     if (resource == Resource::Configuration) {
         applyConfiguration(response->body, peer);
         co_return;
     }
+    if (m_shouldWatch && !m_serversStatus.isUnavailable)
+        co_return;
     json::error_code errorCode;
     auto const value = json::parse(response->body, errorCode);
-    if (errorCode || (m_shouldWatch && !m_serversStatus.isUnavailable))
-        co_return;
     Platform::JsonFields fields(value);
     Core::StoreRevision const revision { numberFromPeer(value, "era"), fields.number("revision") };
     std::vector<Routing::ListedServer> servers;
@@ -419,7 +425,11 @@
         if (auto server = serverFromPeer(entry, revision.era))
             servers.push_back(std::move(*server));
     }
-    if (!fields.areValid() || revision <= m_tables.serversRevision)
+    if (errorCode || !fields.areValid()) {
+        recordFailedFetch(resource, peer, "the peer's list is not valid");
+        co_return;
+    }
+    if (revision <= m_tables.serversRevision)
         co_return;
     Forward::mergeServers(m_tables.directory, servers, revision, m_runtime.now());
     m_tables.serversRevision = revision;
--- a/Services/Edge/StoreWatcher.h
+++ b/Services/Edge/StoreWatcher.h
@@ -73,6 +73,7 @@
     [[nodiscard]] Core::Awaitable<void> waitUntilWatching();
     [[nodiscard]] Core::Awaitable<bool> list(Resource, Core::StoreRevision& version, Core::Error&);
     [[nodiscard]] Core::Awaitable<void> fetchFromPeer(Resource, std::string peer, Core::Endpoint);
+    void recordFailedFetch(Resource, std::string const& peer, std::string const& reason);
     void fetchIfOutdated(Resource, Forward::PeerDataVersion known);
     void startFetch(Resource, Forward::NodeReport const& peer);
     [[nodiscard]] std::string objectKind(Resource) const;
--- a/Tests/EdgeService/StoreWatcherTest.cpp
+++ b/Tests/EdgeService/StoreWatcherTest.cpp
@@ -270,3 +270,39 @@
     waitFor([&] { return m_tables.servers.rows.size() == 1; });
     EXPECT_EQ(refusedEntries(), 3u);
 }
+
+// Guards against entries in a peer's list whose numbers are taken for others, and a peer that is asked for a broken list again and again.
+TEST_F(LoneStoreWatcherTest, OddListsOfAPeerNameNoServerAndCountAsFailures)
+{
+    auto const entry = [](std::string const& id, std::string const& address, std::string const& slots) {
+        return R"({"id":")" + id + R"(","address":")" + address + R"(","service":"app","version":"v","dataCentre":"a","incarnation":1,"leaving":false,"reclaimable":false,"slots":)" + slots + "}";
+    };
+    std::string const entries = entry("s1", "127.0.0.1:9", "6") + "," + entry("s2", "127.0.0.1:9", "4294967302") + "," + entry("s3", "127.0.0.1:9", "-1") + "," + entry("s4", "127.0.0.1:9", "1e308") + "," + entry("s5", "127.0.0.1:0", "6")
+        + "," + entry("s6", "127.0.0.1:70000", "6") + "," + entry("s7", "127.0.0.1:9", "null") + "," + entry("s8", "127.0.0.1:9", R"("NaN")") + ",null";
+    std::string list = R"({"era":0,"revision":10,"servers":[)" + entries + "]}";
+    RawServer peer(m_loop.runtime(), [&](auto const&) { return Reply { "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(list.size()) + "\r\n\r\n" + list }; });
+    auto endpoint = peer.endpoint();
+    --endpoint.port;
+    m_store.forcedStatus = 503;
+    m_watcher->start();
+    auto const report = [&](std::uint64_t revision) {
+        Forward::NodeReport const report { .node = "n2", .endpoint = endpoint.toString(), .serversRevision = { 0, revision } };
+        (void)Forward::mergeReport(m_tables.peers, report, 0, m_loop.runtime().now());
+        m_watcher->tick();
+    };
+    waitFor([&] {
+        report(10);
+        return !m_tables.servers.rows.empty();
+    });
+    ASSERT_EQ(m_tables.servers.rows.size(), 1u);
+    EXPECT_EQ(m_tables.servers.rows[0].id, "s1");
+    for (auto const& odd : { std::string(100'000, '['), std::string("7"), std::string(R"({"revision":1e308,"servers":[]})"), std::string(R"({"revision":11})") }) {
+        m_tables.peers.failedFetches.clear();
+        list = odd;
+        waitFor([&] {
+            report(11);
+            return m_tables.peers.failedFetches.contains("n2");
+        });
+        EXPECT_EQ(m_tables.serversRevision.number, 10u);
+    }
+}
