LibCore: Bound the length of a log line

The log drops a line rather than wait for its reader, as long as a line is shorter than PIPE_BUF. Lines contain values of other writers, such as the address or state of a refused server entry, which may have 1 MB, so that a write can wait for the reader (by reading the code; not seen in a run). Values are cut after 1,000 bytes, and at 3,500 bytes of the line.

--- a/Libraries/LibCore/Log.cpp
+++ b/Libraries/LibCore/Log.cpp
@@ -107,14 +107,27 @@
     });
 }
 
+// With what the layout adds and the names of the fields, less than PIPE_BUF bytes.
+static constexpr std::size_t maximumLineBytes = 3500;
+// Leaves room for the fields after a long one.
+static constexpr std::size_t maximumValueBytes = 1000;
+
+// Cuts a value that is too long.
 static void appendValue(std::string& line, std::string const& value)
 {
+    auto const end = std::max(std::min(line.size() + maximumValueBytes, maximumLineBytes), line.size());
     if (!needsQuotes(value)) {
-        line += value;
+        auto const length = std::min(value.size(), end - line.size());
+        line.append(value, 0, length);
+        line += length < value.size() ? "..." : "";
         return;
     }
     line += '"';
     for (unsigned char const c : value) {
+        if (line.size() >= end) {
+            line += "...";
+            break;
+        }
         if (c == '"' || c == '\\') {
             line += '\\';
             line += static_cast<char>(c);
--- a/Libraries/LibCore/Log.h
+++ b/Libraries/LibCore/Log.h
@@ -57,7 +57,7 @@
 /// dropped if the budget is exhausted or writing would block; `event=log_lines_dropped` reports how many were. Thread safe.
 void logEvent(LogLevel, std::string_view event, std::vector<LogField> const& fields = {});
 
-/// Formats the pairs the way logEvent() writes them. Thread safe.
+/// Formats the pairs the way logEvent() writes them; values are cut if the line becomes longer than fits into a pipe at once. Thread safe.
 [[nodiscard]] std::string formatLogLine(std::string_view event, std::vector<LogField> const& fields);
 
 /// Parses "debug", "info", "warning" or "error"; anything else gives Info. Thread safe.
--- a/Tests/LibCore/LogBudgetTest.cpp
+++ b/Tests/LibCore/LogBudgetTest.cpp
@@ -21,3 +21,13 @@
     EXPECT_LE(written, 200u);
     EXPECT_GT(written, 100u);
 }
+
+// Guards against a process that stops at a long line, for example one with an odd name, until someone reads its log.
+TEST(LogLineTest, LinesFitIntoAPipeThatIsReportedAsWritable)
+{
+    for (auto const& value : { std::string(8'000'000, 'x'), std::string(8'000'000, '"'), std::string(8'000'000, '\n') }) {
+        auto const line = Core::formatLogLine("refused", { { "entry", value }, { "reason", value }, { "count", 7 } });
+        EXPECT_LT(line.size(), 4000u);
+        EXPECT_TRUE(line.ends_with(" count=7"));
+    }
+}
