--- a/Libraries/LibFleet/Lease.cpp
+++ b/Libraries/LibFleet/Lease.cpp
@@ -19,6 +19,7 @@
     object["writeId"] = record.writeId;
     object["era"] = record.era;
     object["formerHolders"] = json::value_from(record.formerHolders);
+    object["hasAllFormerHolders"] = record.hasAllFormerHolders;
     return json::serialize(object);
 }
 
@@ -51,6 +52,7 @@
                 record.formerHolders.emplace_back(std::string_view(holder.get_string()));
         }
     }
+    record.hasAllFormerHolders = fields.has("hasAllFormerHolders") && fields.flag("hasAllFormerHolders");
     if (errorCode || !fields.areValid() || !isInRange)
         return Core::fail(error, Core::ErrorKind::Internal, "the lease record is not JSON, or lacks a field, or has one of the wrong type or out of range");
     record.duration = std::chrono::milliseconds(milliseconds);
@@ -72,10 +74,11 @@
     return holders;
 }
 
-static bool wasFollowedByAnother(LeaseRecord const& record, std::string const& nodeId)
+static bool mayHaveBeenFollowed(LeaseRecord const& record, std::string const& nodeId)
 {
     auto const holders = holdersIncludingLast(record);
-    return !holders.empty() && holders.back() != nodeId && std::find(holders.begin(), holders.end(), nodeId) != holders.end();
+    bool const isLast = !holders.empty() && holders.back() == nodeId;
+    return !isLast && (!record.hasAllFormerHolders || std::find(holders.begin(), holders.end(), nodeId) != holders.end());
 }
 
 Lease::Lease(Core::Runtime& runtime, Platform::ObjectStore& store, Core::Random& random, std::string role, std::string nodeId, std::chrono::milliseconds duration, SystemStart systemStart)
@@ -142,7 +145,7 @@
         m_isLastRecordDamaged = !decoded;
         if (!decoded)
             Core::logEvent(Core::LogLevel::Warning, "lease_record_damaged", { { "role", m_key.name }, { "revision", stored->resourceVersion.toString() }, { "reason", damage.message } });
-        record = std::move(decoded).value_or(LeaseRecord { .era = stored->resourceVersion.era });
+        record = std::move(decoded).value_or(LeaseRecord { .era = stored->resourceVersion.era, .hasAllFormerHolders = false });
     }
     m_lastRecord = std::move(record);
     m_lastVersion = stored->resourceVersion;
@@ -195,8 +198,8 @@
     bool const wasNeverHeld = m_lastVersion.number == 0 && m_systemStart == SystemStart::First && m_lastVersion.era == m_firstEra;
     bool const isFree = wasNeverHeld || (isLastRecordCurrent() && !m_isLastRecordDamaged && (m_lastVersion.number == 0 || m_lastRecord.holder.empty() || isOwnExpired));
     auto const duration = std::max(m_lastRecord.duration, m_duration);
-    if (wasFollowedByAnother(m_lastRecord, m_nodeId) && m_runtime.now() - m_inactiveSince < duration) {
-        Core::fail(error, Core::ErrorKind::StoreConflict, "another holder followed this one less than the lease's duration ago");
+    if (mayHaveBeenFollowed(m_lastRecord, m_nodeId) && m_runtime.now() - m_inactiveSince < duration) {
+        Core::fail(error, Core::ErrorKind::StoreConflict, "another holder may have followed this one less than the lease's duration ago");
         co_return false;
     }
     if (!isFree && m_runtime.now() - *m_unchangedSince < duration) {
@@ -210,13 +213,16 @@
     auto const epoch = std::max({ m_lastRecord.epoch + 1, m_epoch + 1, lowest });
     auto formerHolders = holdersIncludingLast(m_lastRecord);
     std::erase(formerHolders, m_nodeId);
-    LeaseRecord record { .holder = m_nodeId, .epoch = epoch, .duration = m_duration, .writeId = newWriteId(), .formerHolders = formerHolders };
+    // A holder from before a restoration whose record is gone may have acted until now.
+    bool const hasAllFormerHolders = wasNeverHeld || (isLastRecordCurrent() && m_lastRecord.hasAllFormerHolders);
+    LeaseRecord record { .holder = m_nodeId, .epoch = epoch, .duration = m_duration, .writeId = newWriteId(), .formerHolders = formerHolders, .hasAllFormerHolders = hasAllFormerHolders };
     auto const startedAt = m_runtime.now();
     bool const isWritten = co_await write(std::move(record), deadline, error);
     if (!isWritten)
         co_return false;
     m_epoch = epoch;
     m_formerHolders = std::move(formerHolders);
+    m_hasAllFormerHolders = hasAllFormerHolders;
     m_acquiredAt = m_runtime.now();
     m_heldUntil = startedAt + m_duration;
     co_return remaining() > Core::Duration::zero();
@@ -224,9 +230,11 @@
 
 Core::Awaitable<bool> Lease::writeRenewal(Core::MonotonicTime deadline, Core::Error& error)
 {
-    if (m_runtime.now() - m_acquiredAt > m_duration)
+    if (m_runtime.now() - m_acquiredAt > m_duration) {
         m_formerHolders.clear();
-    LeaseRecord record { .holder = m_nodeId, .epoch = m_epoch, .duration = m_duration, .writeId = newWriteId(), .formerHolders = m_formerHolders };
+        m_hasAllFormerHolders = true;
+    }
+    LeaseRecord record { .holder = m_nodeId, .epoch = m_epoch, .duration = m_duration, .writeId = newWriteId(), .formerHolders = m_formerHolders, .hasAllFormerHolders = m_hasAllFormerHolders };
     auto const startedAt = m_runtime.now();
     bool const isWritten = co_await write(std::move(record), deadline, error);
     if (isWritten)
@@ -270,7 +278,7 @@
         Core::fail(error, Core::ErrorKind::StoreConflict, "the record is damaged");
         co_return false;
     }
-    LeaseRecord record { .epoch = m_epoch, .duration = m_duration, .writeId = newWriteId(), .formerHolders = m_formerHolders };
+    LeaseRecord record { .epoch = m_epoch, .duration = m_duration, .writeId = newWriteId(), .formerHolders = m_formerHolders, .hasAllFormerHolders = m_hasAllFormerHolders };
     addFormerHolder(record.formerHolders, m_nodeId);
     co_return co_await write(std::move(record), deadline, error);
 }
--- a/Tests/LibFleet/LeaseTest.cpp
+++ b/Tests/LibFleet/LeaseTest.cpp
@@ -25,6 +25,7 @@
     TestSupport::MemoryObjectStore store;
     Fleet::LeaseManager leaseManager;
     int pausedSteps { 0 };
+    bool isStopping { false };
     Core::Duration clockLag { 0 };
 
     /// The epoch that this candidate holds by its own clock, which stands still while it is paused.
@@ -74,6 +75,8 @@
             EXPECT_EQ(holder->second, index) << "epoch " << *epoch << " has two holders";
             m_changesOfHolder += isNew ? 1 : 0;
             (m_candidates[index]->clockLag > Core::Duration::zero() ? paused : running).push_back(*epoch);
+            if (m_candidates[index]->clockLag == Core::Duration::zero())
+                checkOrderOfHolders(index);
         }
         EXPECT_LE(running.size(), 1U);
         for (auto const epoch : running) {
@@ -84,6 +87,24 @@
             EXPECT_TRUE(running.empty() || epoch < running[0]);
     }
 
+    // No holder acts again within the lease's duration after another one did, whatever process of the node it is.
+    void checkOrderOfHolders(std::size_t index)
+    {
+        static constexpr Core::Duration duration = 1000ms;
+        auto const previous = m_lastActs.find(index);
+        bool const isSoon = previous != m_lastActs.end() && m_network.now() - previous->second < duration;
+        EXPECT_FALSE(isSoon && m_lastActor != index) << "node-" << index << " acts again after node-" << m_lastActor;
+        m_lastActs[index] = m_network.now();
+        m_lastActor = index;
+    }
+
+    // What the process has sent still takes effect.
+    void startAgain(std::size_t index)
+    {
+        m_ended.push_back(std::move(m_candidates[index]));
+        m_candidates[index] = std::make_unique<Candidate>(m_context, m_objects, m_network, "node-" + std::to_string(index), m_random.bits());
+    }
+
     std::optional<std::size_t> holder() const
     {
         for (std::size_t index = 0; index < m_candidates.size(); ++index) {
@@ -97,7 +118,10 @@
     Core::Random m_random;
     Core::Runtime m_network { m_context };
     std::shared_ptr<TestSupport::MemoryObjects> m_objects = std::make_shared<TestSupport::MemoryObjects>();
+    std::vector<std::unique_ptr<Candidate>> m_ended;
     std::vector<std::unique_ptr<Candidate>> m_candidates;
+    std::map<std::size_t, Core::MonotonicTime> m_lastActs;
+    std::size_t m_lastActor { 0 };
     std::map<std::uint64_t, std::size_t> m_holderOfEpoch;
     std::uint64_t m_newestEpoch { 0 };
     int m_changesOfHolder { 0 };
@@ -108,11 +132,17 @@
     Yes,
 };
 
+enum class Restarts {
+    No,
+    Yes,
+};
+
 class LeaseSchedule : public LeaseTest {
 public:
-    LeaseSchedule(std::uint64_t seed, Restorations restorations)
+    LeaseSchedule(std::uint64_t seed, Restorations restorations, Restarts restarts)
         : LeaseTest(seed)
         , m_restorations(restorations)
+        , m_restarts(restarts)
     {
     }
 
@@ -132,10 +162,15 @@
                 m_objects->restore(m_copy);
             if (m_random.below(100) == 0)
                 candidate.pausedSteps = static_cast<int>(m_random.below(250));
+            if (m_restarts == Restarts::Yes)
+                stopOrStartAgain();
             advance(10ms);
         }
-        for (auto& candidate : m_candidates)
-            candidate->store.faults = {};
+        for (std::size_t index = 0; index < m_candidates.size(); ++index) {
+            if (m_candidates[index]->isStopping)
+                startAgain(index);
+            m_candidates[index]->store.faults = {};
+        }
         advance(6s);
         EXPECT_TRUE(holder()) << "no candidate acquired the lease after the faults ended";
         return m_changesOfHolder;
@@ -144,7 +179,21 @@
 private:
     void TestBody() override { }
 
+    // Stops a candidate, a holder more often, or ends its process, as a kill does if it was not stopped.
+    void stopOrStartAgain()
+    {
+        auto const index = m_random.below(m_candidates.size());
+        auto& candidate = *m_candidates[index];
+        if (candidate.pausedSteps == 0 && m_random.below(candidate.epoch() ? 30 : 300) == 0) {
+            candidate.isStopping = true;
+            candidate.runtime.spawn(candidate.leaseManager.stop());
+        }
+        if (m_random.below(candidate.isStopping ? 10 : 300) == 0)
+            startAgain(index);
+    }
+
     Restorations m_restorations;
+    Restarts m_restarts;
     TestSupport::MemoryObjects m_copy;
 };
 
@@ -369,12 +418,47 @@
     }
 }
 
+// Guards against the same after the store returned from a copy that lacks the first holder's record: the second holder cannot name it.
+TEST_F(LeaseTest, HolderThatARestoredStoreForgotWaitsIfAnotherHolderFollowedIt)
+{
+    for (bool const isRestarted : { false, true }) {
+        auto objects = std::make_shared<TestSupport::MemoryObjects>();
+        objects->era = 1;
+        TestSupport::MemoryObjectStore store(m_network, m_random, objects);
+        auto const run = [&](Core::Awaitable<bool> call) {
+            m_network.spawn([](Core::Awaitable<bool> task) -> Core::Awaitable<void> { (void)co_await std::move(task); }(std::move(call)));
+            m_context.restart();
+            m_context.poll();
+        };
+        Core::Error error;
+        auto const acquires = [&](Fleet::Lease& lease) { return run(lease.acquire(m_network.now() + 1s, error)), lease.epoch().has_value(); };
+        Fleet::Lease first(m_network, store, m_random, "planner", "n1", 1000ms, Fleet::SystemStart::First);
+        Fleet::Lease second(m_network, store, m_random, "planner", "n2", 1000ms);
+        auto const copy = *objects;
+        EXPECT_TRUE(acquires(first));
+        objects->restore(copy);
+        EXPECT_FALSE(acquires(second));
+        advance(990ms);
+        EXPECT_TRUE(first.epoch());
+        Fleet::Lease restarted(m_network, store, m_random, "planner", "n1", 1000ms);
+        auto& again = isRestarted ? restarted : first;
+        advance(10ms);
+        EXPECT_TRUE(acquires(second));
+        run(second.release(m_network.now() + 1s, error));
+        EXPECT_FALSE(acquires(again)) << (isRestarted ? "restarted" : "the same process");
+        advance(1000ms);
+        EXPECT_TRUE(acquires(again));
+    }
+}
+
 // Guards against treating a damaged record as a free lease.
 TEST(LeaseCodec, RoundTripsAndRejectsDamagedRecords)
 {
     Core::Error error;
-    Fleet::LeaseRecord const record { "node-1", 7, 1000ms, "id", 2, { "node-2", "node-3" } };
+    Fleet::LeaseRecord const record { "node-1", 7, 1000ms, "id", 2, { "node-2", "node-3" }, true };
     EXPECT_EQ(Fleet::decodeLease(Fleet::encodeLease(record), error), record);
+    auto const earlier = Fleet::decodeLease(R"({"holder":"","epoch":7,"durationMs":1000,"writeId":"id"})", error);
+    EXPECT_TRUE(earlier && !earlier->hasAllFormerHolders);
     for (auto const* text : { "", "{}", "[]", R"({"holder":"a","epoch":"x","durationMs":1,"writeId":""})" })
         EXPECT_FALSE(Fleet::decodeLease(text, error)) << text;
 }
@@ -426,7 +510,7 @@
     }
 }
 
-static void playSchedules(Restorations restorations, int minimumChanges)
+static void playSchedules(Restorations restorations, Restarts restarts, int minimumChanges)
 {
     auto const* seedText = std::getenv("HYSSOPSTEP_TEST_SEED");
     std::uint64_t const first = seedText ? std::strtoull(seedText, nullptr, 10) : 1;
@@ -434,7 +518,7 @@
     int changes = 0;
     for (std::uint64_t seed = first; seed <= last && !testing::Test::HasFailure(); ++seed) {
         SCOPED_TRACE("HYSSOPSTEP_TEST_SEED=" + std::to_string(seed));
-        LeaseSchedule schedule(seed, restorations);
+        LeaseSchedule schedule(seed, restorations, restarts);
         changes += schedule.run();
     }
     EXPECT_TRUE(seedText || changes > minimumChanges) << changes;
@@ -443,11 +527,23 @@
 // Guards against two holders during pauses, outages, and delayed or lost writes. HYSSOPSTEP_TEST_SEED=<n> runs one seed.
 TEST(LeaseInterleaving, NeverTwoHolders)
 {
-    playSchedules(Restorations::No, 600);
+    playSchedules(Restorations::No, Restarts::No, 600);
 }
 
 // Guards against the same beside restorations of the store from copies.
 TEST(LeaseInterleaving, NeverTwoHoldersInARestoredStore)
 {
-    playSchedules(Restorations::Yes, 600);
+    playSchedules(Restorations::Yes, Restarts::No, 600);
+}
+
+// Guards against a holder that acts, is stopped or killed, and acts again soon after another one did.
+TEST(LeaseInterleaving, NoHolderActsAgainSoonAfterAnotherOne)
+{
+    playSchedules(Restorations::No, Restarts::Yes, 1200);
+}
+
+// Guards against the same beside restorations of the store from copies.
+TEST(LeaseInterleaving, NoHolderActsAgainSoonAfterAnotherOneInARestoredStore)
+{
+    playSchedules(Restorations::Yes, Restarts::Yes, 1200);
 }
--- a/Tests/PlatformAdapter/HeaderCodecTest.cpp
+++ b/Tests/PlatformAdapter/HeaderCodecTest.cpp
@@ -63,16 +63,18 @@
         HTTP::Request const request { "GET", "/", { { "X-Hyssopstep-Deadline-Ms", text }, { "X-Hyssopstep-Token-Usage", text + "," + text }, { "X-Hyssopstep-Prompt-Prefix", parts } }, {} };
         auto const attributes = codec.decodeRequest(request);
         EXPECT_EQ(attributes.timeLeft.has_value(), number.has_value());
-        if (attributes.timeLeft)
-            EXPECT_EQ(std::min<std::int64_t>(attributes.timeLeft->count(), UINT32_MAX), *number);
+        if (attributes.timeLeft) {
+            EXPECT_EQ(attributes.timeLeft->count(), *number);
+        }
         // The sum with the current time is in the range of the clock.
         EXPECT_LE(attributes.timeLeft.value_or(0ms), std::chrono::hours(24 * 366));
         EXPECT_EQ(attributes.tokens, number ? std::optional(Forward::TokenCounts { *number, *number }) : std::nullopt);
         EXPECT_EQ(attributes.prompt.front(), number ? (Forward::PromptPart { "a", static_cast<std::uint32_t>(*number) }) : (Forward::PromptPart { "b", 1 }));
         auto const load = codec.decodeResponse(200, { { "X-Hyssopstep-Server-Load", text + ",0,8" } }).load;
         EXPECT_EQ(load.has_value(), number.has_value());
-        if (load)
+        if (load) {
             EXPECT_EQ(load->running, *number);
+        }
     }
 }
 
