--- a/Services/Edge/StoreWatcher.cpp
+++ b/Services/Edge/StoreWatcher.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
+#include <set>
 
 namespace Edge {
 
@@ -195,18 +196,34 @@
         Forward::registerServer(m_tables.directory, std::move(*server), m_runtime.now());
         return;
     }
-    Core::logEvent(Core::LogLevel::Warning, "server_entry_refused", { { "entry", object.key.name }, { "reason", error.message } });
+    logRefusedEntry(object, error);
     Forward::unregisterServer(m_tables.directory, object.key.name, m_runtime.now());
 }
 
+// An entry is in each list until it changes, and in those that follow a failed watch.
+void StoreWatcher::logRefusedEntry(Platform::StoredObject const& object, Core::Error const& error)
+{
+    auto const [found, isNew] = m_refusedEntries.try_emplace(object.key.name, object.resourceVersion);
+    if (!isNew && std::exchange(found->second, object.resourceVersion) == object.resourceVersion)
+        return;
+    m_metrics.counter("hyssopstep_server_entries_refused_total").add();
+    Core::logEvent(Core::LogLevel::Warning, "server_entry_refused", { { "entry", object.key.name }, { "revision", object.resourceVersion.toString() }, { "reason", error.message } });
+}
+
 void StoreWatcher::mergeServers(Platform::ObjectList const& list)
 {
     std::vector<Routing::ListedServer> servers;
+    std::set<std::string_view> refused;
     for (auto const& object : list.objects) {
         Core::Error error;
-        if (auto server = m_codec.decodeServer(object, error))
+        if (auto server = m_codec.decodeServer(object, error)) {
             servers.push_back(std::move(*server));
+            continue;
+        }
+        logRefusedEntry(object, error);
+        refused.insert(object.key.name);
     }
+    std::erase_if(m_refusedEntries, [&](auto const& item) { return !refused.contains(item.first); });
     Forward::mergeServers(m_tables.directory, servers, list.resourceVersion, m_runtime.now());
     updateServerTable("store");
 }
@@ -364,15 +381,22 @@
     server.zone = server.dataCentre;
     server.incarnation = fields.number("incarnation");
     server.lifecycle = fields.flag("leaving") ? Routing::Lifecycle::Leaving : Routing::Lifecycle::Live;
-    server.slots = static_cast<std::uint32_t>(fields.number("slots"));
+    auto const slots = fields.number("slots");
     server.reclaimable = fields.flag("reclaimable");
     server.revision = { era, numberFromPeer(value, "revision") };
-    if (!endpoint || !fields.areValid())
+    if (!endpoint || endpoint->port == 0 || !fields.areValid() || !std::in_range<std::uint32_t>(slots))
         return std::nullopt;
+    server.slots = static_cast<std::uint32_t>(slots);
     server.endpoint = *endpoint;
     return server;
 }
 
+void StoreWatcher::recordFailedFetch(Resource resource, std::string const& peer, std::string const& reason)
+{
+    Forward::recordFailedFetch(m_tables.peers, peer, m_runtime.now());
+    Core::logEvent(Core::LogLevel::Warning, "peer_fetch_failed", { { "peer", peer }, { "data", resource == Resource::Configuration ? "configuration" : "servers" }, { "reason", reason } });
+}
+
 Core::Awaitable<void> StoreWatcher::fetchFromPeer(Resource resource, std::string peer, Core::Endpoint endpoint)
 {
     // Each node serves HTTP on the port after its UDP port.
@@ -383,18 +407,17 @@
     callStatus(resource).isFetching = false;
     static constexpr unsigned ok = 200;
     if (!response || response->status != ok) {
-        Forward::recordFailedFetch(m_tables.peers, peer, m_runtime.now());
-        Core::logEvent(Core::LogLevel::Warning, "peer_fetch_failed", { { "peer", peer }, { "data", resource == Resource::Configuration ? "configuration" : "servers" }, { "reason", response ? "the peer returned status " + std::to_string(response->status) : error.message } });
+        recordFailedFetch(resource, peer, response ? "the peer returned status " + std::to_string(response->status) : error.message);
         co_return;
     }
     if (resource == Resource::Configuration) {
         applyConfiguration(response->body, peer);
         co_return;
     }
+    if (m_shouldWatch && !m_serversStatus.isUnavailable)
+        co_return;
     json::error_code errorCode;
     auto const value = json::parse(response->body, errorCode);
-    if (errorCode || (m_shouldWatch && !m_serversStatus.isUnavailable))
-        co_return;
     Platform::JsonFields fields(value);
     Core::StoreRevision const revision { numberFromPeer(value, "era"), fields.number("revision") };
     std::vector<Routing::ListedServer> servers;
@@ -402,7 +425,11 @@
         if (auto server = serverFromPeer(entry, revision.era))
             servers.push_back(std::move(*server));
     }
-    if (!fields.areValid() || revision <= m_tables.serversRevision)
+    if (errorCode || !fields.areValid()) {
+        recordFailedFetch(resource, peer, "the peer's list is not valid");
+        co_return;
+    }
+    if (revision <= m_tables.serversRevision)
         co_return;
     Forward::mergeServers(m_tables.directory, servers, revision, m_runtime.now());
     m_tables.serversRevision = revision;
--- a/Services/Edge/StoreWatcher.h
+++ b/Services/Edge/StoreWatcher.h
@@ -73,6 +73,7 @@
     [[nodiscard]] Core::Awaitable<void> waitUntilWatching();
     [[nodiscard]] Core::Awaitable<bool> list(Resource, Core::StoreRevision& version, Core::Error&);
     [[nodiscard]] Core::Awaitable<void> fetchFromPeer(Resource, std::string peer, Core::Endpoint);
+    void recordFailedFetch(Resource, std::string const& peer, std::string const& reason);
     void fetchIfOutdated(Resource, Forward::PeerDataVersion known);
     void startFetch(Resource, Forward::NodeReport const& peer);
     [[nodiscard]] std::string objectKind(Resource) const;
@@ -82,6 +83,8 @@
     void recordSuccess(Resource);
     void applyConfiguration(std::string const& value, std::string_view source);
     void applyServerEntry(Platform::StoredObject const&);
+    /// Logs an entry that names no server, once for each version.
+    void logRefusedEntry(Platform::StoredObject const&, Core::Error const&);
     void mergeServers(Platform::ObjectList const&);
     void logServersLeftOut(std::vector<Routing::ListedServer> const& used, std::string_view source) const;
     /// Takes over the servers in use. The source, the store or a peer, is for the log.
@@ -102,6 +105,8 @@
     /// The last result of Forward::shouldWatchStore().
     bool m_shouldWatch { true };
     std::function<void()> m_changeListener;
+    /// The versions of the refused entries that were logged, by name.
+    std::map<std::string, Core::StoreRevision> m_refusedEntries;
     Core::MonotonicTime m_serversFetchedAt {};
     /// The last call of updateServerTable().
     Core::MonotonicTime m_serversUpdatedAt {};
--- a/Tests/EdgeService/StoreWatcherTest.cpp
+++ b/Tests/EdgeService/StoreWatcherTest.cpp
@@ -256,3 +256,86 @@
     waitFor([&] { return m_service->tables().servers.rows.size() == 2; });
     EXPECT_EQ(m_store.calls - m_store.watches, lists);
 }
+
+namespace {
+
+// A watcher without the rest of the service.
+class LoneStoreWatcherTest : public EdgeServiceTest {
+protected:
+    LoneStoreWatcherTest()
+    {
+        m_settings.nodeId = "n1";
+        m_storeConnection.emplace(m_loop.runtime(), m_store.start());
+        m_watcher.emplace(m_loop.runtime(), m_storeConnection->store, m_client, m_objectCodec, m_tables, m_settings, m_random, m_metrics);
+    }
+
+    std::uint64_t refusedEntries() { return m_metrics.counter("hyssopstep_server_entries_refused_total").value(); }
+
+    Edge::EdgeTables m_tables { m_loop.runtime() };
+    Edge::EdgeSettings m_settings;
+    HTTP::Client m_client { m_loop.runtime(), {} };
+    Core::Random m_random { 1 };
+    Core::Metrics m_metrics;
+    std::optional<Edge::StoreWatcher> m_watcher;
+};
+
+}
+
+// Guards against an odd entry that is skipped in silence, or logged with each list.
+TEST_F(LoneStoreWatcherTest, EachVersionOfAnEntryThatNamesNoServerIsLoggedOnce)
+{
+    m_store.put("servers", "odd1", "null");
+    m_store.put("servers", "odd2", std::string(100'000, '[') + std::string(100'000, ']'));
+    m_watcher->start();
+    waitFor([&] { return refusedEntries() == 2; });
+    std::size_t cut = 0;
+    for (int i = 0; i < 2; ++i) {
+        waitFor([&] { return m_store.watches >= cut + 2; });
+        cut = m_store.watches;
+        auto const lists = m_store.calls - m_store.watches;
+        m_store.cutWatches();
+        waitFor([&] { return m_store.calls - m_store.watches >= lists + 2; });
+        EXPECT_EQ(refusedEntries(), 2u);
+    }
+    m_store.put("servers", "odd1", "7");
+    waitFor([&] { return refusedEntries() == 3; });
+    m_store.put("servers", "sound", R"({"service":"app","address":"127.0.0.1:9","zone":"a","slots":6,"state":"ready","seq":1})");
+    waitFor([&] { return m_tables.servers.rows.size() == 1; });
+    EXPECT_EQ(refusedEntries(), 3u);
+}
+
+// Guards against entries in a peer's list whose numbers are taken for others, and a peer that is asked for a broken list again and again.
+TEST_F(LoneStoreWatcherTest, OddListsOfAPeerNameNoServerAndCountAsFailures)
+{
+    auto const entry = [](std::string const& id, std::string const& address, std::string const& slots) {
+        return R"({"id":")" + id + R"(","address":")" + address + R"(","service":"app","version":"v","dataCentre":"a","incarnation":1,"leaving":false,"reclaimable":false,"slots":)" + slots + "}";
+    };
+    std::string const entries = entry("s1", "127.0.0.1:9", "6") + "," + entry("s2", "127.0.0.1:9", "4294967302") + "," + entry("s3", "127.0.0.1:9", "-1") + "," + entry("s4", "127.0.0.1:9", "1e308") + "," + entry("s5", "127.0.0.1:0", "6")
+        + "," + entry("s6", "127.0.0.1:70000", "6") + "," + entry("s7", "127.0.0.1:9", "null") + "," + entry("s8", "127.0.0.1:9", R"("NaN")") + ",null";
+    std::string list = R"({"era":0,"revision":10,"servers":[)" + entries + "]}";
+    RawServer peer(m_loop.runtime(), [&](auto const&) { return Reply { "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(list.size()) + "\r\n\r\n" + list }; });
+    auto endpoint = peer.endpoint();
+    --endpoint.port;
+    m_store.forcedStatus = 503;
+    m_watcher->start();
+    auto const report = [&](std::uint64_t revision) {
+        Forward::NodeReport const report { .node = "n2", .endpoint = endpoint.toString(), .serversRevision = { 0, revision } };
+        (void)Forward::mergeReport(m_tables.peers, report, 0, m_loop.runtime().now());
+        m_watcher->tick();
+    };
+    waitFor([&] {
+        report(10);
+        return !m_tables.servers.rows.empty();
+    });
+    ASSERT_EQ(m_tables.servers.rows.size(), 1u);
+    EXPECT_EQ(m_tables.servers.rows[0].id, "s1");
+    for (auto const& odd : { std::string(100'000, '['), std::string("7"), std::string(R"({"revision":1e308,"servers":[]})"), std::string(R"({"revision":11})") }) {
+        m_tables.peers.failedFetches.clear();
+        list = odd;
+        waitFor([&] {
+            report(11);
+            return m_tables.peers.failedFetches.contains("n2");
+        });
+        EXPECT_EQ(m_tables.serversRevision.number, 10u);
+    }
+}
