--- a/Tests/PlatformAdapter/HeaderCodecTest.cpp
+++ b/Tests/PlatformAdapter/HeaderCodecTest.cpp
@@ -59,8 +59,9 @@
         { "18446744073709551616", {} }, { "1e5", {} }, { "1e308", {} }, { "-1", {} }, { "NaN", {} }, { "0x10", {} }, { "1.", 1 }, { "1.5.5", {} }, { "", {} }, { std::string(8'000'000, '9'), {} } };
     for (auto const& [text, number] : rows) {
         SCOPED_TRACE(text.substr(0, 30));
+        auto const counts = std::string(text).append(",").append(text);
         auto const parts = std::string("a:").append(text).append(",b:1");
-        HTTP::Request const request { "GET", "/", { { "X-Hyssopstep-Deadline-Ms", text }, { "X-Hyssopstep-Token-Usage", text + "," + text }, { "X-Hyssopstep-Prompt-Prefix", parts } }, {} };
+        HTTP::Request const request { "GET", "/", { { "X-Hyssopstep-Deadline-Ms", text }, { "X-Hyssopstep-Token-Usage", counts }, { "X-Hyssopstep-Prompt-Prefix", parts } }, {} };
         auto const attributes = codec.decodeRequest(request);
         EXPECT_EQ(attributes.timeLeft.has_value(), number.has_value());
         if (attributes.timeLeft) {
