--- /dev/null
+++ b/review/stand-ins/Server.cpp
@@ -0,0 +1,90 @@
+#include "Net.h"
+
+// A backend server that follows the users' pages. The path of a request says how long it works: /stream/50x100/ANY sends 50 events, one each
+// 100 ms; /unsafe/300/ANY works for 300 ms.
+namespace Review {
+
+namespace {
+
+class Server {
+public:
+    Server(Record& record, std::string id)
+        : m_record(record)
+        , m_id(std::move(id))
+    {
+    }
+
+    void serve(Socket socket)
+    {
+        // The idle timeout that the Keep-Alive header states.
+        static constexpr auto idleTimeout = std::chrono::seconds(20);
+        while (auto const request = readRequest(socket, Clock::now() + idleTimeout)) {
+            auto const id = request->headers.find("X-Hyssopstep-Attempt-Id");
+            auto const echoed = "X-Hyssopstep-Attempt-Id: " + id + "\r\nKeep-Alive: timeout=20\r\n";
+            auto const expected = request->headers.find("X-Hyssopstep-Expect-Instance");
+            if (!expected.empty() && expected != m_id) {
+                if (!socket.write(responseText("421 Misdirected Request", echoed + "X-Hyssopstep-Instance-Id: " + m_id + "\r\n", "")))
+                    return;
+                continue;
+            }
+            auto const parts = splitList(request->path(), '/');
+            m_record.line("server " + m_id + " runs " + id + " " + request->target);
+            bool const isComplete = parts.at(1) == "stream" ? stream(socket, echoed, parts.at(2)) : work(socket, echoed, parts.at(2));
+            m_record.line("server " + m_id + (isComplete ? " finished " : " saw the connection end during ") + id);
+            if (!isComplete)
+                return;
+        }
+    }
+
+private:
+    [[nodiscard]] std::string sealed(std::string const& echoed) const { return echoed + "X-Hyssopstep-Server-Seal: " + m_id + ".seal\r\n"; }
+
+    // Returns false if the connection has ended meanwhile.
+    static bool pass(Socket const& socket, Milliseconds time)
+    {
+        static constexpr Milliseconds step { 10 };
+        auto const end = Clock::now() + time;
+        while (Clock::now() < end) {
+            if (socket.isClosedByPeer())
+                return false;
+            std::this_thread::sleep_for(std::min<Clock::duration>(step, end - Clock::now()));
+        }
+        return true;
+    }
+
+    [[nodiscard]] bool stream(Socket const& socket, std::string const& echoed, std::string const& plan) const
+    {
+        auto const sizes = splitList(plan, 'x');
+        auto const count = std::stoul(sizes.at(0));
+        Milliseconds const gap { std::stol(sizes.at(1)) };
+        if (!socket.write("HTTP/1.1 200 OK\r\n" + sealed(echoed) + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"))
+            return false;
+        for (std::size_t number = 1; number <= count; ++number) {
+            auto const event = "id: " + std::to_string(number) + "\ndata: token-" + std::to_string(number) + "\n\n";
+            if (!pass(socket, gap) || !socket.write(chunkOf(event)))
+                return false;
+        }
+        return socket.write("0\r\n\r\n");
+    }
+
+    [[nodiscard]] bool work(Socket const& socket, std::string const& echoed, std::string const& plan) const
+    {
+        return pass(socket, Milliseconds(std::stol(plan))) && socket.write(responseText("200 OK", sealed(echoed), "done"));
+    }
+
+    Record& m_record;
+    std::string m_id;
+};
+
+}
+
+// --listen=IP:PORT --record=FILE --id=ID
+int runServer(std::map<std::string, std::string> const& flags)
+{
+    Record record(flags.at("record"));
+    Server server(record, flags.at("id"));
+    acceptForever(listenOn(parseAddress(flags.at("listen"))), [&server](Socket socket) { server.serve(std::move(socket)); });
+    return 0;
+}
+
+}
