--- a/review/stand-ins/Clients.cpp
+++ b/review/stand-ins/Clients.cpp
@@ -12,7 +12,7 @@
     bool keepsConnection { false };
 };
 
-Answer send(Socket& socket, std::string const& target, std::string const& id, Milliseconds deadline)
+Answer send(Record& record, Socket& socket, std::string const& target, std::string const& id, Milliseconds deadline)
 {
     auto const end = Clock::now() + deadline;
     Answer answer;
@@ -21,6 +21,10 @@
     if (!head)
         return answer;
     answer.status = std::atoi(head->firstLine.c_str() + head->firstLine.find(' '));
+    if (!head->headers.find("Server-Leaving").empty()) {
+        auto const seal = head->headers.find("X-Hyssopstep-Server-Seal");
+        record.line({ "client sees ", id, " from leaving ", std::string_view(seal).substr(0, seal.find('.')) });
+    }
     std::string body;
     answer.isComplete = readBody(socket, head->headers, body, end);
     answer.keepsConnection = answer.isComplete && strcasecmp(head->headers.find("Connection").c_str(), "close") != 0;
@@ -50,13 +54,13 @@
             auto const firstTarget = "/stream/" + std::to_string(std::stoul(first.at(0)) + index * staggeredEvents) + "x" + first.at(1) + "/" + name;
             auto socket = connectTo(node);
             record.line({ name, " sends ", name, "-1 ", firstTarget });
-            auto const before = send(socket, firstTarget, name + "-1", deadline);
+            auto const before = send(record, socket, firstTarget, name + "-1", deadline);
             record.line({ name, " got ", name, "-1 status ", std::to_string(before.status), before.isComplete ? " complete" : " INCOMPLETE", before.keepsConnection ? ", connection kept" : ", connection to be closed" });
             if (!before.keepsConnection || socket.isClosedByPeer())
                 return;
             ++sent;
             record.line({ name, " sends ", name, "-2 /stream/", flags.at("second"), "/", name, " on the same connection" });
-            auto const answer = send(socket, "/stream/" + flags.at("second") + "/" + name, name + "-2", deadline);
+            auto const answer = send(record, socket, "/stream/" + flags.at("second") + "/" + name, name + "-2", deadline);
             record.line({ name, " got ", name, "-2 status ", std::to_string(answer.status), answer.isComplete ? " complete" : " INCOMPLETE" });
             if (answer.status == 200 && !answer.isComplete)
                 ++brokenOff;
@@ -68,4 +72,37 @@
     return 0;
 }
 
+// --node=IP:PORT --record=FILE --clients=N --seconds=S --targets=TARGET,... --deadlines-ms=MS,... Each client sends one request after the
+// other, on kept connections while it may, with a pause of 100 ms between them.
+int runSteadyClients(std::map<std::string, std::string> const& flags)
+{
+    static constexpr Milliseconds pause { 100 };
+    Record record(flags.at("record"));
+    auto const node = parseAddress(flags.at("node"));
+    auto const targets = splitList(flags.at("targets"), ',');
+    auto const deadlines = splitList(flags.at("deadlines-ms"), ',');
+    auto const end = Clock::now() + std::chrono::seconds(std::stol(flags.at("seconds")));
+    std::vector<std::thread> threads;
+    for (std::size_t index = 0; index < std::stoul(flags.at("clients")); ++index) {
+        threads.emplace_back([&, index] {
+            Socket socket;
+            for (std::size_t number = 0; Clock::now() < end; ++number) {
+                auto const kind = (index + number) % targets.size();
+                auto const id = "c" + std::to_string(index) + "-" + std::to_string(number);
+                if (!socket.isOpen() || socket.isClosedByPeer())
+                    socket = connectTo(node);
+                record.line({ "client sends ", id, " ", targets[kind] });
+                auto const answer = send(record, socket, targets[kind], id, Milliseconds(std::stol(deadlines[kind])));
+                record.line({ "client got ", id, " status ", std::to_string(answer.status), answer.isComplete ? " complete" : " INCOMPLETE" });
+                if (!answer.keepsConnection)
+                    socket.close();
+                std::this_thread::sleep_for(pause);
+            }
+        });
+    }
+    for (auto& thread : threads)
+        thread.join();
+    return 0;
+}
+
 }
--- a/review/stand-ins/Server.cpp
+++ b/review/stand-ins/Server.cpp
@@ -6,6 +6,9 @@
 
 namespace {
 
+// Set by SIGUSR1: the platform has announced that it takes the server's machine away.
+std::atomic<bool> isLeaving { false };
+
 class Server {
 public:
     Server(Record& record, std::string id)
@@ -14,6 +17,25 @@
     {
     }
 
+    // Reports `draining` to the store after the announcement, again and again until the store has accepted it.
+    void reportLeaving(Address const& store, std::string const& entry) const
+    {
+        static constexpr Milliseconds interval { 100 };
+        static constexpr Milliseconds answerTime { 500 };
+        while (!isLeaving)
+            std::this_thread::sleep_for(interval);
+        m_record.line("server " + m_id + " says that it is leaving");
+        auto const body = R"({"metadata":{"name":")" + m_id + R"("},"spec":)" + entry + "}";
+        while (true) {
+            auto socket = connectTo(store);
+            bool const isSent = socket.isOpen() && socket.write("PUT /hyssopstep/objects/servers/" + m_id + " HTTP/1.1\r\nHost: store\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
+            if (isSent && readHead(socket, Clock::now() + answerTime))
+                break;
+            std::this_thread::sleep_for(interval);
+        }
+        m_record.line("server " + m_id + " has reported to the store that it is draining");
+    }
+
     void serve(Socket socket)
     {
         // The idle timeout that the Keep-Alive header states.
@@ -37,7 +59,7 @@
     }
 
 private:
-    [[nodiscard]] std::string sealed(std::string const& echoed) const { return echoed + "X-Hyssopstep-Server-Seal: " + m_id + ".seal\r\n"; }
+    [[nodiscard]] std::string sealed(std::string const& echoed) const { return echoed + "X-Hyssopstep-Server-Seal: " + m_id + ".seal\r\n" + (isLeaving ? "Server-Leaving: 1\r\n" : ""); }
 
     // Returns false if the connection has ended meanwhile.
     static bool pass(Socket const& socket, Milliseconds time)
@@ -78,11 +100,15 @@
 
 }
 
-// --listen=IP:PORT --record=FILE --id=ID
+// --listen=IP:PORT --record=FILE --id=ID [--store=IP:PORT --draining-entry=JSON]. After SIGUSR1 its answers say that it is leaving, and it
+// reports the entry to the store.
 int runServer(std::map<std::string, std::string> const& flags)
 {
     Record record(flags.at("record"));
     Server server(record, flags.at("id"));
+    std::signal(SIGUSR1, [](int) { isLeaving = true; });
+    if (flags.contains("store"))
+        std::thread([&] { server.reportLeaving(parseAddress(flags.at("store")), flags.at("draining-entry")); }).detach();
     acceptForever(listenOn(parseAddress(flags.at("listen"))), [&server](Socket socket) { server.serve(std::move(socket)); });
     return 0;
 }
--- a/review/stand-ins/Store.cpp
+++ b/review/stand-ins/Store.cpp
@@ -150,7 +150,7 @@
 
 }
 
-// --listen=IP:PORT --record=FILE --config=FILE --servers=ID/SERVICE/IP:PORT/ZONE,...
+// --listen=IP:PORT --record=FILE --config=FILE --servers=ID/SERVICE/IP:PORT/ZONE[/SLOTS[/spot]],...
 int runStore(std::map<std::string, std::string> const& flags)
 {
     Record record(flags.at("record"));
@@ -158,7 +158,7 @@
     store.put("config", "main", readFile(flags.at("config")));
     for (auto const& entry : splitList(flags.at("servers"), ',')) {
         auto const parts = splitList(entry, '/');
-        store.put("servers", parts.at(0), R"({"service":")" + parts.at(1) + R"(","address":")" + parts.at(2) + R"(","zone":")" + parts.at(3) + R"(","version":"v1","slots":)" + (parts.size() > 4 ? parts.at(4) : "16") + R"(,"state":"ready","cold-left-ms":0,"seq":1,"born":)" + std::to_string(unixMilliseconds()) + "}");
+        store.put("servers", parts.at(0), R"({"service":")" + parts.at(1) + R"(","address":")" + parts.at(2) + R"(","zone":")" + parts.at(3) + R"(","version":"v1","slots":)" + (parts.size() > 4 ? parts.at(4) : "16") + R"(,"state":"ready","cold-left-ms":0,"seq":1,"spot":)" + (parts.size() > 5 ? "true" : "false") + R"(,"born":)" + std::to_string(unixMilliseconds()) + "}");
     }
     acceptForever(listenOn(parseAddress(flags.at("listen"))), [&store](Socket socket) {
         while (auto const request = readRequest(socket, Clock::now() + std::chrono::hours(1))) {
