--- a/review/stand-ins/Server.cpp
+++ b/review/stand-ins/Server.cpp
@@ -51,7 +51,7 @@
             }
             auto const parts = splitList(request->path(), '/');
             m_record.line("server " + m_id + " runs " + id + " " + request->target);
-            bool const isComplete = parts.at(1) == "stream" ? stream(socket, echoed, parts.at(2)) : work(socket, echoed, parts.at(2));
+            bool const isComplete = parts.at(1) == "stream" ? stream(socket, echoed, parts.at(2), std::strtoul(request->headers.find("Last-Event-Id").c_str(), nullptr, 10)) : work(socket, echoed, parts.at(2));
             m_record.line("server " + m_id + (isComplete ? " finished " : " saw the connection end during ") + id);
             if (!isComplete)
                 return;
@@ -74,14 +74,14 @@
         return true;
     }
 
-    [[nodiscard]] bool stream(Socket const& socket, std::string const& echoed, std::string const& plan) const
+    [[nodiscard]] bool stream(Socket const& socket, std::string const& echoed, std::string const& plan, std::size_t lastEvent) const
     {
         auto const sizes = splitList(plan, 'x');
         auto const count = std::stoul(sizes.at(0));
         Milliseconds const gap { std::stol(sizes.at(1)) };
         if (!socket.write("HTTP/1.1 200 OK\r\n" + sealed(echoed) + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"))
             return false;
-        for (std::size_t number = 1; number <= count; ++number) {
+        for (std::size_t number = lastEvent + 1; number <= count; ++number) {
             auto const event = "id: " + std::to_string(number) + "\ndata: token-" + std::to_string(number) + "\n\n";
             if (!pass(socket, gap) || !socket.write(chunkOf(event)))
                 return false;
