review: case 3, streams of a sound silent server are broken off

Tried: two sound servers are silent for 1.4 s, one of them is full; a node that got SIGHUP has six resumable streams at the other one.

Seen: the node asks the full server to continue them, closes the silent server's connections 250 ms later, is rejected, and breaks the streams off.

--- a/review/stand-ins/Clients.cpp
+++ b/review/stand-ins/Clients.cpp
@@ -72,7 +72,7 @@
     return 0;
 }
 
-// --node=IP:PORT --record=FILE --clients=N --seconds=S --targets=TARGET,... --deadlines-ms=MS,... Each client sends one request after the
+// --node=IP:PORT --record=FILE --clients=N --name=NAME --seconds=S --targets=TARGET,... --deadlines-ms=MS,... Each client sends one request after the
 // other, on kept connections while it may, with a pause of 100 ms between them.
 int runSteadyClients(std::map<std::string, std::string> const& flags)
 {
@@ -88,7 +88,7 @@
             Socket socket;
             for (std::size_t number = 0; Clock::now() < end; ++number) {
                 auto const kind = (index + number) % targets.size();
-                auto const id = "c" + std::to_string(index) + "-" + std::to_string(number);
+                auto const id = flags.at("name") + std::to_string(index) + "-" + std::to_string(number);
                 if (!socket.isOpen() || socket.isClosedByPeer())
                     socket = connectTo(node);
                 record.line({ "client sends ", id, " ", targets[kind] });
@@ -105,4 +105,31 @@
     return 0;
 }
 
+// --node=IP:PORT --record=FILE --clients=N --name=NAME --target=TARGET --deadline-ms=MS. Each client sends one request at the same time. Prints
+// how many were answered whole, and how many answers began and broke off.
+int runSingleRequests(std::map<std::string, std::string> const& flags)
+{
+    Record record(flags.at("record"));
+    auto const node = parseAddress(flags.at("node"));
+    auto const target = flags.at("target");
+    std::atomic<unsigned> complete { 0 };
+    std::atomic<unsigned> brokenOff { 0 };
+    std::vector<std::thread> threads;
+    for (std::size_t index = 0; index < std::stoul(flags.at("clients")); ++index) {
+        threads.emplace_back([&, index] {
+            auto const id = flags.at("name") + "-" + std::to_string(index);
+            auto socket = connectTo(node);
+            record.line({ "client sends ", id, " ", target });
+            auto const answer = send(record, socket, target, id, Milliseconds(std::stol(flags.at("deadline-ms"))));
+            record.line({ "client got ", id, " status ", std::to_string(answer.status), answer.isComplete ? " complete" : " INCOMPLETE" });
+            complete += answer.status == 200 && answer.isComplete ? 1 : 0;
+            brokenOff += answer.status == 200 && !answer.isComplete ? 1 : 0;
+        });
+    }
+    for (auto& thread : threads)
+        thread.join();
+    std::printf("%u %u\n", complete.load(), brokenOff.load());
+    return 0;
+}
+
 }
--- a/review/stand-ins/Net.h
+++ b/review/stand-ins/Net.h
@@ -364,6 +364,7 @@
 int runStore(std::map<std::string, std::string> const& flags);
 int runServer(std::map<std::string, std::string> const& flags);
 int runClients(std::map<std::string, std::string> const& flags);
+int runSingleRequests(std::map<std::string, std::string> const& flags);
 int runSteadyClients(std::map<std::string, std::string> const& flags);
 
 }
--- a/review/stand-ins/Server.cpp
+++ b/review/stand-ins/Server.cpp
@@ -1,7 +1,7 @@
 #include "Net.h"
 
-// A backend server that follows the users' pages. The path of a request says how long it works: /stream/50x100/ANY sends 50 events, one each
-// 100 ms; /unsafe/300/ANY works for 300 ms.
+// A backend server that follows the users' pages. The path of a request says how long it works: /unsafe/300/ANY works for 300 ms, and
+// /stream/50x100/ANY, or another first word, sends 50 events, one each 100 ms.
 namespace Review {
 
 namespace {
@@ -11,9 +11,11 @@
 
 class Server {
 public:
-    Server(Record& record, std::string id)
+    Server(Record& record, std::string id, std::size_t slots, std::size_t queue)
         : m_record(record)
         , m_id(std::move(id))
+        , m_slots(slots)
+        , m_queue(queue)
     {
     }
 
@@ -50,8 +52,15 @@
                 continue;
             }
             auto const parts = splitList(request->path(), '/');
+            if (!takeSlot(socket)) {
+                m_record.line("server " + m_id + " is full and rejects " + id);
+                if (!socket.write(responseText("503 Service Unavailable", echoed + "X-Hyssopstep-Not-Executed: 1\r\n", "")))
+                    return;
+                continue;
+            }
             m_record.line("server " + m_id + " runs " + id + " " + request->target);
-            bool const isComplete = parts.at(1) == "stream" ? stream(socket, echoed, parts.at(2), std::strtoul(request->headers.find("Last-Event-Id").c_str(), nullptr, 10)) : work(socket, echoed, parts.at(2));
+            bool const isComplete = parts.at(1) != "unsafe" ? stream(socket, echoed, parts.at(2), std::strtoul(request->headers.find("Last-Event-Id").c_str(), nullptr, 10)) : work(socket, echoed, parts.at(2));
+            --m_running;
             m_record.line("server " + m_id + (isComplete ? " finished " : " saw the connection end during ") + id);
             if (!isComplete)
                 return;
@@ -59,6 +68,23 @@
     }
 
 private:
+    // Waits for a slot if the queue has room. Returns false if it has none.
+    bool takeSlot(Socket const& socket)
+    {
+        std::unique_lock lock(m_mutex);
+        if (m_running >= m_slots && m_waiting >= m_queue)
+            return false;
+        ++m_waiting;
+        while (m_running >= m_slots && !socket.isClosedByPeer()) {
+            lock.unlock();
+            std::this_thread::sleep_for(Milliseconds(5));
+            lock.lock();
+        }
+        --m_waiting;
+        ++m_running;
+        return true;
+    }
+
     [[nodiscard]] std::string sealed(std::string const& echoed) const { return echoed + "X-Hyssopstep-Server-Seal: " + m_id + ".seal\r\n" + (isLeaving ? "Server-Leaving: 1\r\n" : ""); }
 
     // Returns false if the connection has ended meanwhile.
@@ -96,16 +122,22 @@
 
     Record& m_record;
     std::string m_id;
+    std::size_t m_slots;
+    std::size_t m_queue;
+    std::mutex m_mutex;
+    std::size_t m_waiting { 0 };
+    std::atomic<std::size_t> m_running { 0 };
 };
 
 }
 
-// --listen=IP:PORT --record=FILE --id=ID [--store=IP:PORT --draining-entry=JSON]. After SIGUSR1 its answers say that it is leaving, and it
+// --listen=IP:PORT --record=FILE --id=ID [--places=SLOTS+QUEUE] [--store=IP:PORT --draining-entry=JSON]. After SIGUSR1 its answers say that it is leaving, and it
 // reports the entry to the store.
 int runServer(std::map<std::string, std::string> const& flags)
 {
     Record record(flags.at("record"));
-    Server server(record, flags.at("id"));
+    auto const sizes = splitList(flags.contains("places") ? flags.at("places") : "128+24", '+');
+    Server server(record, flags.at("id"), std::stoul(sizes.at(0)), std::stoul(sizes.at(1)));
     std::signal(SIGUSR1, [](int) { isLeaving = true; });
     if (flags.contains("store"))
         std::thread([&] { server.reportLeaving(parseAddress(flags.at("store")), flags.at("draining-entry")); }).detach();
