RequestForwarder: Refuse requests that may outlast a planned stop

Cause: each request that was read was accepted as if the node went on, and cancelled at the end of the grace period, which was known when it arrived.

Change: the schedule of the stop is kept in the tables, and Forward::acceptsWhileDraining() decides when the whole request has been read. The connection is not closed without an answer instead, since that would not tell the client that it may repeat a non-idempotent request.

The tests' event loop goes on when a service under test stops it.

--- a/Services/Edge/DutyRunner.cpp
+++ b/Services/Edge/DutyRunner.cpp
@@ -116,7 +116,7 @@
         bool const isHeldElsewhere = Forward::areDutiesHeldElsewhere(m_tables.peers, now);
         // The others would only add calls to the store, and in a large deployment lack the usage counts.
         bool const isCandidate = Forward::shouldWatchStore(m_tables.peers, m_settings.nodeId, m_settings.dataCentre, now);
-        if (isCandidate && !isHeldElsewhere && !m_tables.isDraining && now - m_acquireAttemptedAt >= acquireInterval) {
+        if (isCandidate && !isHeldElsewhere && !m_tables.isDraining() && now - m_acquireAttemptedAt >= acquireInterval) {
             m_acquireAttemptedAt = now;
             m_renewedAt = now;
             (void)co_await m_lease.acquire(now + callTimeout, error);
--- a/Services/Edge/EdgeService.cpp
+++ b/Services/Edge/EdgeService.cpp
@@ -33,6 +33,9 @@
 // The platform limits a process to 4,100 descriptors, 200 of them for files; the remainder is for servers, peers and the store.
 static constexpr std::size_t maximumClientConnections = 3000;
 
+// The part of the grace period of a planned stop that is reserved for the last responses and the exit.
+static constexpr Core::Duration exitMargin = 500ms;
+
 static std::uint64_t startUnixMilliseconds(Core::Runtime const& runtime)
 {
     return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(runtime.wallNow().time_since_epoch()).count());
@@ -105,7 +108,7 @@
 
 bool EdgeService::isReady() const
 {
-    return m_tables.isUsable() && !m_tables.isDraining;
+    return m_tables.isUsable() && !m_tables.isDraining();
 }
 
 Core::Awaitable<void> EdgeService::handleReadyRequest(HTTP::Request const& request, HTTP::ResponseWriter& writer)
@@ -200,7 +203,7 @@
         if (evidence.soundAt)
             suspect.soundAge = ageOf(*evidence.soundAt);
     }
-    report.isLeaving = m_tables.isDraining;
+    report.isLeaving = m_tables.isDraining();
     report.watchesStore = m_storeWatcher.isWatchingStore();
     report.interval = Forward::spreadInterval(m_tables.peers);
     report.processorShare = static_cast<float>(m_settings.processorShare);
@@ -260,31 +263,29 @@
 
 void EdgeService::drain()
 {
-    if (std::exchange(m_tables.isDraining, true))
+    if (m_tables.isDraining())
         return;
+    // The platform takes a node out of rotation after two failed checks, at one check per second.
+    static constexpr Core::Duration readinessPropagationTime = 2500ms;
+    auto const startedAt = m_runtime.now();
+    // With a short grace period, half of it is left for requests that arrive during the intake period.
+    m_tables.drain = { .intakeEnd = startedAt + std::min<Core::Duration>(readinessPropagationTime, m_settings.gracePeriod / 2), .end = startedAt + m_settings.gracePeriod - exitMargin };
     Core::logEvent(Core::LogLevel::Info, "draining", { { "requests", std::uint64_t(m_forwarder.requestsInProgress()) } });
-    m_runtime.spawn(runDrain());
+    m_runtime.spawn(runDrain(*m_tables.drain));
 }
 
-Core::Awaitable<void> EdgeService::runDrain()
+Core::Awaitable<void> EdgeService::runDrain(Forward::DrainSchedule schedule)
 {
-    // The platform takes a node out of rotation after two failed checks, at one check per second.
-    static constexpr Core::Duration readinessPropagationTime = 2500ms;
-    // The part of the grace period reserved for the last responses and the exit.
-    static constexpr Core::Duration exitMargin = 500ms;
-    auto const startedAt = m_runtime.now();
-    auto const end = startedAt + m_settings.gracePeriod - exitMargin;
     m_clientServer.closeAfterResponses();
     m_peerExchange.broadcastReport();
     if (m_dutyRunner)
         co_await m_dutyRunner->stop();
-    // With a short grace period, half of it is left for requests that arrive during this wait.
-    co_await m_runtime.sleepUntil(startedAt + std::min<Core::Duration>(readinessPropagationTime, m_settings.gracePeriod / 2));
+    co_await m_runtime.sleepUntil(schedule.intakeEnd);
     m_clientServer.stopAccepting();
-    bool const isDrained = co_await m_clientServer.waitUntilDrained(end);
+    bool const isDrained = co_await m_clientServer.waitUntilDrained(schedule.end);
     if (!isDrained) {
         m_forwarder.cancelAll();
-        (void)co_await m_clientServer.waitUntilDrained(end + exitMargin / 2);
+        (void)co_await m_clientServer.waitUntilDrained(schedule.end + exitMargin / 2);
     }
     Core::logEvent(Core::LogLevel::Info, "stopped", { { "unfinished", isDrained ? "no" : "yes" } });
     m_runtime.context().stop();
--- a/Services/Edge/EdgeService.h
+++ b/Services/Edge/EdgeService.h
@@ -48,7 +48,7 @@
     [[nodiscard]] Core::Awaitable<void> handlePeerRequest(HTTP::Request const&, HTTP::ResponseWriter&);
     [[nodiscard]] Core::Awaitable<void> handleMetricsRequest(HTTP::Request const&, HTTP::ResponseWriter&);
     [[nodiscard]] Core::Awaitable<void> runTicks();
-    [[nodiscard]] Core::Awaitable<void> runDrain();
+    [[nodiscard]] Core::Awaitable<void> runDrain(Forward::DrainSchedule);
     [[nodiscard]] Forward::NodeReport buildReport();
     [[nodiscard]] bool isReady() const;
     void tick();
--- a/Services/Edge/EdgeTables.h
+++ b/Services/Edge/EdgeTables.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibForward/DrainPolicy.h>
 #include <LibForward/PeerTable.h>
 #include <LibForward/RouteTable.h>
 #include <LibForward/ServerDirectory.h>
@@ -12,6 +13,7 @@
 #include <LibRouting/ServerTable.h>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -49,7 +51,10 @@
     std::map<std::string, Limits::RetryBudget> retryBudgets;
     /// Fingerprints of the requests in progress by server id; identifies the suspects when a server crashes.
     std::multimap<std::string, Limits::RequestFingerprint> runningByServer;
-    bool isDraining { false };
+    /// Set once a planned stop has begun.
+    std::optional<Forward::DrainSchedule> drain;
+
+    [[nodiscard]] bool isDraining() const { return drain.has_value(); }
 };
 
 /// The source is "own" or the node whose report decided.
--- a/Services/Edge/RequestForwarder.cpp
+++ b/Services/Edge/RequestForwarder.cpp
@@ -199,6 +199,12 @@
         return Core::fail(error, ErrorKind::InvalidRequest, "the request has no attempt id"), false;
     auto const timeLeft = std::min(context.attributes.timeLeft.value_or(context.route->timeout), context.route->timeout);
     context.deadline = context.arrivedAt + timeLeft;
+    if (tables.drain && !Forward::acceptsWhileDraining(*tables.drain, context.deadline, now)) {
+        Core::fail(error, ErrorKind::Draining, "the node stops in " + std::to_string(toMilliseconds(tables.drain->end - now).count()) + " ms, the request may take " + std::to_string(toMilliseconds(context.deadline - now).count()) + " ms");
+        // Another node can serve the request at once.
+        error.retryAfter = minimumRetryAfter;
+        return false;
+    }
     context.service = Forward::chooseService(*context.route, m_dependencies.random.unit());
     context.fingerprint = fingerprintOf(context.request, context.team ? context.team->name : std::string());
     hashSharedPrefix(context.attributes.prompt, context.sharedPrefixHash, context.sharedTokens);
--- a/Tests/Support/BlockingCall.h
+++ b/Tests/Support/BlockingCall.h
@@ -28,9 +28,12 @@
     {
         Outcome<T> outcome;
         m_runtime.spawn(store(std::move(task), outcome));
-        m_context.restart();
-        while (!outcome.result && !outcome.exception)
+        while (!outcome.result && !outcome.exception) {
+            // A service that has drained stops the loop.
+            if (m_context.stopped())
+                m_context.restart();
             m_context.run_one();
+        }
         if (outcome.exception)
             std::rethrow_exception(outcome.exception);
         return std::move(*outcome.result);
