EdgeService: Close the connections of unread responses at the end of a stop

A client that does not read its response keeps the request in progress past the end of a planned stop: the cancellation ends what waits for a server, not a write. The process then destroys the tables before the request that uses them. Seen as "double free detected" when a test fixture was destroyed with a stream in progress; not seen in a process.

Change: connections that are left 250 ms after the cancellation are closed, and the process ends once their handlers have returned.

PlannedStopTest.ResponseToAClientThatDoesNotReadEndsWithTheGracePeriod failed before: 3.9 s after the begin of a grace period of 3 s the request was still in progress; now it ends within it. Aborting each started stream at the cancellation was ruled out, since responses that are just being sent have 250 ms more.

--- a/Services/Edge/EdgeService.cpp
+++ b/Services/Edge/EdgeService.cpp
@@ -285,7 +285,13 @@
     bool const isDrained = co_await m_clientServer.waitUntilDrained(schedule.end);
     if (!isDrained) {
         m_forwarder.cancelAll();
-        (void)co_await m_clientServer.waitUntilDrained(schedule.end + exitMargin / 2);
+        bool const hasEnded = co_await m_clientServer.waitUntilDrained(schedule.end + exitMargin / 2);
+        if (!hasEnded) {
+            // Ends writes to clients that do not read. No handler may outlive what it uses.
+            Core::logEvent(Core::LogLevel::Warning, "client_connections_closed", { { "requests", std::uint64_t(m_clientServer.requestsInProgress()) } });
+            m_clientServer.closeAllConnections();
+            (void)co_await m_clientServer.waitUntilDrained(schedule.end + exitMargin);
+        }
     }
     Core::logEvent(Core::LogLevel::Info, "stopped", { { "unfinished", isDrained ? "no" : "yes" } });
     m_runtime.context().stop();
--- a/Tests/EdgeService/PlannedStopTest.cpp
+++ b/Tests/EdgeService/PlannedStopTest.cpp
@@ -43,15 +43,16 @@
         co_return received;
     }
 
-    static Core::Awaitable<void> send(tcp::socket& socket, std::string bytes)
+    static Core::Awaitable<bool> send(tcp::socket& socket, std::string bytes)
     {
-        (void)co_await asio::async_write(socket, asio::buffer(bytes), useTuple);
+        auto [error, length] = co_await asio::async_write(socket, asio::buffer(bytes), useTuple);
+        co_return !error;
     }
 
     // Begins a stream on a connection that the node promises to keep open, and a planned stop.
     Core::Awaitable<void> beginStreamAndStop(tcp::socket& kept)
     {
-        co_await send(kept, request("/stream/1", "first", "POST"));
+        (void)co_await send(kept, request("/stream/1", "first", "POST"));
         auto const head = co_await receiveUntil(kept, chunk(event(1)));
         EXPECT_EQ(head.find("Connection: close"), std::string::npos);
         m_service->drain();
@@ -64,7 +65,7 @@
         co_await beginStreamAndStop(kept);
         auto const rest = co_await receiveUntil(kept, "0\r\n\r\n");
         EXPECT_TRUE(rest.ends_with("0\r\n\r\n")) << rest;
-        co_await send(kept, std::move(bytes));
+        (void)co_await send(kept, std::move(bytes));
         co_return co_await receiveUntil(kept, "\r\n\r\n");
     }
 
@@ -78,14 +79,14 @@
     {
         auto kept = connect();
         auto slow = connect();
-        co_await send(slow, request("/stream/2", "slow", "POST", "Content-Length: 4\r\n") + "bo");
+        (void)co_await send(slow, request("/stream/2", "slow", "POST", "Content-Length: 4\r\n") + "bo");
         co_await beginStreamAndStop(kept);
         auto const stopAt = m_loop.runtime().now();
         co_await m_loop.runtime().sleepUntil(stopAt + 1400ms);
         auto late = connect();
         co_await m_loop.runtime().sleepUntil(stopAt + 1700ms);
-        co_await send(slow, "dy");
-        co_await send(late, request("/stream/3", "late", "POST"));
+        (void)co_await send(slow, "dy");
+        (void)co_await send(late, request("/stream/3", "late", "POST"));
         LateResponses responses;
         responses.slowBody = co_await receiveUntil(slow, "\r\n\r\n");
         responses.newConnection = co_await receiveUntil(late, "\r\n\r\n");
@@ -128,3 +129,28 @@
     expectRefusedWithoutBeingSent(responses.slowBody, "slow");
     expectRefusedWithoutBeingSent(responses.newConnection, "late");
 }
+
+// Guards against a process that ends while a response is still being written, to a client that does not read: what the response uses would
+// be destroyed before it.
+TEST_F(PlannedStopTest, ResponseToAClientThatDoesNotReadEndsWithTheGracePeriod)
+{
+    // More than the buffers of both sockets hold.
+    static constexpr int events = 200'000;
+    addServer([](auto const& request) {
+        std::string body;
+        for (int id = 1; id <= events; ++id)
+            body += "id: " + std::to_string(id) + "\ndata: 0123456789012345678901234567890123456789\n\n";
+        return Reply { streamHead(attemptIdOf(request)) + chunk(body) };
+    });
+    waitFor([&] { return isLive("s2"); });
+    putServerState("s1", "draining");
+    waitFor([&] { return !isLive("s1"); });
+    auto client = connect();
+    ASSERT_TRUE(m_loop.run(send(client, request("/stream/1", "unread", "POST"))));
+    auto const isInProgress = [&] { return Routing::findServer(std::as_const(m_service->tables().servers), "s2")->outstanding > 0; };
+    waitFor(isInProgress);
+    auto const stopAt = m_loop.runtime().now();
+    m_service->drain();
+    waitFor([&] { return !isInProgress(); });
+    EXPECT_LT(m_loop.runtime().now() - stopAt, m_service->settings().gracePeriod);
+}
