RequestForwarder: Heed a server's own statement that it is leaving

Cause: the header Server-Leaving was not decoded; a node learned of a leaving server from the store or a peer's list only.

It stays out of use when its entry is removed and registered again or comes from a restored store; a new incarnation is used. A refusal by another process at the address (421) is not taken for the server's.

Ruled out: taking servers out of use while the store is silent, which would refuse what sound servers can run.

--- a/Libraries/LibForward/RequestCodec.h
+++ b/Libraries/LibForward/RequestCodec.h
@@ -77,6 +77,8 @@
     std::optional<ServerLoad> load;
     /// Whether clients take the status as a promise that the request was not executed and never will be.
     bool hasRefusalStatus { false };
+    /// Whether the server that responded states that it is leaving. It runs the requests that it has accepted, but wants no new ones.
+    bool isServerLeaving { false };
     /// Whether another process than the intended server listens at the address, and refused the request.
     bool isFromOtherServer { false };
 
--- a/Libraries/LibForward/ServerDirectory.cpp
+++ b/Libraries/LibForward/ServerDirectory.cpp
@@ -100,6 +100,22 @@
     }
 }
 
+bool recordLeaving(ServerDirectory& directory, std::string const& id, std::uint64_t incarnation)
+{
+    bool isNew = false;
+    auto const record = [&](Routing::ListedServer& server) {
+        if (server.incarnation != incarnation)
+            return;
+        isNew = isNew || server.lifecycle != Routing::Lifecycle::Leaving;
+        server.lifecycle = Routing::Lifecycle::Leaving;
+    };
+    if (auto const entry = directory.entries.find(id); entry != directory.entries.end())
+        record(entry->second.server);
+    if (auto const departure = directory.departures.find(id); departure != directory.departures.end())
+        record(departure->second.server);
+    return isNew;
+}
+
 void mergeServers(ServerDirectory& directory, std::vector<Routing::ListedServer> const& servers, Core::StoreRevision listRevision, Core::MonotonicTime now)
 {
     if (directory.era != listRevision.era && !directory.entries.empty())
--- a/Libraries/LibForward/ServerDirectory.h
+++ b/Libraries/LibForward/ServerDirectory.h
@@ -62,6 +62,10 @@
 /// Marks an entry as removed.
 void unregisterServer(ServerDirectory&, std::string const& id, Core::MonotonicTime now);
 
+/// Records that a server itself stated that it is leaving, which may be known before its entry says so. Its incarnation stays so, also if its
+/// entry is removed and read again. Has no effect on another incarnation. Returns whether it was not known to be leaving.
+bool recordLeaving(ServerDirectory&, std::string const& id, std::uint64_t incarnation);
+
 /// Merges a list of the registered entries as of a revision: registers them, and marks entries that it lacks as removed at this time unless
 /// they changed after it. The list of a peer may also lack changes that the peer's watch missed. A list of a later era follows an outage of
 /// the store. Precondition: the list is not of an earlier era.
--- a/Services/Edge/RequestForwarder.cpp
+++ b/Services/Edge/RequestForwarder.cpp
@@ -396,8 +396,10 @@
         bool const isIdentified = !attempt->attributes.attemptId.empty();
         if (!attempt->attributes.isNotExecuted || !isIdentified)
             ++context.possibleExecutions;
-        if (isIdentified)
+        if (isIdentified) {
             recordWhoAnswered(*attempt);
+            recordLeavingServer(context, *attempt);
+        }
         bool const isStream = context.route->kind == RequestKind::Stream && isEventStream(*attempt->stream);
         attempt->stallsAt = m_dependencies.runtime.now() + maximumEventGap;
         attempt->eventsBefore = context.events.eventCount();
@@ -599,6 +601,18 @@
         Core::logEvent(Core::LogLevel::Info, "server_absent", { { "server", placement.serverId }, { "address", placement.endpoint.toString() }, { "revision", placement.revision.toString() } });
 }
 
+void RequestForwarder::recordLeavingServer(RequestContext const& context, Attempt const& attempt)
+{
+    if (!attempt.attributes.isServerLeaving || attempt.attributes.isFromOtherServer)
+        return;
+    auto& tables = m_dependencies.tables;
+    auto const& placement = attempt.placement;
+    bool const isNewInDirectory = Forward::recordLeaving(tables.directory, placement.serverId, placement.incarnation);
+    bool const isNewInTable = Routing::markLeaving(tables.servers, placement.serverId, placement.incarnation);
+    if (isNewInDirectory || isNewInTable)
+        Core::logEvent(Core::LogLevel::Info, "server_leaving", { { "server", placement.serverId }, { "request", context.attributes.attemptId }, { "entry_revision", placement.revision.toString() }, { "servers_revision", tables.serversRevision.toString() } });
+}
+
 // The connection of the request ended. Servers and networks also reset single connections; a server that crashed refuses new ones.
 Core::Awaitable<void> RequestForwarder::recordCrashIfServerIsGone(RequestContext const& context, Attempt const& attempt)
 {
--- a/Services/Edge/RequestForwarder.h
+++ b/Services/Edge/RequestForwarder.h
@@ -74,6 +74,8 @@
     void recordRequestStart(RequestContext&);
     /// Precondition: the answer has the id of the request.
     void recordWhoAnswered(Attempt const&);
+    /// Takes a server out of use that states in a response that it is leaving. Precondition: the answer has the id of the request.
+    void recordLeavingServer(RequestContext const&, Attempt const&);
     void recordOutcome(RequestContext&, Attempt const&, Forward::AttemptOutcome);
     void logRequest(RequestContext const&) const;
 
--- a/Tests/EdgeService/EdgeServiceFixture.h
+++ b/Tests/EdgeService/EdgeServiceFixture.h
@@ -99,10 +99,11 @@
         return server;
     }
 
-    void putServerState(std::string const& id, std::string const& state)
+    // The entry has no time of birth if that is 0.
+    void putServerState(std::string const& id, std::string const& state, std::uint64_t born = 0)
     {
         auto const& server = *m_servers.at(std::stoul(id.substr(1)) - 1);
-        m_store.put("servers", id, R"({"service":"app","address":")" + server.endpoint().toString() + R"(","zone":"a","version":"v1","slots":6,"state":")" + state + R"(","seq":1})");
+        m_store.put("servers", id, R"({"service":"app","address":")" + server.endpoint().toString() + R"(","zone":"a","version":"v1","slots":6,"state":")" + state + R"(","seq":1)" + (born ? R"(,"born":)" + std::to_string(born) : "") + "}");
     }
 
     bool isLive(std::string const& id)
--- a/Tests/LibForward/ServerDirectoryTest.cpp
+++ b/Tests/LibForward/ServerDirectoryTest.cpp
@@ -222,3 +222,23 @@
     Forward::mergeServers(m_directory, { entry({ 2, 10 }, 1000) }, { 2, 20 }, m_now);
     EXPECT_EQ(m_directory.entries.at("s1").server.incarnation, 2000u);
 }
+
+// Guards against a server that stated that it is leaving and is used again: after an outage of the store in which its entry expired, or because
+// of the statement of an earlier incarnation.
+TEST_F(ServerDirectoryTest, StatementToLeaveHoldsForItsIncarnationOnly)
+{
+    Routing::ListedServer const server { .id = "s0", .service = "model", .incarnation = 10 };
+    Forward::registerServer(m_directory, server, m_now);
+    EXPECT_FALSE(Forward::recordLeaving(m_directory, "s0", 9));
+    EXPECT_FALSE(Forward::recordLeaving(m_directory, "unknown", 10));
+    EXPECT_EQ(m_directory.entries.at("s0").server.lifecycle, Routing::Lifecycle::Live);
+    EXPECT_TRUE(Forward::recordLeaving(m_directory, "s0", 10));
+    EXPECT_FALSE(Forward::recordLeaving(m_directory, "s0", 10));
+    Forward::recordStoreOutage(m_directory, m_now);
+    Forward::unregisterServer(m_directory, "s0", m_now);
+    EXPECT_EQ(inUse(), 5u);
+    Forward::registerServer(m_directory, server, m_now);
+    EXPECT_EQ(m_directory.entries.at("s0").server.lifecycle, Routing::Lifecycle::Leaving);
+    Forward::registerServer(m_directory, { .id = "s0", .service = "model", .incarnation = 11 }, m_now);
+    EXPECT_EQ(m_directory.entries.at("s0").server.lifecycle, Routing::Lifecycle::Live);
+}
