LibForward: Report servers that state that they are leaving

A node that has not sent a leaving server a request since it began to leave does not know of it while the store is silent, and may send it one just before it is gone. The rule binds only the node that has seen the statement; the caller's work is lost either way.

Change: reports name such servers by the hash of their id and their incarnation, 32 at the most, until the store's entry says the same or is gone. A node passes on what it hears, so that sums carry it too. The mark is one-way for an incarnation, so that late and repeated reports do no harm; entries without a time of birth are not reported.

LeavingServerTest.GetsNoNewRequestsAfterTheReportOfAnotherNode failed with the merge taken out (waits in vain for the server to be out of use).

--- a/Libraries/LibForward/NodeReport.capnp
+++ b/Libraries/LibForward/NodeReport.capnp
@@ -58,6 +58,12 @@
     otherCrashes @4 :List(PartCrash);
 }
 
+struct LeavingServer {
+    # XXH3 hash of the server's id.
+    server @0 :UInt64;
+    incarnation @1 :UInt64;
+}
+
 struct NodeContact {
     node @0 :Text;
     dataCentre @1 :Text;
@@ -117,4 +123,6 @@
     suspectParts @24 :List(SuspectPart);
     # The era of serversRevision.
     serversEra @25 :UInt64;
+    # Servers that stated that they are leaving, and whose entries do not say so. Also in brief reports.
+    leavingServers @26 :List(LeavingServer);
 }
--- a/Libraries/LibForward/NodeReport.capnp.h
+++ b/Libraries/LibForward/NodeReport.capnp.h
@@ -23,6 +23,7 @@
 CAPNP_DECLARE_SCHEMA(92f1cf483f708845);
 CAPNP_DECLARE_SCHEMA(c267006d9d80ad32);
 CAPNP_DECLARE_SCHEMA(be04872d23276574);
+CAPNP_DECLARE_SCHEMA(93223d1dced62d94);
 CAPNP_DECLARE_SCHEMA(8ff60be171f65749);
 CAPNP_DECLARE_SCHEMA(ae287fdf6ab6901d);
 CAPNP_DECLARE_SCHEMA(ed7c76fa7fab3940);
@@ -144,6 +145,21 @@
   };
 };
 
+struct LeavingServer {
+  LeavingServer() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(93223d1dced62d94, 2, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct NodeContact {
   NodeContact() = delete;
 
@@ -169,7 +185,7 @@
 
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ae287fdf6ab6901d, 7, 13)
+    CAPNP_DECLARE_STRUCT_HEADER(ae287fdf6ab6901d, 7, 14)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -795,6 +811,87 @@
 };
 #endif  // !CAPNP_LITE
 
+class LeavingServer::Reader {
+public:
+  typedef LeavingServer Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getServer() const;
+
+  inline  ::uint64_t getIncarnation() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class LeavingServer::Builder {
+public:
+  typedef LeavingServer Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getServer();
+  inline void setServer( ::uint64_t value);
+
+  inline  ::uint64_t getIncarnation();
+  inline void setIncarnation( ::uint64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class LeavingServer::Pipeline {
+public:
+  typedef LeavingServer Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class NodeContact::Reader {
 public:
   typedef NodeContact Reads;
@@ -1003,6 +1100,9 @@
 
   inline  ::uint64_t getServersEra() const;
 
+  inline bool hasLeavingServers() const;
+  inline  ::capnp::List< ::Forward::wire::LeavingServer,  ::capnp::Kind::STRUCT>::Reader getLeavingServers() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1164,6 +1264,13 @@
   inline  ::uint64_t getServersEra();
   inline void setServersEra( ::uint64_t value);
 
+  inline bool hasLeavingServers();
+  inline  ::capnp::List< ::Forward::wire::LeavingServer,  ::capnp::Kind::STRUCT>::Builder getLeavingServers();
+  inline void setLeavingServers( ::capnp::List< ::Forward::wire::LeavingServer,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::Forward::wire::LeavingServer,  ::capnp::Kind::STRUCT>::Builder initLeavingServers(unsigned int size);
+  inline void adoptLeavingServers(::capnp::Orphan< ::capnp::List< ::Forward::wire::LeavingServer,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::Forward::wire::LeavingServer,  ::capnp::Kind::STRUCT>> disownLeavingServers();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1558,6 +1665,34 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t LeavingServer::Reader::getServer() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t LeavingServer::Builder::getServer() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void LeavingServer::Builder::setServer( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t LeavingServer::Reader::getIncarnation() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t LeavingServer::Builder::getIncarnation() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void LeavingServer::Builder::setIncarnation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool NodeContact::Reader::hasNode() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -2366,6 +2501,40 @@
       ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool NodeReport::Reader::hasLeavingServers() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<13>() * ::capnp::POINTERS).isNull();
+}
+inline bool NodeReport::Builder::hasLeavingServers() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<13>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::Forward::wire::LeavingServer,  ::capnp::Kind::STRUCT>::Reader NodeReport::Reader::getLeavingServers() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Forward::wire::LeavingServer,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<13>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::Forward::wire::LeavingServer,  ::capnp::Kind::STRUCT>::Builder NodeReport::Builder::getLeavingServers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Forward::wire::LeavingServer,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<13>() * ::capnp::POINTERS));
+}
+inline void NodeReport::Builder::setLeavingServers( ::capnp::List< ::Forward::wire::LeavingServer,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Forward::wire::LeavingServer,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<13>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::Forward::wire::LeavingServer,  ::capnp::Kind::STRUCT>::Builder NodeReport::Builder::initLeavingServers(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Forward::wire::LeavingServer,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<13>() * ::capnp::POINTERS), size);
+}
+inline void NodeReport::Builder::adoptLeavingServers(
+    ::capnp::Orphan< ::capnp::List< ::Forward::wire::LeavingServer,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Forward::wire::LeavingServer,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<13>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::Forward::wire::LeavingServer,  ::capnp::Kind::STRUCT>> NodeReport::Builder::disownLeavingServers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Forward::wire::LeavingServer,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<13>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 
--- a/Libraries/LibForward/NodeReport.cpp
+++ b/Libraries/LibForward/NodeReport.cpp
@@ -154,6 +154,11 @@
     for (unsigned i = 0; i < quarantined.size(); ++i)
         quarantined.set(i, report.quarantined[i]);
     encodeSuspects(report.suspectParts, root.initSuspectParts(static_cast<unsigned>(report.suspectParts.size())));
+    auto leaving = root.initLeavingServers(static_cast<unsigned>(report.leavingServers.size()));
+    for (unsigned i = 0; i < leaving.size(); ++i) {
+        leaving[i].setServer(report.leavingServers[i].server);
+        leaving[i].setIncarnation(report.leavingServers[i].incarnation);
+    }
     root.setScope(static_cast<wire::NodeReport::Scope>(report.scope));
     root.setNodes(report.nodes);
     root.setProcessorShare(report.processorShare);
@@ -199,6 +204,8 @@
     for (auto const fingerprint : root.getQuarantined())
         report.quarantined.push_back(fingerprint);
     report.suspectParts = suspectsFrom(root.getSuspectParts());
+    for (auto const server : root.getLeavingServers())
+        report.leavingServers.push_back({ server.getServer(), server.getIncarnation() });
     // A newer sender may use a scope that this version does not know.
     if (root.getScope() > wire::NodeReport::Scope::DEPLOYMENT)
         return {};
--- a/Libraries/LibForward/NodeReport.h
+++ b/Libraries/LibForward/NodeReport.h
@@ -69,6 +69,15 @@
     bool operator==(SuspectPartReport const&) const = default;
 };
 
+/// A server that stated that it is leaving. Never true of another incarnation.
+struct LeavingServer {
+    /// hashId() of the server's id.
+    std::uint64_t server { 0 };
+    std::uint64_t incarnation { 0 };
+
+    bool operator==(LeavingServer const&) const = default;
+};
+
 /// The state that nodes send to each other a few times a second.
 struct NodeReport {
     /// The sender.
@@ -93,6 +102,8 @@
     std::vector<std::uint64_t> quarantined;
     /// Prompt parts that may crash servers. Also in brief reports, since each crash counts until all nodes refuse such a part.
     std::vector<SuspectPartReport> suspectParts;
+    /// Servers whose entries do not say yet that they are leaving, known from their responses or from other nodes. Also in brief reports.
+    std::vector<LeavingServer> leavingServers;
     bool isLeaving { false };
     /// Whether a node in the scope holds the lease for the duties that only one node performs at a time.
     bool holdsDuties { false };
--- a/Libraries/LibForward/ServerDirectory.cpp
+++ b/Libraries/LibForward/ServerDirectory.cpp
@@ -61,6 +61,9 @@
 
 static void addEntry(ServerDirectory& directory, Routing::ListedServer server)
 {
+    auto const statement = directory.statements.find(server.id);
+    if (statement != directory.statements.end() && (server.lifecycle == Routing::Lifecycle::Leaving || statement->second != server.incarnation))
+        directory.statements.erase(statement);
     if (isLeaving(directory, server.id, server.incarnation))
         server.lifecycle = Routing::Lifecycle::Leaving;
     auto id = server.id;
@@ -113,9 +116,38 @@
         record(entry->second.server);
     if (auto const departure = directory.departures.find(id); departure != directory.departures.end())
         record(departure->second.server);
+    if (isNew)
+        directory.statements[id] = incarnation;
     return isNew;
 }
 
+std::vector<LeavingServer> leavingServersToReport(ServerDirectory const& directory)
+{
+    // A datagram also holds the loads and demands.
+    static constexpr std::size_t maximumReportedServers = 32;
+    std::vector<LeavingServer> servers;
+    for (auto const& [id, incarnation] : directory.statements) {
+        // Without a time of birth, another node may know a later incarnation by the same entry.
+        if (incarnation != 0 && servers.size() < maximumReportedServers)
+            servers.push_back({ hashId(id), incarnation });
+    }
+    return servers;
+}
+
+std::vector<std::string> mergeLeavingServers(ServerDirectory& directory, std::vector<LeavingServer> const& servers)
+{
+    std::vector<std::string> recorded;
+    if (servers.empty())
+        return recorded;
+    for (auto const& [id, entry] : directory.entries) {
+        auto const incarnation = entry.server.incarnation;
+        bool const isNamed = incarnation != 0 && std::find(servers.begin(), servers.end(), LeavingServer { hashId(id), incarnation }) != servers.end();
+        if (isNamed && recordLeaving(directory, id, incarnation))
+            recorded.push_back(id);
+    }
+    return recorded;
+}
+
 void mergeServers(ServerDirectory& directory, std::vector<Routing::ListedServer> const& servers, Core::StoreRevision listRevision, Core::MonotonicTime now)
 {
     if (directory.era != listRevision.era && !directory.entries.empty())
@@ -164,6 +196,7 @@
         auto const& entry = item.second;
         return entry.removedAt && now - *entry.removedAt >= removalGracePeriod && !mayHaveExpired(entry);
     });
+    std::erase_if(directory.statements, [&](auto const& item) { return !directory.entries.contains(item.first); });
     std::vector<Routing::ListedServer> servers;
     for (auto const& [id, entry] : directory.entries) {
         if (!entry.removedAt || ((manyWereRemoved || mayHaveExpired(entry)) && entry.server.lifecycle == Routing::Lifecycle::Live))
--- a/Libraries/LibForward/ServerDirectory.h
+++ b/Libraries/LibForward/ServerDirectory.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibCore/Runtime.h>
+#include <LibForward/NodeReport.h>
 #include <LibRouting/ServerTable.h>
 #include <map>
 #include <optional>
@@ -40,6 +41,8 @@
     };
     /// Servers whose entries were removed some seconds ago, by id.
     std::map<std::string, Departure> departures;
+    /// The incarnations of the servers that stated that they are leaving, by id, while their entries do not say so.
+    std::map<std::string, std::uint64_t> statements;
     /// When the store last failed, or responded again after a failure.
     std::optional<Core::MonotonicTime> lastStoreOutageAt;
     /// When that outage was first detected.
@@ -66,6 +69,12 @@
 /// entry is removed and read again. Has no effect on another incarnation. Returns whether it was not known to be leaving.
 bool recordLeaving(ServerDirectory&, std::string const& id, std::uint64_t incarnation);
 
+/// Returns the servers that stated that they are leaving while their entries do not say so, at most as many as a report may hold.
+[[nodiscard]] std::vector<LeavingServer> leavingServersToReport(ServerDirectory const&);
+
+/// Records the statements that another node reports. Returns the ids of the servers that were not known to be leaving.
+std::vector<std::string> mergeLeavingServers(ServerDirectory&, std::vector<LeavingServer> const&);
+
 /// Merges a list of the registered entries as of a revision: registers them, and marks entries that it lacks as removed at this time unless
 /// they changed after it. The list of a peer may also lack changes that the peer's watch missed. A list of a later era follows an outage of
 /// the store. Precondition: the list is not of an earlier era.
--- a/Services/Edge/EdgeService.cpp
+++ b/Services/Edge/EdgeService.cpp
@@ -203,6 +203,7 @@
         if (evidence.soundAt)
             suspect.soundAge = ageOf(*evidence.soundAt);
     }
+    report.leavingServers = Forward::leavingServersToReport(m_tables.directory);
     report.isLeaving = m_tables.isDraining();
     report.watchesStore = m_storeWatcher.isWatchingStore();
     report.interval = Forward::spreadInterval(m_tables.peers);
--- a/Services/Edge/PeerExchange.cpp
+++ b/Services/Edge/PeerExchange.cpp
@@ -69,6 +69,7 @@
     for (auto const fingerprint : report->quarantined)
         Limits::mergeQuarantined(m_tables.quarantine, fingerprint, now + std::chrono::minutes(1));
     mergeSuspects(*report);
+    mergeLeavingServers(*report);
     for (auto const& [team, amount] : Forward::newAdmissions(m_tables.peers, *report))
         Forward::chargeQuota(m_tables.quotas, team, amount);
     bool const isNew = report->scope == Forward::ReportScope::Node && !m_tables.peers.rows.contains(report->node);
@@ -96,6 +97,14 @@
     }
 }
 
+void PeerExchange::mergeLeavingServers(Forward::NodeReport const& report)
+{
+    for (auto const& id : Forward::mergeLeavingServers(m_tables.directory, report.leavingServers)) {
+        (void)Routing::markLeaving(m_tables.servers, id, m_tables.directory.entries.at(id).server.incarnation);
+        Core::logEvent(Core::LogLevel::Info, "server_leaving", { { "server", id }, { "peer", report.node }, { "servers_revision", m_tables.serversRevision.toString() } });
+    }
+}
+
 void PeerExchange::mergeUsage(Forward::NodeReport const& report)
 {
     if (report.scope == Forward::ReportScope::Node)
--- a/Services/Edge/PeerExchange.h
+++ b/Services/Edge/PeerExchange.h
@@ -32,6 +32,7 @@
 private:
     [[nodiscard]] Core::Awaitable<void> receive();
     void handleDatagram(std::string_view datagram);
+    void mergeLeavingServers(Forward::NodeReport const&);
     void mergeSuspects(Forward::NodeReport const&);
     void mergeUsage(Forward::NodeReport const&);
 
--- a/Tests/EdgeService/EdgeServiceFixture.h
+++ b/Tests/EdgeService/EdgeServiceFixture.h
@@ -72,6 +72,7 @@
         settings.dataCentre = "a";
         for (auto* endpoint : { &settings.clientListen, &settings.readyListen, &settings.peerListen, &settings.peerHttpListen, &settings.metricsListen })
             *endpoint = { "127.0.0.1", 0 };
+        settings.peerListen = m_peerListen;
         settings.gracePeriod = 3s;
         settings.retrySlack = m_retrySlack;
         m_service = std::make_unique<Edge::EdgeService>(m_loop.runtime(), settings, Edge::PlatformInterfaces { m_requestCodec, m_objectCodec, m_storeConnection->store, nullptr, "/ready" });
@@ -179,6 +180,7 @@
     PlatformAdapter::HeaderCodec const m_requestCodec {};
     PlatformAdapter::StoreCodec const m_objectCodec {};
     double m_retrySlack { 100 };
+    Core::Endpoint m_peerListen { "127.0.0.1", 0 };
     int m_prompts { 0 };
     std::vector<std::unique_ptr<RawServer>> m_servers;
     std::unique_ptr<Edge::EdgeService> m_service;
--- a/Tests/EdgeService/LeavingServerTest.cpp
+++ b/Tests/EdgeService/LeavingServerTest.cpp
@@ -1,4 +1,5 @@
 #include <EdgeService/EdgeServiceFixture.h>
+#include <boost/asio/ip/udp.hpp>
 
 using namespace EdgeServiceTests;
 
@@ -108,3 +109,31 @@
     EXPECT_EQ(statusOf(sendFirst("/unsafe/1")), "200");
     EXPECT_TRUE(isLive("s2"));
 }
+
+// Guards against new work at a node that hears of a leaving server from another one only, and against a node that does not pass it on (DRAIN).
+TEST_F(LeavingServerTest, GetsNoNewRequestsAfterTheReportOfAnotherNode)
+{
+    using asio::ip::udp;
+    auto const anyPort = udp::endpoint(asio::ip::make_address("127.0.0.1"), 0);
+    m_peerListen.port = udp::socket(m_loop.runtime().context(), anyPort).local_endpoint().port();
+    udp::socket peer(m_loop.runtime().context(), anyPort);
+    addServers([](auto const& request) { return Reply { respond(request) }; });
+    start();
+    Forward::NodeReport report;
+    report.node = "n2";
+    report.incarnation = 1;
+    report.dataCentre = "a";
+    report.endpoint = "127.0.0.1:" + std::to_string(peer.local_endpoint().port());
+    report.leavingServers = { { Forward::hashId("s2"), born } };
+    peer.send_to(asio::buffer(Forward::encodeReport(report)), udp::endpoint(anyPort.address(), m_peerListen.port));
+    waitFor([&] { return !isLive("s2"); });
+    expectOutOfUse("/unsafe/1");
+    auto const receive = [](udp::socket& socket) -> Core::Awaitable<std::optional<Forward::NodeReport>> {
+        std::array<char, 64 * 1024> buffer {};
+        auto [error, length] = co_await socket.async_receive(asio::buffer(buffer), useTuple);
+        co_return Forward::decodeReport({ buffer.data(), length });
+    };
+    auto const received = m_loop.run(receive(peer));
+    ASSERT_TRUE(received);
+    EXPECT_EQ(received->leavingServers, report.leavingServers);
+}
--- a/Tests/LibForward/ServerDirectoryTest.cpp
+++ b/Tests/LibForward/ServerDirectoryTest.cpp
@@ -242,3 +242,27 @@
     Forward::registerServer(m_directory, { .id = "s0", .service = "model", .incarnation = 11 }, m_now);
     EXPECT_EQ(m_directory.entries.at("s0").server.lifecycle, Routing::Lifecycle::Live);
 }
+
+// Guards against new work at other nodes for a server that stated that it is leaving, and against reports that name it for ever.
+TEST_F(ServerDirectoryTest, StatementsOfOtherNodesHoldUntilTheEntrySaysSo)
+{
+    Routing::ListedServer server { .id = "s0", .service = "model", .incarnation = 10 };
+    Forward::registerServer(m_directory, server, m_now);
+    auto other = m_directory;
+    EXPECT_TRUE(Forward::leavingServersToReport(m_directory).empty());
+    (void)Forward::recordLeaving(m_directory, "s0", 10);
+    auto const reported = Forward::leavingServersToReport(m_directory);
+    EXPECT_EQ(reported, (std::vector<Forward::LeavingServer> { { Forward::hashId("s0"), 10 } }));
+    EXPECT_TRUE(Forward::mergeLeavingServers(other, { { Forward::hashId("s0"), 9 }, { Forward::hashId("s9"), 10 } }).empty());
+    EXPECT_EQ(Forward::mergeLeavingServers(other, reported), std::vector<std::string> { "s0" });
+    EXPECT_TRUE(Forward::mergeLeavingServers(other, reported).empty());
+    EXPECT_EQ(other.entries.at("s0").server.lifecycle, Routing::Lifecycle::Leaving);
+    EXPECT_EQ(Forward::leavingServersToReport(other), reported);
+    server.lifecycle = Routing::Lifecycle::Leaving;
+    Forward::registerServer(m_directory, server, m_now);
+    EXPECT_TRUE(Forward::leavingServersToReport(m_directory).empty());
+    Forward::unregisterServer(other, "s0", m_now);
+    m_now += 2s;
+    (void)Forward::serversInUse(other, m_now);
+    EXPECT_TRUE(Forward::leavingServersToReport(other).empty());
+}
