RequestForwarder: Bound incomplete events of all streams together

A faulty server that sends events without end makes a node hold up to 1 MB for each of its streams, besides the 40 MB that the bodies of all responses may take. With enough streams the process runs out of memory and ends with the requests of its other clients.

Cause: the bound of all responses was kept where bodies are collected, while streams hold incomplete events.

Change: holdBytes() sets what a request holds, for bodies and incomplete events, including those of a stalled attempt. Heads, interim responses, other framings and single streams were bounded before (EndlessResponseTest).

--- a/Services/Edge/RequestForwarder.cpp
+++ b/Services/Edge/RequestForwarder.cpp
@@ -120,7 +120,7 @@
     /// Status of the response sent to the client.
     unsigned status { 0 };
     std::optional<HTTP::Response> response;
-    /// Bytes of response bodies that were held for this request.
+    /// Bytes of response bodies and incomplete events that are held for this request.
     std::size_t bufferedBytes { 0 };
     /// Whether the status and headers of a stream have been sent to the client.
     bool streamStarted { false };
@@ -450,7 +450,7 @@
             co_return attempt.attributes.isNotExecuted ? AttemptOutcome::NotExecuted : AttemptOutcome::Unknown;
         if (piece->empty())
             break;
-        if (!mayBuffer(context, piece->size())) {
+        if (!holdBytes(context, context.bufferedBytes + piece->size())) {
             Core::fail(error, ErrorKind::BackendAnswerInvalid, "the response is larger than " + std::to_string(response.body.size()) + " bytes, which cannot be held in memory", RunState::Unknown);
             co_return AttemptOutcome::Unknown;
         }
@@ -472,15 +472,16 @@
     co_return failed ? AttemptOutcome::ServerError : AttemptOutcome::ResponseReceived;
 }
 
-bool RequestForwarder::mayBuffer(RequestContext& context, std::size_t bytes)
+bool RequestForwarder::holdBytes(RequestContext& context, std::size_t bytes)
 {
     static constexpr std::size_t maximumBytesOfAResponse = 4 * 1024 * 1024;
     // A quarter of the memory of a small host.
     static constexpr std::size_t maximumBytesOfAllResponses = 40 * 1024 * 1024;
-    if (context.bufferedBytes + bytes > maximumBytesOfAResponse || m_bufferedBytes + bytes > maximumBytesOfAllResponses)
+    auto const bytesOfOthers = m_bufferedBytes - context.bufferedBytes;
+    if (bytes > context.bufferedBytes && (bytes > maximumBytesOfAResponse || bytesOfOthers + bytes > maximumBytesOfAllResponses))
         return false;
-    context.bufferedBytes += bytes;
-    m_bufferedBytes += bytes;
+    context.bufferedBytes = bytes;
+    m_bufferedBytes = bytesOfOthers + bytes;
     return true;
 }
 
@@ -516,6 +517,10 @@
             Core::fail(error, ErrorKind::BackendAnswerInvalid, "an event of the stream is larger than " + std::to_string(maximumEventBytes) + " bytes", RunState::Unknown);
             co_return AttemptOutcome::Unknown;
         }
+        if (!holdBytes(context, context.events.partial().size() + (context.stalled ? context.stalled->partialEvent.size() : 0))) {
+            Core::fail(error, ErrorKind::BackendAnswerInvalid, "an incomplete event of " + std::to_string(context.events.partial().size()) + " bytes cannot be held in memory", RunState::Unknown);
+            co_return AttemptOutcome::Unknown;
+        }
         bool const isEnd = piece->empty();
         if (isEnd && !context.events.partial().empty()) {
             Core::fail(error, ErrorKind::BackendAnswerInvalid, "the stream ended in the middle of an event", RunState::Unknown);
--- a/Services/Edge/RequestForwarder.h
+++ b/Services/Edge/RequestForwarder.h
@@ -62,8 +62,9 @@
     [[nodiscard]] bool shouldRetry(RequestContext const&, Forward::AttemptOutcome);
     /// Whether the stream may continue at another server if its server stalls.
     [[nodiscard]] static bool mayContinueElsewhere(RequestContext const&);
-    /// Returns whether a body of that size may be held in memory, in addition to those of the other requests.
-    [[nodiscard]] bool mayBuffer(RequestContext&, std::size_t bytes);
+    /// Sets how many bytes of responses are held in memory for a request. Returns false, without an effect, if they are too many for one request or
+    /// together with those of the others.
+    [[nodiscard]] bool holdBytes(RequestContext&, std::size_t bytes);
     [[nodiscard]] bool chargeRetryBudget(RequestContext const&);
     [[nodiscard]] Forward::AttemptHistory attemptHistory(RequestContext const&) const;
     /// Refuses a request with a prompt part that crashes servers. Returns whether it was refused, with the error set.
@@ -81,7 +82,7 @@
 
     Dependencies m_dependencies;
     std::set<RequestContext*> m_active;
-    /// Bytes of response bodies that are held in memory.
+    /// Bytes of response bodies and incomplete events that are held in memory.
     std::size_t m_bufferedBytes { 0 };
 };
 
--- a/Tests/EdgeService/EdgeServiceTest.cpp
+++ b/Tests/EdgeService/EdgeServiceTest.cpp
@@ -195,6 +195,12 @@
         EXPECT_LE(server.repeatedBytesSent, maximumBytes);
         EXPECT_EQ(server.requests.size(), 1u);
     }
+
+    Core::Awaitable<void> countEnd(std::string bytes, std::size_t& ended)
+    {
+        (void)co_await exchangeTask(std::move(bytes), 10s);
+        ++ended;
+    }
 };
 
 TEST_F(EndlessResponseTest, Header)
@@ -252,6 +258,26 @@
     expectRefusal("/stream/1", [](auto const& request) { return Reply { .bytes = streamHead(attemptIdOf(request)), .repeatedBytes = chunk(std::string(4000, 'x')) }; });
 }
 
+// Guards against a node that runs out of memory because many streams hold an event that does not end.
+TEST_F(EndlessResponseTest, EventsOfManyStreamsAreBoundedTogether)
+{
+    static constexpr std::size_t streams = 64;
+    static constexpr std::size_t bytesOfAnEvent = 900 * 1024;
+    // A quarter of the memory of a small host.
+    static constexpr std::size_t maximumBytesHeld = 40 * 1024 * 1024;
+    addServer([](auto const& request) { return Reply { .bytes = streamHead(attemptIdOf(request)) + chunk("id: 1\ndata: " + std::string(bytesOfAnEvent, 'x')) }; });
+    start();
+    std::size_t ended = 0;
+    for (std::size_t i = 0; i < streams; ++i)
+        m_loop.runtime().spawn(countEnd(request("/stream/1", "u" + std::to_string(i), "POST", "Connection: close\r\n"), ended));
+    auto const sentAt = m_loop.runtime().now();
+    waitFor([&] { return m_servers[0]->requests.size() == streams && (streams - ended) * bytesOfAnEvent <= maximumBytesHeld; });
+    // Before the deadline of four seconds ends them all.
+    EXPECT_LT(m_loop.runtime().now() - sentAt, 3s);
+    EXPECT_GT(ended, 0u);
+    waitFor([&] { return ended == streams; });
+}
+
 // Bytes after a complete response belong to no request.
 TEST_F(EndlessResponseTest, AfterACompleteResponse)
 {
