Tests/EdgeService: Stop responses after each byte of their head

Another operator's clients got a 200 with a short body after a server had stopped within the head of its response. TruncatedHeadTest tries each position, closing and resetting, for plain, unframed and interim responses, streams and the continuation of a stream. No client gets a success or a stream that looks complete; the tests passed before any change, so that the fault was not found here.

--- a/Tests/EdgeService/EdgeServiceTest.cpp
+++ b/Tests/EdgeService/EdgeServiceTest.cpp
@@ -596,3 +596,57 @@
     start();
     EXPECT_TRUE(exchange(request("/resume/1", "s", "POST")).ends_with(chunk(event(1)) + "0\r\n\r\n"));
 }
+
+// A server stops in the middle of its response's head and closes or resets the connection. What the client gets must not look complete.
+class TruncatedHeadTest : public EdgeServiceTest {
+protected:
+    // Returns the head of a response up to a position that depends on the number of the request, counted from 1.
+    static Reply truncated(std::string const& head, std::size_t number, Reply::Ending ending) { return { .bytes = head.substr(0, number), .ending = ending }; }
+
+    // Checks that none of the requests is answered with success, whatever the position in the head.
+    void expectNoSuccess(std::string const& path, std::string const& head, Reply::Ending ending)
+    {
+        addServer([&, ending](auto const&) { return truncated(head, ++m_number, ending); });
+        m_retrySlack = 0;
+        start();
+        while (m_number + 1 < head.size()) {
+            auto const position = m_number;
+            auto const response = exchange(request(path, "u", "POST", "Connection: close\r\nContent-Length: 0\r\n"));
+            EXPECT_EQ(statusOf(response), "502") << "after " << position << ": " << response;
+            ASSERT_GT(m_number, position);
+        }
+    }
+
+    std::size_t m_number { 0 };
+    std::string const m_plainHead { httpResponse("u", "") };
+    std::string const m_unframedHead { "HTTP/1.1 200 OK\r\nX-Hyssopstep-Attempt-Id: u\r\nX-Hyssopstep-Server-Seal: seal\r\n\r\n" };
+};
+
+// Guards against a response that is framed as whole although its server stopped within the head (MIXED, ORDER).
+TEST_F(TruncatedHeadTest, PlainResponse) { expectNoSuccess("/unsafe/1", m_plainHead, Reply::Ending::Close); }
+TEST_F(TruncatedHeadTest, PlainResponseThatIsReset) { expectNoSuccess("/unsafe/1", m_plainHead, Reply::Ending::Reset); }
+TEST_F(TruncatedHeadTest, ResponseWithoutLength) { expectNoSuccess("/unsafe/1", m_unframedHead, Reply::Ending::Close); }
+TEST_F(TruncatedHeadTest, AfterAnInterimResponse) { expectNoSuccess("/safe/1", "HTTP/1.1 103 Early Hints\r\n\r\n" + m_plainHead, Reply::Ending::Close); }
+TEST_F(TruncatedHeadTest, Stream) { expectNoSuccess("/stream/1", streamHead("u"), Reply::Ending::Close); }
+TEST_F(TruncatedHeadTest, StreamWithoutLength) { expectNoSuccess("/resume/1", m_unframedHead, Reply::Ending::Close); }
+
+// Guards against a stream that looks complete because the server that continued it stopped within the head (ORDER).
+TEST_F(TruncatedHeadTest, ContinuationOfAStream)
+{
+    auto const head = streamHead("u");
+    for (int i = 0; i < 2; ++i) {
+        addServer([&](auto const& request) {
+            bool const isContinuation = request.find("Last-Event-Id: 1\r\n") != std::string::npos;
+            return isContinuation ? truncated(head, ++m_number, Reply::Ending::Close) : Reply { .bytes = head + chunk(event(1)), .ending = Reply::Ending::Close };
+        });
+    }
+    m_retrySlack = 10'000;
+    start();
+    while (m_number + 1 < head.size()) {
+        auto const position = m_number;
+        auto const response = exchange(request("/resume/1", "u", "POST", "Connection: close\r\nContent-Length: 0\r\n"));
+        EXPECT_EQ(statusOf(response), "200") << response;
+        EXPECT_FALSE(response.ends_with("0\r\n\r\n")) << "after " << position << ": " << response;
+        ASSERT_GT(m_number, position);
+    }
+}
