RequestForwarder: Count a kept error response while a stream is read

A server's error response is kept while the request is tried at another server. If that one sends a stream, the bytes held for the request were set to those of the stream alone, so that the kept body was not counted in the bound of all responses.

--- a/Services/Edge/RequestForwarder.cpp
+++ b/Services/Edge/RequestForwarder.cpp
@@ -501,6 +501,8 @@
 Core::Awaitable<AttemptOutcome> RequestForwarder::forwardStream(RequestContext& context, Attempt& attempt, Core::Error& error)
 {
     static constexpr std::size_t maximumEventBytes = 1024 * 1024;
+    // A server's error response to an earlier attempt.
+    std::size_t const bytesOfKeptResponse = context.response ? context.response->body.size() : 0;
     while (true) {
         bool const mayStall = mayContinueElsewhere(context) && attempt.stallsAt < context.deadline;
         if (mayStall && m_dependencies.runtime.now() >= attempt.stallsAt) {
@@ -517,7 +519,7 @@
             Core::fail(error, ErrorKind::BackendAnswerInvalid, "an event of the stream is larger than " + std::to_string(maximumEventBytes) + " bytes", RunState::Unknown);
             co_return AttemptOutcome::Unknown;
         }
-        if (!holdBytes(context, context.events.partial().size() + (context.stalled ? context.stalled->partialEvent.size() : 0))) {
+        if (!holdBytes(context, bytesOfKeptResponse + context.events.partial().size() + (context.stalled ? context.stalled->partialEvent.size() : 0))) {
             Core::fail(error, ErrorKind::BackendAnswerInvalid, "an incomplete event of " + std::to_string(context.events.partial().size()) + " bytes cannot be held in memory", RunState::Unknown);
             co_return AttemptOutcome::Unknown;
         }
