RequestForwarder: Keep a stalled stream until another server accepts it

Cause: the first server was left 250 ms after the continuation had been sent, as if the other one had taken it over. Shown by SilentServerTest. StreamIsNotBrokenOffIfItsContinuationIsRejectedLate, which failed before.

Change: the 250 ms begin with the head of the other server's stream. A late rejection, error or broken connection leaves the first server in place. Ruled out: going back to the first server after a short wait, since a busy server may take longer than that to begin, and the stream of a hung one would stay there (StreamOfAHungServerContinuesAtASlowOne). The hook that the client called before sending has no user any more and is gone.

--- a/Libraries/LibHTTP/Client.cpp
+++ b/Libraries/LibHTTP/Client.cpp
@@ -556,8 +556,6 @@
             Core::fail(error, ErrorKind::DeadlineExceeded, "the deadline passed before the request was sent", runState);
             co_return nullptr;
         }
-        if (options.onSending)
-            options.onSending();
         bool timedOut = false;
         HeaderOutcome outcome;
         {
--- a/Libraries/LibHTTP/Client.h
+++ b/Libraries/LibHTTP/Client.h
@@ -102,8 +102,6 @@
     ResponsePredicate matchesRequest;
     /// May be null. Precondition: outlives the exchange. A cancelled exchange fails with Cancelled.
     Cancellation* cancellation { nullptr };
-    /// Called once a connection is established, before the first byte of the request is written. May be empty.
-    std::function<void()> onSending;
 };
 
 /// A response whose body is read incrementally. Destroying it before the end of the body closes the connection. Not thread safe.
--- a/Services/Edge/RequestForwarder.cpp
+++ b/Services/Edge/RequestForwarder.cpp
@@ -368,9 +368,6 @@
     // The endpoint's refusal of this attempt as another server may arrive once more on the same connection.
     bool const wasTried = std::find(context.triedEndpoints.begin(), context.triedEndpoints.end(), attempt->placement.endpoint) != context.triedEndpoints.end();
     context.triedEndpoints.push_back(attempt->placement.endpoint);
-    // A server that rejects a request does so within some round trips. Two servers must not work on a request for long.
-    static constexpr Core::Duration maximumOverlap = 250ms;
-    Core::Timer overlapTimer;
     HTTP::ExchangeOptions options {
         .use = wasTried ? HTTP::ConnectionUse::NewConnection : HTTP::ConnectionUse::PooledNoRetry,
         .unframed = HTTP::UnframedResponse::ReadUntilClose,
@@ -380,9 +377,6 @@
         },
         .cancellation = &context.cancellation,
     };
-    options.onSending = [this, &context, &overlapTimer] {
-        overlapTimer = m_dependencies.runtime.callAt(m_dependencies.runtime.now() + maximumOverlap, [&context] { context.stalled.reset(); });
-    };
     auto forwarded = m_dependencies.codec.encodeForward(context.request, attributes);
     attempt->stream = co_await m_dependencies.client.openStream(attempt->placement.endpoint, std::move(forwarded), std::move(options), context.deadline, error);
     auto outcome = AttemptOutcome::Unknown;
@@ -401,6 +395,12 @@
             recordLeavingServer(context, *attempt);
         }
         bool const isStream = context.route->kind == RequestKind::Stream && isEventStream(*attempt->stream);
+        // Until a server has accepted the continuation of a stalled stream, it may be silent itself or reject it. Then two servers must not work
+        // on the stream for long.
+        static constexpr Core::Duration maximumOverlap = 250ms;
+        Core::Timer overlapTimer;
+        if (context.stalled && isStream && isIdentified)
+            overlapTimer = m_dependencies.runtime.callAt(m_dependencies.runtime.now() + maximumOverlap, [&context] { context.stalled.reset(); });
         attempt->stallsAt = m_dependencies.runtime.now() + maximumEventGap;
         attempt->eventsBefore = context.events.eventCount();
         context.events.dropPartial();
@@ -409,7 +409,6 @@
         else
             outcome = isStream ? co_await forwardStream(context, *attempt, error) : co_await readResponse(context, *attempt, error);
     }
-    overlapTimer.cancel();
     recordOutcome(context, *attempt, outcome);
     co_await conclude(context, std::move(attempt), outcome, error);
     co_return outcome;
--- a/Tests/EdgeService/SilentServerTest.cpp
+++ b/Tests/EdgeService/SilentServerTest.cpp
@@ -89,6 +89,34 @@
     EXPECT_EQ(continuations(), 1u);
 }
 
+// Guards against streams that are broken off because the other server is silent as well, and rejects their continuation once it goes on (LOST).
+TEST_F(SilentServerTest, StreamIsNotBrokenOffIfItsContinuationIsRejectedLate)
+{
+    addServers(2, [](auto const& request) { return Reply { .bytes = httpResponse(attemptIdOf(request), "full", "X-Hyssopstep-Not-Executed: 1\r\n", "503 Service Unavailable"), .delay = 500ms }; });
+    start();
+    for (int i = 0; i < 4; ++i)
+        m_loop.runtime().spawn(receive(request("/resume/1", "s" + std::to_string(i), "POST")));
+    waitFor([&] { return m_responses.size() == 4; });
+    for (auto const& response : m_responses)
+        expectWholeStream(response);
+}
+
+// Guards against a stream that stays with a hung server because the one that continues it is slow to begin.
+TEST_F(SilentServerTest, StreamOfAHungServerContinuesAtASlowOne)
+{
+    for (int i = 0; i < 2; ++i) {
+        addServer([](auto const& request) {
+            if (isContinuation(request))
+                return Reply { .bytes = streamHead(attemptIdOf(request)) + chunk(event(2) + event(3)) + "0\r\n\r\n", .delay = 800ms };
+            return silentStream(request, 5s);
+        });
+    }
+    start();
+    expectWholeStream(exchange(request("/resume/1", "s", "POST"), 2500ms));
+    EXPECT_EQ(continuations(), 1u);
+    waitFor([&] { return m_servers[0]->abortedConnections + m_servers[1]->abortedConnections == 1; });
+}
+
 // Guards against two servers that work on a stream at the same time (TWICE) while the second prepares its first event.
 TEST_F(SilentServerTest, SilentServerIsLeftSoonAfterAnotherAcceptedTheContinuation)
 {
