RequestForwarder: Heed the pause that a server asks for in a 503

Callers saw: nothing of their own; a server that had turned a request away with 503 and Retry-After got many more from the same node meanwhile, which breaks BUDGET when there are more than two.

Cause: nothing read the header. A refusal concerned its own request only, and a server that refuses has little load, so that placement preferred it.

If all servers of a service are paused, a request is refused at once as not run, with the time until the first pause ends. The pause is kept apart from the rows of the host list, so that it outlasts an entry that is missing for a moment; a new incarnation is used at once.

Ruled out: a pause in the server's row, which is lost when the entry expires while the store is away.

--- a/Libraries/LibForward/RequestCodec.h
+++ b/Libraries/LibForward/RequestCodec.h
@@ -81,6 +81,8 @@
     bool isServerLeaving { false };
     /// Whether another process than the intended server listens at the address, and refused the request.
     bool isFromOtherServer { false };
+    /// The time for which a server that turned the request away wants no further ones from this node; at most a day.
+    std::optional<std::chrono::milliseconds> pause;
 
     bool operator==(ResponseAttributes const&) const = default;
 };
--- a/Libraries/LibRouting/Placement.cpp
+++ b/Libraries/LibRouting/Placement.cpp
@@ -11,25 +11,28 @@
     return row.outstanding + row.peerOutstanding;
 }
 
-std::optional<Core::Duration> predictedWait(ServerTable const& table, std::string const& service)
+std::optional<Core::Duration> predictedWait(ServerTable const& table, std::string const& service, Core::MonotonicTime now)
 {
     std::optional<double> shortest;
     for (auto const& row : table.rows) {
-        if (row.service != service || row.lifecycle != Lifecycle::Live || row.absence || row.slots == 0 || row.serviceTime.samples == 0)
+        if (row.service != service || row.lifecycle != Lifecycle::Live || row.absence || isPaused(table, row, now) || row.slots == 0 || row.serviceTime.samples == 0)
             continue;
         auto const load = requestsInProgress(row) + 1;
         double const waiting = load > row.slots ? load - row.slots : 0;
         double const seconds = waiting * row.serviceTime.secondsPerUnit / row.slots;
         shortest = std::min(shortest.value_or(seconds), seconds);
     }
+    auto const endOfPause = firstEndOfPause(table, service, now);
+    if (!shortest && endOfPause)
+        return *endOfPause - now;
     if (!shortest)
         return std::nullopt;
     return std::chrono::duration_cast<Core::Duration>(std::chrono::duration<double>(*shortest));
 }
 
-static bool isUsable(ServerRow const& row, PlacementRequest const& request, Core::MonotonicTime now)
+static bool isUsable(ServerTable const& table, ServerRow const& row, PlacementRequest const& request, Core::MonotonicTime now)
 {
-    return row.service == request.service && row.lifecycle == Lifecycle::Live && !isAbsent(row, now)
+    return row.service == request.service && row.lifecycle == Lifecycle::Live && !isAbsent(row, now) && !isPaused(table, row, now)
         && std::find(request.excludedServers.begin(), request.excludedServers.end(), row.id) == request.excludedServers.end();
 }
 
@@ -54,7 +57,7 @@
 {
     std::vector<Candidate> candidates;
     for (auto const& row : table.rows) {
-        if (isUsable(row, request, now))
+        if (isUsable(table, row, request, now))
             candidates.push_back({ &row, homeWeight(request.sharedPrefixHash, row.id) });
     }
     if (request.sharedPrefixHash == 0)
--- a/Libraries/LibRouting/ServerTable.cpp
+++ b/Libraries/LibRouting/ServerTable.cpp
@@ -217,6 +217,36 @@
     return row.absence && (now < row.absence->until || row.outstanding > 0);
 }
 
+bool recordPause(ServerTable& table, std::string_view id, std::uint64_t incarnation, Core::MonotonicTime until, Core::MonotonicTime now)
+{
+    std::erase_if(table.pauses, [&](auto const& entry) { return entry.second.until <= now; });
+    if (until <= now)
+        return false;
+    auto const [entry, isNew] = table.pauses.try_emplace(std::string(id), ServerPause { incarnation, until });
+    auto& pause = entry->second;
+    bool const wasPaused = !isNew && pause.incarnation == incarnation;
+    pause = { incarnation, wasPaused ? std::max(pause.until, until) : until };
+    return !wasPaused;
+}
+
+bool isPaused(ServerTable const& table, ServerRow const& row, Core::MonotonicTime now)
+{
+    auto const found = table.pauses.find(row.id);
+    return found != table.pauses.end() && found->second.incarnation == row.incarnation && now < found->second.until;
+}
+
+std::optional<Core::MonotonicTime> firstEndOfPause(ServerTable const& table, std::string_view service, Core::MonotonicTime now)
+{
+    std::optional<Core::MonotonicTime> first;
+    for (auto const& row : table.rows) {
+        if (row.service != service || row.lifecycle != Lifecycle::Live || isAbsent(row, now) || !isPaused(table, row, now))
+            continue;
+        auto const until = table.pauses.find(row.id)->second.until;
+        first = std::min(first.value_or(until), until);
+    }
+    return first;
+}
+
 void recordFailure(ServerRow& row, Core::MonotonicTime now)
 {
     if (row.absence)
--- a/Libraries/LibRouting/ServerTable.h
+++ b/Libraries/LibRouting/ServerTable.h
@@ -101,6 +101,15 @@
     bool operator==(ServerRow const&) const = default;
 };
 
+/// A server asked this node to send it no requests for some time.
+struct ServerPause {
+    /// The incarnation that asked.
+    std::uint64_t incarnation { 0 };
+    Core::MonotonicTime until;
+
+    bool operator==(ServerPause const&) const = default;
+};
+
 /// Exponentially weighted mean and mean absolute deviation of a delay.
 struct DelayEstimate {
     double meanSeconds { 0 };
@@ -113,6 +122,8 @@
 /// The backend servers known to one node. Not thread safe.
 struct ServerTable {
     std::vector<ServerRow> rows;
+    /// By server id. Kept apart from the rows, since a server that is missing in the host list for a moment gets a new row.
+    std::map<std::string, ServerPause, std::less<>> pauses;
     /// Measured prefill time per token in seconds, by model.
     std::map<std::string, double, std::less<>> prefillSecondsPerToken;
     /// Delays until the first token of ordinary requests, by model.
@@ -189,6 +200,17 @@
 /// Whether a server gets no new request because it is absent.
 [[nodiscard]] bool isAbsent(ServerRow const&, Core::MonotonicTime now);
 
+/// Records that an incarnation of a server wants no requests of this node before a time, and drops pauses that have ended. The latest time
+/// counts. Returns whether the server was not paused before.
+bool recordPause(ServerTable&, std::string_view id, std::uint64_t incarnation, Core::MonotonicTime until, Core::MonotonicTime now);
+
+/// Whether a server gets no new request because it asked for a pause. Thread safe.
+[[nodiscard]] bool isPaused(ServerTable const&, ServerRow const&, Core::MonotonicTime now);
+
+/// Returns when the first of a service's servers that could be used but for their pauses ends its pause; an empty optional if there is none.
+/// Thread safe.
+[[nodiscard]] std::optional<Core::MonotonicTime> firstEndOfPause(ServerTable const&, std::string_view service, Core::MonotonicTime now);
+
 /// Updates the load assumed for servers without a recent report.
 void updateAssumedLoads(ServerTable&, Core::MonotonicTime now);
 
--- a/Services/Edge/RequestForwarder.cpp
+++ b/Services/Edge/RequestForwarder.cpp
@@ -393,6 +393,7 @@
         if (isIdentified) {
             recordWhoAnswered(*attempt);
             recordLeavingServer(context, *attempt);
+            recordPausedServer(context, *attempt);
         }
         bool const isStream = context.route->kind == RequestKind::Stream && isEventStream(*attempt->stream);
         // Until a server has accepted the continuation of a stalled stream, it may be silent itself or reject it. Then two servers must not work
@@ -619,6 +620,19 @@
         Core::logEvent(Core::LogLevel::Info, "server_leaving", { { "server", placement.serverId }, { "request", context.attributes.attemptId }, { "entry_revision", placement.revision.toString() }, { "servers_revision", tables.serversRevision.toString() } });
 }
 
+void RequestForwarder::recordPausedServer(RequestContext const& context, Attempt const& attempt)
+{
+    auto const pause = attempt.attributes.pause;
+    if (!pause)
+        return;
+    auto const now = m_dependencies.runtime.now();
+    auto const& placement = attempt.placement;
+    if (!Routing::recordPause(m_dependencies.tables.servers, placement.serverId, placement.incarnation, now + *pause, now))
+        return;
+    Core::logEvent(Core::LogLevel::Info, "server_paused", { { "server", placement.serverId }, { "request", context.attributes.attemptId }, { "milliseconds", std::int64_t(pause->count()) } });
+    m_dependencies.metrics.counter("hyssopstep_server_pauses_total").add();
+}
+
 // The connection of the request ended. Servers and networks also reset single connections; a server that crashed refuses new ones.
 Core::Awaitable<void> RequestForwarder::recordCrashIfServerIsGone(RequestContext const& context, Attempt const& attempt)
 {
@@ -678,7 +692,7 @@
     error.kind = Forward::errorKindFor(outcome, history);
     error.runState = history.possibleExecutions > 0 ? RunState::Unknown : RunState::NotRun;
     if (error.runState == RunState::NotRun) {
-        auto const wait = Routing::predictedWait(m_dependencies.tables.servers, context.service);
+        auto const wait = Routing::predictedWait(m_dependencies.tables.servers, context.service, m_dependencies.runtime.now());
         error.retryAfter = wait ? std::clamp(toMilliseconds(*wait), minimumRetryAfter, maximumRetryAfter) : retryAfterRefusal;
     }
     co_await refuse(context, std::move(error));
--- a/Services/Edge/RequestForwarder.h
+++ b/Services/Edge/RequestForwarder.h
@@ -77,6 +77,8 @@
     void recordWhoAnswered(Attempt const&);
     /// Takes a server out of use that states in a response that it is leaving. Precondition: the answer has the id of the request.
     void recordLeavingServer(RequestContext const&, Attempt const&);
+    /// Sends a server that turned a request away no further ones for the time that it asks for. Precondition: the answer has the id of the request.
+    void recordPausedServer(RequestContext const&, Attempt const&);
     void recordOutcome(RequestContext&, Attempt const&, Forward::AttemptOutcome);
     void logRequest(RequestContext const&) const;
 
--- a/Tests/LibRouting/PlacementTest.cpp
+++ b/Tests/LibRouting/PlacementTest.cpp
@@ -250,14 +250,40 @@
 TEST(PlacementTest, PredictedWaitFollowsTheShortestQueue)
 {
     auto servers = table(2, 6);
-    EXPECT_FALSE(Routing::predictedWait(servers, "model"));
+    EXPECT_FALSE(Routing::predictedWait(servers, "model", now));
     for (auto& row : servers.rows)
         Routing::recordServiceTime(row, 0.06, now);
-    EXPECT_EQ(Routing::predictedWait(servers, "model"), Core::Duration::zero());
+    EXPECT_EQ(Routing::predictedWait(servers, "model", now), Core::Duration::zero());
     servers.rows[0].outstanding = 29;
     servers.rows[1].peerOutstanding = 17;
-    EXPECT_NEAR(std::chrono::duration<double>(*Routing::predictedWait(servers, "model")).count(), 12 * 0.06 / 6, 1e-6);
-    EXPECT_FALSE(Routing::predictedWait(servers, "other"));
+    EXPECT_NEAR(std::chrono::duration<double>(*Routing::predictedWait(servers, "model", now)).count(), 12 * 0.06 / 6, 1e-6);
+    EXPECT_FALSE(Routing::predictedWait(servers, "other", now));
+}
+
+// Guards against requests for a server in a pause that it asked for, and against a wait that ends before the pause (BUDGET).
+TEST(PlacementTest, PausedServerGetsNoRequestUntilItsPauseEndsOrItStartsAgain)
+{
+    Routing::ListedServer entry { .id = "s0", .service = "model", .incarnation = 1 };
+    Routing::ServerTable servers;
+    Routing::mergeHostList(servers, { entry }, now);
+    EXPECT_FALSE(Routing::firstEndOfPause(servers, "model", now));
+    EXPECT_TRUE(Routing::recordPause(servers, "s0", 1, now + 3s, now));
+    // The latest end counts, whichever response is read last.
+    EXPECT_FALSE(Routing::recordPause(servers, "s0", 1, now + 2s, now));
+    EXPECT_EQ(place(servers, { .service = "model" }), "none");
+    EXPECT_EQ(Routing::predictedWait(servers, "model", now), 3s);
+    EXPECT_FALSE(Routing::isPaused(servers, servers.rows[0], now + 3s));
+    // The entry is missing for a moment.
+    Routing::mergeHostList(servers, {}, now);
+    Routing::mergeHostList(servers, { entry }, now);
+    EXPECT_EQ(place(servers, { .service = "model" }), "none");
+    entry.incarnation = 2;
+    Routing::mergeHostList(servers, { entry }, now);
+    EXPECT_EQ(place(servers, { .service = "model" }), "s0");
+    EXPECT_TRUE(Routing::recordPause(servers, "s0", 2, now + 1s, now));
+    // Pauses that have ended are dropped.
+    EXPECT_TRUE(Routing::recordPause(servers, "s1", 1, now + 9s, now + 1s));
+    EXPECT_EQ(servers.pauses.size(), 1u);
 }
 
 // Guards against requests for an address that belongs to another process, and against a server that stays unused when it is there again.
