RequestForwarder: End the registration of a request with its scope

Callers saw: 500 for TRACE with a body. The entry of such a request stayed in the set of those in progress after its frame was gone; a planned stop would have cancelled it.

Cause: the entry was removed after the handler's last step, which an exception skips. The HTTP library refuses to encode TRACE with a body.

Change: RegistrationScope registers a request and removes it, and the bytes that it holds, on each way out. What a gateway cannot forward is refused before: CONNECT with 405 (it was forwarded like any method), TRACE with a body with 400.

Ruled out: a crash by the entry has not been seen in a process.

--- a/Services/Edge/RequestForwarder.cpp
+++ b/Services/Edge/RequestForwarder.cpp
@@ -132,6 +132,34 @@
     std::string failureReason;
 };
 
+class RequestForwarder::RegistrationScope {
+public:
+    RegistrationScope(RequestForwarder& forwarder, RequestContext& context)
+        : m_forwarder(forwarder)
+        , m_context(context)
+    {
+        m_forwarder.m_active.insert(&m_context);
+        m_context.writer.onPeerClosed([&context] {
+            context.clientDisconnected = true;
+            context.cancellation.cancel();
+        });
+    }
+
+    ~RegistrationScope()
+    {
+        m_context.writer.onPeerClosed({});
+        m_forwarder.m_active.erase(&m_context);
+        m_forwarder.m_bufferedBytes -= m_context.bufferedBytes;
+    }
+
+    RegistrationScope(RegistrationScope const&) = delete;
+    RegistrationScope& operator=(RegistrationScope const&) = delete;
+
+private:
+    RequestForwarder& m_forwarder;
+    RequestContext& m_context;
+};
+
 RequestForwarder::RequestForwarder(Dependencies dependencies)
     : m_dependencies(dependencies)
 {
@@ -176,12 +204,24 @@
     return false;
 }
 
+// A tunnel ends at a proxy, not at a server behind a gateway, and TRACE has no content (RFC 9110, sections 9.3.6 and 9.3.8).
+static bool isForwardable(HTTP::Request const& request, Core::Error& error)
+{
+    if (request.method == "CONNECT")
+        return Core::fail(error, ErrorKind::MethodNotAllowed, "this gateway opens no tunnels"), false;
+    if (request.method == "TRACE" && !request.body.empty())
+        return Core::fail(error, ErrorKind::InvalidRequest, "a TRACE request must not have a body"), false;
+    return true;
+}
+
 bool RequestForwarder::admit(RequestContext& context, Core::Error& error)
 {
     auto& tables = m_dependencies.tables;
     auto const now = m_dependencies.runtime.now();
     context.routes = tables.routes;
     context.attributes = m_dependencies.codec.decodeRequest(context.request);
+    if (!isForwardable(context.request, error))
+        return false;
     if (!context.routes) {
         Core::fail(error, ErrorKind::NotReady, "no configuration has been received yet");
         error.retryAfter = retryAfterNotReady;
@@ -249,22 +289,16 @@
         logRequest(context);
         co_return;
     }
-    m_active.insert(&context);
-    writer.onPeerClosed([&context] {
-        context.clientDisconnected = true;
-        context.cancellation.cancel();
-    });
-    auto timer = m_dependencies.runtime.callAt(context.deadline, [&context] {
-        context.cancellation.cancel();
-        // Also ends a write to a client that does not read.
-        if (context.streamStarted)
-            context.writer.abort();
-    });
-    co_await run(context);
-    timer.cancel();
-    writer.onPeerClosed({});
-    m_active.erase(&context);
-    m_bufferedBytes -= context.bufferedBytes;
+    {
+        RegistrationScope const registration(*this, context);
+        auto const timer = m_dependencies.runtime.callAt(context.deadline, [&context] {
+            context.cancellation.cancel();
+            // Also ends a write to a client that does not read.
+            if (context.streamStarted)
+                context.writer.abort();
+        });
+        co_await run(context);
+    }
     logRequest(context);
 }
 
--- a/Services/Edge/RequestForwarder.h
+++ b/Services/Edge/RequestForwarder.h
@@ -44,6 +44,8 @@
     struct RequestContext;
     /// State of one attempt at a backend server.
     struct Attempt;
+    /// Registers a request as in progress until the end of the scope, on each way out.
+    class RegistrationScope;
 
     [[nodiscard]] Core::Awaitable<void> waitUntilUsable();
     [[nodiscard]] bool admit(RequestContext&, Core::Error&);
--- a/Tests/EdgeService/EdgeServiceFixture.h
+++ b/Tests/EdgeService/EdgeServiceFixture.h
@@ -75,11 +75,13 @@
         settings.peerListen = m_peerListen;
         settings.gracePeriod = 3s;
         settings.retrySlack = m_retrySlack;
-        m_service = std::make_unique<Edge::EdgeService>(m_loop.runtime(), settings, Edge::PlatformInterfaces { m_requestCodec, m_objectCodec, m_storeConnection->store, nullptr, "/ready" });
+        m_service = std::make_unique<Edge::EdgeService>(m_loop.runtime(), settings, Edge::PlatformInterfaces { requestCodec(), m_objectCodec, m_storeConnection->store, nullptr, "/ready" });
         Core::Error error;
         ASSERT_TRUE(m_service->start(error)) << error.message;
     }
 
+    virtual Forward::RequestCodec const& requestCodec() const { return m_requestCodec; }
+
     void putConfiguration(std::uint64_t version, std::string const& keys = R"("k1")", std::string const& timeout = "3000")
     {
         m_store.put("config", "main", R"({"version":)" + std::to_string(version) + R"(,"routes":[
@@ -133,13 +135,23 @@
     // Sends bytes on a new connection and returns what is received until the node closes it or sends nothing for idleTimeout.
     std::string exchange(std::string bytes, Core::Duration idleTimeout = 700ms)
     {
-        return m_loop.run(exchangeTask(std::move(bytes), idleTimeout));
+        return m_loop.run(exchangeTask(m_service->settings().clientListen, std::move(bytes), idleTimeout));
+    }
+
+    // The same with another endpoint of the node.
+    std::string exchangeWith(Core::Endpoint const& endpoint, std::string bytes)
+    {
+        return m_loop.run(exchangeTask(endpoint, std::move(bytes), 700ms));
     }
 
     Core::Awaitable<std::string> exchangeTask(std::string bytes, Core::Duration idleTimeout)
+    {
+        return exchangeTask(m_service->settings().clientListen, std::move(bytes), idleTimeout);
+    }
+
+    Core::Awaitable<std::string> exchangeTask(Core::Endpoint endpoint, std::string bytes, Core::Duration idleTimeout)
     {
         tcp::socket socket(m_loop.runtime().context());
-        auto const& endpoint = m_service->settings().clientListen;
         (void)co_await socket.async_connect({ asio::ip::make_address(endpoint.address), endpoint.port }, useTuple);
         (void)co_await asio::async_write(socket, asio::buffer(bytes), useTuple);
         std::string received;
