EdgeService: Keep what was spent of the retry budgets when settings are reloaded

Callers saw: nothing of their own; a service got more repeats than the deployment allows when settings were reloaded in series.

Cause: a reload cleared the retry budgets, so that each one made the whole share of the node available again. A SIGHUP without any change did so too.

Change: the budgets stay. They take over changed settings with the next request, as they do when the number of nodes changes.

Ruled out: other state that a reload discards; there is none.

--- a/Services/Edge/EdgeService.cpp
+++ b/Services/Edge/EdgeService.cpp
@@ -103,7 +103,6 @@
     settings.metricsListen = m_settings.metricsListen;
     settings.nodeId = m_settings.nodeId;
     m_settings = std::move(settings);
-    m_tables.retryBudgets.clear();
 }
 
 bool EdgeService::isReady() const
--- a/Tests/EdgeService/EdgeServiceFixture.h
+++ b/Tests/EdgeService/EdgeServiceFixture.h
@@ -75,6 +75,7 @@
         settings.peerListen = m_peerListen;
         settings.gracePeriod = 3s;
         settings.retrySlack = m_retrySlack;
+        settings.isFirstStart = m_isFirstStart;
         m_service = std::make_unique<Edge::EdgeService>(m_loop.runtime(), settings, Edge::PlatformInterfaces { requestCodec(), m_objectCodec, m_storeConnection->store, nullptr, "/ready" });
         Core::Error error;
         ASSERT_TRUE(m_service->start(error)) << error.message;
@@ -192,6 +193,8 @@
     PlatformAdapter::HeaderCodec const m_requestCodec {};
     PlatformAdapter::StoreCodec const m_objectCodec {};
     double m_retrySlack { 100 };
+    /// Whether no earlier process of the node can have spent its retry budget.
+    bool m_isFirstStart { true };
     Core::Endpoint m_peerListen { "127.0.0.1", 0 };
     int m_prompts { 0 };
     std::vector<std::unique_ptr<RawServer>> m_servers;
