LibForward: Share the retry budget beyond what one process has seen

Callers saw: nothing of their own; a service could get more repeats than the deployment allows while nodes started again, or started behind a partition.

Cause: each process began with a full share of the budget, whatever the one before it had spent in the same window, and divided the budget by the nodes that it had heard of or the seeds. A node that starts behind a partition hears few, or none. The class: a part of a common limit that is derived from what one process has seen since its start.

Change: retryShare() and assumedNodes() are the decision, apart from the forwarder. A node supposes as many nodes in each data centre with servers as it knows in its own. Processes that are not the first of their node begin with an empty budget. The line of a request tells that the budget was spent and by how many nodes it was divided, a counter the attempts that it allowed and did not; without them the hypotheses of the incident cannot be told apart from the logs.

NodeThatStartsAgainDoesNotHaveAFullRetryBudget: one repeat before, none now.

Ruled out: nodes that know each other and are cut off later; they divide by the largest number that they have known.

--- a/Libraries/LibLimits/RetryBudget.cpp
+++ b/Libraries/LibLimits/RetryBudget.cpp
@@ -4,16 +4,17 @@
 
 namespace Limits {
 
-RetryBudget::RetryBudget(double retriesPerRequest, double retriesPerSecond, double capacity)
+RetryBudget::RetryBudget(double retriesPerRequest, double retriesPerSecond, double capacity, InitialLevel initialLevel)
     : m_retriesPerRequest(retriesPerRequest)
     , m_retriesPerSecond(retriesPerSecond)
     , m_capacity(capacity)
-    , m_level(capacity)
+    , m_level(initialLevel == InitialLevel::Full ? capacity : 0)
 {
 }
 
-void RetryBudget::resize(double retriesPerSecond, double capacity)
+void RetryBudget::resize(double retriesPerRequest, double retriesPerSecond, double capacity)
 {
+    m_retriesPerRequest = retriesPerRequest;
     m_retriesPerSecond = retriesPerSecond;
     m_capacity = capacity;
     m_level = std::min(m_level, capacity);
--- a/Libraries/LibLimits/RetryBudget.h
+++ b/Libraries/LibLimits/RetryBudget.h
@@ -11,12 +11,20 @@
     /// Allows a burst of failures, such as the full batch of a crashed server, to be retried immediately.
     static constexpr double defaultCapacity = 32;
 
+    /// What may be spent before requests or time have added to the budget.
+    enum class InitialLevel {
+        Full,
+        /// An earlier process of the node may have spent its budget just before.
+        Empty,
+    };
+
     /// Each request adds retriesPerRequest, for example 0.1, to the budget. A small constant rate allows a service with few requests to
     /// retry too. The capacity is the number of retries that can accumulate.
-    RetryBudget(double retriesPerRequest, double retriesPerSecond, double capacity = defaultCapacity);
+    RetryBudget(double retriesPerRequest, double retriesPerSecond, double capacity = defaultCapacity, InitialLevel = InitialLevel::Full);
 
-    /// Changes the constant rate and the capacity, for example when the number of nodes that share them changes.
-    void resize(double retriesPerSecond, double capacity);
+    /// Changes the rates and the capacity, for example when the number of nodes that share them or the settings change. What was spent
+    /// remains spent.
+    void resize(double retriesPerRequest, double retriesPerSecond, double capacity);
 
     void recordRequest(Core::MonotonicTime now);
 
--- a/Libraries/LibRouting/ServerTable.cpp
+++ b/Libraries/LibRouting/ServerTable.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <map>
+#include <set>
 
 namespace Routing {
 
@@ -63,6 +64,14 @@
     return listed.incarnation > row.incarnation || (listed.incarnation < row.incarnation && listed.revision > row.revision);
 }
 
+std::size_t countDataCentres(ServerTable const& table)
+{
+    std::set<std::string_view> dataCentres;
+    for (auto const& row : table.rows)
+        dataCentres.insert(row.dataCentre);
+    return dataCentres.size();
+}
+
 void mergeHostList(ServerTable& table, std::vector<ListedServer> const& list, Core::MonotonicTime now)
 {
     for (auto const& listed : list) {
--- a/Libraries/LibRouting/ServerTable.h
+++ b/Libraries/LibRouting/ServerTable.h
@@ -136,6 +136,9 @@
 [[nodiscard]] ServerRow* findServer(ServerTable&, std::string_view id);
 [[nodiscard]] ServerRow const* findServer(ServerTable const&, std::string_view id);
 
+/// Returns the number of data centres that have a backend server. Thread safe.
+[[nodiscard]] std::size_t countDataCentres(ServerTable const&);
+
 /// An entry of the platform's host list.
 struct ListedServer {
     std::string id;
--- a/Services/Edge/RequestForwarder.cpp
+++ b/Services/Edge/RequestForwarder.cpp
@@ -1,6 +1,7 @@
 #include <Edge/RequestForwarder.h>
 
 #include <LibCore/Log.h>
+#include <LibForward/RetryShare.h>
 #include <LibHTTP/Problem.h>
 #include <algorithm>
 #include <boost/beast/core/string.hpp>
@@ -107,6 +108,8 @@
 
     std::uint32_t attempts { 0 };
     std::uint32_t possibleExecutions { 0 };
+    /// For the log, if the retry budget did not allow a further attempt: the number of nodes by which it was divided.
+    std::optional<std::size_t> nodesOfExhaustedBudget;
     std::vector<std::string> triedServers;
     std::vector<Core::Endpoint> triedEndpoints;
     /// For the log: each server that was tried with the outcome of its attempt, and the placement data of the last one.
@@ -314,30 +317,30 @@
     };
 }
 
-bool RequestForwarder::chargeRetryBudget(RequestContext const& context)
+bool RequestForwarder::chargeRetryBudget(RequestContext& context)
 {
-    // Each node uses its share of this fraction of the deployment's budget; the remainder is reserved for nodes whose reports do not
-    // reach this one.
-    static constexpr double budgetFraction = 0.6;
     auto const& settings = m_dependencies.settings;
-    auto& budgets = m_dependencies.tables.retryBudgets;
-    // Before the first reports arrive, the number of peers is estimated from the seed addresses.
-    auto const& peers = m_dependencies.tables.peers;
-    double const nodes = static_cast<double>(std::max(peers.knownNodes, peers.isAggregated ? 0 : peers.candidates.size()));
-    double const slack = budgetFraction * settings.retrySlack / nodes / 2;
-    double const perSecond = slack / std::chrono::duration<double>(settings.retryWindow).count();
-    double const capacity = std::max(slack, 1.0);
-    auto const [found, isNew] = budgets.try_emplace(context.service, budgetFraction * settings.retryRatio, perSecond, capacity);
+    auto const& tables = m_dependencies.tables;
+    auto const nodes = Forward::assumedNodes(tables.peers, settings.dataCentre, Routing::countDataCentres(tables.servers));
+    auto const share = Forward::retryShare({ settings.retryRatio, settings.retrySlack, settings.retryWindow }, nodes);
+    // An earlier process of this node may have spent its share in the same window.
+    bool const hasNoPredecessor = settings.isFirstStart || m_dependencies.runtime.now() - m_dependencies.startedAt >= settings.retryWindow;
+    auto const initialLevel = hasNoPredecessor ? Limits::RetryBudget::InitialLevel::Full : Limits::RetryBudget::InitialLevel::Empty;
+    auto const [found, isNew] = m_dependencies.tables.retryBudgets.try_emplace(context.service, share.perRequest, share.perSecond, share.capacity, initialLevel);
     if (!isNew)
-        found->second.resize(perSecond, capacity);
+        found->second.resize(share.perRequest, share.perSecond, share.capacity);
     if (context.attempts == 0) {
         found->second.recordRequest(m_dependencies.runtime.now());
         return true;
     }
-    return found->second.tryTake(m_dependencies.runtime.now());
+    bool const isAllowed = found->second.tryTake(m_dependencies.runtime.now());
+    m_dependencies.metrics.counter("hyssopstep_retries_total", { { "service", context.service }, { "allowed", isAllowed ? "yes" : "no" } }).add();
+    if (!isAllowed)
+        context.nodesOfExhaustedBudget = nodes;
+    return isAllowed;
 }
 
-bool RequestForwarder::shouldRetry(RequestContext const& context, AttemptOutcome outcome)
+bool RequestForwarder::shouldRetry(RequestContext& context, AttemptOutcome outcome)
 {
     bool const hadServer = context.triedServers.size() == context.attempts;
     Core::Error refusal;
@@ -784,6 +787,8 @@
         if (context.cacheSource)
             fields.emplace_back("cache_source", context.cacheSource->toString());
     }
+    if (context.nodesOfExhaustedBudget)
+        fields.emplace_back("retry_budget_exhausted", "nodes:" + std::to_string(*context.nodesOfExhaustedBudget));
     if (!context.failureReason.empty())
         fields.emplace_back("reason", context.failureReason);
     Core::logEvent(Core::LogLevel::Info, "request", fields);
--- a/Services/Edge/RequestForwarder.h
+++ b/Services/Edge/RequestForwarder.h
@@ -61,13 +61,13 @@
     [[nodiscard]] Core::Awaitable<Forward::AttemptOutcome> resumeStalled(RequestContext&, Core::Error&);
     [[nodiscard]] Core::Awaitable<void> conclude(RequestContext&, std::unique_ptr<Attempt>, Forward::AttemptOutcome, Core::Error const&);
     /// Whether to send the request to a further server after an attempt.
-    [[nodiscard]] bool shouldRetry(RequestContext const&, Forward::AttemptOutcome);
+    [[nodiscard]] bool shouldRetry(RequestContext&, Forward::AttemptOutcome);
     /// Whether the stream may continue at another server if its server stalls.
     [[nodiscard]] static bool mayContinueElsewhere(RequestContext const&);
     /// Sets how many bytes of responses are held in memory for a request. Returns false, without an effect, if they are too many for one request or
     /// together with those of the others.
     [[nodiscard]] bool holdBytes(RequestContext&, std::size_t bytes);
-    [[nodiscard]] bool chargeRetryBudget(RequestContext const&);
+    [[nodiscard]] bool chargeRetryBudget(RequestContext&);
     [[nodiscard]] Forward::AttemptHistory attemptHistory(RequestContext const&) const;
     /// Refuses a request with a prompt part that crashes servers. Returns whether it was refused, with the error set.
     [[nodiscard]] bool isPartRefused(RequestContext const&, Core::Error&) const;
--- a/Tests/EdgeService/RetryBudgetTest.cpp
+++ b/Tests/EdgeService/RetryBudgetTest.cpp
@@ -39,3 +39,10 @@
     ASSERT_LT(m_loop.runtime().now() - startedAt, m_service->settings().retryWindow);
     EXPECT_LE(static_cast<double>(retries), m_retrySlack + m_service->settings().retryRatio * m_requests);
 }
+
+// Guards against a node that spends its share again in each process, when it is stopped or killed in series (BUDGET).
+TEST_F(RetryBudgetOfANodeTest, NodeThatStartsAgainDoesNotHaveAFullRetryBudget)
+{
+    startNode(false);
+    EXPECT_EQ(countRetries(1), 0u);
+}
--- a/Tests/LibLimits/LimitsTest.cpp
+++ b/Tests/LibLimits/LimitsTest.cpp
@@ -402,7 +402,7 @@
     Limits::RetryBudget budget(0.1, 1, 16);
     Core::MonotonicTime const now { std::chrono::seconds(100) };
     EXPECT_TRUE(budget.tryTake(now));
-    budget.resize(0.2, 2);
+    budget.resize(0.1, 0.2, 2);
     EXPECT_TRUE(budget.tryTake(now));
     EXPECT_TRUE(budget.tryTake(now));
     EXPECT_FALSE(budget.tryTake(now));
