RequestForwarder: Choose a server before a further attempt is counted

Callers saw: a stream whose server had fallen silent ended late, although another server could have continued it.

Cause: an attempt was counted and charged to the retry budget before a server was chosen. If none could be asked, since the others had asked for a pause, the request counted more attempts than servers for ever, and the stalled stream was offered to no server again. Found in review.

Change: shouldRetry() asks whether a server can be chosen, before the budget is charged.

Evidence: StalledStreamContinuesAfterThePauseOfTheOtherServer failed with the old condition: the other server was asked once (its refusal) instead of twice; with the change the stream ends 2.0 s after the test has begun, the silent server would have gone on after 4.5 s.

Ruled out: more attempts than before; the limits of attempts and of servers are checked as they were.

--- a/Services/Edge/RequestForwarder.cpp
+++ b/Services/Edge/RequestForwarder.cpp
@@ -322,18 +322,18 @@
     auto const& settings = m_dependencies.settings;
     auto const& tables = m_dependencies.tables;
     auto const nodes = Forward::assumedNodes(tables.peers, settings.dataCentre, Routing::countDataCentres(tables.servers));
-    auto const share = Forward::retryShare({ settings.retryRatio, settings.retrySlack, settings.retryWindow }, nodes);
-    // An earlier process of this node may have spent its share in the same window.
-    bool const hasNoPredecessor = settings.isFirstStart || m_dependencies.runtime.now() - m_dependencies.startedAt >= settings.retryWindow;
-    auto const initialLevel = hasNoPredecessor ? Limits::RetryBudget::InitialLevel::Full : Limits::RetryBudget::InitialLevel::Empty;
+    Forward::RetryTolerance const tolerance { settings.retryRatio, settings.retrySlack, settings.retryWindow };
+    auto const share = Forward::retryShare(tolerance, nodes);
+    auto const now = m_dependencies.runtime.now();
+    auto const initialLevel = Forward::initialRetryLevel(tolerance, settings.isFirstStart, now - m_dependencies.startedAt);
     auto const [found, isNew] = m_dependencies.tables.retryBudgets.try_emplace(context.service, share.perRequest, share.perSecond, share.capacity, initialLevel);
     if (!isNew)
         found->second.resize(share.perRequest, share.perSecond, share.capacity);
     if (context.attempts == 0) {
-        found->second.recordRequest(m_dependencies.runtime.now());
+        found->second.recordRequest(now);
         return true;
     }
-    bool const isAllowed = found->second.tryTake(m_dependencies.runtime.now());
+    bool const isAllowed = found->second.tryTake(now);
     m_dependencies.metrics.counter("hyssopstep_retries_total", { { "service", context.service }, { "allowed", isAllowed ? "yes" : "no" } }).add();
     if (!isAllowed)
         context.nodesOfExhaustedBudget = nodes;
@@ -342,9 +342,11 @@
 
 bool RequestForwarder::shouldRetry(RequestContext& context, AttemptOutcome outcome)
 {
-    bool const hadServer = context.triedServers.size() == context.attempts;
     Core::Error refusal;
-    if (!hadServer || context.cancellation.isCancelled() || context.streamFinished || isPartRefused(context, refusal))
+    if (context.cancellation.isCancelled() || context.streamFinished || isPartRefused(context, refusal))
+        return false;
+    // Without a server that can be asked now, the budget is not charged, and a stalled stream may be offered to one later.
+    if (!place(context, refusal))
         return false;
     auto const next = Forward::decideNextStep(outcome, attemptHistory(context));
     return next == Forward::NextStep::Retry || (next == Forward::NextStep::RetryWithinBudget && chargeRetryBudget(context));
@@ -376,12 +378,18 @@
     return response.status() == ok && boost::beast::iequals(type.substr(0, eventStreamType.size()), eventStreamType);
 }
 
+std::optional<Routing::Placement> RequestForwarder::place(RequestContext const& context, Core::Error& error)
+{
+    auto const& tables = m_dependencies.tables;
+    Routing::PlacementRequest const request { context.service, m_dependencies.settings.dataCentre, context.sharedPrefixHash, context.sharedTokens, context.triedServers, context.attributes.tokens ? Routing::WorkKind::Generation : Routing::WorkKind::Call };
+    return Routing::placeRequest(tables.servers, request, tables.placementCosts, m_dependencies.random, m_dependencies.runtime.now(), error);
+}
+
 Core::Awaitable<AttemptOutcome> RequestForwarder::attempt(RequestContext& context, Core::Error& error)
 {
     auto& tables = m_dependencies.tables;
     ++context.attempts;
-    Routing::PlacementRequest const placementRequest { context.service, m_dependencies.settings.dataCentre, context.sharedPrefixHash, context.sharedTokens, context.triedServers, context.attributes.tokens ? Routing::WorkKind::Generation : Routing::WorkKind::Call };
-    auto placement = Routing::placeRequest(tables.servers, placementRequest, tables.placementCosts, m_dependencies.random, m_dependencies.runtime.now(), error);
+    auto placement = place(context, error);
     if (!placement)
         co_return AttemptOutcome::NotSent;
     context.triedServers.push_back(placement->serverId);
--- a/Services/Edge/RequestForwarder.h
+++ b/Services/Edge/RequestForwarder.h
@@ -50,6 +50,8 @@
     [[nodiscard]] Core::Awaitable<void> waitUntilUsable();
     [[nodiscard]] bool admit(RequestContext&, Core::Error&);
     [[nodiscard]] Core::Awaitable<void> run(RequestContext&);
+    /// Chooses a server that was not tried yet. Fails with NoServerAvailable.
+    [[nodiscard]] std::optional<Routing::Placement> place(RequestContext const&, Core::Error&);
     [[nodiscard]] Core::Awaitable<Forward::AttemptOutcome> attempt(RequestContext&, Core::Error&);
     [[nodiscard]] Core::Awaitable<Forward::AttemptOutcome> forwardStream(RequestContext&, Attempt&, Core::Error&);
     [[nodiscard]] Core::Awaitable<Forward::AttemptOutcome> readResponse(RequestContext&, Attempt&, Core::Error&);
--- a/Tests/EdgeService/ServerPauseTest.cpp
+++ b/Tests/EdgeService/ServerPauseTest.cpp
@@ -98,6 +98,29 @@
     EXPECT_EQ(countRequestsUntil(end - 100ms), 0u);
 }
 
+// Guards against a stalled stream that is never continued because the other servers were paused when it was first offered to them.
+TEST_F(ServerPauseTest, StalledStreamContinuesAfterThePauseOfTheOtherServer)
+{
+    addServer([](auto const& request) {
+        auto const id = attemptIdOf(request);
+        if (request.find(" /resume/") == std::string::npos)
+            return Reply { httpResponse(id, "busy", "X-Hyssopstep-Not-Executed: 1\r\nRetry-After: 1.8\r\n", "503 Service Unavailable") };
+        return Reply { streamHead(id) + chunk(event(2)) + "0\r\n\r\n" };
+    });
+    addServer([](auto const& request) {
+        auto const id = attemptIdOf(request);
+        if (request.find(" /resume/") == std::string::npos)
+            return Reply { httpResponse(id, "full", "X-Hyssopstep-Not-Executed: 1\r\n", "503 Service Unavailable") };
+        return Reply { .bytes = streamHead(id) + chunk(event(1)), .trailingBytes = chunk(event(2)) + "0\r\n\r\n", .trailingDelay = 4500ms };
+    });
+    start();
+    EXPECT_EQ(statusOf(send("/unsafe/1")), "503");
+    ASSERT_EQ(m_servers[0]->requests.size(), 1u);
+    auto const response = exchange(request("/resume/1", "stream", "POST", "Connection: close\r\n"), 5s);
+    EXPECT_TRUE(response.ends_with("0\r\n\r\n")) << response;
+    EXPECT_EQ(m_servers[0]->requests.size(), 2u);
+}
+
 // Guards against values that take a server out of use by mistake, or for ever.
 TEST_F(ServerPauseTest, OtherResponsesAndOddValuesCauseNoPause)
 {
@@ -108,4 +131,5 @@
     EXPECT_EQ(m_requestCodec.decodeResponse(503, { { "Retry-After", " 0.0304 " } }).pause, 31ms);
     EXPECT_EQ(m_requestCodec.decodeResponse(503, { { "Retry-After", "3" } }).pause, 3s);
     EXPECT_EQ(m_requestCodec.decodeResponse(503, { { "Retry-After", std::string(400, '9') } }).pause, 24h);
+    EXPECT_EQ(m_requestCodec.decodeResponse(503, { { "Retry-After", "0." + std::string(400, '0') + "1" } }).pause, 1ms);
 }
