LibForward, LibRouting: Tighten the retry share and the pause after review

Cause: found by reading, none of it seen by a caller. The choice of the initial level of a retry budget was made in the forwarder and not covered by the simulation; two tests passed without any retry. A late response of an earlier process of a server replaced the pause of a later one. The wait that is predicted was the end of a pause although another server could be asked.

Change: initialRetryLevel() beside retryShare(), used by the simulation; the tests expect that retries are made at all; recordPause() keeps the later incarnation; predictedWait() tells the end of a pause only if all servers are paused.

Ruled out: arrivals in a pause by another path than placement; a request that counts as not sent but has arrived.

--- a/Libraries/LibForward/RetryShare.cpp
+++ b/Libraries/LibForward/RetryShare.cpp
@@ -4,7 +4,7 @@
 
 namespace Forward {
 
-// The remainder is reserved for nodes whose number this one underestimates.
+// The remainder is reserved for nodes whose number this one underestimates, and for calls that servers repeat.
 static constexpr double usableFraction = 0.6;
 
 RetryShare retryShare(RetryTolerance const& tolerance, std::size_t nodes)
@@ -18,6 +18,12 @@
     };
 }
 
+Limits::RetryBudget::InitialLevel initialRetryLevel(RetryTolerance const& tolerance, bool isFirstStart, Core::Duration sinceStart)
+{
+    bool const hasNoPredecessor = isFirstStart || sinceStart >= tolerance.window;
+    return hasNoPredecessor ? Limits::RetryBudget::InitialLevel::Full : Limits::RetryBudget::InitialLevel::Empty;
+}
+
 std::size_t assumedNodes(PeerTable const& peers, std::string const& ownDataCentre, std::size_t dataCentres)
 {
     auto const inOwnDataCentre = 1 + std::count_if(peers.rows.begin(), peers.rows.end(), [&](auto const& entry) { return entry.second.report.dataCentre == ownDataCentre; });
--- a/Libraries/LibForward/RetryShare.h
+++ b/Libraries/LibForward/RetryShare.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibForward/PeerTable.h>
+#include <LibLimits/RetryBudget.h>
 #include <chrono>
 #include <cstddef>
 #include <string>
@@ -27,13 +28,17 @@
     bool operator==(RetryShare const&) const = default;
 };
 
-/// Returns the share of one of so many nodes, which spend less than the tolerance together. Precondition: nodes and the window are not zero.
-/// Thread safe.
+/// Returns the share of one of so many nodes, which spend less than the tolerance together while the slack is larger than their number: each
+/// node can accumulate one retry, since it could never make any otherwise. Precondition: nodes and the window are not zero. Thread safe.
 [[nodiscard]] RetryShare retryShare(RetryTolerance const&, std::size_t nodes);
 
+/// Returns the level at which the budget of a service begins when it is first requested. An earlier process of the node may have spent its
+/// share in the same window, unless this one is the first of the system or has run for a window itself. Thread safe.
+[[nodiscard]] Limits::RetryBudget::InitialLevel initialRetryLevel(RetryTolerance const&, bool isFirstStart, Core::Duration sinceStart);
+
 /// Returns the number of nodes by which this node divides what all may spend together. A node that started behind a partition knows only
-/// those on its side; it assumes as many in each data centre as it knows in its own. Precondition: dataCentres is the number of those that have
-/// backend servers. Thread safe.
+/// those on its side; it assumes as many in each data centre as it knows in its own. dataCentres is the number of those that have
+/// backend servers, or 0 if it is not known. Thread safe.
 [[nodiscard]] std::size_t assumedNodes(PeerTable const&, std::string const& ownDataCentre, std::size_t dataCentres);
 
 }
--- a/Libraries/LibRouting/Placement.cpp
+++ b/Libraries/LibRouting/Placement.cpp
@@ -14,16 +14,19 @@
 std::optional<Core::Duration> predictedWait(ServerTable const& table, std::string const& service, Core::MonotonicTime now)
 {
     std::optional<double> shortest;
+    bool areAllPaused = true;
     for (auto const& row : table.rows) {
-        if (row.service != service || row.lifecycle != Lifecycle::Live || row.absence || isPaused(table, row, now) || row.slots == 0 || row.serviceTime.samples == 0)
+        if (row.service != service || row.lifecycle != Lifecycle::Live || row.absence || isPaused(table, row, now))
+            continue;
+        areAllPaused = false;
+        if (row.slots == 0 || row.serviceTime.samples == 0)
             continue;
         auto const load = requestsInProgress(row) + 1;
         double const waiting = load > row.slots ? load - row.slots : 0;
         double const seconds = waiting * row.serviceTime.secondsPerUnit / row.slots;
         shortest = std::min(shortest.value_or(seconds), seconds);
     }
-    auto const endOfPause = firstEndOfPause(table, service, now);
-    if (!shortest && endOfPause)
+    if (auto const endOfPause = firstEndOfPause(table, service, now); endOfPause && areAllPaused)
         return *endOfPause - now;
     if (!shortest)
         return std::nullopt;
--- a/Libraries/LibRouting/Placement.h
+++ b/Libraries/LibRouting/Placement.h
@@ -78,8 +78,8 @@
 [[nodiscard]] std::uint32_t requestsInProgress(ServerRow const&);
 
 /// Returns when a request that all servers refused would find a free slot, at the server where that is soonest: the requests that are in
-/// progress beyond its slots, by this node's measured service time. While all servers that were measured have asked for a pause, the
-/// first end of a pause. Returns an empty optional if no server was measured or has asked for one. Thread safe.
+/// progress beyond its slots, by this node's measured service time. While all servers have asked for a pause, the first end of
+/// one. Returns an empty optional if no server was measured. Thread safe.
 [[nodiscard]] std::optional<Core::Duration> predictedWait(ServerTable const&, std::string const& service, Core::MonotonicTime now);
 
 /// Chooses the server with the least predicted delay for a request. All nodes rank the homes of a prefix by the same rendezvous
--- a/Libraries/LibRouting/ServerTable.cpp
+++ b/Libraries/LibRouting/ServerTable.cpp
@@ -233,6 +233,9 @@
         return false;
     auto const [entry, isNew] = table.pauses.try_emplace(std::string(id), ServerPause { incarnation, until });
     auto& pause = entry->second;
+    // A late response of an earlier incarnation.
+    if (!isNew && pause.incarnation > incarnation)
+        return false;
     bool const wasPaused = !isNew && pause.incarnation == incarnation;
     pause = { incarnation, wasPaused ? std::max(pause.until, until) : until };
     return !wasPaused;
--- a/Services/Edge/EdgeSettings.h
+++ b/Services/Edge/EdgeSettings.h
@@ -24,7 +24,7 @@
     /// Addresses of hosts that may run nodes; peers use the same ports as this node.
     std::vector<std::string> seedAddresses;
     Core::Endpoint platform;
-    /// Whether the deployment starts for the first time, so that no request has been admitted yet.
+    /// Whether the deployment starts for the first time, so that no request has been admitted and no retry made yet.
     bool isFirstStart { false };
     /// Empty if this deployment has no duties.
     std::optional<Core::Endpoint> cloud;
--- a/Tests/EdgeService/RetryBudgetTest.cpp
+++ b/Tests/EdgeService/RetryBudgetTest.cpp
@@ -37,6 +37,7 @@
         retries += countRetries(10);
     }
     ASSERT_LT(m_loop.runtime().now() - startedAt, m_service->settings().retryWindow);
+    EXPECT_GT(retries, 0u);
     EXPECT_LE(static_cast<double>(retries), m_retrySlack + m_service->settings().retryRatio * m_requests);
 }
 
@@ -46,3 +47,9 @@
     startNode(false);
     EXPECT_EQ(countRetries(1), 0u);
 }
+
+TEST_F(RetryBudgetOfANodeTest, NodeThatStartsForTheFirstTimeMayRetryAtOnce)
+{
+    startNode(true);
+    EXPECT_EQ(countRetries(1), 1u);
+}
--- a/Tests/LibForward/RetryShareTest.cpp
+++ b/Tests/LibForward/RetryShareTest.cpp
@@ -58,7 +58,7 @@
         for (auto& node : nodes) {
             auto const share = Forward::retryShare(tolerance, Forward::assumedNodes(peersOf(node.dataCentre, visibility), std::to_string(node.dataCentre), nodesOfDataCentres.size()));
             if (now >= node.startsAt) {
-                node.budget.emplace(share.perRequest, share.perSecond, share.capacity, Limits::RetryBudget::InitialLevel::Empty);
+                node.budget.emplace(share.perRequest, share.perSecond, share.capacity, Forward::initialRetryLevel(tolerance, false, 0s));
                 node.startsAt += restartInterval;
             }
             node.owedRequests += requestsPerSecond / static_cast<double>(nodes.size()) * std::chrono::duration<double>(step).count();
@@ -91,6 +91,15 @@
         EXPECT_LE(mostRetriesInAWindow(Visibility::DataCentre, interval), allowedRetries);
 }
 
+// Guards against a service that is requested for the first time long after the start and could not retry.
+TEST(RetryShareTest, OnlyAProcessThatMayHaveAPredecessorBeginsWithoutRetries)
+{
+    using InitialLevel = Limits::RetryBudget::InitialLevel;
+    EXPECT_EQ(Forward::initialRetryLevel(tolerance, true, 0s), InitialLevel::Full);
+    EXPECT_EQ(Forward::initialRetryLevel(tolerance, false, tolerance.window - 1ms), InitialLevel::Empty);
+    EXPECT_EQ(Forward::initialRetryLevel(tolerance, false, tolerance.window), InitialLevel::Full);
+}
+
 // Guards against a share that shrinks without need: nodes that know each other divide by their number.
 TEST(RetryShareTest, NodesThatKnowEachOtherDivideByTheirNumber)
 {
--- a/Tests/LibRouting/PlacementTest.cpp
+++ b/Tests/LibRouting/PlacementTest.cpp
@@ -273,6 +273,12 @@
     EXPECT_EQ(place(servers, { .service = "model" }), "none");
     EXPECT_EQ(Routing::predictedWait(servers, "model", now), 3s);
     EXPECT_FALSE(Routing::isPaused(servers, servers.rows[0], now + 3s));
+    // A late response of an earlier process, and another server that could be asked.
+    EXPECT_FALSE(Routing::recordPause(servers, "s0", 0, now + 9s, now));
+    EXPECT_EQ(Routing::firstEndOfPause(servers, "model", now), now + 3s);
+    servers.rows.push_back({ .id = "s1", .service = "model" });
+    EXPECT_FALSE(Routing::predictedWait(servers, "model", now));
+    servers.rows.pop_back();
     // The entry is missing for a moment.
     Routing::mergeHostList(servers, {}, now);
     Routing::mergeHostList(servers, { entry }, now);
