LibHTTP: Keep the last response of a connection until the client has read it

What callers saw: a client that reads slowly and sends another request (or any bytes) on a connection whose response announced `Connection: close` lost the rest of that response to a reset.

Cause: the server closed the connection right after the last write. Closing with unread bytes, or receiving bytes after the close, makes the kernel reset the connection and drop what it still had to send, up to some megabytes.

Change: a response that was sent whole and that announced the close is followed by the lingering close that refusals use already: the server ends its side, discards what arrives, and closes when the client does or after 2 s. A planned stop waits for it, but not longer than for requests; requests in progress do not include it.

Evidence: ClientServerTest.LastResponseIsReadToItsEndIfMoreBytesArrive received 36,864 of 2,000,000 bytes and then a reset in each of three runs; it passes in each of five. TestLibHTTP (21) and TestEdgeService (120 tests) pass.

Not covered: a client that still reads 2 s after the last write and sends more bytes then.

--- a/Libraries/LibHTTP/Server.cpp
+++ b/Libraries/LibHTTP/Server.cpp
@@ -50,6 +50,8 @@
     ConnectionState state { ConnectionState::Idle };
     Core::Endpoint peer;
     std::size_t requests { 0 };
+    /// Whether its last response was sent whole and announced that the connection is closed.
+    bool endsWithResponse { false };
     /// Closes an idle connection after stopAccepting().
     Core::Timer lingerTimer;
 };
@@ -323,6 +325,8 @@
             if (keepAlive && self->m_stopping)
                 self->closeAfterLinger(connection);
         }
+        if (connection->endsWithResponse)
+            co_await self->lingeringClose(*connection);
         connection->close();
         self->m_connections.erase(connection);
         self->m_progress.notifyAll();
@@ -457,7 +461,8 @@
         co_await lingeringClose(connection);
     }
 
-    // Closing with unread bytes resets the connection, and the client may then lose the response (RFC 9112, section 9.6).
+    // Closing with unread bytes, or before the client sends more, resets the connection, and the client may then lose the response
+    // (RFC 9112, section 9.6).
     Core::Awaitable<void> lingeringClose(Connection& connection)
     {
         static constexpr std::size_t maximumDiscardedBytes = 16 * 1024 * 1024;
@@ -501,6 +506,7 @@
         }
         --m_requestsInProgress;
         m_progress.notifyAll();
+        connection.endsWithResponse = writer.isComplete() && !writer.keepsAlive();
         co_return writer.isComplete() && writer.keepsAlive();
     }
 
--- a/Tests/LibHTTP/ClientServerTest.cpp
+++ b/Tests/LibHTTP/ClientServerTest.cpp
@@ -379,3 +379,48 @@
     boost::asio::read_until(socket, boost::asio::dynamic_buffer(response), "GET /x ", errorCode);
     EXPECT_FALSE(errorCode) << errorCode.message();
 }
+
+// Guards against a response that a client has not read to its end and that is lost because more bytes of the client arrive while the server
+// closes the connection (LOST).
+TEST_F(ClientServerTest, LastResponseIsReadToItsEndIfMoreBytesArrive)
+{
+    static constexpr std::size_t bodyBytes = 2'000'000;
+    static constexpr int receiveBufferBytes = 4096;
+    static constexpr std::size_t bytesReadAtATime = 32 * 1024;
+    for (bool const isSentBeforeReading : { true, false }) {
+        startServer([&](HTTP::Request const&, HTTP::ResponseWriter& writer) -> Awaitable<void> {
+            HTTP::Response response;
+            response.body = std::string(bodyBytes, 'x');
+            (void)co_await writer.send(std::move(response));
+        });
+        m_server->closeAfterResponses();
+        std::size_t received = 0;
+        boost::system::error_code errorCode;
+        std::thread thread([&] {
+            boost::asio::io_context context;
+            boost::asio::ip::tcp::socket socket(context);
+            socket.open(boost::asio::ip::tcp::v4());
+            socket.set_option(boost::asio::socket_base::receive_buffer_size(receiveBufferBytes));
+            socket.connect({ boost::asio::ip::make_address(m_endpoint.address), m_endpoint.port });
+            std::string const request = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+            boost::system::error_code ignored;
+            boost::asio::write(socket, boost::asio::buffer(request), ignored);
+            std::this_thread::sleep_for(50ms);
+            if (isSentBeforeReading)
+                boost::asio::write(socket, boost::asio::buffer(request), ignored);
+            std::vector<char> buffer(bytesReadAtATime);
+            while (!errorCode) {
+                received += boost::asio::read(socket, boost::asio::buffer(buffer), errorCode);
+                std::this_thread::sleep_for(2ms);
+                if (!isSentBeforeReading)
+                    boost::asio::write(socket, boost::asio::buffer(request), ignored);
+            }
+            m_context.stop();
+        });
+        m_context.restart();
+        m_context.run();
+        thread.join();
+        EXPECT_GT(received, bodyBytes) << (isSentBeforeReading ? "sent before reading" : "sent while reading");
+        EXPECT_EQ(errorCode, boost::asio::error::eof) << errorCode.message();
+    }
+}
