EdgeService: Count the crashes of a repeated request at all nodes

Callers saw: nothing of their own; servers went on crashing while one request came again at one node after the other.

Cause: QuarantineTable needs three crashes at one node, and reports carry only requests that are quarantined already. With n nodes up to 2n crashes pass before one of them refuses the request.

Change: a second CrashSuspectTable holds whole requests by their fingerprints. Crashes, successes and reports are treated as for prompt parts, with the same code. A request is refused at its admission and before each retry. Reports have a new list, also brief ones and the sums of aggregating nodes. server_crash_suspected also names requests without a shared part. A node's own quarantine stays as it was.

Ruled out: a lower number of crashes in QuarantineTable, which would refuse sound requests in the batch. Not covered: a request that crashes its server only after several events, three crashes at different nodes within half a second, and one that comes again ten minutes after its last crash, when the shared evidence has expired.

--- a/Libraries/LibForward/NodeReport.capnp
+++ b/Libraries/LibForward/NodeReport.capnp
@@ -125,4 +125,6 @@
     serversEra @25 :UInt64;
     # Servers that stated that they are leaving, and whose entries do not say so. Also in brief reports.
     leavingServers @26 :List(LeavingServer);
+    # Evidence on whole requests, whose fingerprints are in place of the parts' hashes. Also in brief reports.
+    suspectRequests @27 :List(SuspectPart);
 }
--- a/Libraries/LibForward/NodeReport.capnp.h
+++ b/Libraries/LibForward/NodeReport.capnp.h
@@ -185,7 +185,7 @@
 
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ae287fdf6ab6901d, 7, 14)
+    CAPNP_DECLARE_STRUCT_HEADER(ae287fdf6ab6901d, 7, 15)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1103,6 +1103,9 @@
   inline bool hasLeavingServers() const;
   inline  ::capnp::List< ::Forward::wire::LeavingServer,  ::capnp::Kind::STRUCT>::Reader getLeavingServers() const;
 
+  inline bool hasSuspectRequests() const;
+  inline  ::capnp::List< ::Forward::wire::SuspectPart,  ::capnp::Kind::STRUCT>::Reader getSuspectRequests() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1271,6 +1274,13 @@
   inline void adoptLeavingServers(::capnp::Orphan< ::capnp::List< ::Forward::wire::LeavingServer,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::Forward::wire::LeavingServer,  ::capnp::Kind::STRUCT>> disownLeavingServers();
 
+  inline bool hasSuspectRequests();
+  inline  ::capnp::List< ::Forward::wire::SuspectPart,  ::capnp::Kind::STRUCT>::Builder getSuspectRequests();
+  inline void setSuspectRequests( ::capnp::List< ::Forward::wire::SuspectPart,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::Forward::wire::SuspectPart,  ::capnp::Kind::STRUCT>::Builder initSuspectRequests(unsigned int size);
+  inline void adoptSuspectRequests(::capnp::Orphan< ::capnp::List< ::Forward::wire::SuspectPart,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::Forward::wire::SuspectPart,  ::capnp::Kind::STRUCT>> disownSuspectRequests();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2535,6 +2545,40 @@
       ::capnp::bounded<13>() * ::capnp::POINTERS));
 }
 
+inline bool NodeReport::Reader::hasSuspectRequests() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<14>() * ::capnp::POINTERS).isNull();
+}
+inline bool NodeReport::Builder::hasSuspectRequests() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<14>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::Forward::wire::SuspectPart,  ::capnp::Kind::STRUCT>::Reader NodeReport::Reader::getSuspectRequests() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Forward::wire::SuspectPart,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<14>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::Forward::wire::SuspectPart,  ::capnp::Kind::STRUCT>::Builder NodeReport::Builder::getSuspectRequests() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Forward::wire::SuspectPart,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<14>() * ::capnp::POINTERS));
+}
+inline void NodeReport::Builder::setSuspectRequests( ::capnp::List< ::Forward::wire::SuspectPart,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Forward::wire::SuspectPart,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<14>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::Forward::wire::SuspectPart,  ::capnp::Kind::STRUCT>::Builder NodeReport::Builder::initSuspectRequests(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Forward::wire::SuspectPart,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<14>() * ::capnp::POINTERS), size);
+}
+inline void NodeReport::Builder::adoptSuspectRequests(
+    ::capnp::Orphan< ::capnp::List< ::Forward::wire::SuspectPart,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Forward::wire::SuspectPart,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<14>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::Forward::wire::SuspectPart,  ::capnp::Kind::STRUCT>> NodeReport::Builder::disownSuspectRequests() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Forward::wire::SuspectPart,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<14>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 
--- a/Libraries/LibForward/NodeReport.cpp
+++ b/Libraries/LibForward/NodeReport.cpp
@@ -154,6 +154,7 @@
     for (unsigned i = 0; i < quarantined.size(); ++i)
         quarantined.set(i, report.quarantined[i]);
     encodeSuspects(report.suspectParts, root.initSuspectParts(static_cast<unsigned>(report.suspectParts.size())));
+    encodeSuspects(report.suspectRequests, root.initSuspectRequests(static_cast<unsigned>(report.suspectRequests.size())));
     auto leaving = root.initLeavingServers(static_cast<unsigned>(report.leavingServers.size()));
     for (unsigned i = 0; i < leaving.size(); ++i) {
         leaving[i].setServer(report.leavingServers[i].server);
@@ -204,6 +205,7 @@
     for (auto const fingerprint : root.getQuarantined())
         report.quarantined.push_back(fingerprint);
     report.suspectParts = suspectsFrom(root.getSuspectParts());
+    report.suspectRequests = suspectsFrom(root.getSuspectRequests());
     for (auto const server : root.getLeavingServers())
         report.leavingServers.push_back({ server.getServer(), server.getIncarnation() });
     // A newer sender may use a scope that this version does not know.
--- a/Libraries/LibForward/NodeReport.h
+++ b/Libraries/LibForward/NodeReport.h
@@ -102,6 +102,8 @@
     std::vector<std::uint64_t> quarantined;
     /// Prompt parts that may crash servers. Also in brief reports, since each crash counts until all nodes refuse such a part.
     std::vector<SuspectPartReport> suspectParts;
+    /// Whole requests that may crash servers, with their fingerprints in place of the parts' hashes. Also in brief reports.
+    std::vector<SuspectPartReport> suspectRequests;
     /// Servers whose entries do not say yet that they are leaving, known from their responses or from other nodes. Also in brief reports.
     std::vector<LeavingServer> leavingServers;
     bool isLeaving { false };
--- a/Services/Edge/EdgeService.cpp
+++ b/Services/Edge/EdgeService.cpp
@@ -156,6 +156,24 @@
     (void)co_await writer.send(std::move(response));
 }
 
+static std::vector<Forward::SuspectPartReport> reportSuspects(Limits::CrashSuspectTable const& table, Core::MonotonicTime now)
+{
+    auto const ageOf = [now](Core::MonotonicTime at) { return std::chrono::duration_cast<std::chrono::milliseconds>(std::max(now - at, Core::Duration(0))); };
+    std::vector<Forward::SuspectPartReport> suspects;
+    for (auto const& [part, evidence] : Limits::suspectsToReport(table, now)) {
+        auto& suspect = suspects.emplace_back();
+        suspect.part = part;
+        suspect.isPrefix = evidence.isPrefix;
+        for (auto const& [id, crash] : evidence.crashes)
+            suspect.crashes[id] = { ageOf(crash.at), crash.server };
+        for (auto const& [id, crash] : evidence.otherCrashes)
+            suspect.otherCrashes[id] = { ageOf(crash.at), crash.server };
+        if (evidence.soundAt)
+            suspect.soundAge = ageOf(*evidence.soundAt);
+    }
+    return suspects;
+}
+
 Forward::NodeReport EdgeService::buildReport()
 {
     // Windows that the holder of the duties may not have reported yet.
@@ -190,18 +208,8 @@
     report.peers.resize(std::min(report.peers.size(), maximumReportedPeers));
     for (auto const& [fingerprint, until] : m_tables.quarantine.quarantined)
         report.quarantined.push_back(fingerprint);
-    auto const ageOf = [now = m_runtime.now()](Core::MonotonicTime at) { return std::chrono::duration_cast<std::chrono::milliseconds>(std::max(now - at, Core::Duration(0))); };
-    for (auto const& [part, evidence] : Limits::suspectsToReport(m_tables.crashSuspects, m_runtime.now())) {
-        auto& suspect = report.suspectParts.emplace_back();
-        suspect.part = part;
-        suspect.isPrefix = evidence.isPrefix;
-        for (auto const& [id, crash] : evidence.crashes)
-            suspect.crashes[id] = { ageOf(crash.at), crash.server };
-        for (auto const& [id, crash] : evidence.otherCrashes)
-            suspect.otherCrashes[id] = { ageOf(crash.at), crash.server };
-        if (evidence.soundAt)
-            suspect.soundAge = ageOf(*evidence.soundAt);
-    }
+    report.suspectParts = reportSuspects(m_tables.crashSuspects, now);
+    report.suspectRequests = reportSuspects(m_tables.requestSuspects, now);
     report.leavingServers = Forward::leavingServersToReport(m_tables.directory);
     report.isLeaving = m_tables.isDraining();
     report.watchesStore = m_storeWatcher.isWatchingStore();
@@ -230,6 +238,7 @@
     Routing::updateStragglerStates(m_tables.servers, now);
     Limits::expire(m_tables.quarantine, now);
     logRefusedParts(Limits::expire(m_tables.crashSuspects, now), "own");
+    logRefusedRequests(Limits::expire(m_tables.requestSuspects, now), "own");
     // Older windows have been reported or can no longer be reported.
     static constexpr std::int64_t retainedWindows = 6;
     auto const unixTime = std::chrono::duration_cast<std::chrono::milliseconds>(m_runtime.wallNow().time_since_epoch()).count();
--- a/Services/Edge/EdgeTables.cpp
+++ b/Services/Edge/EdgeTables.cpp
@@ -9,4 +9,10 @@
         Core::logEvent(Core::LogLevel::Warning, "prompt_part_refused", { { "part", part }, { "source", source } });
 }
 
+void logRefusedRequests(std::vector<Limits::RequestFingerprint> const& fingerprints, std::string_view source)
+{
+    for (auto const fingerprint : fingerprints)
+        Core::logEvent(Core::LogLevel::Warning, "request_quarantined", { { "fingerprint", std::uint64_t(fingerprint) }, { "source", source } });
+}
+
 }
--- a/Services/Edge/EdgeTables.h
+++ b/Services/Edge/EdgeTables.h
@@ -44,6 +44,8 @@
     Routing::PlacementCosts placementCosts;
     Limits::QuarantineTable quarantine;
     Limits::CrashSuspectTable crashSuspects;
+    /// Whole requests by their fingerprints, each the only part of its request. Unlike quarantine, it counts the crashes at all nodes.
+    Limits::CrashSuspectTable requestSuspects;
     Forward::QuotaTable quotas;
     Forward::UsageTable usage;
     Forward::PeerTable peers;
@@ -59,5 +61,6 @@
 
 /// The source is "own" or the node whose report decided.
 void logRefusedParts(std::vector<Limits::PromptPartHash> const&, std::string_view source);
+void logRefusedRequests(std::vector<Limits::RequestFingerprint> const&, std::string_view source);
 
 }
--- a/Services/Edge/PeerExchange.cpp
+++ b/Services/Edge/PeerExchange.cpp
@@ -54,6 +54,24 @@
     }
 }
 
+// Returns the parts that are refused from now on.
+static std::vector<Limits::PromptPartHash> mergeSuspects(Limits::CrashSuspectTable& table, std::vector<Forward::SuspectPartReport> const& suspects, Core::MonotonicTime now)
+{
+    std::vector<Limits::PromptPartHash> refused;
+    for (auto const& suspect : suspects) {
+        Limits::SuspectPart evidence { .isPrefix = suspect.isPrefix };
+        for (auto const& [id, crash] : suspect.crashes)
+            evidence.crashes[id] = { crash.server, now - crash.age };
+        for (auto const& [id, crash] : suspect.otherCrashes)
+            evidence.otherCrashes[id] = { crash.server, now - crash.age };
+        if (suspect.soundAge)
+            evidence.soundAt = now - *suspect.soundAge;
+        auto const added = Limits::mergeSuspect(table, suspect.part, evidence, now);
+        refused.insert(refused.end(), added.begin(), added.end());
+    }
+    return refused;
+}
+
 void PeerExchange::handleDatagram(std::string_view datagram)
 {
     auto report = Forward::decodeReport(datagram);
@@ -68,7 +86,8 @@
     mergeUsage(*report);
     for (auto const fingerprint : report->quarantined)
         Limits::mergeQuarantined(m_tables.quarantine, fingerprint, now + std::chrono::minutes(1));
-    mergeSuspects(*report);
+    logRefusedParts(mergeSuspects(m_tables.crashSuspects, report->suspectParts, now), report->node);
+    logRefusedRequests(mergeSuspects(m_tables.requestSuspects, report->suspectRequests, now), report->node);
     mergeLeavingServers(*report);
     for (auto const& [team, amount] : Forward::newAdmissions(m_tables.peers, *report))
         Forward::chargeQuota(m_tables.quotas, team, amount);
@@ -82,21 +101,6 @@
         m_reportListener();
 }
 
-void PeerExchange::mergeSuspects(Forward::NodeReport const& report)
-{
-    auto const now = m_runtime.now();
-    for (auto const& suspect : report.suspectParts) {
-        Limits::SuspectPart evidence { .isPrefix = suspect.isPrefix };
-        for (auto const& [id, crash] : suspect.crashes)
-            evidence.crashes[id] = { crash.server, now - crash.age };
-        for (auto const& [id, crash] : suspect.otherCrashes)
-            evidence.otherCrashes[id] = { crash.server, now - crash.age };
-        if (suspect.soundAge)
-            evidence.soundAt = now - *suspect.soundAge;
-        logRefusedParts(Limits::mergeSuspect(m_tables.crashSuspects, suspect.part, evidence, now), report.node);
-    }
-}
-
 void PeerExchange::mergeLeavingServers(Forward::NodeReport const& report)
 {
     for (auto const& id : Forward::mergeLeavingServers(m_tables.directory, report.leavingServers)) {
--- a/Services/Edge/PeerExchange.h
+++ b/Services/Edge/PeerExchange.h
@@ -33,7 +33,6 @@
     [[nodiscard]] Core::Awaitable<void> receive();
     void handleDatagram(std::string_view datagram);
     void mergeLeavingServers(Forward::NodeReport const&);
-    void mergeSuspects(Forward::NodeReport const&);
     void mergeUsage(Forward::NodeReport const&);
 
     Core::Runtime& m_runtime;
--- a/Services/Edge/RequestForwarder.cpp
+++ b/Services/Edge/RequestForwarder.cpp
@@ -194,14 +194,23 @@
     }
 }
 
-bool RequestForwarder::isPartRefused(RequestContext const& context, Core::Error& error) const
+static void failAsCrashCause(Core::Error& error, std::string message)
+{
+    Core::fail(error, ErrorKind::Overloaded, std::move(message));
+    error.retryAfter = 60s;
+}
+
+bool RequestForwarder::isRefusedAsCrashCause(RequestContext const& context, Core::Error& error) const
 {
     auto const now = m_dependencies.runtime.now();
+    if (Limits::crashesServers(m_dependencies.tables.requestSuspects, context.fingerprint, now)) {
+        failAsCrashCause(error, "identical requests crashed backend servers at all nodes together; the request is quarantined");
+        return true;
+    }
     for (auto const part : context.sharedParts) {
         if (!Limits::crashesServers(m_dependencies.tables.crashSuspects, part, now))
             continue;
-        Core::fail(error, ErrorKind::Overloaded, "requests with the prompt part of hash " + std::to_string(part) + " crashed backend servers");
-        error.retryAfter = 60s;
+        failAsCrashCause(error, "requests with the prompt part of hash " + std::to_string(part) + " crashed backend servers");
         return true;
     }
     return false;
@@ -253,11 +262,10 @@
     hashSharedPrefix(context.attributes.prompt, context.sharedPrefixHash, context.sharedTokens);
     context.sharedParts = hashSharedParts(context.attributes.prompt);
     if (Limits::isQuarantined(tables.quarantine, context.fingerprint, now)) {
-        Core::fail(error, ErrorKind::Overloaded, "identical requests crashed backend servers; the request is quarantined");
-        error.retryAfter = 60s;
+        failAsCrashCause(error, "identical requests crashed backend servers; the request is quarantined");
         return false;
     }
-    if (isPartRefused(context, error))
+    if (isRefusedAsCrashCause(context, error))
         return false;
     if (context.team) {
         auto const cost = Forward::quotaCost(*context.team, context.attributes.tokens);
@@ -344,7 +352,7 @@
 {
     bool const hadServer = context.triedServers.size() == context.attempts;
     Core::Error refusal;
-    if (!hadServer || context.cancellation.isCancelled() || context.streamFinished || isPartRefused(context, refusal))
+    if (!hadServer || context.cancellation.isCancelled() || context.streamFinished || isRefusedAsCrashCause(context, refusal))
         return false;
     auto const next = Forward::decideNextStep(outcome, attemptHistory(context));
     return next == Forward::NextStep::Retry || (next == Forward::NextStep::RetryWithinBudget && chargeRetryBudget(context));
@@ -572,7 +580,7 @@
         if (!events.empty()) {
             context.stalled.reset();
             if (++attempt.eventPieces > 1)
-                recordSoundParts(context);
+                recordSound(context);
             recordRequestStart(context);
             if (!context.firstEventAt)
                 context.firstEventAt = m_dependencies.runtime.now();
@@ -622,7 +630,7 @@
     bool const cancelledLocally = context.cancellation.isCancelled() || context.clientDisconnected;
     if (outcome == AttemptOutcome::ResponseReceived) {
         Limits::recordFinished(m_dependencies.tables.quarantine, context.fingerprint);
-        recordSoundParts(context);
+        recordSound(context);
         if (row)
             Routing::recordSuccess(*row);
     }
@@ -686,27 +694,31 @@
         co_return;
     for (auto const fingerprint : Limits::recordCrash(tables.quarantine, std::move(crash)))
         Core::logEvent(Core::LogLevel::Warning, "request_quarantined", { { "fingerprint", std::uint64_t(fingerprint) }, { "request", context.attributes.attemptId } });
-    // A prompt part of which a request had got several events cannot be the cause.
+    // A request that had got several events is not the cause, and neither is a part of its prompt.
     if (attempt.eventPieces <= 1)
-        recordSuspectParts(context, attempt.placement.serverId, endedAt);
+        recordSuspects(context, attempt.placement.serverId, endedAt);
 }
 
-void RequestForwarder::recordSuspectParts(RequestContext const& context, std::string const& serverId, Core::MonotonicTime crashedAt)
+void RequestForwarder::recordSuspects(RequestContext const& context, std::string const& serverId, Core::MonotonicTime crashedAt)
 {
-    if (context.sharedParts.empty())
-        return;
+    auto& tables = m_dependencies.tables;
     auto const crash = static_cast<Limits::CrashId>(m_dependencies.random.below(UINT32_MAX));
     std::string parts;
     for (auto const part : context.sharedParts)
         parts += (parts.empty() ? "" : ",") + std::to_string(part);
-    Core::logEvent(Core::LogLevel::Info, "server_crash_suspected", { { "server", serverId }, { "request", context.attributes.attemptId }, { "parts", parts } });
-    auto const server = Forward::serverKey(serverId);
-    logRefusedParts(Limits::recordCrash(m_dependencies.tables.crashSuspects, context.service, context.sharedParts, crash, { server, crashedAt }), "own");
+    Core::logEvent(Core::LogLevel::Info, "server_crash_suspected", { { "server", serverId }, { "request", context.attributes.attemptId }, { "fingerprint", std::uint64_t(context.fingerprint) }, { "parts", parts } });
+    Limits::SuspectCrash const suspected { Forward::serverKey(serverId), crashedAt };
+    logRefusedRequests(Limits::recordCrash(tables.requestSuspects, context.service, { context.fingerprint }, crash, suspected), "own");
+    if (!context.sharedParts.empty())
+        logRefusedParts(Limits::recordCrash(tables.crashSuspects, context.service, context.sharedParts, crash, suspected), "own");
 }
 
-void RequestForwarder::recordSoundParts(RequestContext const& context)
+void RequestForwarder::recordSound(RequestContext const& context)
 {
-    logRefusedParts(Limits::recordSound(m_dependencies.tables.crashSuspects, context.service, context.sharedParts, m_dependencies.runtime.now()), "own");
+    auto& tables = m_dependencies.tables;
+    auto const now = m_dependencies.runtime.now();
+    logRefusedRequests(Limits::recordSound(tables.requestSuspects, context.service, { context.fingerprint }, now), "own");
+    logRefusedParts(Limits::recordSound(tables.crashSuspects, context.service, context.sharedParts, now), "own");
 }
 
 Core::Awaitable<void> RequestForwarder::finish(RequestContext& context, AttemptOutcome outcome, Core::Error error)
--- a/Services/Edge/RequestForwarder.h
+++ b/Services/Edge/RequestForwarder.h
@@ -70,10 +70,10 @@
     [[nodiscard]] bool chargeRetryBudget(RequestContext&);
     [[nodiscard]] Forward::AttemptHistory attemptHistory(RequestContext const&) const;
     /// Refuses a request with a prompt part that crashes servers. Returns whether it was refused, with the error set.
-    [[nodiscard]] bool isPartRefused(RequestContext const&, Core::Error&) const;
+    [[nodiscard]] bool isRefusedAsCrashCause(RequestContext const&, Core::Error&) const;
     [[nodiscard]] Core::Awaitable<void> recordCrashIfServerIsGone(RequestContext const&, Attempt const&);
-    void recordSuspectParts(RequestContext const&, std::string const& serverId, Core::MonotonicTime crashedAt);
-    void recordSoundParts(RequestContext const&);
+    void recordSuspects(RequestContext const&, std::string const& serverId, Core::MonotonicTime crashedAt);
+    void recordSound(RequestContext const&);
     void recordRequestStart(RequestContext&);
     /// Precondition: the answer has the id of the request.
     void recordWhoAnswered(Attempt const&);
--- a/Tests/EdgeService/EdgeServiceFixture.h
+++ b/Tests/EdgeService/EdgeServiceFixture.h
@@ -65,20 +65,24 @@
         waitFor([&] { return m_service->tables().routes && m_service->tables().servers.rows.size() == m_servers.size(); });
     }
 
-    void startService()
+    void startService() { m_service = makeService("n1", m_peerListen); }
+
+    std::unique_ptr<Edge::EdgeService> makeService(std::string const& nodeId, Core::Endpoint const& peerListen, std::vector<std::string> const& seedAddresses = {})
     {
         Edge::EdgeSettings settings;
-        settings.nodeId = "n1";
+        settings.nodeId = nodeId;
         settings.dataCentre = "a";
         for (auto* endpoint : { &settings.clientListen, &settings.readyListen, &settings.peerListen, &settings.peerHttpListen, &settings.metricsListen })
             *endpoint = { "127.0.0.1", 0 };
-        settings.peerListen = m_peerListen;
+        settings.peerListen = peerListen;
+        settings.seedAddresses = seedAddresses;
         settings.gracePeriod = 3s;
         settings.retrySlack = m_retrySlack;
         settings.isFirstStart = m_isFirstStart;
-        m_service = std::make_unique<Edge::EdgeService>(m_loop.runtime(), settings, Edge::PlatformInterfaces { requestCodec(), m_objectCodec, m_storeConnection->store, nullptr, "/ready" });
+        auto service = std::make_unique<Edge::EdgeService>(m_loop.runtime(), settings, Edge::PlatformInterfaces { requestCodec(), m_objectCodec, m_storeConnection->store, nullptr, "/ready" });
         Core::Error error;
-        ASSERT_TRUE(m_service->start(error)) << error.message;
+        EXPECT_TRUE(service->start(error)) << error.message;
+        return service;
     }
 
     virtual Forward::RequestCodec const& requestCodec() const { return m_requestCodec; }
--- a/Tests/LibForward/PeerTableTest.cpp
+++ b/Tests/LibForward/PeerTableTest.cpp
@@ -23,6 +23,7 @@
     result.peers = { "10.0.0.2:7600" };
     result.quarantined = { 99 };
     result.suspectParts = { { 7, { { 3, { 20ms, 5 } }, { 4, { 30ms, 6 } } }, { { 5, { 40ms, 6 } } }, 10ms, false }, { 8, {}, {}, std::nullopt, true } };
+    result.suspectRequests = { { 9, { { 6, { 20ms, 5 } } }, {}, 10ms, false } };
     result.leavingServers = { { 17, 1'765'000'000'000 }, { 18, 1 } };
     result.isLeaving = true;
     result.holdsDuties = true;
--- a/Tests/LibLimits/LimitsTest.cpp
+++ b/Tests/LibLimits/LimitsTest.cpp
@@ -407,3 +407,79 @@
     EXPECT_TRUE(budget.tryTake(now));
     EXPECT_FALSE(budget.tryTake(now));
 }
+
+namespace {
+
+// What seven nodes know of repeated requests: each its own crashes, and together the shared ones.
+struct RepeatingNodes {
+    std::vector<Limits::QuarantineTable> quarantines { 7 };
+    SuspectNodes shared { std::vector<Limits::CrashSuspectTable>(7) };
+
+    bool isRefused(std::size_t node, Limits::RequestFingerprint fingerprint, Core::MonotonicTime now) const
+    {
+        return Limits::isQuarantined(quarantines[node], fingerprint, now) || Limits::crashesServers(shared.tables[node], fingerprint, now);
+    }
+
+    void crash(std::size_t node, std::uint32_t id, Limits::RequestFingerprint fingerprint, Core::MonotonicTime now)
+    {
+        (void)Limits::recordCrash(quarantines[node], { now, "s" + std::to_string(id), { fingerprint } });
+        (void)recordCrash(shared.tables[node], { fingerprint }, id, now);
+    }
+
+    void succeed(std::size_t node, Limits::RequestFingerprint fingerprint, Core::MonotonicTime now)
+    {
+        Limits::recordFinished(quarantines[node], fingerprint);
+        (void)Limits::recordSound(shared.tables[node], "llm", { fingerprint }, now);
+    }
+
+    // A round of reports.
+    void exchange(Core::MonotonicTime now)
+    {
+        shared.exchange(now);
+        auto const before = quarantines;
+        for (auto& table : quarantines) {
+            for (auto const& other : before) {
+                for (auto const& [fingerprint, until] : other.quarantined)
+                    Limits::mergeQuarantined(table, fingerprint, now + 1min);
+            }
+        }
+    }
+};
+
+}
+
+// Load pattern: one request crashes each server that it reaches, and comes again at any node. Guards against more than three that pass
+// later than three seconds after the third crash (BUDGET), and against the refusal of one that is at servers that crash but succeeds in between.
+TEST(CrashSuspectTest, RepeatedRequestThatCrashesServersIsRefusedAtAllNodes)
+{
+    static constexpr Limits::RequestFingerprint deadly = 66;
+    static constexpr Limits::RequestFingerprint popular = 5;
+    for (unsigned seed = 1; seed <= 50; ++seed) {
+        std::mt19937 engine(seed);
+        RepeatingNodes nodes;
+        auto now = start;
+        std::uint32_t crashes = 0;
+        std::optional<Core::MonotonicTime> thirdAt;
+        int late = 0;
+        for (int step = 0; step < 240; ++step) {
+            now += 250ms;
+            if (step % 4 == 0) {
+                auto const node = engine() % 7;
+                if (!nodes.isRefused(node, deadly, now)) {
+                    late += thirdAt && now - *thirdAt > 3s ? 1 : 0;
+                    nodes.crash(node, ++crashes, deadly, now);
+                    nodes.crash(engine() % 7, 1000 + crashes, popular, now);
+                    if (crashes == 3)
+                        thirdAt = now;
+                }
+            }
+            for (std::size_t node = 0; node < 7; ++node) {
+                EXPECT_FALSE(nodes.isRefused(node, popular, now)) << "seed " << seed;
+                nodes.succeed(node, popular, now + 50ms);
+            }
+            nodes.exchange(now + 100ms);
+        }
+        EXPECT_LE(late, 3) << "seed " << seed << ", " << crashes << " crashes";
+        EXPECT_EQ(crashes, 3u) << "seed " << seed;
+    }
+}
