RequestForwarder: Fix the merge of the shared crash evidence

Cause: two lines that declare the same variable after the merge.

Change: one of them; the comment of isRefusedAsCrashCause() names both reasons.

Ruled out: other conflicts, there was one.

--- a/Services/Edge/RequestForwarder.cpp
+++ b/Services/Edge/RequestForwarder.cpp
@@ -350,7 +350,6 @@
 
 bool RequestForwarder::shouldRetry(RequestContext& context, AttemptOutcome outcome)
 {
-    Core::Error refusal;
     Core::Error refusal;
     if (context.cancellation.isCancelled() || context.streamFinished || isRefusedAsCrashCause(context, refusal))
         return false;
--- a/Services/Edge/RequestForwarder.h
+++ b/Services/Edge/RequestForwarder.h
@@ -71,7 +71,7 @@
     [[nodiscard]] bool holdBytes(RequestContext&, std::size_t bytes);
     [[nodiscard]] bool chargeRetryBudget(RequestContext&);
     [[nodiscard]] Forward::AttemptHistory attemptHistory(RequestContext const&) const;
-    /// Refuses a request with a prompt part that crashes servers. Returns whether it was refused, with the error set.
+    /// Refuses a request that crashes servers by itself or by a part of its prompt. Returns whether it was refused, with the error set.
     [[nodiscard]] bool isRefusedAsCrashCause(RequestContext const&, Core::Error&) const;
     [[nodiscard]] Core::Awaitable<void> recordCrashIfServerIsGone(RequestContext const&, Attempt const&);
     void recordSuspects(RequestContext const&, std::string const& serverId, Core::MonotonicTime crashedAt);
