Tests/Soak: Check the limits of repeats, times and pauses from outside

Change: servers record each request that reaches them, executed or not. At the end of a run the new BudgetRecord finds windows with more repeats than the settings allow, which are now passed (ratio 0.05, slack 20, window 10 s), requests that were executed at more servers than their route allows, and deadlines that grow on the way. A new fault, RefuseRequests, lets a server refuse with 503 and Retry-After; with one node, requests in that pause are counted. It is drawn apart from the other faults, so that the seeds in SoakTest.cpp keep their schedules.

Ruled out: counting the requests in a pause with several nodes. The servers see the fault proxy's address, not the node's.

--- a/Tests/Soak/SoakRun.cpp
+++ b/Tests/Soak/SoakRun.cpp
@@ -3,6 +3,7 @@
 #include <EdgeService/StoreStandIn.h>
 #include <LibCore/Random.h>
 #include <LibHTTP/Client.h>
+#include <Soak/BudgetRecord.h>
 #include <Soak/DutyRecord.h>
 #include <Soak/SoakServer.h>
 #include <StandIns/ProxyPair.h>
@@ -26,6 +27,12 @@
 static constexpr std::chrono::seconds gracePeriod { 3 };
 // Longer than any response takes without faults, and longer than the routes' timeout.
 static constexpr Core::Duration clientTimeout = 4s;
+static constexpr Core::Duration longClientTimeout = 7s;
+static constexpr milliseconds clientDeadline { 3500 };
+static constexpr milliseconds longClientDeadline { 6500 };
+static constexpr std::size_t longClientsPerNode = 2;
+static constexpr std::size_t maxAttempts = 2;
+static constexpr RetryLimits retryLimits { .ratio = 0.05, .slack = 20, .window = 10s };
 static constexpr std::chrono::milliseconds leaseTime { 3000 };
 
 namespace {
@@ -41,6 +48,8 @@
     /// Newest configuration version that the process has served since its last start.
     std::uint64_t servedVersion { 0 };
     bool isStoppedOrPaused { false };
+    /// When the last planned stop began.
+    Core::MonotonicTime stoppedAt {};
     Core::Endpoint dutyEndpoint;
     /// When the process was last continued, or its link to the store was last restored.
     Core::MonotonicTime disturbedUntil {};
@@ -63,6 +72,11 @@
     bool isComplete { false };
 };
 
+enum class ClientKind {
+    Mixed,
+    LongStreams,
+};
+
 class SoakRun {
 public:
     explicit SoakRun(SoakOptions const& options)
@@ -102,7 +116,9 @@
         m_startedAt = m_runtime.now();
         for (std::size_t index = 0; index < m_nodes.size(); ++index) {
             for (std::size_t client = 0; client < m_options.clientsPerNode; ++client)
-                m_runtime.spawn(runClient(index));
+                m_runtime.spawn(runClient(index, ClientKind::Mixed));
+            for (std::size_t client = 0; client < longClientsPerNode; ++client)
+                m_runtime.spawn(runClient(index, ClientKind::LongStreams));
         }
         for (auto const& fault : m_faults)
             m_runtime.spawn(injectFault(fault));
@@ -115,6 +131,7 @@
             co_await m_runtime.sleepFor(10ms);
         co_await stopNodes();
         checkExecutions();
+        checkBudgets();
         for (auto const& violation : findDutyViolations(m_duties.calls(), leaseTime))
             addViolation(violation);
         co_return true;
@@ -159,7 +176,7 @@
             "--client_listen=" + endpointAt(clientPort), "--ready_listen=" + endpointAt(readyPort), "--metrics_listen=" + endpointAt(metricsPort),
             "--peer_address=" + node.address, "--peer_ports=" + std::to_string(peerPort) + "," + std::to_string(peerPort + 1),
             "--seeds=" + seeds, "--platform=" + node.storeEndpoint.toString(), std::string("--first_start=") + (node.startCount == 0 ? "true" : "false"),
-            "--grace_s=" + std::to_string(gracePeriod.count()), "--retry_slack=100", "--cloud=" + node.dutyEndpoint.toString(),
+            "--grace_s=" + std::to_string(gracePeriod.count()), "--retry_ratio=" + std::to_string(retryLimits.ratio), "--retry_slack=" + std::to_string(retryLimits.slack), "--retry_window_s=" + std::to_string(std::chrono::duration_cast<std::chrono::seconds>(retryLimits.window).count()), "--cloud=" + node.dutyEndpoint.toString(),
             "--duties=usage_report,autoscale", "--lease_ms=" + std::to_string(leaseTime.count()),
             "--usage_window_s=" + std::to_string(1 + m_options.seed % longestUsageWindowSeconds) });
         ++node.startCount;
@@ -195,11 +212,12 @@
         m_publishedAt[m_versions.back()] = publishedAt;
         std::string routes;
         auto const addRoute = [&](std::string const& path, std::string const& kind, std::string const& options = {}) {
-            routes += (routes.empty() ? "" : ",") + (R"({"name":")" + path + R"(","host":"h.example","path-prefix":"/)" + path + R"(/","kind":")" + kind + R"(","timeout-ms":3000,"service":"app","max-attempts":2)" + options + "}");
+            routes += (routes.empty() ? "" : ",") + (R"({"name":")" + path + R"(","host":"h.example","path-prefix":"/)" + path + R"(/","kind":")" + kind + R"(","timeout-ms":)" + (path == "long" ? "6000" : "3000") + R"(,"service":"app","max-attempts":)" + std::to_string(maxAttempts) + options + "}");
         };
         addRoute("safe", "safe");
         addRoute("unsafe", "unsafe");
         addRoute("stream", "streaming");
+        addRoute("long", "streaming");
         addRoute("resume", "streaming", R"(,"resumable":true)");
         for (auto const version : m_versions)
             addRoute("v" + std::to_string(version), "safe");
@@ -229,9 +247,12 @@
 
     Core::Awaitable<ClientResponse> send(Node const& node, std::string const& path, std::string const& id, Core::Error& error)
     {
-        HTTP::Request request { "GET", path, { { "Host", "h.example" }, { "Authorization", "Token k1" }, { "X-Hyssopstep-Deadline-Ms", "3500" }, { "X-Hyssopstep-Attempt-Id", id } }, {} };
+        bool const isLong = path.starts_with("/long/");
+        auto const timeLeft = isLong ? longClientDeadline : clientDeadline;
+        m_sentRequests.push_back({ id, m_runtime.now(), timeLeft });
+        HTTP::Request request { "GET", path, { { "Host", "h.example" }, { "Authorization", "Token k1" }, { "X-Hyssopstep-Deadline-Ms", std::to_string(timeLeft.count()) }, { "X-Hyssopstep-Attempt-Id", id } }, {} };
         Core::Endpoint endpoint { node.address, clientPort };
-        auto const deadline = m_runtime.now() + clientTimeout;
+        auto const deadline = m_runtime.now() + (isLong ? longClientTimeout : clientTimeout);
         ClientResponse response;
         auto const stream = co_await m_client.openStream(std::move(endpoint), std::move(request), HTTP::ConnectionUse::PooledNoRetry, deadline, error);
         if (!stream)
@@ -249,7 +270,7 @@
         co_return response;
     }
 
-    Core::Awaitable<void> runClient(std::size_t index)
+    Core::Awaitable<void> runClient(std::size_t index, ClientKind kind)
     {
         static constexpr std::array<std::string_view, 5> paths { "/safe/", "/unsafe/", "/stream/", "/resume/", "/v" };
         static constexpr Core::Duration delayAfterFailure = 20ms;
@@ -258,17 +279,17 @@
         while (!m_stopsClients) {
             auto const startCount = node.startCount;
             auto const version = m_versions[m_random.below(m_versions.size())];
-            auto path = std::string(paths.at(m_random.below(paths.size())));
+            auto path = std::string(kind == ClientKind::LongStreams ? "/long/" : paths.at(m_random.below(paths.size())));
             bool const isVersionRequest = path == "/v";
             path += isVersionRequest ? std::to_string(version) + "/x" : "x";
             auto const id = std::to_string(m_options.seed) + "-" + std::to_string(++m_result.requests);
-            if (!path.starts_with("/unsafe/") && !path.starts_with("/stream/"))
+            if (!path.starts_with("/unsafe/") && !path.starts_with("/stream/") && !path.starts_with("/long/"))
                 m_retryable.insert(id);
             auto const sentAt = elapsed();
             auto const servedVersionBefore = node.servedVersion;
             Core::Error error;
             auto const response = co_await send(node, path, id, error);
-            checkResponse(id, path, response, sentAt);
+            checkResponse(node, id, path, response, sentAt);
             if (isVersionRequest && startCount == node.startCount) {
                 if (response.status == 200)
                     node.servedVersion = std::max(node.servedVersion, version);
@@ -291,7 +312,7 @@
         return !hasJustStarted && sentAt > m_publishedAt.at(version) + timeLimit && hasNoUnplannedFault(m_faults, sentAt - timeLimit, elapsed());
     }
 
-    void checkResponse(std::string const& id, std::string const& path, ClientResponse const& response, milliseconds sentAt)
+    void checkResponse(Node const& node, std::string const& id, std::string const& path, ClientResponse const& response, milliseconds sentAt)
     {
         bool const isRefusal = response.status == 429 || response.status == 503 || response.status == 408 || response.status == 421;
         if (isRefusal) {
@@ -304,11 +325,23 @@
         } else {
             ++m_result.failed;
             // A request that no server executed may have been sent while the node closed the connection.
-            if (m_executionLog.countExecutions(id) > 0 && hasNoUnplannedFault(m_faults, sentAt, elapsed()))
+            if (m_executionLog.countExecutions(id) > 0 && hasNoUnplannedFault(m_faults, sentAt, elapsed()) && !isEndOfStop(node, id, sentAt))
                 addViolation(id + " at " + path + " was executed but its response was lost during planned work; status " + std::to_string(response.status));
         }
     }
 
+    // The platform excuses a lost response at the end of a planned stop, if the server was at work then on a request from the beginning
+    // of the stop. A node takes requests for half of the grace period.
+    [[nodiscard]] bool isEndOfStop(Node const& node, std::string const& id, milliseconds sentAt) const
+    {
+        static constexpr Core::Duration intakeTime = Core::Duration(gracePeriod) / 2;
+        static constexpr Core::Duration lastPart = Core::Duration(gracePeriod) / 6;
+        auto const lastPartStart = node.stoppedAt + gracePeriod - lastPart;
+        auto const& executions = m_executionLog.executions.at(id);
+        bool const wasAtWork = std::any_of(executions.begin(), executions.end(), [&](auto const& execution) { return !execution.finishedAt || *execution.finishedAt >= lastPartStart; });
+        return wasAtWork && m_startedAt + sentAt <= node.stoppedAt + intakeTime && m_runtime.now() >= lastPartStart;
+    }
+
     Core::Awaitable<void> injectFault(Fault fault)
     {
         ++m_activeFaults;
@@ -334,6 +367,10 @@
         case FaultKind::RestoreStore:
             co_await restoreStore(fault);
             break;
+        case FaultKind::RefuseRequests:
+            m_backends[fault.target].server->refuseUntil(m_runtime.now() + fault.duration);
+            co_await m_runtime.sleepFor(fault.duration);
+            break;
         case FaultKind::DropStoreHistory:
             m_store.oldestRevision = UINT64_MAX;
             co_await m_runtime.sleepFor(fault.duration);
@@ -453,6 +490,7 @@
             node.disturbedUntil = m_runtime.now();
         } else {
             bool const isPlannedStop = fault.kind == FaultKind::StopNode;
+            node.stoppedAt = isPlannedStop ? m_runtime.now() : node.stoppedAt;
             (void)node.process->sendSignal(isPlannedStop ? SIGTERM : SIGKILL);
             bool const hasExited = co_await waitUntilExited(node, gracePeriod + 1s);
             if (isPlannedStop && !hasExited)
@@ -558,6 +596,62 @@
         }
     }
 
+    // Whether one of some kinds of faults was active at a time or shortly before it.
+    [[nodiscard]] bool wasAffected(std::initializer_list<FaultKind> kinds, Core::MonotonicTime time) const
+    {
+        static constexpr Core::Duration settlingTime = 500ms;
+        return std::any_of(m_faults.begin(), m_faults.end(), [&](auto const& fault) {
+            auto const startsAt = m_startedAt + fault.startsAt;
+            return std::find(kinds.begin(), kinds.end(), fault.kind) != kinds.end() && startsAt <= time && time <= startsAt + fault.duration + settlingTime;
+        });
+    }
+
+    // Servers that left or could not be reached do not count for the servers of a request.
+    [[nodiscard]] bool isCountedServer(std::string const& id) const
+    {
+        auto const isAtServer = [&](Fault const& fault) {
+            bool const endsOrCuts = fault.kind == FaultKind::RemoveServer || fault.kind == FaultKind::CutServer || fault.kind == FaultKind::SilenceServer || fault.kind == FaultKind::SilenceRequests;
+            return endsOrCuts && id.starts_with("s" + std::to_string(fault.target) + "-");
+        };
+        return std::none_of(m_faults.begin(), m_faults.end(), isAtServer);
+    }
+
+    void checkBudgets()
+    {
+        auto arrivals = m_executionLog.arrivals;
+        for (auto& arrival : arrivals)
+            arrival.isHeldUp = wasAffected({ FaultKind::PauseNode, FaultKind::DelayServer, FaultKind::SilenceRequests }, arrival.arrivedAt);
+        std::map<std::string, std::set<std::string>> serversOfRequest;
+        for (auto const& [id, executions] : m_executionLog.executions) {
+            for (auto const& execution : executions) {
+                if (isCountedServer(execution.serverId))
+                    serversOfRequest[id].insert(execution.serverId);
+            }
+        }
+        auto violations = findRetryViolations(m_sentRequests, arrivals, retryLimits);
+        auto const addAll = [&](std::vector<std::string> const& others) { violations.insert(violations.end(), others.begin(), others.end()); };
+        addAll(findDeadlineViolations(m_sentRequests, arrivals));
+        addAll(findAttemptViolations(serversOfRequest, maxAttempts));
+        if (m_nodes.size() == 1)
+            addAll(findRetryAfterViolations(arrivals, disturbances()));
+        for (auto const& violation : violations)
+            addViolation(violation);
+    }
+
+    // What excuses a node that sends requests to a server in the pause that it asked for.
+    [[nodiscard]] std::vector<Disturbance> disturbances() const
+    {
+        std::vector<Disturbance> result;
+        for (auto const& fault : m_faults) {
+            auto const startsAt = m_startedAt + fault.startsAt;
+            if (fault.kind == FaultKind::KillNode || fault.kind == FaultKind::StopNode)
+                result.push_back({ startsAt, startsAt + gracePeriod + 1s });
+            else if (fault.kind == FaultKind::PauseNode || (fault.kind >= FaultKind::CutServer && fault.kind <= FaultKind::TruncateAnswers))
+                result.push_back({ startsAt, startsAt + fault.duration });
+        }
+        return result;
+    }
+
     void collectLogs()
     {
         for (std::size_t index = 0; index < m_nodes.size(); ++index)
@@ -573,6 +667,7 @@
     HTTP::Client m_client;
     DutyRecord m_duties;
     ExecutionLog m_executionLog;
+    std::vector<SentRequest> m_sentRequests;
     std::vector<Backend> m_backends;
     std::vector<Node> m_nodes;
     std::vector<std::uint64_t> m_versions;
--- a/Tests/Soak/SoakSchedule.cpp
+++ b/Tests/Soak/SoakSchedule.cpp
@@ -15,7 +15,7 @@
     bool targetsNode;
 };
 
-static constexpr std::array<FaultTraits, 18> faultTraits { {
+static constexpr std::array<FaultTraits, 19> faultTraits { {
     { FaultKind::StopNode, "stop_node", true, true },
     { FaultKind::ReloadNode, "reload_node", true, true },
     { FaultKind::ChangeConfiguration, "change_configuration", true, true },
@@ -33,9 +33,11 @@
     { FaultKind::SilenceRequests, "silence_requests", false, false },
     { FaultKind::DelayServer, "delay_server", false, false },
     { FaultKind::TruncateAnswers, "truncate_answers", false, false },
-    // Last, since it is not drawn with the others.
+    // Last, since they are not drawn with the others.
     { FaultKind::RestoreStore, "restore_store", false, false },
+    { FaultKind::RefuseRequests, "refuse_requests", false, false },
 } };
+static constexpr std::size_t drawnFaultKinds = faultTraits.size() - 2;
 
 static FaultTraits const& traitsOf(FaultKind kind)
 {
@@ -64,7 +66,7 @@
     std::vector<Fault> faults;
     auto const count = static_cast<std::size_t>(faultsPerSecond * static_cast<double>(options.length.count()));
     while (faults.size() < count) {
-        auto const& traits = faultTraits.at(random.below(faultTraits.size() - 1));
+        auto const& traits = faultTraits.at(random.below(drawnFaultKinds));
         if (hasPlannedWorkOnly && !traits.isPlanned)
             continue;
         Fault fault;
@@ -84,6 +86,16 @@
         fault.copyAge = std::chrono::milliseconds(restorationRandom.below(oldestCopyMilliseconds));
         faults.push_back(fault);
     }
+    // Any number, so that the refusals differ from the restorations.
+    static constexpr std::uint64_t refusalSalt = 0x5eed;
+    Core::Random refusalRandom(options.seed ^ refusalSalt);
+    for (std::size_t i = 0; i < options.refusals; ++i) {
+        Fault fault { .kind = FaultKind::RefuseRequests };
+        fault.target = refusalRandom.below(options.servers);
+        fault.startsAt = std::chrono::milliseconds(refusalRandom.below(static_cast<std::uint64_t>(length.count())));
+        fault.duration = std::chrono::milliseconds(minimumMilliseconds + refusalRandom.below(durationSpreadMilliseconds));
+        faults.push_back(fault);
+    }
     std::sort(faults.begin(), faults.end(), [](Fault const& left, Fault const& right) { return left.startsAt < right.startsAt; });
     return faults;
 }
--- a/Tests/Soak/SoakSchedule.h
+++ b/Tests/Soak/SoakSchedule.h
@@ -32,6 +32,8 @@
     SilenceRequests,
     DelayServer,
     TruncateAnswers,
+    // A server refuses all requests and asks for a pause.
+    RefuseRequests,
 };
 
 [[nodiscard]] bool isPlanned(FaultKind);
@@ -57,12 +59,14 @@
     std::chrono::seconds length { 10 };
     /// Number of RestoreStore faults, in addition to the other faults, which do not depend on it.
     std::size_t restorations { 0 };
+    /// Number of RefuseRequests faults, likewise.
+    std::size_t refusals { 0 };
 
     bool operator==(SoakOptions const&) const = default;
 };
 
 /// Returns the faults of a run, sorted by start time. They may overlap. Every third seed has planned work only, besides
-/// restorations, so that the guarantees about planned work are checked without other causes of failure. Thread safe.
+/// restorations and refusals, so that the guarantees about planned work are checked without other causes of failure. Thread safe.
 [[nodiscard]] std::vector<Fault> createSchedule(SoakOptions const&);
 
 /// Returns whether no unplanned fault was active between two times or shortly before them. Thread safe.
--- a/Tests/Soak/SoakServer.cpp
+++ b/Tests/Soak/SoakServer.cpp
@@ -13,7 +13,7 @@
 
 static bool isStreamPath(std::string_view path)
 {
-    return path.starts_with("/stream/") || path.starts_with("/resume/");
+    return path.starts_with("/stream/") || path.starts_with("/resume/") || path.starts_with("/long/");
 }
 
 std::size_t ExecutionLog::countExecutions(std::string const& requestId) const
@@ -44,22 +44,45 @@
 {
     static constexpr Core::Duration workTime = 5ms;
     static constexpr Core::Duration eventInterval = 15ms;
+    // A long stream lasts two thirds of the grace period.
+    static constexpr Core::Duration longEventInterval = 250ms;
+    static constexpr std::chrono::milliseconds pause { 1500 };
     static constexpr unsigned misdirectedRequest = 421;
+    static constexpr unsigned serviceUnavailable = 503;
     auto const requestId = std::string(request.headers.find("X-Hyssopstep-Attempt-Id").value_or(""));
+    auto const path = std::string(request.path());
+    bool const isRefused = m_runtime.now() < m_refusesUntil;
+    if (!requestId.empty()) {
+        Arrival arrival { .requestId = requestId, .server = m_id, .path = path, .arrivedAt = m_runtime.now() };
+        if (auto const deadline = request.headers.find("X-Hyssopstep-Deadline-Ms"))
+            arrival.deadline = std::chrono::milliseconds(std::stoll(std::string(*deadline)));
+        if (isRefused)
+            arrival.retryAfter = pause;
+        m_executionLog.arrivals.push_back(std::move(arrival));
+    }
     HTTP::Headers headers { { "X-Hyssopstep-Attempt-Id", requestId } };
+    if (isRefused) {
+        headers.add("X-Hyssopstep-Not-Executed", "1");
+        headers.add("Retry-After", "1.5");
+        HTTP::Response refusal { serviceUnavailable, std::move(headers), {} };
+        (void)co_await writer.send(std::move(refusal));
+        co_return;
+    }
     if (request.headers.find("X-Hyssopstep-Expect-Instance").value_or("") != m_id) {
         headers.add("X-Hyssopstep-Not-Executed", "1");
         HTTP::Response refusal { misdirectedRequest, std::move(headers), {} };
         (void)co_await writer.send(std::move(refusal));
         co_return;
     }
-    m_executionLog.executions[requestId].push_back({ m_id, m_runtime.now() });
+    auto& executions = m_executionLog.executions[requestId];
+    auto const index = executions.size();
+    executions.push_back({ m_id, m_runtime.now() });
     headers.add("X-Hyssopstep-Server-Seal", "seal-" + requestId);
-    auto const path = std::string(request.path());
     if (!isStreamPath(path)) {
         co_await m_runtime.sleepFor(workTime);
         HTTP::Response response { 200, std::move(headers), expectedBody(path, requestId) };
         (void)co_await writer.send(std::move(response));
+        executions[index].finishedAt = m_runtime.now();
         co_return;
     }
     headers.add("Content-Type", "text/event-stream");
@@ -67,9 +90,10 @@
     std::uint64_t number = after ? std::stoull(std::string(*after)) : 0;
     bool isConnected = co_await writer.begin(200, std::move(headers));
     while (isConnected && number < eventCount) {
-        co_await m_runtime.sleepFor(eventInterval);
+        co_await m_runtime.sleepFor(path.starts_with("/long/") ? longEventInterval : eventInterval);
         isConnected = co_await writer.write(formatEvent(requestId, ++number));
     }
+    executions[index].finishedAt = m_runtime.now();
     if (isConnected)
         (void)co_await writer.finish();
 }
--- a/Tests/Soak/SoakServer.h
+++ b/Tests/Soak/SoakServer.h
@@ -1,20 +1,24 @@
 #pragma once
 
 #include <LibHTTP/Server.h>
+#include <Soak/BudgetRecord.h>
 #include <map>
 #include <string>
 #include <vector>
 
 namespace Soak {
 
-/// The requests that the backend servers executed.
+/// The requests that the backend servers executed, and all that reached them.
 struct ExecutionLog {
     struct Execution {
         std::string serverId;
         Core::MonotonicTime startedAt;
+        /// Empty while the server is at work.
+        std::optional<Core::MonotonicTime> finishedAt {};
     };
     /// By request id.
     std::map<std::string, std::vector<Execution>> executions;
+    std::vector<Arrival> arrivals;
 
     [[nodiscard]] std::size_t countExecutions(std::string const& requestId) const;
 };
@@ -32,7 +36,14 @@
     [[nodiscard]] std::string const& id() const { return m_id; }
 
     /// Changes the id as a restart does; requests for the earlier id are refused.
-    void restart(std::string id) { m_id = std::move(id); }
+    void restart(std::string id)
+    {
+        m_id = std::move(id);
+        m_refusesUntil = {};
+    }
+
+    /// Refuses all requests until a time, and asks their senders for a pause.
+    void refuseUntil(Core::MonotonicTime time) { m_refusesUntil = std::max(m_refusesUntil, time); }
 
 private:
     [[nodiscard]] Core::Awaitable<void> handle(HTTP::Request const&, HTTP::ResponseWriter&);
@@ -40,6 +51,7 @@
     Core::Runtime& m_runtime;
     ExecutionLog& m_executionLog;
     std::string m_id;
+    Core::MonotonicTime m_refusesUntil {};
     HTTP::Server m_server;
 };
 
