--- a/Tests/Soak/SoakMain.cpp
+++ b/Tests/Soak/SoakMain.cpp
@@ -19,7 +19,7 @@
     bool hasViolations = false;
     for (std::uint64_t seed = FLAGS_first_seed; seed < FLAGS_first_seed + FLAGS_runs; ++seed) {
         auto const result = Soak::runSoak({ .seed = seed, .nodes = FLAGS_nodes, .servers = FLAGS_servers, .length = std::chrono::seconds(static_cast<std::int64_t>(FLAGS_seconds)), .restorations = FLAGS_restorations, .refusals = FLAGS_refusals });
-        std::printf("seed %lu: %zu requests, %zu answered, %zu refused, %zu failed, %zu violations\n", seed, result.requests, result.answered, result.refused, result.failed, result.violations.size());
+        std::printf("seed %lu: %zu requests, %zu answered, %zu refused, %zu failed, %zu repeats, %zu violations\n", seed, result.requests, result.answered, result.refused, result.failed, result.repeats, result.violations.size());
         for (auto const& violation : result.violations)
             std::printf("  %s\n", violation.c_str());
         std::fflush(stdout);
--- a/Tests/Soak/SoakRun.cpp
+++ b/Tests/Soak/SoakRun.cpp
@@ -371,6 +371,11 @@
             m_backends[fault.target].server->refuseUntil(m_runtime.now() + fault.duration);
             co_await m_runtime.sleepFor(fault.duration);
             break;
+        case FaultKind::RejectRequests:
+            for (auto& backend : m_backends)
+                backend.server->rejectUntil(m_runtime.now() + fault.duration);
+            co_await m_runtime.sleepFor(fault.duration);
+            break;
         case FaultKind::DropStoreHistory:
             m_store.oldestRevision = UINT64_MAX;
             co_await m_runtime.sleepFor(fault.duration);
@@ -619,6 +624,8 @@
     void checkBudgets()
     {
         auto arrivals = m_executionLog.arrivals;
+        std::set<std::string> arrivedIds;
+        m_result.repeats = static_cast<std::size_t>(std::count_if(arrivals.begin(), arrivals.end(), [&](auto const& arrival) { return !arrivedIds.insert(arrival.requestId).second; }));
         for (auto& arrival : arrivals)
             arrival.isHeldUp = wasAffected({ FaultKind::PauseNode, FaultKind::DelayServer, FaultKind::SilenceRequests }, arrival.arrivedAt);
         std::map<std::string, std::set<std::string>> serversOfRequest;
--- a/Tests/Soak/SoakRun.h
+++ b/Tests/Soak/SoakRun.h
@@ -15,6 +15,8 @@
     std::size_t refused { 0 };
     /// Neither answered completely nor refused.
     std::size_t failed { 0 };
+    /// Arrivals at servers beyond the first of each request.
+    std::size_t repeats { 0 };
     /// Logs of the processes, if there were violations.
     std::string logs;
 };
--- a/Tests/Soak/SoakSchedule.cpp
+++ b/Tests/Soak/SoakSchedule.cpp
@@ -15,7 +15,7 @@
     bool targetsNode;
 };
 
-static constexpr std::array<FaultTraits, 19> faultTraits { {
+static constexpr std::array<FaultTraits, 20> faultTraits { {
     { FaultKind::StopNode, "stop_node", true, true },
     { FaultKind::ReloadNode, "reload_node", true, true },
     { FaultKind::ChangeConfiguration, "change_configuration", true, true },
@@ -36,8 +36,9 @@
     // Last, since they are not drawn with the others.
     { FaultKind::RestoreStore, "restore_store", false, false },
     { FaultKind::RefuseRequests, "refuse_requests", false, false },
+    { FaultKind::RejectRequests, "reject_requests", false, false },
 } };
-static constexpr std::size_t drawnFaultKinds = faultTraits.size() - 2;
+static constexpr std::size_t drawnFaultKinds = faultTraits.size() - 3;
 
 static FaultTraits const& traitsOf(FaultKind kind)
 {
@@ -90,7 +91,7 @@
     static constexpr std::uint64_t refusalSalt = 0x5eed;
     Core::Random refusalRandom(options.seed ^ refusalSalt);
     for (std::size_t i = 0; i < options.refusals; ++i) {
-        Fault fault { .kind = FaultKind::RefuseRequests };
+        Fault fault { .kind = i % 2 == 0 ? FaultKind::RefuseRequests : FaultKind::RejectRequests };
         fault.target = refusalRandom.below(options.servers);
         fault.startsAt = std::chrono::milliseconds(refusalRandom.below(static_cast<std::uint64_t>(length.count())));
         fault.duration = std::chrono::milliseconds(minimumMilliseconds + refusalRandom.below(durationSpreadMilliseconds));
--- a/Tests/Soak/SoakSchedule.h
+++ b/Tests/Soak/SoakSchedule.h
@@ -34,6 +34,8 @@
     TruncateAnswers,
     // A server refuses all requests and asks for a pause.
     RefuseRequests,
+    // All servers refuse all requests, without asking for a pause.
+    RejectRequests,
 };
 
 [[nodiscard]] bool isPlanned(FaultKind);
@@ -59,7 +61,7 @@
     std::chrono::seconds length { 10 };
     /// Number of RestoreStore faults, in addition to the other faults, which do not depend on it.
     std::size_t restorations { 0 };
-    /// Number of RefuseRequests faults, likewise.
+    /// Number of RefuseRequests and RejectRequests faults in turn, likewise.
     std::size_t refusals { 0 };
 
     bool operator==(SoakOptions const&) const = default;
--- a/Tests/Soak/SoakServer.cpp
+++ b/Tests/Soak/SoakServer.cpp
@@ -51,19 +51,20 @@
     static constexpr unsigned serviceUnavailable = 503;
     auto const requestId = std::string(request.headers.find("X-Hyssopstep-Attempt-Id").value_or(""));
     auto const path = std::string(request.path());
-    bool const isRefused = m_runtime.now() < m_refusesUntil;
+    bool const asksForPause = m_runtime.now() < m_refusesUntil;
     if (!requestId.empty()) {
         Arrival arrival { .requestId = requestId, .server = m_id, .path = path, .arrivedAt = m_runtime.now() };
         if (auto const deadline = request.headers.find("X-Hyssopstep-Deadline-Ms"))
             arrival.deadline = std::chrono::milliseconds(std::stoll(std::string(*deadline)));
-        if (isRefused)
+        if (asksForPause)
             arrival.retryAfter = pause;
         m_executionLog.arrivals.push_back(std::move(arrival));
     }
     HTTP::Headers headers { { "X-Hyssopstep-Attempt-Id", requestId } };
-    if (isRefused) {
+    if (asksForPause || m_runtime.now() < m_rejectsUntil) {
         headers.add("X-Hyssopstep-Not-Executed", "1");
-        headers.add("Retry-After", "1.5");
+        if (asksForPause)
+            headers.add("Retry-After", "1.5");
         HTTP::Response refusal { serviceUnavailable, std::move(headers), {} };
         (void)co_await writer.send(std::move(refusal));
         co_return;
--- a/Tests/Soak/SoakServer.h
+++ b/Tests/Soak/SoakServer.h
@@ -40,11 +40,15 @@
     {
         m_id = std::move(id);
         m_refusesUntil = {};
+        m_rejectsUntil = {};
     }
 
     /// Refuses all requests until a time, and asks their senders for a pause.
     void refuseUntil(Core::MonotonicTime time) { m_refusesUntil = std::max(m_refusesUntil, time); }
 
+    /// Refuses all requests until a time, without asking for a pause.
+    void rejectUntil(Core::MonotonicTime time) { m_rejectsUntil = std::max(m_rejectsUntil, time); }
+
 private:
     [[nodiscard]] Core::Awaitable<void> handle(HTTP::Request const&, HTTP::ResponseWriter&);
 
@@ -52,6 +56,7 @@
     ExecutionLog& m_executionLog;
     std::string m_id;
     Core::MonotonicTime m_refusesUntil {};
+    Core::MonotonicTime m_rejectsUntil {};
     HTTP::Server m_server;
 };
 
