LibLimits: Keep the shared evidence on repeated requests for an hour

Callers saw: nothing of their own; a request that crashes servers reached three more of them ten minutes after its last crash.

Cause: CrashSuspectTable drops crashes after ten minutes, which suits parts of a prompt. A node's own quarantine of a request lasts an hour.

Change: the duration is a member of the table. That of whole requests has the hour of quarantine; that of parts stays at ten minutes.

Ruled out: a longer duration for parts, which are shared by other requests.

--- a/Libraries/LibLimits/CrashSuspectTable.cpp
+++ b/Libraries/LibLimits/CrashSuspectTable.cpp
@@ -15,7 +15,6 @@
 static constexpr std::size_t crashRatioToExplain = 2;
 // A part is in all crashes of one that follows it, and in some others.
 static constexpr std::size_t weightOfLastPart = 4;
-static constexpr Core::Duration evidenceDuration = 10min;
 // Several rounds of reports, each of which may be lost or pass through an aggregating node.
 static constexpr Core::Duration reportDuration = 3s;
 // Bound the memory used in a long outage, and the size of reports.
@@ -120,12 +119,12 @@
     return table.parts[part];
 }
 
-static bool isSuspect(SuspectPart const& evidence, Core::MonotonicTime now)
+static bool isSuspect(CrashSuspectTable const& table, SuspectPart const& evidence, Core::MonotonicTime now)
 {
     auto const needed = crashesToRefuse + (evidence.isPrefix ? 1 : 0);
     if (evidence.crashes.size() < needed || countCrashTimes(evidence) < needed)
         return false;
-    return std::any_of(evidence.crashes.begin(), evidence.crashes.end(), [&](auto const& crash) { return now - crash.second.at < evidenceDuration; });
+    return std::any_of(evidence.crashes.begin(), evidence.crashes.end(), [&](auto const& crash) { return now - crash.second.at < table.evidenceDuration; });
 }
 
 namespace {
@@ -176,7 +175,7 @@
     std::set<PromptPartHash> causes;
     std::vector<Suspicion> suspicions;
     for (auto const& [part, evidence] : table.parts) {
-        if (!isSuspect(evidence, now))
+        if (!isSuspect(table, evidence, now))
             continue;
         if (suspicions.size() < maximumComparedSuspects)
             suspicions.push_back(suspicionOf(part, evidence));
@@ -269,7 +268,7 @@
     if (!table.refused.contains(part))
         return false;
     auto const found = table.parts.find(part);
-    return found != table.parts.end() && isSuspect(found->second, now);
+    return found != table.parts.end() && isSuspect(table, found->second, now);
 }
 
 // The latest crashes, which the other nodes are likely to lack, except those that are reported as evidence.
@@ -312,15 +311,15 @@
 {
     for (auto& item : table.parts) {
         auto& evidence = item.second;
-        auto const isOutdated = [&](auto const& crash) { return now - crash.second.at >= evidenceDuration || !isEvidence(evidence, crash.second.at); };
+        auto const isOutdated = [&](auto const& crash) { return now - crash.second.at >= table.evidenceDuration || !isEvidence(evidence, crash.second.at); };
         std::erase_if(evidence.crashes, isOutdated);
         std::erase_if(evidence.otherCrashes, isOutdated);
     }
     std::erase_if(table.parts, [&](auto const& item) {
         auto const& evidence = item.second;
-        return evidence.crashes.empty() && evidence.otherCrashes.empty() && (!evidence.soundAt || now - *evidence.soundAt > evidenceDuration);
+        return evidence.crashes.empty() && evidence.otherCrashes.empty() && (!evidence.soundAt || now - *evidence.soundAt > table.evidenceDuration);
     });
-    std::erase_if(table.soundServices, [&](auto const& item) { return now - item.second > evidenceDuration; });
+    std::erase_if(table.soundServices, [&](auto const& item) { return now - item.second > table.evidenceDuration; });
     bool const isRefusalOutdated = std::any_of(table.refused.begin(), table.refused.end(), [&](auto const part) { return !crashesServers(table, part, now); });
     return isRefusalOutdated ? updateRefused(table, now) : std::vector<PromptPartHash> {};
 }
--- a/Libraries/LibLimits/CrashSuspectTable.h
+++ b/Libraries/LibLimits/CrashSuspectTable.h
@@ -54,6 +54,8 @@
     std::set<PromptPartHash> refused;
     /// When any request of a service last got beyond its first events, by service.
     std::map<std::string, Core::MonotonicTime> soundServices;
+    /// How long a crash is evidence, and a part is refused after its last one.
+    Core::Duration evidenceDuration { std::chrono::minutes(10) };
 
     bool operator==(CrashSuspectTable const&) const = default;
 };
--- a/Libraries/LibLimits/QuarantineTable.cpp
+++ b/Libraries/LibLimits/QuarantineTable.cpp
@@ -10,7 +10,6 @@
 static constexpr std::ptrdiff_t crashWeightWithoutProgress = 2;
 // When many hosts are lost, a request that is not the cause can be part of half of the crashes by chance.
 static constexpr std::ptrdiff_t unrelatedCrashWeight = 2;
-static constexpr auto quarantineDuration = 1h;
 static constexpr auto correlatedCrashWindow = 30s;
 // The connections to a crashed server end one after the other; the server takes some seconds to restart.
 static constexpr auto sameCrashWindow = 1s;
--- a/Libraries/LibLimits/QuarantineTable.h
+++ b/Libraries/LibLimits/QuarantineTable.h
@@ -12,6 +12,9 @@
 /// Hash of a request's body and service; a repeated request has the same fingerprint.
 using RequestFingerprint = std::uint64_t;
 
+/// How long crashes are evidence against a request, and how long it is refused.
+constexpr Core::Duration quarantineDuration = std::chrono::hours(1);
+
 /// A crash of a backend server as observed by this node: the server's connections ended in the middle of responses.
 struct ServerCrash {
     Core::MonotonicTime at;
--- a/Services/Edge/EdgeTables.h
+++ b/Services/Edge/EdgeTables.h
@@ -45,7 +45,7 @@
     Limits::QuarantineTable quarantine;
     Limits::CrashSuspectTable crashSuspects;
     /// Whole requests by their fingerprints, each the only part of its request. Unlike quarantine, it counts the crashes at all nodes.
-    Limits::CrashSuspectTable requestSuspects;
+    Limits::CrashSuspectTable requestSuspects { .evidenceDuration = Limits::quarantineDuration };
     Forward::QuotaTable quotas;
     Forward::UsageTable usage;
     Forward::PeerTable peers;
--- a/Tests/LibLimits/LimitsTest.cpp
+++ b/Tests/LibLimits/LimitsTest.cpp
@@ -413,7 +413,7 @@
 // What seven nodes know of repeated requests: each its own crashes, and together the shared ones.
 struct RepeatingNodes {
     std::vector<Limits::QuarantineTable> quarantines { 7 };
-    SuspectNodes shared { std::vector<Limits::CrashSuspectTable>(7) };
+    SuspectNodes shared { std::vector<Limits::CrashSuspectTable>(7, { .evidenceDuration = Limits::quarantineDuration }) };
 
     bool isRefused(std::size_t node, Limits::RequestFingerprint fingerprint, Core::MonotonicTime now) const
     {
@@ -483,3 +483,20 @@
         EXPECT_EQ(crashes, 3u) << "seed " << seed;
     }
 }
+
+// Load pattern: the same, once in half a minute for an hour. Guards against three more crashes each time the shared evidence expires (BUDGET).
+TEST(CrashSuspectTest, RepeatedRequestThatCrashesServersIsRefusedForAnHour)
+{
+    static constexpr Limits::RequestFingerprint deadly = 66;
+    RepeatingNodes nodes;
+    std::uint32_t crashes = 0;
+    auto now = start;
+    for (std::size_t request = 0; request < 110; ++request, now += 30s) {
+        if (!nodes.isRefused(request % 7, deadly, now))
+            nodes.crash(request % 7, ++crashes, deadly, now);
+        for (auto& table : nodes.shared.tables)
+            (void)Limits::recordSound(table, "llm", {}, now + 50ms);
+        nodes.exchange(now + 100ms);
+    }
+    EXPECT_EQ(crashes, 3u);
+}
