EdgeService: Report when a quarantine ends

Cause: reports carried fingerprints only. Each report of another node set the end to a minute from then, and that was reported in turn.

Change: reports say how much longer each request is refused, in a list beside the old one. A known quarantine keeps its end, and one that ends within 10 s is not reported, since it would come back from a node that ends it later. Without a time, as from earlier versions, the minute applies, but does not renew a known quarantine.

The test of a datagram that is decoded to many times its size now has a million leaving servers instead of a million quarantined requests, which are a map by fingerprint and no longer repeat; its list is larger.

Ruled out: the clocks of nodes; the remaining time is used, not the date.

--- a/Libraries/LibForward/NodeReport.capnp
+++ b/Libraries/LibForward/NodeReport.capnp
@@ -127,4 +127,6 @@
     leavingServers @26 :List(LeavingServer);
     # Evidence on whole requests, whose fingerprints are in place of the parts' hashes. Also in brief reports.
     suspectRequests @27 :List(SuspectPart);
+    # How much longer each of quarantined is refused; empty in reports of earlier versions.
+    quarantinedMilliseconds @28 :List(UInt32);
 }
--- a/Libraries/LibForward/NodeReport.capnp.h
+++ b/Libraries/LibForward/NodeReport.capnp.h
@@ -185,7 +185,7 @@
 
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ae287fdf6ab6901d, 7, 15)
+    CAPNP_DECLARE_STRUCT_HEADER(ae287fdf6ab6901d, 7, 16)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1106,6 +1106,9 @@
   inline bool hasSuspectRequests() const;
   inline  ::capnp::List< ::Forward::wire::SuspectPart,  ::capnp::Kind::STRUCT>::Reader getSuspectRequests() const;
 
+  inline bool hasQuarantinedMilliseconds() const;
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader getQuarantinedMilliseconds() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1281,6 +1284,14 @@
   inline void adoptSuspectRequests(::capnp::Orphan< ::capnp::List< ::Forward::wire::SuspectPart,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::Forward::wire::SuspectPart,  ::capnp::Kind::STRUCT>> disownSuspectRequests();
 
+  inline bool hasQuarantinedMilliseconds();
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder getQuarantinedMilliseconds();
+  inline void setQuarantinedMilliseconds( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setQuarantinedMilliseconds(::kj::ArrayPtr<const  ::uint32_t> value);
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder initQuarantinedMilliseconds(unsigned int size);
+  inline void adoptQuarantinedMilliseconds(::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> disownQuarantinedMilliseconds();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2579,6 +2590,44 @@
       ::capnp::bounded<14>() * ::capnp::POINTERS));
 }
 
+inline bool NodeReport::Reader::hasQuarantinedMilliseconds() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<15>() * ::capnp::POINTERS).isNull();
+}
+inline bool NodeReport::Builder::hasQuarantinedMilliseconds() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<15>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader NodeReport::Reader::getQuarantinedMilliseconds() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<15>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder NodeReport::Builder::getQuarantinedMilliseconds() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<15>() * ::capnp::POINTERS));
+}
+inline void NodeReport::Builder::setQuarantinedMilliseconds( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<15>() * ::capnp::POINTERS), value);
+}
+inline void NodeReport::Builder::setQuarantinedMilliseconds(::kj::ArrayPtr<const  ::uint32_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<15>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder NodeReport::Builder::initQuarantinedMilliseconds(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<15>() * ::capnp::POINTERS), size);
+}
+inline void NodeReport::Builder::adoptQuarantinedMilliseconds(
+    ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<15>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> NodeReport::Builder::disownQuarantinedMilliseconds() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<15>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 
--- a/Libraries/LibForward/NodeReport.cpp
+++ b/Libraries/LibForward/NodeReport.cpp
@@ -151,10 +151,19 @@
     for (unsigned i = 0; i < peers.size(); ++i)
         peers.set(i, report.peers[i]);
     auto quarantined = root.initQuarantined(static_cast<unsigned>(report.quarantined.size()));
-    for (unsigned i = 0; i < quarantined.size(); ++i)
-        quarantined.set(i, report.quarantined[i]);
+    index = 0;
+    for (auto const& [fingerprint, remaining] : report.quarantined)
+        quarantined.set(index++, fingerprint);
+    if (!report.quarantined.empty()) {
+        auto milliseconds = root.initQuarantinedMilliseconds(quarantined.size());
+        index = 0;
+        for (auto const& [fingerprint, remaining] : report.quarantined)
+            milliseconds.set(index++, static_cast<std::uint32_t>(remaining.value_or(std::chrono::milliseconds(0)).count()));
+    }
     encodeSuspects(report.suspectParts, root.initSuspectParts(static_cast<unsigned>(report.suspectParts.size())));
-    encodeSuspects(report.suspectRequests, root.initSuspectRequests(static_cast<unsigned>(report.suspectRequests.size())));
+    // An empty list takes bytes in each report, one that is absent does not.
+    if (!report.suspectRequests.empty())
+        encodeSuspects(report.suspectRequests, root.initSuspectRequests(static_cast<unsigned>(report.suspectRequests.size())));
     auto leaving = root.initLeavingServers(static_cast<unsigned>(report.leavingServers.size()));
     for (unsigned i = 0; i < leaving.size(); ++i) {
         leaving[i].setServer(report.leavingServers[i].server);
@@ -202,8 +211,13 @@
     }
     for (auto const peer : root.getPeers())
         report.peers.emplace_back(peer);
-    for (auto const fingerprint : root.getQuarantined())
-        report.quarantined.push_back(fingerprint);
+    auto const quarantinedMilliseconds = root.getQuarantinedMilliseconds();
+    unsigned index = 0;
+    for (auto const fingerprint : root.getQuarantined()) {
+        auto const remaining = index < quarantinedMilliseconds.size() ? quarantinedMilliseconds[index] : 0;
+        ++index;
+        report.quarantined[fingerprint] = remaining > 0 ? std::optional(std::chrono::milliseconds(remaining)) : std::nullopt;
+    }
     report.suspectParts = suspectsFrom(root.getSuspectParts());
     report.suspectRequests = suspectsFrom(root.getSuspectRequests());
     for (auto const server : root.getLeavingServers())
--- a/Libraries/LibForward/NodeReport.h
+++ b/Libraries/LibForward/NodeReport.h
@@ -98,8 +98,8 @@
     CountsByWindow usage;
     /// Endpoints of the other nodes whose reports it receives.
     std::vector<std::string> peers;
-    /// Fingerprints of requests that crashed servers.
-    std::vector<std::uint64_t> quarantined;
+    /// Fingerprints of requests that crashed servers, and how much longer they are refused if the sender said it.
+    std::map<std::uint64_t, std::optional<std::chrono::milliseconds>> quarantined;
     /// Prompt parts that may crash servers. Also in brief reports, since each crash counts until all nodes refuse such a part.
     std::vector<SuspectPartReport> suspectParts;
     /// Whole requests that may crash servers, with their fingerprints in place of the parts' hashes. Also in brief reports.
--- a/Libraries/LibLimits/QuarantineTable.cpp
+++ b/Libraries/LibLimits/QuarantineTable.cpp
@@ -10,6 +10,8 @@
 static constexpr std::ptrdiff_t crashWeightWithoutProgress = 2;
 // When many hosts are lost, a request that is not the cause can be part of half of the crashes by chance.
 static constexpr std::ptrdiff_t unrelatedCrashWeight = 2;
+// Each node on the way of a report adds its delay to the end. One that has ended must not come back from such a node.
+static constexpr Core::Duration minimumReportedQuarantine = 10s;
 static constexpr auto correlatedCrashWindow = 30s;
 // The connections to a crashed server end one after the other; the server takes some seconds to restart.
 static constexpr auto sameCrashWindow = 1s;
@@ -69,8 +71,17 @@
 
 void mergeQuarantined(QuarantineTable& table, RequestFingerprint fingerprint, Core::MonotonicTime until)
 {
-    auto& current = table.quarantined[fingerprint];
-    current = std::max(current, until);
+    table.quarantined.try_emplace(fingerprint, until);
+}
+
+std::vector<std::pair<RequestFingerprint, Core::Duration>> quarantinesToReport(QuarantineTable const& table, Core::MonotonicTime now)
+{
+    std::vector<std::pair<RequestFingerprint, Core::Duration>> quarantines;
+    for (auto const& [fingerprint, until] : table.quarantined) {
+        if (until - now > minimumReportedQuarantine)
+            quarantines.emplace_back(fingerprint, until - now);
+    }
+    return quarantines;
 }
 
 bool isQuarantined(QuarantineTable const& table, RequestFingerprint fingerprint, Core::MonotonicTime now)
--- a/Libraries/LibLimits/QuarantineTable.h
+++ b/Libraries/LibLimits/QuarantineTable.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace Limits {
@@ -45,9 +46,12 @@
 /// Removes a finished request from the crashes that it was part of, since it did not cause them.
 void recordFinished(QuarantineTable&, RequestFingerprint);
 
-/// Adds a quarantine announced by another node. The later expiry applies.
+/// Adds a quarantine announced by another node. A known one keeps its end, so that nodes do not renew it for each other.
 void mergeQuarantined(QuarantineTable&, RequestFingerprint, Core::MonotonicTime until);
 
+/// Returns the quarantines that other nodes need to know, and how long they last; not those that end before a report of them may arrive.
+[[nodiscard]] std::vector<std::pair<RequestFingerprint, Core::Duration>> quarantinesToReport(QuarantineTable const&, Core::MonotonicTime now);
+
 [[nodiscard]] bool isQuarantined(QuarantineTable const&, RequestFingerprint, Core::MonotonicTime now);
 
 /// Whether the request was part of a crash. Retries of a suspect are not sent to servers that run other suspects.
--- a/Services/Edge/EdgeService.cpp
+++ b/Services/Edge/EdgeService.cpp
@@ -206,8 +206,8 @@
         report.peers.push_back(row.report.endpoint);
     std::shuffle(report.peers.begin(), report.peers.end(), m_random.engine());
     report.peers.resize(std::min(report.peers.size(), maximumReportedPeers));
-    for (auto const& [fingerprint, until] : m_tables.quarantine.quarantined)
-        report.quarantined.push_back(fingerprint);
+    for (auto const& [fingerprint, remaining] : Limits::quarantinesToReport(m_tables.quarantine, now))
+        report.quarantined[fingerprint] = std::chrono::duration_cast<std::chrono::milliseconds>(remaining);
     report.suspectParts = reportSuspects(m_tables.crashSuspects, now);
     report.suspectRequests = reportSuspects(m_tables.requestSuspects, now);
     report.leavingServers = Forward::leavingServersToReport(m_tables.directory);
--- a/Services/Edge/PeerExchange.cpp
+++ b/Services/Edge/PeerExchange.cpp
@@ -84,8 +84,10 @@
     auto const now = m_runtime.now();
     auto const unixTime = std::chrono::duration_cast<std::chrono::milliseconds>(m_runtime.wallNow().time_since_epoch()).count();
     mergeUsage(*report);
-    for (auto const fingerprint : report->quarantined)
-        Limits::mergeQuarantined(m_tables.quarantine, fingerprint, now + std::chrono::minutes(1));
+    // Earlier versions do not report the end, and renew their quarantines for each other.
+    static constexpr std::chrono::milliseconds defaultRemaining = std::chrono::minutes(1);
+    for (auto const& [fingerprint, remaining] : report->quarantined)
+        Limits::mergeQuarantined(m_tables.quarantine, fingerprint, now + std::min<Core::Duration>(remaining.value_or(defaultRemaining), Limits::quarantineDuration));
     logRefusedParts(mergeSuspects(m_tables.crashSuspects, report->suspectParts, now), report->node);
     logRefusedRequests(mergeSuspects(m_tables.requestSuspects, report->suspectRequests, now), report->node);
     mergeLeavingServers(*report);
--- a/Tests/LibForward/PeerTableTest.cpp
+++ b/Tests/LibForward/PeerTableTest.cpp
@@ -21,7 +21,7 @@
     result.demands = { { "team", { 12.5F, 100 } } };
     result.usage = { { 353, { { "team", 4 } } } };
     result.peers = { "10.0.0.2:7600" };
-    result.quarantined = { 99 };
+    result.quarantined = { { 98, std::nullopt }, { 99, 59min } };
     result.suspectParts = { { 7, { { 3, { 20ms, 5 } }, { 4, { 30ms, 6 } } }, { { 5, { 40ms, 6 } } }, 10ms, false }, { 8, {}, {}, std::nullopt, true } };
     result.suspectRequests = { { 9, { { 6, { 20ms, 5 } } }, {}, 10ms, false } };
     result.leavingServers = { { 17, 1'765'000'000'000 }, { 18, 1 } };
@@ -66,7 +66,7 @@
         changes.emplace_back([odd](auto& report) { report.sentAtUnixMilliseconds = odd; });
     changes.emplace_back([](auto& report) { report.nodes = UINT32_MAX; });
     // A datagram that is decoded to many times its size.
-    changes.emplace_back([](auto& report) { report.quarantined.resize(1'000'000); });
+    changes.emplace_back([](auto& report) { report.leavingServers.resize(1'000'000); });
     for (std::size_t i = 0; i < changes.size(); ++i) {
         auto odd = report("n1");
         changes[i](odd);
--- a/Tests/LibLimits/LimitsTest.cpp
+++ b/Tests/LibLimits/LimitsTest.cpp
@@ -439,8 +439,8 @@
         auto const before = quarantines;
         for (auto& table : quarantines) {
             for (auto const& other : before) {
-                for (auto const& [fingerprint, until] : other.quarantined)
-                    Limits::mergeQuarantined(table, fingerprint, now + 1min);
+                for (auto const& [fingerprint, remaining] : Limits::quarantinesToReport(other, now))
+                    Limits::mergeQuarantined(table, fingerprint, now + remaining);
             }
         }
     }
@@ -500,3 +500,30 @@
     }
     EXPECT_EQ(crashes, 3u);
 }
+
+// Guards against a quarantine that nodes renew for each other for ever; eight nodes report it, each a second late, for two hours.
+TEST(QuarantineTest, QuarantineThatNodesReportToEachOtherEnds)
+{
+    std::vector<Limits::QuarantineTable> nodes(8);
+    for (std::uint64_t crash = 0; crash < 3; ++crash)
+        Limits::recordCrash(nodes[0], { start, "s" + std::to_string(crash), { 7 } });
+    std::size_t refusing = 0;
+    std::optional<Core::MonotonicTime> endedAt;
+    for (auto now = start; now < start + 2h; now += 1s) {
+        auto const before = nodes;
+        refusing = 0;
+        for (std::size_t i = 0; i < nodes.size(); ++i) {
+            // Reports pass from node to node.
+            for (auto const& [fingerprint, remaining] : Limits::quarantinesToReport(before[(i + 7) % 8], now))
+                Limits::mergeQuarantined(nodes[i], fingerprint, now + 1s + remaining);
+            Limits::expire(nodes[i], now);
+            refusing += Limits::isQuarantined(nodes[i], 7, now) ? 1 : 0;
+        }
+        EXPECT_TRUE(now < start + 10s || now >= start + 1h || refusing == nodes.size()) << (now - start) / 1s;
+        if (refusing == 0 && !endedAt)
+            endedAt = now;
+    }
+    EXPECT_EQ(refusing, 0u);
+    ASSERT_TRUE(endedAt);
+    EXPECT_LE(*endedAt - start, 1h + 10s);
+}
