--- a/Libraries/LibLimits/QuarantineTable.h
+++ b/Libraries/LibLimits/QuarantineTable.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace Limits {
@@ -12,6 +13,9 @@
 /// Hash of a request's body and service; a repeated request has the same fingerprint.
 using RequestFingerprint = std::uint64_t;
 
+/// How long crashes are evidence against a request, and how long it is refused.
+constexpr Core::Duration quarantineDuration = std::chrono::hours(1);
+
 /// A crash of a backend server as observed by this node: the server's connections ended in the middle of responses.
 struct ServerCrash {
     Core::MonotonicTime at;
@@ -42,9 +46,12 @@
 /// Removes a finished request from the crashes that it was part of, since it did not cause them.
 void recordFinished(QuarantineTable&, RequestFingerprint);
 
-/// Adds a quarantine announced by another node. The later expiry applies.
+/// Adds a quarantine announced by another node. A known one keeps its end, so that nodes do not renew it for each other.
 void mergeQuarantined(QuarantineTable&, RequestFingerprint, Core::MonotonicTime until);
 
+/// Returns the quarantines that other nodes need to know, and how long they last; not those that end before a report of them may arrive.
+[[nodiscard]] std::vector<std::pair<RequestFingerprint, Core::Duration>> quarantinesToReport(QuarantineTable const&, Core::MonotonicTime now);
+
 [[nodiscard]] bool isQuarantined(QuarantineTable const&, RequestFingerprint, Core::MonotonicTime now);
 
 /// Whether the request was part of a crash. Retries of a suspect are not sent to servers that run other suspects.
