LibHTTP: Let clients read the last response of an idle connection to its end

What callers saw: the same loss as on a connection whose response announced its end, on a kept connection whose client reads slowly: the server closes it as idle (250 ms after its last write in a graceful shutdown, or after the idle timeout), more bytes of the client arrive, and the reset destroys the rest of the response.

Cause: an idle connection was closed at once, also while the system still held bytes of the last response.

Idle connections whose clients have received everything are closed at once as before, so that a planned stop does not wait for them.

The whole TestEdgeService was not run on this commit.

--- a/Libraries/LibHTTP/Server.cpp
+++ b/Libraries/LibHTTP/Server.cpp
@@ -15,7 +15,9 @@
 #include <boost/beast/http/serializer.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
+#include <linux/sockios.h>
 #include <set>
+#include <sys/ioctl.h>
 
 namespace HTTP {
 
@@ -45,12 +47,23 @@
         socket.close(ignored);
     }
 
+    // For an idle connection. A client that still reads the last response may lose the rest of it to an immediate close.
+    void endWhileIdle()
+    {
+        int unreadBytes = 0;
+        if (ioctl(socket.native_handle(), SIOCOUTQ, &unreadBytes) != 0 || unreadBytes == 0)
+            return close();
+        endsWithResponse = true;
+        boost::system::error_code ignored;
+        socket.cancel(ignored);
+    }
+
     tcp::socket socket;
     beast::flat_buffer buffer;
     ConnectionState state { ConnectionState::Idle };
     Core::Endpoint peer;
     std::size_t requests { 0 };
-    /// Whether its last response was sent whole and announced that the connection is closed.
+    /// Whether it is closed after a response that was sent whole, which the client may still be reading.
     bool endsWithResponse { false };
     /// Closes an idle connection after stopAccepting().
     Core::Timer lingerTimer;
@@ -312,7 +325,7 @@
             if (!idle)
                 return;
             Core::logEvent(Core::LogLevel::Info, "idle_connection_closed", { { "peer", idle->peer.toString() }, { "requests", std::uint64_t(idle->requests) } });
-            idle->close();
+            idle->endWhileIdle();
         });
     }
 
@@ -376,7 +389,7 @@
 
     Core::Awaitable<bool> waitForRequest(Connection& connection)
     {
-        auto timer = m_runtime.callAt(m_runtime.now() + m_limits.idleTimeout, [&] { connection.close(); });
+        auto timer = m_runtime.callAt(m_runtime.now() + m_limits.idleTimeout, [&] { connection.endWhileIdle(); });
         auto [errorCode] = co_await connection.socket.async_wait(tcp::socket::wait_read, useTuple);
         co_return !errorCode && connection.socket.is_open();
     }
--- a/Tests/LibHTTP/ClientServerTest.cpp
+++ b/Tests/LibHTTP/ClientServerTest.cpp
@@ -424,3 +424,47 @@
         EXPECT_EQ(errorCode, boost::asio::error::eof) << errorCode.message();
     }
 }
+
+// Guards against the same loss on a connection that was to stay open and that a graceful shutdown closes as idle (LOST).
+TEST_F(ClientServerTest, IdleConnectionWithAnUnreadResponseIsNotReset)
+{
+    static constexpr std::size_t bodyBytes = 2'000'000;
+    static constexpr int receiveBufferBytes = 4096;
+    static constexpr std::size_t bytesReadAtATime = 32 * 1024;
+    for (bool const isSentBeforeReading : { true, false }) {
+        startServer([&](HTTP::Request const&, HTTP::ResponseWriter& writer) -> Awaitable<void> {
+            m_server->stopAccepting();
+            HTTP::Response response;
+            response.body = std::string(bodyBytes, 'x');
+            (void)co_await writer.send(std::move(response));
+        });
+        std::size_t received = 0;
+        boost::system::error_code errorCode;
+        std::thread thread([&] {
+            boost::asio::io_context context;
+            boost::asio::ip::tcp::socket socket(context);
+            socket.open(boost::asio::ip::tcp::v4());
+            socket.set_option(boost::asio::socket_base::receive_buffer_size(receiveBufferBytes));
+            socket.connect({ boost::asio::ip::make_address(m_endpoint.address), m_endpoint.port });
+            std::string const request = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+            boost::system::error_code ignored;
+            boost::asio::write(socket, boost::asio::buffer(request), ignored);
+            std::this_thread::sleep_for(400ms);
+            if (isSentBeforeReading)
+                boost::asio::write(socket, boost::asio::buffer(request), ignored);
+            std::vector<char> buffer(bytesReadAtATime);
+            while (!errorCode) {
+                received += boost::asio::read(socket, boost::asio::buffer(buffer), errorCode);
+                std::this_thread::sleep_for(2ms);
+                if (!isSentBeforeReading)
+                    boost::asio::write(socket, boost::asio::buffer(request), ignored);
+            }
+            m_context.stop();
+        });
+        m_context.restart();
+        m_context.run();
+        thread.join();
+        EXPECT_GT(received, bodyBytes) << (isSentBeforeReading ? "sent before reading" : "sent while reading");
+        EXPECT_EQ(errorCode, boost::asio::error::eof) << errorCode.message();
+    }
+}
