RequestForwarder: Split into admission, attempts, responses, outcomes and log

RequestForwarder.cpp had 822 lines and four responsibilities. Each has a file with its invariant in the header now: RequestAdmission, RequestForwarder (attempts), ResponseForwarder and OutcomeRecorder, which share ForwarderDependencies. No behaviour changes.

Adds the settings of the features specified in docs/design/load-and-rollouts.md, which nothing uses yet, and Forward::toleratesQueueing(), which decides where they are on by default.

--- a/Libraries/LibForward/RouteTable.cpp
+++ b/Libraries/LibForward/RouteTable.cpp
@@ -38,6 +38,24 @@
     return found == table.services.end() ? nullptr : &*found;
 }
 
+bool toleratesQueueing(RouteTable const& table, std::string_view service)
+{
+    // Several prompts are read within this time, also by a slow engine.
+    static constexpr std::chrono::milliseconds shortestObjective { 750 };
+    // Leaves a refused client, which returns within a third of its time, several seconds for its second attempt.
+    static constexpr std::chrono::milliseconds shortestTimeout { 5500 };
+    bool hasStreams = false;
+    for (auto const& route : table.routes) {
+        bool const leadsToService = std::any_of(route.services.begin(), route.services.end(), [&](auto const& weighted) { return weighted.service == service; });
+        if (route.kind != RequestKind::Stream || !leadsToService)
+            continue;
+        hasStreams = true;
+        if (route.targetLatency < shortestObjective || route.timeout < shortestTimeout)
+            return false;
+    }
+    return hasStreams;
+}
+
 std::string chooseService(Route const& route, double randomValue)
 {
     double total = 0;
--- a/Libraries/LibForward/RouteTable.h
+++ b/Libraries/LibForward/RouteTable.h
@@ -133,6 +133,11 @@
 /// Returns null if there is none. Thread safe.
 [[nodiscard]] Service const* findService(RouteTable const&, std::string_view name);
 
+/// Whether the requests of a service can wait for a better server, or for capacity, and still be on time: all its streaming routes have a
+/// latency objective of at least 750 ms and a timeout of at least 5.5 s. With shorter ones a request that waits is late, and the least
+/// loaded server is the right choice. False for a service without streaming routes. Thread safe.
+[[nodiscard]] bool toleratesQueueing(RouteTable const&, std::string_view service);
+
 /// Chooses a service by the weights of the route, given a uniform random value in [0, 1). Returns an empty string if no service
 /// has a weight. Thread safe.
 [[nodiscard]] std::string chooseService(Route const&, double randomValue);
--- a/Services/Edge/EdgeSettings.cpp
+++ b/Services/Edge/EdgeSettings.cpp
@@ -31,6 +31,12 @@
 DEFINE_double(retry_slack, 10, "retries per window in addition to the ratio, across all nodes");
 DEFINE_double(quota_window_s, 8, "seconds over which a team's limit is measured");
 DEFINE_double(quota_slack, 0, "units by which a team may exceed its limit in a window");
+DEFINE_string(adaptive_placement, "auto", "placement by measured engine speeds and cached prefixes: auto, on or off");
+DEFINE_string(admission_control, "auto", "waiting and refusals under overload: auto, on or off");
+DEFINE_double(rollout_share, 0, "fraction of a service's requests that a version under evaluation may get; 0 without rollouts");
+DEFINE_double(rollout_slack, 0, "requests that a bad version may get beyond that fraction");
+DEFINE_double(rollback_ms, 5000, "milliseconds after its fiftieth bad response from which a bad version must get no new request");
+DEFINE_double(memory_mb, 260, "memory of the host in MB, from which the limits on what is held for clients follow");
 
 namespace Edge {
 
@@ -64,6 +70,12 @@
             { "retry_slack", "", "" },
             { "quota_window_s", "s, 1 to 3600", "" },
             { "quota_slack", "", "" },
+            { "adaptive_placement", "auto, on or off", "" },
+            { "admission_control", "auto, on or off", "" },
+            { "rollout_share", "0 to 1", "" },
+            { "rollout_slack", "", "" },
+            { "rollback_ms", "ms, 0 to 600000", "" },
+            { "memory_mb", "MB, 16 to 1048576", "" },
             { "log_level", "", "" },
         },
     };
@@ -110,6 +122,17 @@
     return Core::parseEndpoint(text, ignored).value_or(Core::Endpoint {});
 }
 
+static FeatureMode featureMode(std::string const& name, std::string const& text, Core::SettingChecker& checker)
+{
+    if (text == "on")
+        return FeatureMode::On;
+    if (text == "off")
+        return FeatureMode::Off;
+    if (text != "auto")
+        checker.addError(name, text, "auto, on or off");
+    return FeatureMode::Auto;
+}
+
 static EdgeSettings settingsFromFlags(std::vector<std::string>& errors)
 {
     Core::SettingChecker checker;
@@ -131,6 +154,12 @@
         checker.addError("processor_share", std::to_string(FLAGS_processor_share), "a number of cores above 0");
     checker.checkRange("retry_window_s", static_cast<std::int64_t>(FLAGS_retry_window_s), 1, 3600, "s");
     checker.checkRange("quota_window_s", static_cast<std::int64_t>(FLAGS_quota_window_s), 1, 3600, "s");
+    auto const adaptivePlacement = featureMode("adaptive_placement", FLAGS_adaptive_placement, checker);
+    auto const admissionControl = featureMode("admission_control", FLAGS_admission_control, checker);
+    if (!(FLAGS_rollout_share >= 0 && FLAGS_rollout_share <= 1))
+        checker.addError("rollout_share", std::to_string(FLAGS_rollout_share), "a fraction from 0 to 1");
+    checker.checkRange("rollback_ms", static_cast<std::int64_t>(FLAGS_rollback_ms), 0, 600000, "ms");
+    checker.checkRange("memory_mb", static_cast<std::int64_t>(FLAGS_memory_mb), 16, 1048576, "MB");
     errors.insert(errors.end(), checker.errors().begin(), checker.errors().end());
 
     EdgeSettings settings;
@@ -164,6 +193,12 @@
     settings.retrySlack = FLAGS_retry_slack;
     settings.quotaWindow = std::chrono::seconds(static_cast<std::int64_t>(FLAGS_quota_window_s));
     settings.quotaSlack = FLAGS_quota_slack;
+    settings.adaptivePlacement = adaptivePlacement;
+    settings.admissionControl = admissionControl;
+    settings.rolloutShare = FLAGS_rollout_share;
+    settings.rolloutSlack = FLAGS_rollout_slack;
+    settings.rollbackTimeout = std::chrono::milliseconds(static_cast<std::int64_t>(FLAGS_rollback_ms));
+    settings.memoryMegabytes = static_cast<std::uint32_t>(FLAGS_memory_mb);
     return settings;
 }
 
--- a/Services/Edge/EdgeSettings.h
+++ b/Services/Edge/EdgeSettings.h
@@ -9,6 +9,13 @@
 
 namespace Edge {
 
+/// Whether a feature is used: for all services, for none, or for those whose configuration calls for it.
+enum class FeatureMode {
+    Auto,
+    On,
+    Off,
+};
+
 /// Validated settings of `hyssopstep edge`; see docs/settings.md.
 struct EdgeSettings {
     std::string nodeId;
@@ -42,6 +49,18 @@
     double retrySlack { 10 };
     std::chrono::seconds quotaWindow { 8 };
     double quotaSlack { 0 };
+    /// Placement by measured engine speeds and cached prefixes; Auto means where Forward::toleratesQueueing().
+    FeatureMode adaptivePlacement { FeatureMode::Auto };
+    /// Waiting and refusals under overload; Auto means where Forward::toleratesQueueing().
+    FeatureMode admissionControl { FeatureMode::Auto };
+    /// Fraction of a service's requests that a version under evaluation may get; 0 if this deployment has no rollouts.
+    double rolloutShare { 0 };
+    /// Requests that a bad version may get beyond that fraction.
+    double rolloutSlack { 0 };
+    /// Time after its fiftieth bad response from which a bad version must get no new request.
+    std::chrono::milliseconds rollbackTimeout { 5000 };
+    /// Memory of the host in MB, from which the limits on what is held for clients follow.
+    std::uint32_t memoryMegabytes { 260 };
 
     bool operator==(EdgeSettings const&) const = default;
 };
--- /dev/null
+++ b/Services/Edge/ResponseForwarder.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <Edge/OutcomeRecorder.h>
+
+namespace Edge {
+
+// A resumable stream without an event for this time is offered to another server, before its client times out. Clients wait at least
+// two seconds for the next event; engines under load pause for some hundred milliseconds.
+inline constexpr Core::Duration maximumEventGap = std::chrono::seconds(1);
+
+/// Reads the responses of servers and passes streams on to the clients. Invariant: a client gets each event of its stream once and in order,
+/// and no part of a response that is not complete. Used from the runtime's thread only.
+class ResponseForwarder {
+public:
+    /// Precondition: the references in the dependencies, and the recorder, outlive this object.
+    ResponseForwarder(ForwarderDependencies const& dependencies, OutcomeRecorder& recorder)
+        : m_dependencies(dependencies)
+        , m_recorder(recorder)
+    {
+    }
+
+    /// Reads a response that is not a stream into the context.
+    [[nodiscard]] Core::Awaitable<Forward::AttemptOutcome> readResponse(RequestContext&, Attempt&, Core::Error&);
+    /// Passes the events of a stream on as they arrive.
+    [[nodiscard]] Core::Awaitable<Forward::AttemptOutcome> forwardStream(RequestContext&, Attempt&, Core::Error&);
+    /// Releases the bytes that are held for a request that ends.
+    void release(RequestContext const& context) { m_bufferedBytes -= context.bufferedBytes; }
+
+private:
+    /// Sets how many bytes of responses are held in memory for a request. Returns false, without an effect, if they are too many for one request or
+    /// together with those of the others.
+    [[nodiscard]] bool holdBytes(RequestContext&, std::size_t bytes);
+    /// Whether the stream may continue at another server if its server stalls.
+    [[nodiscard]] static bool mayContinueElsewhere(RequestContext const&);
+    /// Whether the stream of an attempt may end without an event.
+    [[nodiscard]] static bool mayBeEmpty(RequestContext const&, Attempt const&);
+
+    ForwarderDependencies const& m_dependencies;
+    OutcomeRecorder& m_recorder;
+    /// Bytes of response bodies and incomplete events that are held in memory.
+    std::size_t m_bufferedBytes { 0 };
+};
+
+}
--- a/Tests/LibForward/RouteTableTest.cpp
+++ b/Tests/LibForward/RouteTableTest.cpp
@@ -56,3 +56,23 @@
     // A request without a key must not match a team without keys.
     EXPECT_EQ(Forward::findTeamByKey(routes, ""), nullptr);
 }
+
+// Guards against waiting in deployments whose short objectives or timeouts leave no time for it.
+TEST(RouteTableTest, QueueingIsToleratedOnlyWhereAllStreamsHaveTimeToWait)
+{
+    using namespace std::chrono_literals;
+    Forward::Route const patient { .kind = Forward::RequestKind::Stream, .timeout = 6000ms, .targetLatency = 800ms, .services = { { "model", 1 } } };
+    Forward::Route const plain { .kind = Forward::RequestKind::Idempotent, .timeout = 800ms, .targetLatency = 300ms, .services = { { "plain", 1 }, { "model", 1 } } };
+    Forward::RouteTable routes { .routes = { patient, plain } };
+    EXPECT_TRUE(Forward::toleratesQueueing(routes, "model"));
+    EXPECT_FALSE(Forward::toleratesQueueing(routes, "plain"));
+    EXPECT_FALSE(Forward::toleratesQueueing(routes, "unknown"));
+    auto shortTimeout = patient;
+    shortTimeout.timeout = 5000ms;
+    routes.routes.push_back(shortTimeout);
+    EXPECT_FALSE(Forward::toleratesQueueing(routes, "model"));
+    auto shortObjective = patient;
+    shortObjective.targetLatency = 700ms;
+    routes.routes.back() = shortObjective;
+    EXPECT_FALSE(Forward::toleratesQueueing(routes, "model"));
+}
