LibRouting: Place by learnt engine speed and cached prefixes

Cause: The placement costs have fixed figures for every engine (150,000 prompt tokens a second, 2 ms for each request in progress). Engines that read 37,900 tokens a second are occupied by prompt tokens, not by the number of requests, and a prefix counted as held by its first home only.

Change: Services whose requests tolerate queueing are placed by the expected delay to the first event: requests beyond slots and memory, unread prompts ahead, tokens to read at the learnt speed, present slowness and the way. The speed is a high quantile of own tokens by time to the first event at servers with little load. PrefixResidency knows where this node's placements left a prefix; the rendezvous homes remain the agreement between nodes, further ones count in part. The header of a server's load is decoded up to its fourth figure. Until the speed is known, and where the feature is off, the choices are those of before.

Ruled out: the expected delay alone as the cost. The delay is therefore multiplied by one plus what the read costs the requests that come after.

HeaderCodecTest: the fourth figure of the header was ignored and is now expected.

--- a/Libraries/LibForward/RequestCodec.h
+++ b/Libraries/LibForward/RequestCodec.h
@@ -64,6 +64,8 @@
     std::uint32_t running { 0 };
     std::uint32_t waiting { 0 };
     std::uint32_t slots { 0 };
+    /// How fast the server presently is: 100 as usual, 200 if everything takes twice as long; empty if it doesn't say.
+    std::optional<std::uint32_t> pacePercent {};
 
     bool operator==(ServerLoad const&) const = default;
 };
--- a/Libraries/LibRouting/Placement.cpp
+++ b/Libraries/LibRouting/Placement.cpp
@@ -112,9 +112,11 @@
     return cost;
 }
 
-std::optional<Placement> placeRequest(ServerTable const& table, PlacementRequest const& request, PlacementCosts const& costs, Core::Random& random, Core::MonotonicTime now, Core::Error& error)
+std::optional<Placement> placeRequest(ServerTable const& table, PlacementRequest const& request, PlacementCosts const& costs, Core::Random& random, Core::MonotonicTime now, Core::Error& error, AdaptiveInputs const* adaptive)
 {
     auto const candidates = candidatesFor(table, request, now);
+    auto const terms = adaptive ? adaptiveTerms(*adaptive, request, now) : std::nullopt;
+    std::optional<CostEstimate> lowestEstimate;
     // Servers in backoff are used only if there is no other.
     bool const anyNotBackingOff = std::any_of(candidates.begin(), candidates.end(), [&](auto const& candidate) { return candidate.row->backoffUntil <= now; });
     Candidate const* best = nullptr;
@@ -122,17 +124,21 @@
     for (auto const& candidate : candidates) {
         if (anyNotBackingOff && candidate.row->backoffUntil > now)
             continue;
-        auto const cost = costOf(*candidate.row, request, costs, candidate.homeRank, random);
+        std::optional<CostEstimate> estimate;
+        if (terms)
+            estimate = estimateCost(*adaptive, *terms, *candidate.row, request, costs, candidate.homeRank, random, now);
+        auto const cost = estimate ? estimate->cost : costOf(*candidate.row, request, costs, candidate.homeRank, random);
         bool const isBetter = !best || cost < lowestCost || (cost == lowestCost && candidate.homeWeight > best->homeWeight);
         if (!isBetter)
             continue;
         best = &candidate;
         lowestCost = cost;
+        lowestEstimate = estimate;
     }
     if (!best)
         return Core::fail(error, Core::ErrorKind::NoServerAvailable, "no backend server of service " + request.service + " accepts new requests");
     auto const& row = *best->row;
-    return Placement { row.id, row.incarnation, row.revision, row.endpoint, best->homeRank, cacheSourceFor(candidates, *best, request, costs, now), requestsInProgress(row), lowestCost };
+    return Placement { row.id, row.incarnation, row.revision, row.endpoint, best->homeRank, cacheSourceFor(candidates, *best, request, costs, now), requestsInProgress(row), lowestCost, lowestEstimate };
 }
 
 }
--- a/Libraries/LibRouting/Placement.h
+++ b/Libraries/LibRouting/Placement.h
@@ -2,6 +2,8 @@
 
 #include <LibCore/ErrorKind.h>
 #include <LibCore/Random.h>
+#include <LibRouting/AdaptiveCost.h>
+#include <LibRouting/PrefixResidency.h>
 #include <LibRouting/ServerTable.h>
 #include <cstdint>
 #include <optional>
@@ -28,6 +30,10 @@
     /// Servers that must not be chosen, for example those of failed attempts.
     std::vector<std::string> excludedServers;
     WorkKind work { WorkKind::Generation };
+    /// The depths of the shared prefix, the whole prefix last.
+    std::vector<PrefixDepth> prefixes {};
+    /// Tokens of the prompt after the shared prefix.
+    std::uint32_t ownTokens { 0 };
 
     bool operator==(PlacementRequest const&) const = default;
 };
@@ -70,6 +76,8 @@
     /// Requests of this and other nodes at the time of the choice.
     std::uint32_t requestsInProgress { 0 };
     double cost { 0 };
+    /// How the cost was estimated, if by adaptive placement.
+    std::optional<CostEstimate> estimate {};
 
     bool operator==(Placement const&) const = default;
 };
@@ -86,7 +94,8 @@
 /// hash, so requests with a common prefix go to the same few servers without coordination, and to other servers once the load at
 /// the homes costs more than prefilling the prefix again. A server that is not the first home, or became it only recently, gets
 /// a cache source to copy the prefix from. Designed for prompts with long shared prefixes, of which each node sees a small part, and for
-/// short requests that many nodes place by the same reports. Fails with NoServerAvailable (RunState::NotRun). Thread safe.
-[[nodiscard]] std::optional<Placement> placeRequest(ServerTable const&, PlacementRequest const&, PlacementCosts const&, Core::Random&, Core::MonotonicTime now, Core::Error&);
+/// short requests that many nodes place by the same reports. With adaptive inputs, and once the speed of the service's engines is known,
+/// the delay is estimated by estimateCost(). Fails with NoServerAvailable (RunState::NotRun). Thread safe.
+[[nodiscard]] std::optional<Placement> placeRequest(ServerTable const&, PlacementRequest const&, PlacementCosts const&, Core::Random&, Core::MonotonicTime now, Core::Error&, AdaptiveInputs const* = nullptr);
 
 }
--- a/Services/Edge/EdgeTables.h
+++ b/Services/Edge/EdgeTables.h
@@ -9,6 +9,7 @@
 #include <LibLimits/CrashSuspectTable.h>
 #include <LibLimits/QuarantineTable.h>
 #include <LibLimits/RetryBudget.h>
+#include <LibRouting/AdaptiveCost.h>
 #include <LibRouting/Placement.h>
 #include <LibRouting/ServerTable.h>
 #include <map>
@@ -20,6 +21,12 @@
 
 namespace Edge {
 
+/// What adaptive placement knows of the caches of a service's servers.
+struct AdaptiveService {
+    Routing::CacheConditions conditions;
+    Routing::PrefixResidency residency;
+};
+
 /// Shared state of an edge process. Owned by EdgeService; used from the runtime's thread only.
 struct EdgeTables {
     explicit EdgeTables(Core::Runtime& runtime)
@@ -42,6 +49,9 @@
     Core::StoreRevision serversRevision;
     Routing::ServerTable servers;
     Routing::PlacementCosts placementCosts;
+    /// By service; only those that use adaptive placement.
+    std::map<std::string, AdaptiveService> adaptiveServices;
+    Routing::EngineSpeedTable engineSpeeds;
     Limits::QuarantineTable quarantine;
     Limits::CrashSuspectTable crashSuspects;
     /// Whole requests by their fingerprints, each the only part of its request. Unlike quarantine, it counts the crashes at all nodes.
--- a/Services/Edge/OutcomeRecorder.cpp
+++ b/Services/Edge/OutcomeRecorder.cpp
@@ -1,5 +1,6 @@
 #include <Edge/OutcomeRecorder.h>
 
+#include <Edge/AdaptivePlacement.h>
 #include <LibCore/Log.h>
 
 namespace Edge {
@@ -18,6 +19,11 @@
     Forward::recordRequestStart(m_dependencies.tables.usage, m_dependencies.settings.nodeId, m_dependencies.incarnation, context.team->name, window);
 }
 
+void OutcomeRecorder::recordFirstEvent(RequestContext const& context, Attempt const& attempt)
+{
+    recordAdaptiveFirstEvent(m_dependencies, context, attempt);
+}
+
 void OutcomeRecorder::recordOutcome(RequestContext& context, Attempt const& attempt, AttemptOutcome outcome)
 {
     auto const now = m_dependencies.runtime.now();
@@ -36,6 +42,7 @@
     if (row && outcome == AttemptOutcome::ResponseReceived && context.attempts == 1) {
         auto const end = context.firstEventAt.value_or(now);
         Routing::recordServiceTime(*row, std::chrono::duration<double>(end - attempt.sentAt).count(), now);
+        recordAdaptiveEnd(m_dependencies.tables, context, attempt, now);
     }
 }
 
--- a/Services/Edge/OutcomeRecorder.h
+++ b/Services/Edge/OutcomeRecorder.h
@@ -18,6 +18,8 @@
 
     /// Counts the request in the usage of its team, once.
     void recordRequestStart(RequestContext&);
+    /// Precondition: the event is the request's first.
+    void recordFirstEvent(RequestContext const&, Attempt const&);
     void recordOutcome(RequestContext&, Attempt const&, Forward::AttemptOutcome);
     /// Precondition: the answer has the id of the request.
     void recordWhoAnswered(Attempt const&);
--- a/Services/Edge/RequestContext.h
+++ b/Services/Edge/RequestContext.h
@@ -100,6 +100,7 @@
     std::uint32_t chosenServerLoad { 0 };
     std::uint32_t chosenHomeRank { 0 };
     std::optional<Core::Endpoint> cacheSource;
+    std::optional<Routing::CostEstimate> costEstimate;
     bool startRecorded { false };
     /// Status of the response sent to the client.
     unsigned status { 0 };
--- a/Services/Edge/RequestForwarder.cpp
+++ b/Services/Edge/RequestForwarder.cpp
@@ -1,5 +1,6 @@
 #include <Edge/RequestForwarder.h>
 
+#include <Edge/AdaptivePlacement.h>
 #include <Edge/RequestLog.h>
 #include <Edge/RetryAfter.h>
 #include <LibForward/RetryShare.h>
@@ -159,8 +160,9 @@
 std::optional<Routing::Placement> RequestForwarder::place(RequestContext const& context, Core::Error& error)
 {
     auto const& tables = m_dependencies.tables;
-    Routing::PlacementRequest const request { context.service, m_dependencies.settings.dataCentre, context.sharedPrefixHash, context.sharedTokens, context.triedServers, context.attributes.tokens ? Routing::WorkKind::Generation : Routing::WorkKind::Call };
-    return Routing::placeRequest(tables.servers, request, tables.placementCosts, m_dependencies.random, m_dependencies.runtime.now(), error);
+    Routing::PlacementRequest request { context.service, m_dependencies.settings.dataCentre, context.sharedPrefixHash, context.sharedTokens, context.triedServers, context.attributes.tokens ? Routing::WorkKind::Generation : Routing::WorkKind::Call };
+    auto const adaptive = prepareAdaptivePlacement(tables, context, request);
+    return Routing::placeRequest(tables.servers, request, tables.placementCosts, m_dependencies.random, m_dependencies.runtime.now(), error, adaptive ? &*adaptive : nullptr);
 }
 
 Core::Awaitable<AttemptOutcome> RequestForwarder::attempt(RequestContext& context, Core::Error& error)
@@ -174,6 +176,8 @@
     context.chosenServerLoad = placement->requestsInProgress;
     context.chosenHomeRank = placement->homeRank;
     context.cacheSource = placement->cacheSource;
+    context.costEstimate = placement->estimate;
+    recordAdaptivePlacement(tables, context, m_dependencies.runtime.now());
     auto attempt = std::make_unique<Attempt>(tables, std::move(*placement), context.fingerprint, m_dependencies.runtime.now());
     context.placedAt = attempt->sentAt;
 
--- a/Services/Edge/RequestLog.cpp
+++ b/Services/Edge/RequestLog.cpp
@@ -2,9 +2,20 @@
 
 #include <Edge/RetryAfter.h>
 #include <LibCore/Log.h>
+#include <cmath>
 
 namespace Edge {
 
+static void addCostEstimate(std::vector<Core::LogField>& fields, Routing::CostEstimate const& estimate)
+{
+    static constexpr double millisecondsPerSecond = 1000;
+    static constexpr double percent = 100;
+    auto const milliseconds = [](double seconds) { return std::to_string(std::llround(seconds * millisecondsPerSecond)); };
+    fields.emplace_back("held_tokens", estimate.heldTokens);
+    fields.emplace_back("expected", std::int64_t(std::llround(estimate.expectedSeconds * millisecondsPerSecond)));
+    fields.emplace_back("cost", "wait:" + milliseconds(estimate.waitSeconds) + ",ahead:" + milliseconds(estimate.aheadSeconds) + ",read:" + milliseconds(estimate.readSeconds) + ",way:" + milliseconds(estimate.waySeconds) + ",slowness:" + std::to_string(std::llround(estimate.slowness * percent)));
+}
+
 void logRequest(ForwarderDependencies const& dependencies, RequestContext const& context)
 {
     auto const now = dependencies.runtime.now();
@@ -40,6 +51,8 @@
             fields.emplace_back("shared_tokens", context.sharedTokens);
         if (context.cacheSource)
             fields.emplace_back("cache_source", context.cacheSource->toString());
+        if (context.costEstimate)
+            addCostEstimate(fields, *context.costEstimate);
     }
     if (context.nodesOfExhaustedBudget)
         fields.emplace_back("retry_budget_exhausted", "nodes:" + std::to_string(*context.nodesOfExhaustedBudget));
--- a/Services/Edge/ResponseForwarder.cpp
+++ b/Services/Edge/ResponseForwarder.cpp
@@ -102,8 +102,10 @@
             if (++attempt.eventPieces > 1)
                 m_recorder.recordSound(context);
             m_recorder.recordRequestStart(context);
-            if (!context.firstEventAt)
+            if (!context.firstEventAt) {
                 context.firstEventAt = m_dependencies.runtime.now();
+                m_recorder.recordFirstEvent(context, attempt);
+            }
         }
         if (!context.streamStarted && (!events.empty() || isEnd)) {
             context.status = attempt.stream->status();
--- a/Tests/PlatformAdapter/HeaderCodecTest.cpp
+++ b/Tests/PlatformAdapter/HeaderCodecTest.cpp
@@ -124,7 +124,7 @@
 {
     PlatformAdapter::HeaderCodec const codec;
     auto const httpResponse = codec.decodeResponse(200, { { "X-Hyssopstep-Attempt-Id", "9c" }, { "X-Hyssopstep-Server-Seal", "3e1b.07" }, { "X-Hyssopstep-Server-Load", "3,0,8,104" } });
-    EXPECT_EQ(httpResponse, (Forward::ResponseAttributes { .attemptId = "9c", .isSigned = true, .load = Forward::ServerLoad { 3, 0, 8 } }));
+    EXPECT_EQ(httpResponse, (Forward::ResponseAttributes { .attemptId = "9c", .isSigned = true, .load = Forward::ServerLoad { 3, 0, 8, 104 } }));
     EXPECT_TRUE(codec.decodeResponse(503, { { "X-Hyssopstep-Not-Executed", "1" } }).isNotExecuted);
     EXPECT_TRUE(codec.decodeResponse(421, {}).isNotExecuted);
     EXPECT_FALSE(codec.decodeResponse(503, {}).isNotExecuted);
