EdgeService: Explain where a request would go

Cause: The reason of a choice was visible only after the request, in its log line, and only for the chosen server.

Change: The metrics address answers /placement with all usable servers for a given host, path and prompt, by rising cost, with the parts of the cost; `hyssopstep explain-placement` prints it. It uses the same cost functions without the random part, and changes nothing. A separate estimate for the explanation was ruled out, as it would come to differ.

Result: a new test finds the server that got the four requests before named first, and the tables unchanged.

--- a/Libraries/LibRouting/Placement.cpp
+++ b/Libraries/LibRouting/Placement.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <tuple>
 #include <xxhash.h>
 
 namespace Routing {
@@ -112,6 +113,34 @@
     return cost;
 }
 
+static Placement placementAt(std::vector<Candidate> const& candidates, Candidate const& chosen, PlacementRequest const& request, PlacementCosts const& costs, Core::MonotonicTime now, double cost, std::optional<CostEstimate> const& estimate)
+{
+    auto const& row = *chosen.row;
+    return { row.id, row.incarnation, row.revision, row.endpoint, chosen.homeRank, cacheSourceFor(candidates, chosen, request, costs, now), requestsInProgress(row), cost, estimate };
+}
+
+std::vector<Placement> rankServers(ServerTable const& table, PlacementRequest const& request, PlacementCosts costs, Core::MonotonicTime now, AdaptiveInputs const* adaptive)
+{
+    costs.unreportedRequests = 0;
+    Core::Random unused(0);
+    auto const candidates = candidatesFor(table, request, now);
+    auto const terms = adaptive ? adaptiveTerms(*adaptive, request, now) : std::nullopt;
+    std::vector<std::pair<bool, Placement>> placements;
+    for (auto const& candidate : candidates) {
+        std::optional<CostEstimate> estimate;
+        if (terms)
+            estimate = estimateCost(*adaptive, *terms, *candidate.row, request, costs, candidate.homeRank, unused, now);
+        auto const cost = estimate ? estimate->cost : costOf(*candidate.row, request, costs, candidate.homeRank, unused);
+        placements.emplace_back(candidate.row->backoffUntil > now, placementAt(candidates, candidate, request, costs, now, cost, estimate));
+    }
+    std::stable_sort(placements.begin(), placements.end(), [](auto const& left, auto const& right) { return std::tie(left.first, left.second.cost) < std::tie(right.first, right.second.cost); });
+    std::vector<Placement> ranked;
+    ranked.reserve(placements.size());
+    for (auto& [isBackingOff, placement] : placements)
+        ranked.push_back(std::move(placement));
+    return ranked;
+}
+
 std::optional<Placement> placeRequest(ServerTable const& table, PlacementRequest const& request, PlacementCosts const& costs, Core::Random& random, Core::MonotonicTime now, Core::Error& error, AdaptiveInputs const* adaptive)
 {
     auto const candidates = candidatesFor(table, request, now);
@@ -137,8 +166,7 @@
     }
     if (!best)
         return Core::fail(error, Core::ErrorKind::NoServerAvailable, "no backend server of service " + request.service + " accepts new requests");
-    auto const& row = *best->row;
-    return Placement { row.id, row.incarnation, row.revision, row.endpoint, best->homeRank, cacheSourceFor(candidates, *best, request, costs, now), requestsInProgress(row), lowestCost, lowestEstimate };
+    return placementAt(candidates, *best, request, costs, now, lowestCost, lowestEstimate);
 }
 
 }
--- a/Libraries/LibRouting/Placement.h
+++ b/Libraries/LibRouting/Placement.h
@@ -90,6 +90,10 @@
 /// one. Returns an empty optional if no server was measured. Thread safe.
 [[nodiscard]] std::optional<Core::Duration> predictedWait(ServerTable const&, std::string const& service, Core::MonotonicTime now);
 
+/// Returns all usable servers for a request as placements, by rising cost, with the servers in backoff last. Without the random part, so that
+/// it shows why a request would go where placeRequest() sends it. Thread safe.
+[[nodiscard]] std::vector<Placement> rankServers(ServerTable const&, PlacementRequest const&, PlacementCosts, Core::MonotonicTime now, AdaptiveInputs const*);
+
 /// Chooses the server with the least predicted delay for a request. All nodes rank the homes of a prefix by the same rendezvous
 /// hash, so requests with a common prefix go to the same few servers without coordination, and to other servers once the load at
 /// the homes costs more than prefilling the prefix again. A server that is not the first home, or became it only recently, gets
--- a/Services/Edge/AdaptivePlacement.cpp
+++ b/Services/Edge/AdaptivePlacement.cpp
@@ -76,6 +76,21 @@
         Routing::countRequest(found->second.residency, context.sharedPrefixHash, now);
 }
 
+std::optional<Routing::AdaptiveInputs> prepareAdaptivePlacement(EdgeTables const& tables, std::vector<Forward::PromptPart> const& prompt, Routing::PlacementRequest& request)
+{
+    auto prefixes = prefixesOf(prompt);
+    if (!prefixes.empty()) {
+        request.sharedPrefixHash = prefixes.back().hash;
+        request.sharedTokens = prefixes.back().tokens;
+    }
+    auto const found = tables.adaptiveServices.find(request.service);
+    if (found == tables.adaptiveServices.end())
+        return std::nullopt;
+    request.prefixes = std::move(prefixes);
+    request.ownTokens = prompt.empty() ? 0 : prompt.back().tokens;
+    return Routing::AdaptiveInputs { tables.engineSpeeds, found->second.residency, found->second.conditions };
+}
+
 // Without an estimate, a prefix counts as held by its first home only.
 static std::uint32_t heldTokensOf(RequestContext const& context, Routing::Placement const& placement)
 {
--- a/Services/Edge/AdaptivePlacement.h
+++ b/Services/Edge/AdaptivePlacement.h
@@ -13,6 +13,9 @@
 /// doesn't use it. The result is valid until the tables change.
 [[nodiscard]] std::optional<Routing::AdaptiveInputs> prepareAdaptivePlacement(EdgeTables const&, RequestContext const&, Routing::PlacementRequest&);
 
+/// The same for a prompt that is no request's; also sets the hash and the length of the shared prefix, for every service.
+[[nodiscard]] std::optional<Routing::AdaptiveInputs> prepareAdaptivePlacement(EdgeTables const&, std::vector<Forward::PromptPart> const&, Routing::PlacementRequest&);
+
 /// Counts an attempt that is about to be sent.
 void recordAdaptivePlacement(EdgeTables&, RequestContext const&, Core::MonotonicTime now);
 
--- a/Services/Edge/EdgeService.cpp
+++ b/Services/Edge/EdgeService.cpp
@@ -1,7 +1,9 @@
 #include <Edge/EdgeService.h>
 
 #include <Edge/AdaptivePlacement.h>
+#include <Edge/PlacementExplanation.h>
 #include <LibCore/Log.h>
+#include <LibHTTP/Problem.h>
 #include <algorithm>
 #include <unistd.h>
 
@@ -141,8 +143,21 @@
     (void)co_await writer.send(std::move(response));
 }
 
-Core::Awaitable<void> EdgeService::handleMetricsRequest(HTTP::Request const&, HTTP::ResponseWriter& writer)
+Core::Awaitable<void> EdgeService::handleMetricsRequest(HTTP::Request const& request, HTTP::ResponseWriter& writer)
 {
+    if (request.path() == "/placement") {
+        Core::Error error;
+        auto explanation = explainPlacement(m_tables, m_settings, request, m_runtime.now(), error);
+        HTTP::Response response;
+        if (explanation) {
+            response.headers.add("Content-Type", "application/json");
+            response.body = std::move(*explanation);
+        } else {
+            response = HTTP::problemResponse(error);
+        }
+        (void)co_await writer.send(std::move(response));
+        co_return;
+    }
     auto const traffic = m_backendClient.traffic();
     m_metrics.gauge("hyssopstep_requests_in_progress").set(static_cast<double>(m_forwarder.requestsInProgress()));
     m_metrics.gauge("hyssopstep_server_requests").set(static_cast<double>(traffic.requests));
--- a/Tests/EdgeService/AdaptivePlacementTest.cpp
+++ b/Tests/EdgeService/AdaptivePlacementTest.cpp
@@ -53,6 +53,25 @@
     EXPECT_NE(metrics.find("hyssopstep_engine_tokens_per_second{service=\"app\"}"), std::string::npos) << metrics;
 }
 
+// Guards against an explanation that differs from the placement, or that changes it.
+TEST_F(AdaptivePlacementTest, ExplanationNamesTheServerThatGetsTheRequest)
+{
+    startWithObjective("1000");
+    for (auto const* id : { "1", "2", "3", "4" })
+        EXPECT_EQ(sendLongPrompt(id), "200");
+    auto const& residency = m_service->tables().adaptiveServices.at("app").residency;
+    auto const before = residency;
+    auto const explanation = operate("/placement?host=h.example&path=/stream/5&prompt=base:3300,doc:10000,own5:3720");
+    EXPECT_EQ(statusOf(explanation), "200");
+    EXPECT_EQ(residency, before);
+    auto const home = residency.servers.begin()->first;
+    EXPECT_NE(explanation.find("\"is_adaptive\":true"), std::string::npos) << explanation;
+    EXPECT_NE(explanation.find("\"servers\":[{\"server\":\"" + home + "\""), std::string::npos) << explanation;
+    EXPECT_NE(explanation.find("\"held_tokens\":13300"), std::string::npos) << explanation;
+    EXPECT_EQ(statusOf(operate("/placement?host=other&path=/")), "404");
+    EXPECT_EQ(statusOf(operate("/placement?host=h.example&path=/stream/5&prompt=base")), "400");
+}
+
 // Guards against a change of deployments whose objectives are too short to wait for a better server.
 TEST_F(AdaptivePlacementTest, ShortObjectivesArePlacedAsBefore)
 {
--- a/Utilities/Hyssopstep/OperatorCommands.h
+++ b/Utilities/Hyssopstep/OperatorCommands.h
@@ -10,5 +10,6 @@
 int runDrainCommand(int argc, char** argv);
 int runAuditCommand(int argc, char** argv);
 int runExplainCommand(int argc, char** argv);
+int runExplainPlacementCommand(int argc, char** argv);
 
 }
--- a/Utilities/Hyssopstep/StatusCommands.cpp
+++ b/Utilities/Hyssopstep/StatusCommands.cpp
@@ -82,4 +82,15 @@
     return callAndPrint(*settings, "GET", "/operator/explain?request=" + encoded, RetryPolicy::Always);
 }
 
+int runExplainPlacementCommand(int argc, char** argv)
+{
+    Core::CommandDescription const description { "explain-placement HOST PATH [PROMPT] [FLAG...]", "Shows where an edge node, whose metrics address --operator names, would send a request now, and the cost of each server. Nothing is sent.", withConnectionFlags({}), 2, 3, "HOST and PATH of the request, and PROMPT, the parts of the prompt as ID:TOKENS,ID:TOKENS" };
+    int exitCode = Failure;
+    auto const settings = readOperatorSettings(description, Connection::Required, argc, argv, exitCode);
+    if (!settings)
+        return exitCode;
+    auto const encoded = [&](std::size_t argument) { return argument < settings->arguments.size() ? std::string(boost::urls::encode(settings->arguments[argument], boost::urls::unreserved_chars)) : std::string(); };
+    return callAndPrint(*settings, "GET", "/placement?host=" + encoded(0) + "&path=" + encoded(1) + "&prompt=" + encoded(2), RetryPolicy::Always);
+}
+
 }
--- a/Utilities/Hyssopstep/main.cpp
+++ b/Utilities/Hyssopstep/main.cpp
@@ -18,6 +18,7 @@
     Hyssopstep::Command { "drain", "start the graceful shutdown of a node", Hyssopstep::runDrainCommand },
     Hyssopstep::Command { "audit", "show the changes of the desired state", Hyssopstep::runAuditCommand },
     Hyssopstep::Command { "explain", "show what a node recorded about a request", Hyssopstep::runExplainCommand },
+    Hyssopstep::Command { "explain-placement", "show where an edge node would send a request, and why", Hyssopstep::runExplainPlacementCommand },
     Hyssopstep::Command { "load", "generate load and measure latencies", Load::runLoadCommand },
 };
 
@@ -25,7 +26,7 @@
 {
     std::fputs("usage: hyssopstep COMMAND [FLAG...]\n\ncommands:\n", output);
     for (auto const& command : commands)
-        std::fprintf(output, "  %-10.*s %.*s\n", static_cast<int>(command.name.size()), command.name.data(), static_cast<int>(command.summary.size()), command.summary.data());
+        std::fprintf(output, "  %-17.*s %.*s\n", static_cast<int>(command.name.size()), command.name.data(), static_cast<int>(command.summary.size()), command.summary.data());
     std::fputs("\n`hyssopstep COMMAND --help` describes a command.\n", output);
 }
 
