--- a/Services/Edge/EdgeService.cpp
+++ b/Services/Edge/EdgeService.cpp
@@ -1,6 +1,9 @@
 #include <Edge/EdgeService.h>
 
+#include <Edge/AdaptivePlacement.h>
+#include <Edge/PlacementExplanation.h>
 #include <LibCore/Log.h>
+#include <LibHTTP/Problem.h>
 #include <algorithm>
 #include <unistd.h>
 
@@ -140,8 +143,21 @@
     (void)co_await writer.send(std::move(response));
 }
 
-Core::Awaitable<void> EdgeService::handleMetricsRequest(HTTP::Request const&, HTTP::ResponseWriter& writer)
+Core::Awaitable<void> EdgeService::handleMetricsRequest(HTTP::Request const& request, HTTP::ResponseWriter& writer)
 {
+    if (request.path() == "/placement") {
+        Core::Error error;
+        auto explanation = explainPlacement(m_tables, m_settings, request, m_runtime.now(), error);
+        HTTP::Response response;
+        if (explanation) {
+            response.headers.add("Content-Type", "application/json");
+            response.body = std::move(*explanation);
+        } else {
+            response = HTTP::problemResponse(error);
+        }
+        (void)co_await writer.send(std::move(response));
+        co_return;
+    }
     auto const traffic = m_backendClient.traffic();
     m_metrics.gauge("hyssopstep_requests_in_progress").set(static_cast<double>(m_forwarder.requestsInProgress()));
     m_metrics.gauge("hyssopstep_server_requests").set(static_cast<double>(traffic.requests));
@@ -236,6 +252,7 @@
     static constexpr double unreportedRequestsPerPeer = 0.25;
     m_tables.placementCosts.unreportedRequests = unreportedRequestsPerPeer * static_cast<double>(Forward::countLivePeers(m_tables.peers, now));
     Routing::updateStragglerStates(m_tables.servers, now);
+    updateAdaptiveServices(m_tables, m_settings, now);
     Limits::expire(m_tables.quarantine, now);
     logRefusedParts(Limits::expire(m_tables.crashSuspects, now), "own");
     logRefusedRequests(Limits::expire(m_tables.requestSuspects, now), "own");
