LibForward: Count what nodes admit before they have heard each other

A team at six to eight times its usual traffic from the first requests after a first start of 90 nodes was admitted more than its limit (11,336,681 tokens in 8 s where 10,994,078 are allowed).

- A node refilled its figure of the deployment's quota only with its own requests, after it had charged the admissions of others.
The time without own requests was granted again after the charge, at a node with few requests most of what the others admitted.
- What others admitted before the team's first request at a node was dropped on a first start.
- What a node had admitted before another one first heard it was never counted.
It now is if the sender started within the window; sums are compared with what this node has counted of the same nodes, so that nothing is counted twice.
A brief report that is not merged is no longer counted.

A node that starts again and hears no other keeps the estimated share for the 12 s for which the others keep its share free, and does not use the burst. A group of several nodes that start again behind the same partition still share the whole limit; a single node without any other one admits less than before in these 12 s if its settings name other hosts.

TeamQuotaTest gives its nodes start times in milliseconds and prepares their quota after a restart, as the product does; its checks are unchanged.

--- a/Libraries/LibForward/PeerTable.cpp
+++ b/Libraries/LibForward/PeerTable.cpp
@@ -76,18 +76,33 @@
     return scope == ReportScope::Deployment ? table.deploymentRows : table.rows;
 }
 
+// Whether the sender started so recently that its admissions since then are all recent.
+static bool hasStartedRecently(NodeReport const& report)
+{
+    // The shortest window over which team limits are enforced.
+    static constexpr std::chrono::milliseconds window { 8000 };
+    auto const age = report.sentAtUnixMilliseconds - static_cast<std::int64_t>(report.incarnation);
+    return age >= 0 && age < window.count();
+}
+
 // Returns what a report contains beyond the previous one of the same sender.
 static std::map<std::string, double> admissionsSince(std::map<std::string, PeerTable::Row> const& rows, NodeReport const& report)
 {
     std::map<std::string, double> admissions;
     auto const found = rows.find(report.node);
+    bool const isSameIncarnation = found != rows.end() && found->second.report.incarnation == report.incarnation;
+    // It is not merged, so that the next report repeats it.
+    if (report.isBrief && !isSameIncarnation)
+        return admissions;
     // Without an earlier report it is not known which of the admissions are recent.
-    if (found == rows.end())
+    if (found == rows.end() && !(report.scope == ReportScope::Node && hasStartedRecently(report)))
         return admissions;
-    bool const isSameIncarnation = found->second.report.incarnation == report.incarnation;
     for (auto const& [team, demand] : report.demands) {
-        auto const before = found->second.report.demands.find(team);
-        double const known = isSameIncarnation && before != found->second.report.demands.end() ? before->second.admitted : 0;
+        double known = 0;
+        if (isSameIncarnation) {
+            auto const before = found->second.report.demands.find(team);
+            known = before == found->second.report.demands.end() ? 0 : before->second.admitted;
+        }
         if (demand.admitted > known)
             admissions[team] = demand.admitted - known;
     }
@@ -114,25 +129,54 @@
     return source != table.dataCentreSources.end() && source->second == report.node;
 }
 
+static double amountOf(std::map<std::string, double> const& amounts, std::string const& team)
+{
+    auto const found = amounts.find(team);
+    return found == amounts.end() ? 0 : found->second;
+}
+
+// Adds what sums contain that this node has counted neither from earlier ones nor from reports of single nodes: the sums of nodes that
+// started together contain all that was admitted since then, also by nodes that this one has not heard.
+static void addUncounted(std::map<std::string, double>& admissions, PeerTable const& table, NodeReport const& sums)
+{
+    auto const dataCentre = table.admissionsByDataCentre.find(sums.dataCentre);
+    for (auto const& [team, demand] : sums.demands) {
+        double counted = 0;
+        if (sums.scope == ReportScope::Deployment) {
+            auto const own = table.own.demands.find(team);
+            counted = amountOf(table.deploymentAdmissions, team) + (own == table.own.demands.end() ? 0 : own->second.admitted);
+        } else if (dataCentre != table.admissionsByDataCentre.end()) {
+            counted = amountOf(dataCentre->second, team);
+        }
+        if (demand.admitted - counted > amountOf(admissions, team))
+            admissions[team] = demand.admitted - counted;
+    }
+}
+
 std::map<std::string, double> newAdmissions(PeerTable const& table, NodeReport const& report)
 {
     if (!isAdmissionSource(table, report))
         return {};
     auto admissions = admissionsSince(rowsOfScope(table, report.scope), report);
-    if (report.scope != ReportScope::Deployment || !table.deploymentRows.contains(report.node))
-        return admissions;
-    for (auto const& [team, demand] : table.own.demands) {
-        auto const own = ownAdmissionsSinceLastSums(table, team);
-        if (own != 0)
-            admissions[team] -= own;
+    if (report.scope == ReportScope::Deployment && table.deploymentRows.contains(report.node)) {
+        for (auto const& [team, demand] : table.own.demands) {
+            auto const own = ownAdmissionsSinceLastSums(table, team);
+            if (own != 0)
+                admissions[team] -= own;
+        }
     }
+    if (report.scope != ReportScope::Node && hasStartedRecently(report))
+        addUncounted(admissions, table, report);
     return admissions;
 }
 
 static void accumulateAdmissions(PeerTable& table, NodeReport const& report)
 {
-    for (auto const& [team, amount] : newAdmissions(table, report))
+    for (auto const& [team, amount] : newAdmissions(table, report)) {
         table.deploymentAdmissions[team] += amount;
+        if (report.scope != ReportScope::Deployment)
+            table.admissionsByDataCentre[report.dataCentre][team] += amount;
+    }
     // The sums of the own data centre contain its nodes, whatever this node itself uses.
     if (report.scope == ReportScope::Node && report.dataCentre == table.own.dataCentre) {
         for (auto const& [team, amount] : admissionsSince(table.rows, report))
@@ -174,8 +218,17 @@
     return true;
 }
 
+bool isUnheardSinceStart(PeerTable const& table, Core::MonotonicTime now)
+{
+    if (table.firstExpiryAt && now - *table.firstExpiryAt >= peerRetention)
+        return false;
+    bool const mayHaveOthers = std::any_of(table.candidates.begin(), table.candidates.end(), [&](auto const& item) { return item.first.toString() != table.own.endpoint; });
+    return mayHaveOthers && coveringRows(table).empty();
+}
+
 void expirePeers(PeerTable& table, Core::MonotonicTime now)
 {
+    table.firstExpiryAt = table.firstExpiryAt.value_or(now);
     auto const isExpired = [&](auto const& item) {
         return now - item.second.lastReportAt > (item.second.report.isLeaving ? Core::Duration(2s) : peerRetention);
     };
@@ -374,7 +427,7 @@
     return reportInterval(table.isAggregated ? 0 : table.rows.size());
 }
 
-std::chrono::milliseconds reportDelay(PeerTable const& table, Core::MonotonicTime now)
+static bool hearsMostOthers(PeerTable const& table, Core::MonotonicTime now)
 {
     static constexpr double sufficientFraction = 0.6;
     std::size_t known = 0;
@@ -385,7 +438,12 @@
         double const intervals = containsOwn(*row) ? liveIntervals : silentIntervals;
         reporting += hasReportedWithin(*row, intervals, now) ? row->report.nodes : 0;
     }
-    bool const isInformed = static_cast<double>(reporting) >= sufficientFraction * static_cast<double>(known);
+    return static_cast<double>(reporting) >= sufficientFraction * static_cast<double>(known);
+}
+
+std::chrono::milliseconds reportDelay(PeerTable const& table, Core::MonotonicTime now)
+{
+    bool const isInformed = hearsMostOthers(table, now) && !isUnheardSinceStart(table, now);
     return isInformed ? spreadInterval(table) : std::chrono::milliseconds::max();
 }
 
@@ -421,7 +479,7 @@
 
 void recordDemandShares(PeerTable& table, Core::MonotonicTime now)
 {
-    bool const isInformed = reportDelay(table, now) != std::chrono::milliseconds::max();
+    bool const isInformed = hearsMostOthers(table, now);
     std::map<std::string, double> totals;
     for (auto const& [team, demand] : table.own.demands)
         totals[team] = totalDemand(table, team);
--- a/Libraries/LibForward/PeerTable.h
+++ b/Libraries/LibForward/PeerTable.h
@@ -4,6 +4,7 @@
 #include <LibCore/Runtime.h>
 #include <LibForward/NodeReport.h>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -43,6 +44,8 @@
     /// What the other nodes of the own data centre, and all other nodes, were observed to admit, by team.
     std::map<std::string, double> dataCentreAdmissions;
     std::map<std::string, double> deploymentAdmissions;
+    /// The part of `deploymentAdmissions` that was not counted from sums of the deployment, by data centre and team.
+    std::map<std::string, std::map<std::string, double>> admissionsByDataCentre;
     /// The part of `own` admissions that the last sums of the deployment were assumed to contain, by team.
     std::map<std::string, double> ownAdmissionsInSums;
     /// This node's fraction of each team's demand when it last knew that of the others.
@@ -51,6 +54,8 @@
     bool isInformed { true };
     /// The largest number of nodes known so far, this one included.
     std::size_t knownNodes { 1 };
+    /// Time of the first expirePeers(), soon after the start of this node.
+    std::optional<Core::MonotonicTime> firstExpiryAt;
     /// When the number of known nodes last grew.
     Core::MonotonicTime lastNewPeerAt;
     /// Endpoints of possible nodes, from settings, the store and reports, with the time of their last mention.
@@ -87,6 +92,10 @@
 /// Returns whether another live node holds the lease for the duties.
 [[nodiscard]] bool areDutiesHeldElsewhere(PeerTable const&, Core::MonotonicTime now);
 
+/// Returns whether this node has heard no other node since its start, although it knows where there may be some: it may have
+/// started behind a partition. Ends with the time for which the others would keep its share of team limits. Thread safe.
+[[nodiscard]] bool isUnheardSinceStart(PeerTable const&, Core::MonotonicTime now);
+
 /// Drops nodes that have been silent for too long, and candidates that are no longer mentioned.
 void expirePeers(PeerTable&, Core::MonotonicTime now);
 
@@ -150,7 +159,7 @@
 [[nodiscard]] std::chrono::milliseconds spreadInterval(PeerTable const&);
 
 /// Returns the time after which this node knows what the others admit: the interval of their reports, or the maximum while many of the
-/// nodes that reported recently are silent, as behind a partition. Thread safe.
+/// nodes that reported recently are silent, as behind a partition, or none was heard since the start. Thread safe.
 [[nodiscard]] std::chrono::milliseconds reportDelay(PeerTable const&, Core::MonotonicTime now);
 
 /// Returns this node's share of a team's limit, a fraction, by the nodes' reported demand; see Limits::nodeLimitFraction(). The node's own
--- a/Libraries/LibForward/TeamQuota.h
+++ b/Libraries/LibForward/TeamQuota.h
@@ -35,6 +35,13 @@
     struct Row {
         /// Remaining quota of the team over all nodes, by this node's admissions and those reported by the others.
         Limits::TokenBucket deploymentBucket;
+        /// At which the bucket above is refilled, in units a second, and its capacity.
+        double refillRate { 0 };
+        double capacity { 0 };
+        /// What the full bucket could not take lately. Admissions that are charged later than they happened had made room for it.
+        double overflow { 0 };
+        /// Whether this node has had its part in the repayment of an excess since the deployment's quota was last half full.
+        bool isRepaying { false };
         /// Remaining quota of this node's share.
         Limits::TokenBucket nodeBucket;
         /// Total admitted since this node started.
@@ -60,15 +67,17 @@
 
 /// Returns the share of a team's limit that this node may admit, a fraction: demandBasedShare(), except after a restart. After a
 /// restart of all nodes, none knows how many nodes there are until their first reports arrive; until then the number is estimated
-/// from the backend servers, which the store lists at once.
+/// from the backend servers, which the store lists at once. A node that starts again behind a partition keeps that share for as long as
+/// the others keep free the one that it had before.
 [[nodiscard]] double admissionShare(QuotaTable const&, PeerTable const&, std::size_t servers, std::string const& team, Core::MonotonicTime now);
 
-/// Begins to account for a team when its configuration is known, so that after a restart the admissions of other nodes are charged also
-/// before the team's first request at this node.
+/// Begins to account for a team when its configuration is known, so that the admissions of other nodes are charged also before the team's
+/// first request at this node.
 void prepareQuota(QuotaTable&, Team const&, QuotaTolerance const&);
 
-/// Charges what another node admitted since its last report to the quota of the deployment.
-void chargeQuota(QuotaTable&, std::string_view team, double admittedElsewhere);
+/// Charges what another node admitted since its last report to the quota of the deployment. The quota is refilled for the time until now
+/// first: a node without requests in that time must not gain the same time again after the charge.
+void chargeQuota(QuotaTable&, std::string_view team, double admittedElsewhere, Core::MonotonicTime now);
 
 /// Adds the cost to the team's demand and decides whether to admit the request, given this node's admissionShare(). Returns an empty
 /// optional if the request is admitted, else the time after which it would be.
--- a/Services/Edge/PeerExchange.cpp
+++ b/Services/Edge/PeerExchange.cpp
@@ -92,7 +92,7 @@
     logRefusedRequests(mergeSuspects(m_tables.requestSuspects, report->suspectRequests, now), report->node);
     mergeLeavingServers(*report);
     for (auto const& [team, amount] : Forward::newAdmissions(m_tables.peers, *report))
-        Forward::chargeQuota(m_tables.quotas, team, amount);
+        Forward::chargeQuota(m_tables.quotas, team, amount, now);
     bool const isNew = report->scope == Forward::ReportScope::Node && !m_tables.peers.rows.contains(report->node);
     auto const node = report->node;
     auto const endpoint = report->endpoint;
--- a/Tests/LibForward/TeamQuotaTest.cpp
+++ b/Tests/LibForward/TeamQuotaTest.cpp
@@ -32,7 +32,7 @@
         , m_interval(Forward::reportInterval(nodes - 1))
         , m_tables(nodes)
         , m_peers(nodes)
-        , m_startedAt(nodes)
+        , m_startedAt(nodes, Core::MonotonicTime { 100s })
     {
         m_team.name = "team";
         m_team.unit = Forward::LimitUnit::Tokens;
@@ -66,6 +66,8 @@
         for (std::size_t node = 0; node < m_tables.size(); ++node) {
             m_tables[node] = { .initialQuota = Forward::InitialQuota::Empty, .startedAt = m_now };
             m_peers[node] = {};
+            m_startedAt[node] = m_now;
+            Forward::prepareQuota(m_tables[node], m_team, { 8s, 190'000, m_interval });
         }
         m_nextExchange = m_now + discoveryTime;
     }
@@ -116,12 +118,15 @@
             m_sent.push_back({ m_now, cost });
     }
 
+    static std::int64_t unixMilliseconds(Core::MonotonicTime at) { return std::chrono::duration_cast<std::chrono::milliseconds>(at.time_since_epoch()).count(); }
+
     void exchange()
     {
         for (std::size_t from = 0; from < m_tables.size(); ++from) {
             Forward::NodeReport report;
             report.node = "n" + std::to_string(from);
-            report.incarnation = static_cast<std::uint64_t>(m_startedAt[from].time_since_epoch().count());
+            report.incarnation = static_cast<std::uint64_t>(unixMilliseconds(m_startedAt[from]));
+            report.sentAtUnixMilliseconds = unixMilliseconds(m_now);
             report.endpoint = "127.0.0.1:1";
             if (auto const row = m_tables[from].rows.find("team"); row != m_tables[from].rows.end())
                 report.demands["team"] = { static_cast<float>(Forward::quotaDemand(m_tables[from], "team", m_now)), row->second.admitted };
@@ -130,8 +135,8 @@
                 if (to == from)
                     continue;
                 for (auto const& [team, amount] : Forward::newAdmissions(m_peers[to], report))
-                    Forward::chargeQuota(m_tables[to], team, amount);
-                (void)Forward::mergeReport(m_peers[to], report, 0, m_now);
+                    Forward::chargeQuota(m_tables[to], team, amount, m_now);
+                (void)Forward::mergeReport(m_peers[to], report, unixMilliseconds(m_now), m_now);
             }
         }
     }
