Tests: Measure a process under crowds of untrusted clients

Clients that stop within their requests, or do not read, make the edge process hold what they sent. These tests start the real process on loopback addresses for a host of 64 MB and 4,100 descriptors, with bodies of at most 1 MiB, and send it one crowd each. They check that it lives, that its peak memory (VmHWM) stays within the host's memory and its descriptors within one for each client and 100, and that an ordinary request of 1 KB is answered while the crowd keeps its connections.

--- /dev/null
+++ b/Tests/UntrustedClients/EdgeProcess.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <LibCore/Endpoint.h>
+#include <Support/ChildProcess.h>
+#include <cstddef>
+#include <optional>
+
+namespace UntrustedClients {
+
+/// Limits of the host on which a process runs.
+struct HostLimits {
+    /// In units of a million bytes, as of --memory_mb.
+    std::size_t memoryMegabytes { 64 };
+    std::size_t descriptors { 4100 };
+};
+
+/// A process `hyssopstep edge` on loopback addresses of its own. Not thread safe.
+class EdgeProcess {
+public:
+    EdgeProcess(Core::Endpoint const& store, HostLimits const&);
+
+    [[nodiscard]] Core::Endpoint clientEndpoint() const { return endpointAt(8080); }
+    [[nodiscard]] Core::Endpoint readyEndpoint() const { return endpointAt(8081); }
+    [[nodiscard]] Core::Endpoint metricsEndpoint() const { return endpointAt(8082); }
+    [[nodiscard]] Core::Endpoint peerEndpoint() const { return endpointAt(8084); }
+
+    [[nodiscard]] bool isRunning() { return m_process->isRunning(); }
+    /// The most resident memory so far (VmHWM), in bytes.
+    [[nodiscard]] std::size_t peakMemory() const { return statusValue("VmHWM:"); }
+    [[nodiscard]] std::size_t currentMemory() const { return statusValue("VmRSS:"); }
+    [[nodiscard]] std::size_t openDescriptors() const;
+
+private:
+    [[nodiscard]] Core::Endpoint endpointAt(std::uint16_t port) const { return { m_address, port }; }
+    [[nodiscard]] std::size_t statusValue(std::string const& name) const;
+
+    std::string m_address;
+    std::optional<TestSupport::ChildProcess> m_process;
+};
+
+}
