LibHTTP: Keep what a server holds for its clients within a budget

A server held the body of every request until its last byte, whatever the host's memory, and header fields, pipelined bytes and unread responses in addition. Clients that stop within their requests used up the memory.

HTTP::MemoryBudget counts what all connections of the servers that share it hold: the connection itself, unparsed bytes, header fields with the copies that handlers make of them, the body in steps of 16 KB, the copy that is forwarded, and responses. When it is used up, clients without progress for 500 ms yield, the largest first, and otherwise the request that would grow is refused. A quarter is kept for holdings up to 64 KB. The only large holding always fits, so that any single request within the limits is served. Unfinished requests and idle connections are closed for new ones when there are too many connections. A server without a given budget has one without limits and behaves as before.

The server reads through one buffer for all its connections in place of one of up to 80 KB for each, checks the head of a request with a long body before it reads that body, and no longer passes the fields of a trailer to handlers (RFC 9110, section 6.5.1 allows that): a key in a trailer would evade the check. Bytes after a refusal are discarded in reads of 64 KB instead of 1 KB.

Ruled out: the asynchronous reads of Beast into a buffer of each connection, which cannot be freed while a read is pending; estimates of the size of header fields, in place of which an allocator counts them.

--- a/Libraries/LibHTTP/BeastConversion.h
+++ b/Libraries/LibHTTP/BeastConversion.h
@@ -7,7 +7,8 @@
 namespace HTTP {
 
 /// Copies Beast's fields in their order. Internal to LibHTTP.
-[[nodiscard]] inline Headers headersFromFields(boost::beast::http::fields const& fields)
+template <typename Allocator>
+[[nodiscard]] Headers headersFromFields(boost::beast::http::basic_fields<Allocator> const& fields)
 {
     Headers headers;
     for (auto const& field : fields) {
--- /dev/null
+++ b/Libraries/LibHTTP/Connection.cpp
@@ -0,0 +1,89 @@
+#include <LibHTTP/Connection.h>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
+
+namespace HTTP {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+static constexpr auto useTuple = asio::as_tuple(asio::use_awaitable);
+
+Connection::Connection(tcp::socket acceptedSocket, std::shared_ptr<MemoryBudget> budget)
+    : socket(std::move(acceptedSocket))
+    , memory(std::move(budget), [this](YieldScope scope) { yield(scope); })
+{
+    body.memory = &memory;
+}
+
+void Connection::close()
+{
+    boost::system::error_code ignored;
+    socket.close(ignored);
+}
+
+void Connection::endWhileIdle()
+{
+    int unacknowledgedBytes = 0;
+    if (ioctl(socket.native_handle(), SIOCOUTQ, &unacknowledgedBytes) != 0 || unacknowledgedBytes == 0)
+        return close();
+    needsLingeringClose = true;
+    boost::system::error_code ignored;
+    socket.cancel(ignored);
+}
+
+void Connection::interrupt()
+{
+    isInterrupted = true;
+    boost::system::error_code ignored;
+    socket.cancel(ignored);
+}
+
+Core::Awaitable<std::pair<boost::system::error_code, std::size_t>> Connection::receive(std::vector<char>& scratch, std::size_t offset, std::size_t maximumBytes)
+{
+    // A client that sends as fast as it is read must not keep the others waiting.
+    static constexpr std::size_t maximumConsecutiveReceptions = 4;
+    while (true) {
+        if (consecutiveReceptions >= maximumConsecutiveReceptions) {
+            consecutiveReceptions = 0;
+            co_await asio::post(asio::use_awaitable);
+        }
+        if (isInterrupted)
+            co_return std::pair(boost::system::error_code(asio::error::operation_aborted), std::size_t(0));
+        if (scratch.size() < offset + maximumBytes)
+            scratch.resize(offset + maximumBytes);
+        boost::system::error_code errorCode;
+        auto const length = socket.receive(asio::buffer(scratch.data() + offset, maximumBytes), 0, errorCode);
+        if (!errorCode) {
+            ++consecutiveReceptions;
+            memory.recordProgress(length);
+        }
+        if (errorCode != asio::error::would_block && errorCode != asio::error::try_again)
+            co_return std::pair(errorCode, length);
+        consecutiveReceptions = 0;
+        auto [waitError] = co_await socket.async_wait(tcp::socket::wait_read, useTuple);
+        if (waitError)
+            co_return std::pair(waitError, std::size_t(0));
+    }
+}
+
+bool Connection::updateMemory()
+{
+    body.otherBytes = connectionBytes + pending.capacity() + fieldBytes;
+    return memory.resizeRequest(body.otherBytes + body.granted);
+}
+
+// The task of a request that is still being received answers it with a refusal.
+void Connection::yield(YieldScope scope)
+{
+    body.refuse();
+    interrupt();
+    if (scope == YieldScope::Connection)
+        close();
+}
+
+}
--- /dev/null
+++ b/Libraries/LibHTTP/MemoryBudget.cpp
@@ -0,0 +1,248 @@
+#include <LibHTTP/MemoryBudget.h>
+
+#include <algorithm>
+
+namespace HTTP {
+
+static constexpr std::size_t maximumConnections = 3000;
+
+MemoryBudgetLimits memoryBudgetLimits(std::size_t hostMemoryBytes, std::size_t descriptors)
+{
+    // The other half is for the program and its tables (13 MB idle, at most 64 MB), and for what the allocator keeps.
+    auto const bytes = hostMemoryBytes / 2;
+    // A request takes a second descriptor for its server; the store and the other nodes need some as well.
+    auto const connections = std::min({ maximumConnections, descriptors - descriptors / 4, bytes / 2 / connectionBytes });
+    return { .bytes = bytes, .smallHoldingsReserve = bytes / 4, .connections = connections };
+}
+
+static bool isLarge(std::size_t bytes)
+{
+    return bytes > smallHoldingBytes;
+}
+
+static bool isStalled(MemoryHolding const& holding, Core::MonotonicTime now)
+{
+    return now - holding.progressAt >= stallTime;
+}
+
+BudgetDecision decideGrowth(MemoryBudgetLimits const& limits, MemoryUse const& use, MemoryHolding const& holding, std::size_t newBytes)
+{
+    auto const bytesOfOthers = use.bytes - holding.bytes;
+    if (!isLarge(newBytes))
+        return newBytes <= limits.bytes && bytesOfOthers <= limits.bytes - newBytes ? BudgetDecision::Fits : BudgetDecision::Exhausted;
+    auto const largeBytesOfOthers = use.bytesOfLargeHoldings - (isLarge(holding.bytes) ? holding.bytes : 0);
+    if (largeBytesOfOthers == 0)
+        return BudgetDecision::Fits;
+    auto const limitOfLarge = limits.bytes - limits.smallHoldingsReserve;
+    if (newBytes > limitOfLarge || largeBytesOfOthers > limitOfLarge - newBytes)
+        return BudgetDecision::LargeHoldingsExhausted;
+    return bytesOfOthers <= limits.bytes - newBytes ? BudgetDecision::Fits : BudgetDecision::Exhausted;
+}
+
+std::optional<std::size_t> chooseYielding(std::span<MemoryHolding const* const> holdings, MemoryHolding const& growing, std::size_t newBytes, BudgetDecision decision, Core::MonotonicTime now)
+{
+    std::optional<std::size_t> chosen;
+    bool isChosenStalled = false;
+    for (std::size_t i = 0; i < holdings.size(); ++i) {
+        auto const& holding = *holdings[i];
+        if (&holding == &growing || (holding.phase != HoldingPhase::Receiving && holding.phase != HoldingPhase::Sending))
+            continue;
+        if (holding.bytes <= 2 * connectionBytes || (decision == BudgetDecision::LargeHoldingsExhausted && !isLarge(holding.bytes)))
+            continue;
+        bool const stalled = isStalled(holding, now);
+        bool const yieldsToSmall = !isLarge(newBytes) && holding.phase == HoldingPhase::Receiving && holding.bytes > 2 * newBytes;
+        if (!stalled && !yieldsToSmall)
+            continue;
+        bool const isBetter = !chosen || (stalled != isChosenStalled ? stalled : holding.bytes > holdings[*chosen]->bytes);
+        if (!isBetter)
+            continue;
+        chosen = i;
+        isChosenStalled = stalled;
+    }
+    return chosen;
+}
+
+std::optional<std::size_t> chooseConnectionToClose(std::span<MemoryHolding const* const> holdings, Core::MonotonicTime now)
+{
+    // A client may be about to use a connection that has been idle for a shorter time.
+    static constexpr std::chrono::seconds minimumIdleTime { 1 };
+    std::optional<std::size_t> chosen;
+    for (std::size_t i = 0; i < holdings.size(); ++i) {
+        auto const& holding = *holdings[i];
+        bool const isUnfinished = holding.phase == HoldingPhase::Receiving || holding.phase == HoldingPhase::Closing;
+        bool const isIdle = holding.phase == HoldingPhase::Idle && now - holding.progressAt >= minimumIdleTime;
+        if (!(isUnfinished && isStalled(holding, now)) && !isIdle)
+            continue;
+        if (!chosen) {
+            chosen = i;
+            continue;
+        }
+        auto const& best = *holdings[*chosen];
+        bool const isBestIdle = best.phase == HoldingPhase::Idle;
+        if (isIdle != isBestIdle ? isBestIdle : holding.progressAt < best.progressAt)
+            chosen = i;
+    }
+    return chosen;
+}
+
+MemoryBudget::MemoryBudget(Core::Runtime& runtime, MemoryBudgetLimits const& limits)
+    : m_runtime(runtime)
+    , m_limits(limits)
+{
+}
+
+void MemoryBudget::countRefusal(std::string_view reason) const
+{
+    if (m_onRefusal)
+        m_onRefusal(reason);
+}
+
+bool MemoryBudget::admitConnection()
+{
+    if (m_holders.size() < m_limits.connections || closeConnection())
+        return true;
+    countRefusal("connection_refused");
+    return false;
+}
+
+bool MemoryBudget::closeConnection()
+{
+    auto const index = chooseConnectionToClose(m_holdings, m_runtime.now());
+    if (!index)
+        return false;
+    yield(*index, YieldScope::Connection);
+    return true;
+}
+
+void MemoryBudget::add(MemoryHolder& holder)
+{
+    holder.m_index = m_holders.size();
+    m_holders.push_back(&holder);
+    m_holdings.push_back(&holder.m_holding);
+}
+
+void MemoryBudget::remove(MemoryHolder& holder)
+{
+    count(holder.m_holding, 0);
+    auto const index = holder.m_index;
+    m_holders[index] = m_holders.back();
+    m_holdings[index] = m_holdings.back();
+    m_holders[index]->m_index = index;
+    m_holders.pop_back();
+    m_holdings.pop_back();
+}
+
+void MemoryBudget::count(MemoryHolding const& holding, std::size_t newBytes)
+{
+    m_use.bytes += newBytes - holding.bytes;
+    if (isLarge(holding.bytes))
+        m_use.bytesOfLargeHoldings -= holding.bytes;
+    if (isLarge(newBytes))
+        m_use.bytesOfLargeHoldings += newBytes;
+}
+
+bool MemoryBudget::makeRoom(MemoryHolding const& holding, std::size_t newBytes)
+{
+    while (true) {
+        auto const decision = decideGrowth(m_limits, m_use, holding, newBytes);
+        if (decision == BudgetDecision::Fits)
+            return true;
+        auto const index = chooseYielding(m_holdings, holding, newBytes, decision, m_runtime.now());
+        if (!index)
+            return false;
+        yield(*index, YieldScope::Memory);
+    }
+}
+
+void MemoryBudget::yield(std::size_t index, YieldScope scope)
+{
+    auto& holder = *m_holders[index];
+    switch (holder.m_holding.phase) {
+    case HoldingPhase::Idle:
+        countRefusal("idle_connection");
+        break;
+    case HoldingPhase::Sending:
+        countRefusal("unread_response");
+        // A response that is not read cannot be replaced by a refusal.
+        scope = YieldScope::Connection;
+        break;
+    default:
+        countRefusal("unfinished_request");
+    }
+    holder.m_requestBytes = connectionBytes;
+    holder.m_responseBytes = 0;
+    holder.setBytes(connectionBytes);
+    // It must not be chosen again before its task continues.
+    holder.beginPhase(HoldingPhase::Closing);
+    holder.m_onYield(scope);
+}
+
+MemoryHolder::MemoryHolder(std::shared_ptr<MemoryBudget> budget, std::function<void(YieldScope)> onYield)
+    : m_budget(std::move(budget))
+    , m_onYield(std::move(onYield))
+    , m_requestBytes(connectionBytes)
+{
+    m_budget->add(*this);
+    setBytes(connectionBytes);
+    beginPhase(HoldingPhase::Idle);
+}
+
+MemoryHolder::~MemoryHolder()
+{
+    m_budget->remove(*this);
+}
+
+void MemoryHolder::setBytes(std::size_t bytes)
+{
+    m_budget->count(m_holding, bytes);
+    m_holding.bytes = bytes;
+}
+
+bool MemoryHolder::resize(std::size_t& part, std::size_t bytes)
+{
+    auto const total = m_requestBytes + m_responseBytes - part + bytes;
+    bool const hasRoom = bytes <= part || m_budget->makeRoom(m_holding, total);
+    if (!hasRoom) {
+        m_budget->countRefusal("no_memory");
+        return false;
+    }
+    part = bytes;
+    setBytes(total);
+    return true;
+}
+
+bool MemoryHolder::resizeRequest(std::size_t bytes)
+{
+    return resize(m_requestBytes, bytes);
+}
+
+bool MemoryHolder::resizeResponse(std::size_t bytes)
+{
+    return resize(m_responseBytes, bytes);
+}
+
+void MemoryHolder::forceResponse(std::size_t bytes)
+{
+    if (resize(m_responseBytes, bytes))
+        return;
+    m_responseBytes = bytes;
+    setBytes(m_requestBytes + m_responseBytes);
+}
+
+void MemoryHolder::beginPhase(HoldingPhase phase)
+{
+    m_holding.phase = phase;
+    m_holding.progressAt = m_budget->m_runtime.now();
+    m_holding.bytesSinceProgress = 0;
+}
+
+void MemoryHolder::recordProgress(std::size_t bytes)
+{
+    m_holding.bytesSinceProgress += bytes;
+    if (m_holding.bytesSinceProgress < minimumProgressBytes)
+        return;
+    m_holding.progressAt = m_budget->m_runtime.now();
+    m_holding.bytesSinceProgress = 0;
+}
+
+}
--- /dev/null
+++ b/Libraries/LibHTTP/MemoryBudget.h
@@ -0,0 +1,180 @@
+#pragma once
+
+#include <LibCore/Runtime.h>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <span>
+#include <string_view>
+#include <vector>
+
+namespace HTTP {
+
+/// What a connection does, as far as its memory is concerned.
+enum class HoldingPhase {
+    /// Between two requests.
+    Idle,
+    /// Reads a request that has not been passed to its handler.
+    Receiving,
+    /// The handler works on the request, which may have been sent to a server.
+    Running,
+    /// Waits for the client to read.
+    Sending,
+    /// Is refused or closed already.
+    Closing,
+};
+
+/// What is held for one connection.
+struct MemoryHolding {
+    std::size_t bytes { 0 };
+    HoldingPhase phase { HoldingPhase::Idle };
+    /// When the phase began, or when the client had sent or read another minimumProgressBytes in it.
+    Core::MonotonicTime progressAt {};
+    std::size_t bytesSinceProgress { 0 };
+};
+
+/// Limits on what a process holds for its clients. The defaults limit nothing.
+struct MemoryBudgetLimits {
+    std::size_t bytes { SIZE_MAX };
+    /// The part of `bytes` that only holdings up to smallHoldingBytes may use.
+    std::size_t smallHoldingsReserve { 0 };
+    std::size_t connections { SIZE_MAX };
+
+    bool operator==(MemoryBudgetLimits const&) const = default;
+};
+
+/// What all connections hold together.
+struct MemoryUse {
+    std::size_t bytes { 0 };
+    /// Of the holdings above smallHoldingBytes.
+    std::size_t bytesOfLargeHoldings { 0 };
+};
+
+/// Of an idle connection: its coroutine, buffers and timers (7 KB measured).
+inline constexpr std::size_t connectionBytes = 8 * 1024;
+/// Enough for a head of 16 KB with its copies, or for a short body.
+inline constexpr std::size_t smallHoldingBytes = 64 * 1024;
+/// What a client must send or read to count as one that makes progress.
+inline constexpr std::size_t minimumProgressBytes = 4 * 1024;
+/// A client that makes no progress for this time yields first. A request of ordinary size arrives in less.
+inline constexpr std::chrono::milliseconds stallTime { 500 };
+
+/// Derives the limits from the host: half of its memory, a quarter of that for small holdings, and connections for three quarters of the
+/// descriptors (at most 3,000), whose fixed cost must fit into half of the budget.
+[[nodiscard]] MemoryBudgetLimits memoryBudgetLimits(std::size_t hostMemoryBytes, std::size_t descriptors);
+
+enum class BudgetDecision {
+    Fits,
+    /// Holdings above smallHoldingBytes use up their part.
+    LargeHoldingsExhausted,
+    Exhausted,
+};
+
+/// Decides whether a holding can grow. Answers crowds that send large bodies up to their last byte: large holdings leave a reserve for
+/// requests of ordinary size. The only large holding always fits, so that any request within the limits is served in calm. Thread safe.
+[[nodiscard]] BudgetDecision decideGrowth(MemoryBudgetLimits const&, MemoryUse const&, MemoryHolding const&, std::size_t newBytes);
+
+/// Chooses the holding that yields so that another one can grow to `newBytes`, or nothing if none is to yield. Answers crowds that stop within
+/// their requests or do not read: of the clients without progress, the one that holds most yields. To a small request also the largest
+/// request that is still being received yields. A request that its handler has seen never yields. Thread safe.
+[[nodiscard]] std::optional<std::size_t> chooseYielding(std::span<MemoryHolding const* const>, MemoryHolding const& growing, std::size_t newBytes, BudgetDecision, Core::MonotonicTime now);
+
+/// Chooses the connection that is closed so that another one can be accepted, or nothing. Answers crowds of unfinished heads, which cost little
+/// memory but a descriptor each: unfinished requests without progress come first, then connections that are idle. Thread safe.
+[[nodiscard]] std::optional<std::size_t> chooseConnectionToClose(std::span<MemoryHolding const* const>, Core::MonotonicTime now);
+
+/// What a connection must give up.
+enum class YieldScope {
+    /// The memory; the client may still get a refusal.
+    Memory,
+    /// The connection with its descriptor, at once.
+    Connection,
+};
+
+class MemoryHolder;
+
+/// The memory that a process holds for its clients, over all connections of all servers that share the budget. Used from the runtime's thread
+/// only.
+class MemoryBudget : public std::enable_shared_from_this<MemoryBudget> {
+public:
+    /// Why a client was refused, for metrics: `no_memory`, `unfinished_request`, `unread_response`, `idle_connection` or `connection_refused`.
+    using RefusalCallback = std::function<void(std::string_view reason)>;
+
+    /// Precondition: the runtime outlives all connections' tasks.
+    explicit MemoryBudget(Core::Runtime&, MemoryBudgetLimits const& = {});
+
+    void setLimits(MemoryBudgetLimits const& limits) { m_limits = limits; }
+    void onRefusal(RefusalCallback callback) { m_onRefusal = std::move(callback); }
+
+    [[nodiscard]] MemoryUse const& use() const { return m_use; }
+
+    /// Whether another connection may be accepted; closes one without progress if there are too many.
+    [[nodiscard]] bool admitConnection();
+
+    /// Closes one connection without progress or idle, if there is one. For a process without descriptors.
+    bool closeConnection();
+
+private:
+    friend class MemoryHolder;
+
+    void add(MemoryHolder&);
+    void remove(MemoryHolder&);
+    /// Lets others yield until the holding can grow. Returns false if it cannot.
+    bool makeRoom(MemoryHolding const&, std::size_t newBytes);
+    void yield(std::size_t index, YieldScope);
+    void countRefusal(std::string_view reason) const;
+    void count(MemoryHolding const&, std::size_t newBytes);
+
+    Core::Runtime& m_runtime;
+    MemoryBudgetLimits m_limits;
+    MemoryUse m_use;
+    RefusalCallback m_onRefusal;
+    /// Parallel: a holder and its holding have the same index.
+    std::vector<MemoryHolder*> m_holders;
+    std::vector<MemoryHolding const*> m_holdings;
+};
+
+/// The account of one connection. Used from the runtime's thread only.
+class MemoryHolder {
+public:
+    /// The callback releases what the connection holds: the memory of a body at once, the remainder as soon as its task continues.
+    MemoryHolder(std::shared_ptr<MemoryBudget>, std::function<void(YieldScope)> onYield);
+    ~MemoryHolder();
+    MemoryHolder(MemoryHolder const&) = delete;
+    MemoryHolder& operator=(MemoryHolder const&) = delete;
+
+    /// Sets what is held for the request, including the connection itself. Returns false, with the holding unchanged, if the budget does not
+    /// allow it.
+    [[nodiscard]] bool resizeRequest(std::size_t bytes);
+
+    /// The same for the response.
+    [[nodiscard]] bool resizeResponse(std::size_t bytes);
+
+    /// The same for a response that must be sent, whether the budget allows it or not.
+    void forceResponse(std::size_t bytes);
+
+    void beginPhase(HoldingPhase);
+    /// Returns to an earlier phase. Unlike beginPhase(), may be called after the end of the runtime.
+    void resumePhase(HoldingPhase phase) { m_holding.phase = phase; }
+    [[nodiscard]] HoldingPhase phase() const { return m_holding.phase; }
+
+    /// Records bytes that the client has sent or read.
+    void recordProgress(std::size_t bytes);
+
+private:
+    friend class MemoryBudget;
+
+    bool resize(std::size_t& part, std::size_t bytes);
+    void setBytes(std::size_t bytes);
+
+    std::shared_ptr<MemoryBudget> m_budget;
+    std::function<void(YieldScope)> m_onYield;
+    MemoryHolding m_holding;
+    std::size_t m_requestBytes { 0 };
+    std::size_t m_responseBytes { 0 };
+    std::size_t m_index { 0 };
+};
+
+}
--- a/Libraries/LibHTTP/Message.h
+++ b/Libraries/LibHTTP/Message.h
@@ -33,6 +33,15 @@
     std::vector<std::pair<std::string, std::string>> m_fields;
 };
 
+/// Whether a request that a server passes to its handler has its body.
+enum class BodyState {
+    Complete,
+    /// The check of the head did not want it.
+    Discarded,
+    /// There is no memory for it. The handler must refuse the request.
+    Refused,
+};
+
 struct Request {
     /// In upper case, for example "POST".
     std::string method;
@@ -40,6 +49,8 @@
     std::string target;
     Headers headers;
     std::string body;
+    /// If not complete, the body is empty.
+    BodyState bodyState { BodyState::Complete };
 
     bool operator==(Request const&) const = default;
 
--- /dev/null
+++ b/Libraries/LibHTTP/RequestReader.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include <LibCore/ErrorKind.h>
+#include <LibHTTP/Connection.h>
+#include <LibHTTP/Server.h>
+#include <optional>
+#include <vector>
+
+namespace HTTP {
+
+/// How the reading of a request ended.
+struct ReceivedRequest {
+    /// Empty if no request arrived that the handler may see.
+    std::optional<Request> request;
+    unsigned version { 11 };
+    /// Whether the connection can be used for a further request.
+    bool keepsAlive { false };
+    /// The refusal without a request; empty if the client has closed the connection.
+    std::optional<Core::Error> error;
+};
+
+/// Reads one request of a connection. Internal to LibHTTP. The scratch buffer is shared by all connections of a server, so that an idle or slow
+/// one holds only the bytes of an unfinished line. Used from the runtime's thread only.
+class RequestReader {
+public:
+    /// Precondition: all references outlive the reader.
+    RequestReader(Core::Runtime&, ServerLimits const&, HeadHandler const&, std::vector<char>& scratch, Connection&);
+
+    /// Precondition: the connection has received the first bytes of the request or has pending ones.
+    [[nodiscard]] Core::Awaitable<ReceivedRequest> read();
+
+private:
+    [[nodiscard]] Core::Awaitable<boost::system::error_code> readHead();
+    [[nodiscard]] Core::Awaitable<boost::system::error_code> readBody();
+    /// Parses pending bytes, and then what the connection receives, once.
+    [[nodiscard]] Core::Awaitable<boost::system::error_code> readMore(std::size_t maximumBytes);
+    [[nodiscard]] Core::Awaitable<boost::system::error_code> sendContinue();
+    [[nodiscard]] std::optional<Core::Error> requestErrorFor(boost::system::error_code) const;
+    /// Whether the rest of the body is left unread.
+    [[nodiscard]] bool leavesBodyOut();
+    void takeHead();
+
+    Core::Runtime& m_runtime;
+    ServerLimits const& m_limits;
+    HeadHandler const& m_headHandler;
+    std::vector<char>& m_scratch;
+    Connection& m_connection;
+    std::size_t m_parsedFieldBytes { 0 };
+    RequestParser m_parser;
+    Request m_request;
+    bool m_expectsContinue { false };
+    /// Whether the pending bytes are not enough to continue.
+    bool m_needsMore { false };
+    bool m_timedOut { false };
+};
+
+}
--- a/Libraries/LibHTTP/Server.cpp
+++ b/Libraries/LibHTTP/Server.cpp
@@ -1,218 +1,33 @@
 #include <LibHTTP/Server.h>
 
 #include <LibCore/Log.h>
-#include <LibHTTP/BeastConversion.h>
 #include <LibHTTP/Problem.h>
-#include <array>
+#include <LibHTTP/RequestReader.h>
+#include <LibHTTP/ServerResponseWriter.h>
 #include <boost/asio/as_tuple.hpp>
-#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/asio/write.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/http/chunk_encode.hpp>
-#include <boost/beast/http/empty_body.hpp>
-#include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/read.hpp>
-#include <boost/beast/http/serializer.hpp>
-#include <boost/beast/http/string_body.hpp>
-#include <boost/beast/http/write.hpp>
-#include <linux/sockios.h>
 #include <set>
-#include <sys/ioctl.h>
+#include <vector>
 
 namespace HTTP {
 
 namespace asio = boost::asio;
-namespace beast = boost::beast;
 using asio::ip::tcp;
 
 static constexpr auto useTuple = asio::as_tuple(asio::use_awaitable);
 
-namespace {
-
-enum class ConnectionState {
-    Idle,
-    Busy,
-    /// Gets no further requests; its last response may still be on its way.
-    Closing,
-};
-
-struct Connection {
-    Connection(tcp::socket acceptedSocket, std::size_t maximumBufferedBytes)
-        : socket(std::move(acceptedSocket))
-        , buffer(maximumBufferedBytes)
-    {
-    }
-
-    void close()
-    {
-        boost::system::error_code ignored;
-        socket.close(ignored);
-    }
-
-    // For an idle connection. A client that still reads the last response may lose the rest of it to an immediate close.
-    void endWhileIdle()
-    {
-        int unacknowledgedBytes = 0;
-        if (ioctl(socket.native_handle(), SIOCOUTQ, &unacknowledgedBytes) != 0 || unacknowledgedBytes == 0)
-            return close();
-        needsLingeringClose = true;
-        boost::system::error_code ignored;
-        socket.cancel(ignored);
-    }
-
-    tcp::socket socket;
-    beast::flat_buffer buffer;
-    ConnectionState state { ConnectionState::Idle };
-    Core::Endpoint peer;
-    std::size_t requests { 0 };
-    /// Whether it is closed after a response that was sent whole, which the client may still be reading.
-    bool needsLingeringClose { false };
-    /// Closes an idle connection after stopAccepting().
-    Core::Timer lingerTimer;
-};
-
-// Detects that the client closes the connection while its request is handled. Stops when bytes of the next request arrive.
-class PeerObserver : public std::enable_shared_from_this<PeerObserver> {
-public:
-    PeerObserver(tcp::socket& socket, std::function<void()> callback)
-        : m_socket(socket)
-        , m_callback(std::move(callback))
-    {
-    }
-
-    void start()
-    {
-        m_socket.async_wait(tcp::socket::wait_read, [self = shared_from_this()](boost::system::error_code errorCode) {
-            if (errorCode || !self->m_callback)
-                return;
-            boost::system::error_code peekError;
-            char byte = 0;
-            self->m_socket.non_blocking(true, peekError);
-            auto const length = self->m_socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, peekError);
-            if (peekError == asio::error::would_block || (!peekError && length > 0))
-                return;
-            std::exchange(self->m_callback, nullptr)();
-        });
-    }
-
-    void stop() { m_callback = nullptr; }
-
-private:
-    tcp::socket& m_socket;
-    std::function<void()> m_callback;
-};
-
-class BeastResponseWriter final : public ResponseWriter {
-public:
-    BeastResponseWriter(Connection& connection, unsigned version, std::string method)
-        : m_connection(connection)
-        , m_version(version)
-        , m_method(std::move(method))
-    {
-    }
-
-    ~BeastResponseWriter() override { stopObserving(); }
-    BeastResponseWriter(BeastResponseWriter const&) = delete;
-    BeastResponseWriter& operator=(BeastResponseWriter const&) = delete;
-
-    Core::Awaitable<bool> send(Response response) override
-    {
-        m_started = true;
-        beast::http::response<beast::http::string_body> message { static_cast<beast::http::status>(response.status), m_version };
-        addHeadersToFields(response.headers, message);
-        message.keep_alive(m_keepAlive);
-        message.body() = std::move(response.body);
-        message.prepare_payload();
-        // RFC 9110, section 9.3.2: a response to HEAD has no body.
-        if (m_method == "HEAD")
-            message.body().clear();
-        beast::http::response_serializer<beast::http::string_body> serializer { message };
-        auto [errorCode, length] = co_await beast::http::async_write(m_connection.socket, serializer, useTuple);
-        m_complete = !errorCode;
-        co_return m_complete;
-    }
-
-    Core::Awaitable<bool> begin(unsigned status, Headers headers) override
-    {
-        m_started = true;
-        beast::http::response<beast::http::empty_body> message { static_cast<beast::http::status>(status), m_version };
-        addHeadersToFields(headers, message);
-        message.keep_alive(m_keepAlive);
-        message.chunked(true);
-        beast::http::response_serializer<beast::http::empty_body> serializer { message };
-        auto [errorCode, length] = co_await beast::http::async_write_header(m_connection.socket, serializer, useTuple);
-        co_return !errorCode;
-    }
-
-    Core::Awaitable<bool> write(std::string bytes) override
-    {
-        if (bytes.empty())
-            co_return m_connection.socket.is_open();
-        auto const chunk = beast::http::make_chunk(asio::buffer(bytes));
-        auto [errorCode, length] = co_await asio::async_write(m_connection.socket, chunk, useTuple);
-        co_return !errorCode;
-    }
-
-    Core::Awaitable<bool> finish() override
-    {
-        auto const lastChunk = beast::http::make_chunk_last();
-        auto [errorCode, length] = co_await asio::async_write(m_connection.socket, lastChunk, useTuple);
-        m_complete = !errorCode;
-        co_return m_complete;
-    }
-
-    bool started() const override { return m_started; }
-
-    void onPeerClosed(std::function<void()> callback) override
-    {
-        stopObserving();
-        if (!callback)
-            return;
-        m_observer = std::make_shared<PeerObserver>(m_connection.socket, std::move(callback));
-        m_observer->start();
-    }
-
-    void closeAfterResponse() override { m_keepAlive = false; }
-    void abort() override { m_connection.close(); }
-
-    Core::Endpoint const& peer() const override { return m_connection.peer; }
-
-    void setKeepAlive(bool keepAlive) { m_keepAlive = keepAlive; }
-    [[nodiscard]] bool keepsAlive() const { return m_keepAlive; }
-    [[nodiscard]] bool isComplete() const { return m_complete; }
-
-private:
-    void stopObserving()
-    {
-        if (!m_observer)
-            return;
-        m_observer->stop();
-        m_observer.reset();
-        boost::system::error_code ignored;
-        m_connection.socket.cancel(ignored);
-    }
-
-    std::shared_ptr<PeerObserver> m_observer;
-    Connection& m_connection;
-    unsigned m_version;
-    std::string m_method;
-    bool m_keepAlive { true };
-    bool m_started { false };
-    bool m_complete { false };
-};
-
-}
-
 class Server::Implementation : public std::enable_shared_from_this<Implementation> {
 public:
-    Implementation(Core::Runtime& runtime, ServerLimits limits, Handler handler)
+    Implementation(Core::Runtime& runtime, ServerLimits limits, Handler handler, ServerOptions options)
         : m_runtime(runtime)
         , m_limits(limits)
         , m_handler(std::move(handler))
+        , m_options(std::move(options))
         , m_acceptor(runtime.context())
         , m_progress(runtime)
     {
+        if (!m_options.budget)
+            m_options.budget = std::make_shared<MemoryBudget>(runtime);
     }
 
     std::optional<Core::Endpoint> listen(Core::Endpoint const& endpoint, Core::Error& error)
@@ -242,7 +57,7 @@
         boost::system::error_code ignored;
         m_acceptor.close(ignored);
         for (auto const& connection : m_connections) {
-            if (connection->state == ConnectionState::Idle)
+            if (connection->memory.phase() == HoldingPhase::Idle)
                 closeAfterLinger(connection);
         }
     }
@@ -270,9 +85,7 @@
     void closeAfterResponses() { m_closeAfterResponses = true; }
 
 private:
-    using Parser = beast::http::request_parser<beast::http::string_body>;
-
-    static constexpr std::size_t bytesReadAtATime = 64 * 1024;
+    static constexpr std::size_t bytesDiscardedAtATime = 64 * 1024;
 
     // The coroutines hold a reference to the implementation, since they may outlive the Server.
     static Core::Awaitable<void> acceptLoop(std::shared_ptr<Implementation> self)
@@ -283,6 +96,7 @@
                 co_return;
             if (errorCode) {
                 // For example out of file descriptors; pending connections stay in the listen queue until the retry.
+                (void)self->m_options.budget->closeConnection();
                 co_await self->m_runtime.sleepFor(std::chrono::milliseconds(20));
                 continue;
             }
@@ -292,11 +106,12 @@
 
     void serveAccepted(tcp::socket socket)
     {
-        if (m_connections.size() >= m_limits.maximumConnections)
+        if (m_connections.size() >= m_limits.maximumConnections || !m_options.budget->admitConnection())
             return;
         boost::system::error_code ignored;
         socket.set_option(tcp::no_delay(true), ignored);
-        auto connection = std::make_shared<Connection>(std::move(socket), m_limits.maximumHeaderBytes + bytesReadAtATime);
+        auto connection = std::make_shared<Connection>(std::move(socket), m_options.budget);
+        connection->socket.non_blocking(true, ignored);
         auto const remote = connection->socket.remote_endpoint(ignored);
         connection->peer = { remote.address().to_string(), remote.port() };
         m_connections.insert(connection);
@@ -342,7 +157,7 @@
                 self->closeAfterLinger(connection);
         }
         connection->lingerTimer.cancel();
-        connection->state = ConnectionState::Closing;
+        connection->memory.beginPhase(HoldingPhase::Closing);
         if (connection->needsLingeringClose)
             co_await self->lingeringClose(*connection);
         connection->close();
@@ -352,44 +167,45 @@
 
     Core::Awaitable<bool> serveRequest(Connection& connection)
     {
-        connection.state = ConnectionState::Idle;
-        Parser parser;
-        parser.header_limit(static_cast<std::uint32_t>(m_limits.maximumHeaderBytes));
-        parser.body_limit(m_limits.maximumBodyBytes);
-
-        if (connection.buffer.size() == 0) {
+        connection.memory.beginPhase(HoldingPhase::Idle);
+        if (connection.pending.empty()) {
             bool const requestBegan = co_await waitForRequest(connection);
             if (!requestBegan)
                 co_return false;
         }
-        connection.state = ConnectionState::Busy;
+        connection.memory.beginPhase(HoldingPhase::Receiving);
         ++connection.requests;
         connection.lingerTimer.cancel();
-        bool timedOut = false;
-        boost::system::error_code errorCode;
-        auto const onTimeout = [&] {
-            timedOut = true;
-            boost::system::error_code ignored;
-            connection.socket.cancel(ignored);
-        };
-        auto const startedAt = m_runtime.now();
+        ReceivedRequest received;
         {
-            auto timer = m_runtime.callAt(startedAt + std::min(m_limits.headerTimeout, m_limits.requestTimeout), onTimeout);
-            errorCode = co_await readHeader(connection, parser);
-        }
-        if (!errorCode && hasAmbiguousFraming(parser.get()))
-            errorCode = make_error_code(beast::http::error::bad_transfer_encoding);
-        if (!errorCode && !hasSingleHostField(parser.get()))
-            errorCode = make_error_code(beast::http::error::bad_field);
-        if (!errorCode) {
-            auto timer = m_runtime.callAt(startedAt + m_limits.requestTimeout, onTimeout);
-            errorCode = co_await readBody(connection, parser);
+            RequestReader reader(m_runtime, m_limits, m_options.headHandler, m_scratch, connection);
+            received = co_await reader.read();
         }
-        if (errorCode) {
-            co_await refuse(connection, errorCode, timedOut);
+        if (received.error)
+            co_await refuse(connection, *received.error);
+        if (!received.request)
             co_return false;
+        prepareToRun(connection, received);
+        bool const keepsAlive = co_await handle(connection, *received.request, received.version, received.keepsAlive);
+        connection.fieldBytes = 0;
+        connection.body = { .memory = &connection.memory };
+        co_return connection.updateMemory() && keepsAlive;
+    }
+
+    // A handler that forwards the request makes a copy of its body, and has a connection of its own on which it reads the response.
+    static void prepareToRun(Connection& connection, ReceivedRequest& received)
+    {
+        auto& request = *received.request;
+        static constexpr std::size_t handlerBytes = 24 * 1024;
+        connection.body.granted = 2 * request.body.size() + handlerBytes;
+        if (!connection.updateMemory()) {
+            std::string().swap(request.body);
+            connection.body.granted = 0;
+            request.bodyState = BodyState::Refused;
+            (void)connection.updateMemory();
         }
-        co_return co_await handle(connection, parser.release());
+        received.keepsAlive = received.keepsAlive && request.bodyState != BodyState::Refused;
+        connection.memory.beginPhase(HoldingPhase::Running);
     }
 
     Core::Awaitable<bool> waitForRequest(Connection& connection)
@@ -399,80 +215,12 @@
         co_return !errorCode && connection.socket.is_open();
     }
 
-    // With a transfer coding that this server does not decode, the end of the body is unknown and its bytes could be parsed as
-    // another request (request smuggling; RFC 9112, section 6.1).
-    static bool hasAmbiguousFraming(beast::http::fields const& fields)
-    {
-        if (fields.count(beast::http::field::transfer_encoding) == 0)
-            return false;
-        return fields.count(beast::http::field::transfer_encoding) > 1 || fields.count(beast::http::field::content_length) > 0
-            || !beast::iequals(fields[beast::http::field::transfer_encoding], "chunked");
-    }
-
-    // RFC 9112, section 3.2: exactly one Host field in HTTP/1.1; an HTTP/1.0 request may have none.
-    template <typename Message>
-    static bool hasSingleHostField(Message const& message)
-    {
-        auto const hosts = message.count(beast::http::field::host);
-        return hosts == 1 || (hosts == 0 && message.version() < 11);
-    }
-
-    static Core::Awaitable<boost::system::error_code> readHeader(Connection& connection, Parser& parser)
-    {
-        auto [headerError, headerLength] = co_await beast::http::async_read_header(connection.socket, connection.buffer, parser, useTuple);
-        if (headerError)
-            co_return headerError;
-        // RFC 9110, section 10.1.1: the client waits for this before it sends the body.
-        if (beast::iequals(parser.get()[beast::http::field::expect], "100-continue")) {
-            static constexpr std::string_view interimResponse = "HTTP/1.1 100 Continue\r\n\r\n";
-            auto [writeError, writeLength] = co_await asio::async_write(connection.socket, asio::buffer(interimResponse), useTuple);
-            if (writeError)
-                co_return writeError;
-        }
-        co_return headerError;
-    }
-
-    static Core::Awaitable<boost::system::error_code> readBody(Connection& connection, Parser& parser)
-    {
-        if (parser.is_done())
-            co_return boost::system::error_code {};
-        auto [bodyError, bodyLength] = co_await beast::http::async_read(connection.socket, connection.buffer, parser, useTuple);
-        co_return bodyError;
-    }
-
-    // A connection that closes in the middle of a request gets no response.
-    static bool isSyntaxError(boost::system::error_code errorCode)
+    Core::Awaitable<void> refuse(Connection& connection, Core::Error const& error)
     {
-        if (errorCode == beast::http::error::end_of_stream || errorCode == beast::http::error::partial_message)
-            return false;
-        return errorCode.category() == make_error_code(beast::http::error::bad_method).category();
-    }
-
-    static std::optional<Core::Error> requestErrorFor(boost::system::error_code errorCode, bool timedOut)
-    {
-        Core::Error error;
-        if (timedOut)
-            Core::fail(error, Core::ErrorKind::RequestTimeout, "the request did not arrive in time");
-        else if (errorCode == beast::http::error::body_limit)
-            Core::fail(error, Core::ErrorKind::RequestTooLarge, "the request body exceeds the limit");
-        else if (errorCode == beast::http::error::header_limit || errorCode == beast::http::error::buffer_overflow)
-            Core::fail(error, Core::ErrorKind::HeadersTooLarge, "the request headers exceed the limit");
-        else if (isSyntaxError(errorCode))
-            Core::fail(error, Core::ErrorKind::InvalidRequest, "malformed HTTP: " + errorCode.message());
-        else
-            return std::nullopt;
-        return error;
-    }
-
-    Core::Awaitable<void> refuse(Connection& connection, boost::system::error_code errorCode, bool timedOut)
-    {
-        auto const error = requestErrorFor(errorCode, timedOut);
-        if (!error)
-            co_return;
-        Core::logEvent(Core::LogLevel::Info, "request_refused", { { "peer", connection.peer.toString() }, { "kind", Core::errorResponseFor(error->kind).name }, { "detail", error->message } });
-        BeastResponseWriter writer(connection, 11, "GET");
+        Core::logEvent(Core::LogLevel::Info, "request_refused", { { "peer", connection.peer.toString() }, { "kind", Core::errorResponseFor(error.kind).name }, { "detail", error.message } });
+        ServerResponseWriter writer(connection, 11, "GET");
         writer.setKeepAlive(false);
-        auto response = problemResponse(*error);
+        auto response = problemResponse(error);
         bool const sent = co_await writer.send(std::move(response));
         if (!sent)
             co_return;
@@ -487,26 +235,22 @@
         boost::system::error_code ignored;
         connection.socket.shutdown(tcp::socket::shutdown_send, ignored);
         auto timer = m_runtime.callAt(m_runtime.now() + std::chrono::seconds(2), [&] { connection.close(); });
-        std::array<char, 1024> discarded;
+        connection.memory.beginPhase(HoldingPhase::Closing);
+        connection.isInterrupted = false;
+        std::string().swap(connection.pending);
         std::size_t total = 0;
         while (total < maximumDiscardedBytes) {
-            auto [errorCode, length] = co_await connection.socket.async_read_some(asio::buffer(discarded), useTuple);
+            auto [errorCode, length] = co_await connection.receive(m_scratch, 0, bytesDiscardedAtATime);
             if (errorCode)
                 co_return;
             total += length;
         }
     }
 
-    Core::Awaitable<bool> handle(Connection& connection, beast::http::request<beast::http::string_body> message)
+    Core::Awaitable<bool> handle(Connection& connection, Request const& request, unsigned version, bool keepsAlive)
     {
-        Request request;
-        request.method = std::string(message.method_string().data(), message.method_string().size());
-        request.target = std::string(message.target().data(), message.target().size());
-        request.headers = headersFromFields(message);
-        request.body = std::move(message.body());
-
-        BeastResponseWriter writer(connection, message.version(), request.method);
-        writer.setKeepAlive(message.keep_alive() && !m_stopping && !m_closeAfterResponses);
+        ServerResponseWriter writer(connection, version, request.method);
+        writer.setKeepAlive(keepsAlive && !m_stopping && !m_closeAfterResponses);
         ++m_requestsInProgress;
         bool failed = false;
         try {
@@ -531,6 +275,9 @@
     Core::Runtime& m_runtime;
     ServerLimits m_limits;
     Handler m_handler;
+    ServerOptions m_options;
+    /// Where all connections receive bytes.
+    std::vector<char> m_scratch;
     tcp::acceptor m_acceptor;
     Core::AsyncEvent m_progress;
     std::set<std::shared_ptr<Connection>> m_connections;
@@ -539,8 +286,8 @@
     bool m_closeAfterResponses { false };
 };
 
-Server::Server(Core::Runtime& runtime, ServerLimits limits, Handler handler)
-    : m_implementation(std::make_shared<Implementation>(runtime, limits, std::move(handler)))
+Server::Server(Core::Runtime& runtime, ServerLimits limits, Handler handler, ServerOptions options)
+    : m_implementation(std::make_shared<Implementation>(runtime, limits, std::move(handler), std::move(options)))
 {
 }
 
--- a/Libraries/LibHTTP/Server.h
+++ b/Libraries/LibHTTP/Server.h
@@ -3,6 +3,7 @@
 #include <LibCore/Endpoint.h>
 #include <LibCore/ErrorKind.h>
 #include <LibCore/Runtime.h>
+#include <LibHTTP/MemoryBudget.h>
 #include <LibHTTP/Message.h>
 #include <cstddef>
 #include <cstdint>
@@ -59,18 +60,38 @@
     /// Closes the connection immediately; a write in progress returns false.
     virtual void abort() = 0;
 
+    /// Counts bytes that the handler holds for the response until it sends it, in place of those counted before. Returns false if there is no
+    /// memory for them.
+    [[nodiscard]] virtual bool reserve([[maybe_unused]] std::size_t bytes) { return true; }
+
     /// The client's IP address and port.
     [[nodiscard]] virtual Core::Endpoint const& peer() const = 0;
 };
 
 using Handler = std::function<Core::Awaitable<void>(Request const&, ResponseWriter&)>;
 
+/// Whether the handler wants the body of a request, given its head. Called only for bodies that are long or of unknown length; the handler may
+/// also get a request with the body that was not wanted.
+enum class BodyDecision {
+    Keep,
+    Discard,
+};
+using HeadHandler = std::function<BodyDecision(Request const& head)>;
+
+/// What a server shares with others, or leaves out.
+struct ServerOptions {
+    /// Null for one of its own without limits.
+    std::shared_ptr<MemoryBudget> budget;
+    /// Empty if all bodies are wanted.
+    HeadHandler headHandler;
+};
+
 /// An HTTP/1.1 server on the runtime's event loop. Malformed, oversized or slow requests get a problem details response
-/// and their connection is closed. All methods run on the runtime's thread.
+/// and their connection is closed. Requests whose body the memory budget refuses reach the handler without it. All methods run on the runtime's thread.
 class Server {
 public:
     /// Does not listen until listen() is called. The runtime must outlive the server.
-    Server(Core::Runtime&, ServerLimits, Handler);
+    Server(Core::Runtime&, ServerLimits, Handler, ServerOptions = {});
     ~Server();
 
     /// Binds and starts accepting connections. With port 0, the kernel chooses the port. Returns the bound endpoint; fails with
