EdgeService: Bound what clients hold by the memory of the host

Bodies of requests without a route or a team's key, and all bodies at the addresses for readiness, metrics and other nodes, are not kept. A request whose body was not kept is refused with 503 as not run; it is never sent to a server. The bytes of responses that are read from servers count as well. Freed blocks of 128 KB and more are returned to the system at once.

--- a/Services/Edge/EdgeCommand.cpp
+++ b/Services/Edge/EdgeCommand.cpp
@@ -6,6 +6,7 @@
 #include <csignal>
 #include <cstdio>
 #include <gflags/gflags_declare.h>
+#include <malloc.h>
 #include <platform/DutyClient.h>
 #include <platform/HeaderCodec.h>
 #include <platform/StoreClient.h>
@@ -88,8 +89,19 @@
     pthread_sigmask(operation, &signals, nullptr);
 }
 
+// Bodies and responses are returned to the system as soon as they are freed. By default, the allocator keeps blocks of the size of the largest
+// one that was ever freed, and the memory of a crowd of clients would stay with the process.
+static void limitRetainedMemory()
+{
+    static constexpr int mappedBlockBytes = 128 * 1024;
+    static constexpr int retainedBytes = 1024 * 1024;
+    mallopt(M_MMAP_THRESHOLD, mappedBlockBytes);
+    mallopt(M_TRIM_THRESHOLD, retainedBytes);
+}
+
 int runEdgeCommand(int argc, char** argv)
 {
+    limitRetainedMemory();
     setReloadSignalMask(SIG_BLOCK);
     std::vector<std::string> errors;
     std::optional<std::string> help;
--- a/Services/Edge/EdgeService.cpp
+++ b/Services/Edge/EdgeService.cpp
@@ -2,6 +2,7 @@
 
 #include <LibCore/Log.h>
 #include <algorithm>
+#include <sys/resource.h>
 #include <unistd.h>
 
 namespace Edge {
@@ -41,6 +42,20 @@
     return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(runtime.wallNow().time_since_epoch()).count());
 }
 
+static HTTP::MemoryBudgetLimits clientMemoryLimits(EdgeSettings const& settings)
+{
+    static constexpr std::size_t bytesPerMegabyte = 1'000'000;
+    rlimit descriptors {};
+    bool const isLimited = getrlimit(RLIMIT_NOFILE, &descriptors) == 0 && descriptors.rlim_cur != RLIM_INFINITY;
+    return HTTP::memoryBudgetLimits(settings.memoryMegabytes * bytesPerMegabyte, isLimited ? descriptors.rlim_cur : SIZE_MAX);
+}
+
+// For the addresses that take no bodies.
+static HTTP::BodyDecision discardBody(HTTP::Request const&)
+{
+    return HTTP::BodyDecision::Discard;
+}
+
 EdgeService::EdgeService(Core::Runtime& runtime, EdgeSettings settings, PlatformInterfaces platform)
     : m_runtime(runtime)
     , m_settings(std::move(settings))
@@ -53,18 +68,32 @@
     , m_forwarder({ runtime, m_backendClient, m_platform.requestCodec, m_tables, m_settings, m_random, m_metrics, m_incarnation, runtime.now() })
     , m_storeWatcher(runtime, m_platform.store, m_peerClient, m_platform.objectCodec, m_tables, m_settings, m_random, m_metrics)
     , m_peerExchange(runtime, m_tables, m_settings, [this] { return buildReport(); })
-    , m_clientServer(runtime, { .maximumConnections = maximumClientConnections }, [this](auto const& request, auto& writer) { return m_forwarder.handle(request, writer); })
-    , m_readyServer(runtime, {}, [this](auto const& request, auto& writer) { return handleReadyRequest(request, writer); })
-    , m_peerServer(runtime, {}, [this](auto const& request, auto& writer) { return handlePeerRequest(request, writer); })
-    , m_metricsServer(runtime, {}, [this](auto const& request, auto& writer) { return handleMetricsRequest(request, writer); })
+    , m_clientMemory(std::make_shared<HTTP::MemoryBudget>(runtime, clientMemoryLimits(m_settings)))
+    , m_clientServer(
+          runtime, { .maximumConnections = maximumClientConnections }, [this](auto const& request, auto& writer) { return m_forwarder.handle(request, writer); },
+          { m_clientMemory, [this](auto const& head) { return m_forwarder.decideBody(head); } })
+    , m_readyServer(
+          runtime, {}, [this](auto const& request, auto& writer) { return handleReadyRequest(request, writer); }, { m_clientMemory, discardBody })
+    , m_peerServer(
+          runtime, {}, [this](auto const& request, auto& writer) { return handlePeerRequest(request, writer); }, { m_clientMemory, discardBody })
+    , m_metricsServer(
+          runtime, {}, [this](auto const& request, auto& writer) { return handleMetricsRequest(request, writer); }, { m_clientMemory, discardBody })
 {
     m_tables.quotas.initialQuota = m_settings.isFirstStart ? Forward::InitialQuota::Full : Forward::InitialQuota::Empty;
     m_tables.quotas.startedAt = runtime.now();
+    m_clientMemory->onRefusal([this](std::string_view reason) {
+        ++m_refusedClients[std::string(reason)];
+        m_metrics.counter("hyssopstep_clients_refused_total", { { "reason", std::string(reason) } }).add();
+    });
     if (m_platform.dutyApi)
         m_dutyRunner = std::make_unique<DutyRunner>(runtime, m_platform.store, *m_platform.dutyApi, m_tables, m_settings, m_random, m_metrics);
 }
 
-EdgeService::~EdgeService() = default;
+EdgeService::~EdgeService()
+{
+    // Tasks of connections may outlive the service.
+    m_clientMemory->onRefusal({});
+}
 
 bool EdgeService::start(Core::Error& error)
 {
@@ -103,6 +132,7 @@
     settings.metricsListen = m_settings.metricsListen;
     settings.nodeId = m_settings.nodeId;
     m_settings = std::move(settings);
+    m_clientMemory->setLimits(clientMemoryLimits(m_settings));
 }
 
 bool EdgeService::isReady() const
@@ -144,6 +174,7 @@
 {
     auto const traffic = m_backendClient.traffic();
     m_metrics.gauge("hyssopstep_requests_in_progress").set(static_cast<double>(m_forwarder.requestsInProgress()));
+    m_metrics.gauge("hyssopstep_client_bytes_held").set(static_cast<double>(m_clientMemory->use().bytes));
     m_metrics.gauge("hyssopstep_server_requests").set(static_cast<double>(traffic.requests));
     m_metrics.gauge("hyssopstep_server_connections_opened").set(static_cast<double>(traffic.newConnections));
     m_metrics.gauge("hyssopstep_servers").set(static_cast<double>(m_tables.servers.rows.size()));
@@ -219,9 +250,22 @@
     return report;
 }
 
+// A crowd of clients must not use up the lines that are left for others.
+void EdgeService::logRefusedClients()
+{
+    static constexpr Core::Duration interval = 1s;
+    auto const now = m_runtime.now();
+    if (m_refusedClients.empty() || now - m_refusedClientsLoggedAt < interval)
+        return;
+    m_refusedClientsLoggedAt = now;
+    for (auto const& [reason, count] : std::exchange(m_refusedClients, {}))
+        Core::logEvent(Core::LogLevel::Warning, "clients_refused", { { "reason", reason }, { "clients", count }, { "bytes_held", std::uint64_t(m_clientMemory->use().bytes) } });
+}
+
 void EdgeService::tick()
 {
     auto const now = m_runtime.now();
+    logRefusedClients();
     m_peerExchange.tick();
     m_storeWatcher.tick();
     std::map<std::string, bool> suspected;
--- a/Services/Edge/EdgeService.h
+++ b/Services/Edge/EdgeService.h
@@ -6,6 +6,8 @@
 #include <Edge/PeerExchange.h>
 #include <Edge/RequestForwarder.h>
 #include <Edge/StoreWatcher.h>
+#include <LibHTTP/MemoryBudget.h>
+#include <map>
 #include <memory>
 
 namespace Edge {
@@ -52,6 +54,7 @@
     [[nodiscard]] Forward::NodeReport buildReport();
     [[nodiscard]] bool isReady() const;
     void tick();
+    void logRefusedClients();
 
     Core::Runtime& m_runtime;
     EdgeSettings m_settings;
@@ -66,6 +69,11 @@
     StoreWatcher m_storeWatcher;
     PeerExchange m_peerExchange;
     std::unique_ptr<DutyRunner> m_dutyRunner;
+    /// Shared by all servers and their connections.
+    std::shared_ptr<HTTP::MemoryBudget> m_clientMemory;
+    /// Clients refused for their memory or connection since the last log line, by reason.
+    std::map<std::string, std::uint64_t> m_refusedClients;
+    Core::MonotonicTime m_refusedClientsLoggedAt {};
     HTTP::Server m_clientServer;
     HTTP::Server m_readyServer;
     HTTP::Server m_peerServer;
--- a/Services/Edge/RequestAdmission.cpp
+++ b/Services/Edge/RequestAdmission.cpp
@@ -10,6 +10,9 @@
 
 // A node learns its configuration and servers within about one poll of the store.
 static constexpr std::chrono::milliseconds retryAfterNotReady { 500 };
+// Clients without progress yield after HTTP::stallTime.
+static constexpr std::chrono::milliseconds retryAfterMemory { 1000 };
+
 static Limits::RequestFingerprint fingerprintOf(HTTP::Request const& request, std::string const& team)
 {
     XXH64_hash_t hash = XXH3_64bits(request.target.data(), request.target.size());
@@ -68,6 +71,30 @@
     return true;
 }
 
+HTTP::BodyDecision RequestAdmission::decideBody(HTTP::Request const& head) const
+{
+    auto const& routes = m_dependencies.tables.routes;
+    // A TRACE request with a body is refused for the body.
+    if (!routes || head.method == "TRACE")
+        return HTTP::BodyDecision::Keep;
+    auto const* route = Forward::findRoute(*routes, head.headers.find("Host").value_or(""), head.target);
+    if (!route)
+        return HTTP::BodyDecision::Discard;
+    bool const needsKey = !routes->teams.empty() && !route->isAnonymous;
+    bool const isKnown = !needsKey || Forward::findTeamByKey(*routes, m_dependencies.codec.decodeRequest(head).key);
+    return isKnown ? HTTP::BodyDecision::Keep : HTTP::BodyDecision::Discard;
+}
+
+// A body that was not wanted is missing only here if the configuration has changed since the head arrived.
+static bool hasBody(HTTP::Request const& request, Core::Error& error)
+{
+    if (request.bodyState == HTTP::BodyState::Complete)
+        return true;
+    Core::fail(error, ErrorKind::Overloaded, request.bodyState == HTTP::BodyState::Refused ? "there is no memory for the body of the request" : "the configuration changed while the request arrived");
+    error.retryAfter = request.bodyState == HTTP::BodyState::Refused ? retryAfterMemory : minimumRetryAfter;
+    return false;
+}
+
 bool RequestAdmission::admit(RequestContext& context, Core::Error& error)
 {
     auto& tables = m_dependencies.tables;
@@ -91,6 +118,8 @@
     }
     if (context.attributes.attemptId.empty())
         return Core::fail(error, ErrorKind::InvalidRequest, "the request has no attempt id"), false;
+    if (!hasBody(context.request, error))
+        return false;
     auto const timeLeft = std::min(context.attributes.timeLeft.value_or(context.route->timeout), context.route->timeout);
     context.deadline = context.arrivedAt + timeLeft;
     if (tables.drain && !Forward::acceptsWhileDraining(*tables.drain, context.deadline, now)) {
--- a/Services/Edge/RequestAdmission.h
+++ b/Services/Edge/RequestAdmission.h
@@ -18,6 +18,9 @@
     /// Fills in the route, team, service, deadline and prompt of the request. Returns false with the reason if the request is refused.
     [[nodiscard]] bool admit(RequestContext&, Core::Error&);
 
+    /// Whether the body of a request with this head is wanted: not if it has no route or no team's key, so that it is refused without its body.
+    [[nodiscard]] HTTP::BodyDecision decideBody(HTTP::Request const& head) const;
+
     /// Whether the request crashes servers by itself or by a part of its prompt, with the error set.
     [[nodiscard]] bool isRefusedAsCrashCause(RequestContext const&, Core::Error&) const;
 
--- a/Services/Edge/RequestForwarder.h
+++ b/Services/Edge/RequestForwarder.h
@@ -19,6 +19,9 @@
 
     [[nodiscard]] Core::Awaitable<void> handle(HTTP::Request const&, HTTP::ResponseWriter&);
 
+    /// Whether the body of a request with this head is wanted.
+    [[nodiscard]] HTTP::BodyDecision decideBody(HTTP::Request const& head) const { return m_admission.decideBody(head); }
+
     /// Cancels the requests in progress. Started streams are aborted; other requests get an error response that states
     /// whether they may have been executed.
     void cancelAll();
--- a/Services/Edge/ResponseForwarder.cpp
+++ b/Services/Edge/ResponseForwarder.cpp
@@ -45,6 +45,8 @@
     auto const bytesOfOthers = m_bufferedBytes - context.bufferedBytes;
     if (bytes > context.bufferedBytes && (bytes > maximumBytesOfAResponse || bytesOfOthers + bytes > maximumBytesOfAllResponses))
         return false;
+    if (!context.writer.reserve(bytes))
+        return false;
     context.bufferedBytes = bytes;
     m_bufferedBytes = bytesOfOthers + bytes;
     return true;
