--- /dev/null
+++ b/Tests/LibHTTP/MemoryBudgetTest.cpp
@@ -0,0 +1,120 @@
+#include <LibHTTP/MemoryBudget.h>
+#include <gtest/gtest.h>
+
+using namespace std::chrono_literals;
+
+namespace HTTP {
+
+static constexpr std::size_t kilobyte = 1024;
+static constexpr std::size_t megabyte = 1024 * kilobyte;
+
+namespace {
+
+class MemoryBudgetTest : public testing::Test {
+protected:
+    MemoryBudgetTest() { m_runtime.pause(); }
+
+    // Holders do not move.
+    MemoryHolder& addHolder(HoldingPhase phase, std::size_t bytes)
+    {
+        auto const index = m_holders.size();
+        auto& holder = *m_holders.emplace_back(std::make_unique<MemoryHolder>(m_budget, [this, index](YieldScope scope) { m_yielded.emplace_back(index, scope); }));
+        holder.beginPhase(phase);
+        m_isGranted = holder.resizeRequest(bytes);
+        return holder;
+    }
+
+    boost::asio::io_context m_context;
+    Core::Runtime m_runtime { m_context };
+    std::shared_ptr<MemoryBudget> m_budget { std::make_shared<MemoryBudget>(m_runtime, MemoryBudgetLimits { 10 * megabyte, 2 * megabyte, 100 }) };
+    std::vector<std::pair<std::size_t, YieldScope>> m_yielded;
+    std::vector<std::unique_ptr<MemoryHolder>> m_holders;
+    bool m_isGranted { false };
+};
+
+}
+
+// Guards against a budget that changes what the hosts in service take, or that is larger than a small host.
+TEST(MemoryBudgetLimitsTest, FollowFromTheHost)
+{
+    EXPECT_EQ(memoryBudgetLimits(160'000'000, 4100), (MemoryBudgetLimits { 80'000'000, 20'000'000, 3000 }));
+    EXPECT_EQ(memoryBudgetLimits(64'000'000, 300), (MemoryBudgetLimits { 32'000'000, 8'000'000, 225 }));
+    EXPECT_EQ(memoryBudgetLimits(16'000'000, SIZE_MAX), (MemoryBudgetLimits { 8'000'000, 2'000'000, 488 }));
+}
+
+// Guards against 100 bodies that are held together: without a budget (the previous behaviour) 400 MB, here the part for large holdings.
+TEST_F(MemoryBudgetTest, CrowdOfUnfinishedBodiesStaysWithinThePartForLargeOnes)
+{
+    auto const unlimited = std::make_shared<MemoryBudget>(m_runtime);
+    std::vector<std::unique_ptr<MemoryHolder>> baseline;
+    for (int i = 0; i < 100; ++i) {
+        auto& holder = *baseline.emplace_back(std::make_unique<MemoryHolder>(unlimited, [](YieldScope) {}));
+        holder.beginPhase(HoldingPhase::Receiving);
+        EXPECT_TRUE(holder.resizeRequest(4 * megabyte));
+        (void)addHolder(HoldingPhase::Receiving, 4 * megabyte);
+    }
+    EXPECT_EQ(unlimited->use().bytes, 400 * megabyte);
+    EXPECT_LE(m_budget->use().bytesOfLargeHoldings, 8 * megabyte);
+    EXPECT_FALSE(m_isGranted);
+    (void)addHolder(HoldingPhase::Receiving, 60 * kilobyte);
+    EXPECT_TRUE(m_isGranted) << "a small request";
+    EXPECT_TRUE(m_yielded.empty()) << "all clients have just made progress";
+}
+
+// Guards against a request within the limits that is refused although nothing else is held.
+TEST_F(MemoryBudgetTest, OnlyLargeHoldingAlwaysFits)
+{
+    (void)addHolder(HoldingPhase::Receiving, 20 * megabyte);
+    EXPECT_TRUE(m_isGranted);
+}
+
+// Guards against clients without progress that keep their room: the largest of them yields, and a client that makes progress does not.
+TEST_F(MemoryBudgetTest, LargestClientWithoutProgressYields)
+{
+    (void)addHolder(HoldingPhase::Receiving, 2 * megabyte);
+    (void)addHolder(HoldingPhase::Receiving, 3 * megabyte);
+    auto& active = addHolder(HoldingPhase::Receiving, 3 * megabyte);
+    m_runtime.advance(stallTime);
+    active.recordProgress(minimumProgressBytes);
+    (void)addHolder(HoldingPhase::Receiving, 3 * megabyte);
+    EXPECT_TRUE(m_isGranted);
+    EXPECT_EQ(m_yielded, (std::vector<std::pair<std::size_t, YieldScope>> { { 1, YieldScope::Memory } }));
+}
+
+// Guards against a request that yields after its handler may have sent it to a server, and against a response that keeps its room unread.
+TEST_F(MemoryBudgetTest, RequestsInProgressNeverYieldAndUnreadResponsesDo)
+{
+    (void)addHolder(HoldingPhase::Running, 4 * megabyte);
+    (void)addHolder(HoldingPhase::Sending, 4 * megabyte);
+    m_runtime.advance(10s);
+    (void)addHolder(HoldingPhase::Receiving, 4 * megabyte);
+    EXPECT_TRUE(m_isGranted);
+    EXPECT_EQ(m_yielded, (std::vector<std::pair<std::size_t, YieldScope>> { { 1, YieldScope::Connection } }));
+    (void)addHolder(HoldingPhase::Receiving, 4 * megabyte);
+    EXPECT_FALSE(m_isGranted);
+}
+
+// Guards against unfinished heads that take all connections; before, the new one was closed.
+TEST_F(MemoryBudgetTest, UnfinishedRequestIsClosedForANewConnectionBeforeAnIdleOne)
+{
+    (void)addHolder(HoldingPhase::Idle, connectionBytes);
+    for (int i = 1; i < 100; ++i)
+        (void)addHolder(HoldingPhase::Receiving, connectionBytes);
+    EXPECT_FALSE(m_budget->admitConnection());
+    m_runtime.advance(2s);
+    EXPECT_TRUE(m_budget->admitConnection());
+    EXPECT_EQ(m_yielded, (std::vector<std::pair<std::size_t, YieldScope>> { { 1, YieldScope::Connection } }));
+}
+
+// Guards against bytes that stay counted after their connections have ended.
+TEST_F(MemoryBudgetTest, CountsNothingAfterTheLastConnection)
+{
+    for (int i = 0; i < 5; ++i)
+        (void)addHolder(HoldingPhase::Receiving, static_cast<std::size_t>(i) * 50 * kilobyte);
+    m_holders[2]->forceResponse(50 * megabyte);
+    m_holders.clear();
+    EXPECT_EQ(m_budget->use().bytes, 0u);
+    EXPECT_EQ(m_budget->use().bytesOfLargeHoldings, 0u);
+}
+
+}
