EdgeService: Let the memory budget alone limit the connections

The client address refused new connections at 3,000 by its own limit, which is also that of the budget on hosts with 4,100 descriptors, so that the budget closed no unfinished request for a new connection there. Found in review.

--- a/Libraries/LibHTTP/MemoryBudget.cpp
+++ b/Libraries/LibHTTP/MemoryBudget.cpp
@@ -4,6 +4,8 @@
 
 namespace HTTP {
 
+// Of 4,100 descriptors of a host; the remainder is for files, servers, other nodes and the store. Below the limit of a server
+// (ServerLimits::maximumConnections), which refuses new connections without closing another one.
 static constexpr std::size_t maximumConnections = 3000;
 
 MemoryBudgetLimits memoryBudgetLimits(std::size_t hostMemoryBytes, std::size_t descriptors)
--- a/Services/Edge/EdgeService.cpp
+++ b/Services/Edge/EdgeService.cpp
@@ -33,9 +33,6 @@
     return limits;
 }
 
-// The platform limits a process to 4,100 descriptors, 200 of them for files; the remainder is for servers, peers and the store.
-static constexpr std::size_t maximumClientConnections = 3000;
-
 // The part of the grace period of a planned stop that is reserved for the last responses and the exit.
 static constexpr Core::Duration exitMargin = 500ms;
 
@@ -72,7 +69,7 @@
     , m_peerExchange(runtime, m_tables, m_settings, [this] { return buildReport(); })
     , m_clientMemory(std::make_shared<HTTP::MemoryBudget>(runtime, clientMemoryLimits(m_settings)))
     , m_clientServer(
-          runtime, { .maximumConnections = maximumClientConnections }, [this](auto const& request, auto& writer) { return m_forwarder.handle(request, writer); },
+          runtime, {}, [this](auto const& request, auto& writer) { return m_forwarder.handle(request, writer); },
           { m_clientMemory, [this](auto const& head) { return m_forwarder.decideBody(head); } })
     , m_readyServer(
           runtime, {}, [this](auto const& request, auto& writer) { return handleReadyRequest(request, writer); }, { m_clientMemory, discardBody })
@@ -325,7 +322,6 @@
         serverLimits.maximumBodyBytes = limits.maximumBodyBytes;
         serverLimits.headerTimeout = limits.headerTimeout;
         serverLimits.idleTimeout = limits.idleTimeout;
-        serverLimits.maximumConnections = maximumClientConnections;
         m_clientServer.setLimits(serverLimits);
         for (auto const& team : m_tables.routes->teams)
             Forward::prepareQuota(m_tables.quotas, team, { .window = m_settings.quotaWindow, .slack = m_settings.quotaSlack });
