--- a/Libraries/LibHTTP/MemoryBudget.cpp
+++ b/Libraries/LibHTTP/MemoryBudget.cpp
@@ -4,6 +4,8 @@
 
 namespace HTTP {
 
+// Of 4,100 descriptors of a host; the remainder is for files, servers, other nodes and the store. Below the limit of a server
+// (ServerLimits::maximumConnections), which refuses new connections without closing another one.
 static constexpr std::size_t maximumConnections = 3000;
 
 MemoryBudgetLimits memoryBudgetLimits(std::size_t hostMemoryBytes, std::size_t descriptors)
@@ -135,6 +137,8 @@
 void MemoryBudget::count(MemoryHolding const& holding, std::size_t newBytes)
 {
     m_use.bytes += newBytes - holding.bytes;
+    if (newBytes < holding.bytes)
+        m_releasedBytes += holding.bytes - newBytes;
     if (isLarge(holding.bytes))
         m_use.bytesOfLargeHoldings -= holding.bytes;
     if (isLarge(newBytes))
@@ -169,6 +173,7 @@
     default:
         countRefusal("unfinished_request");
     }
+    holder.m_isRefusalCounted = true;
     holder.m_requestBytes = connectionBytes;
     holder.m_responseBytes = 0;
     holder.setBytes(connectionBytes);
@@ -203,7 +208,8 @@
     auto const total = m_requestBytes + m_responseBytes - part + bytes;
     bool const hasRoom = bytes <= part || m_budget->makeRoom(m_holding, total);
     if (!hasRoom) {
-        m_budget->countRefusal("no_memory");
+        if (!std::exchange(m_isRefusalCounted, true))
+            m_budget->countRefusal("no_memory");
         return false;
     }
     part = bytes;
@@ -231,6 +237,8 @@
 
 void MemoryHolder::beginPhase(HoldingPhase phase)
 {
+    if (phase == HoldingPhase::Receiving)
+        m_isRefusalCounted = false;
     m_holding.phase = phase;
     m_holding.progressAt = m_budget->m_runtime.now();
     m_holding.bytesSinceProgress = 0;
--- a/Services/Edge/EdgeService.cpp
+++ b/Services/Edge/EdgeService.cpp
@@ -5,6 +5,8 @@
 #include <LibCore/Log.h>
 #include <LibHTTP/Problem.h>
 #include <algorithm>
+#include <fstream>
+#include <malloc.h>
 #include <sys/resource.h>
 #include <unistd.h>
 
@@ -34,9 +36,6 @@
     return limits;
 }
 
-// The platform limits a process to 4,100 descriptors, 200 of them for files; the remainder is for servers, peers and the store.
-static constexpr std::size_t maximumClientConnections = 3000;
-
 // The part of the grace period of a planned stop that is reserved for the last responses and the exit.
 static constexpr Core::Duration exitMargin = 500ms;
 
@@ -73,7 +72,7 @@
     , m_peerExchange(runtime, m_tables, m_settings, [this] { return buildReport(); })
     , m_clientMemory(std::make_shared<HTTP::MemoryBudget>(runtime, clientMemoryLimits(m_settings)))
     , m_clientServer(
-          runtime, { .maximumConnections = maximumClientConnections }, [this](auto const& request, auto& writer) { return m_forwarder.handle(request, writer); },
+          runtime, {}, [this](auto const& request, auto& writer) { return m_forwarder.handle(request, writer); },
           { m_clientMemory, [this](auto const& head) { return m_forwarder.decideBody(head); } })
     , m_readyServer(
           runtime, {}, [this](auto const& request, auto& writer) { return handleReadyRequest(request, writer); }, { m_clientMemory, discardBody })
@@ -278,10 +277,34 @@
         Core::logEvent(Core::LogLevel::Warning, "clients_refused", { { "reason", reason }, { "clients", count }, { "bytes_held", std::uint64_t(m_clientMemory->use().bytes) } });
 }
 
+// Bytes of the process in memory; 0 if the system does not tell.
+static std::size_t residentBytes()
+{
+    std::ifstream file("/proc/self/statm");
+    std::size_t totalPages = 0;
+    std::size_t residentPages = 0;
+    file >> totalPages >> residentPages;
+    return residentPages * static_cast<std::size_t>(sysconf(_SC_PAGESIZE));
+}
+
+// The allocator keeps blocks below 128 KB that were freed between others. After a crowd of clients that was 27 MB, which the next crowd did
+// not use fully; the check and the return take time, so that they wait until much has been released.
+void EdgeService::returnFreedMemory()
+{
+    auto const& limits = m_clientMemory->limits();
+    if (m_clientMemory->releasedBytes() - m_returnedAtReleasedBytes < limits.bytes / 4)
+        return;
+    m_returnedAtReleasedBytes = m_clientMemory->releasedBytes();
+    // A quarter of the host's memory for the program and its tables.
+    if (residentBytes() > m_clientMemory->use().bytes + limits.bytes / 2)
+        malloc_trim(0);
+}
+
 void EdgeService::tick()
 {
     auto const now = m_runtime.now();
     logRefusedClients();
+    returnFreedMemory();
     m_peerExchange.tick();
     m_storeWatcher.tick();
     std::map<std::string, bool> suspected;
@@ -316,7 +339,6 @@
         serverLimits.maximumBodyBytes = limits.maximumBodyBytes;
         serverLimits.headerTimeout = limits.headerTimeout;
         serverLimits.idleTimeout = limits.idleTimeout;
-        serverLimits.maximumConnections = maximumClientConnections;
         m_clientServer.setLimits(serverLimits);
         for (auto const& team : m_tables.routes->teams)
             Forward::prepareQuota(m_tables.quotas, team, { .window = m_settings.quotaWindow, .slack = m_settings.quotaSlack });
