--- a/Libraries/LibRouting/Placement.cpp
+++ b/Libraries/LibRouting/Placement.cpp
@@ -33,9 +33,15 @@
     return std::chrono::duration_cast<Core::Duration>(std::chrono::duration<double>(*shortest));
 }
 
+bool isPermitted(ServerFilter const& filter, ServerRow const& row)
+{
+    auto const contains = [](std::vector<std::string> const& names, std::string const& name) { return std::find(names.begin(), names.end(), name) != names.end(); };
+    return filter.servers.empty() ? !contains(filter.excludedVersions, row.version) : contains(filter.servers, row.id);
+}
+
 static bool isUsable(ServerTable const& table, ServerRow const& row, PlacementRequest const& request, Core::MonotonicTime now)
 {
-    return row.service == request.service && row.lifecycle == Lifecycle::Live && !isAbsent(row, now) && !isPaused(table, row, now)
+    return row.service == request.service && row.lifecycle == Lifecycle::Live && !isAbsent(row, now) && !isPaused(table, row, now) && isPermitted(request.filter, row)
         && std::find(request.excludedServers.begin(), request.excludedServers.end(), row.id) == request.excludedServers.end();
 }
 
--- a/Libraries/LibRouting/Placement.h
+++ b/Libraries/LibRouting/Placement.h
@@ -18,6 +18,18 @@
     Call,
 };
 
+/// The servers of a service that a request may be placed at: all by default.
+struct ServerFilter {
+    std::vector<std::string> excludedVersions;
+    /// Ids; if there are any, only these servers.
+    std::vector<std::string> servers;
+
+    bool operator==(ServerFilter const&) const = default;
+};
+
+/// Whether a filter permits a server. Thread safe.
+[[nodiscard]] bool isPermitted(ServerFilter const&, ServerRow const&);
+
 /// The properties of a request that placement depends on.
 struct PlacementRequest {
     std::string service;
@@ -28,6 +40,8 @@
     /// Servers that must not be chosen, for example those of failed attempts.
     std::vector<std::string> excludedServers;
     WorkKind work { WorkKind::Generation };
+    /// The version group of a rollout.
+    ServerFilter filter {};
 
     bool operator==(PlacementRequest const&) const = default;
 };
