--- a/Libraries/LibPlatform/ObjectClient.cpp
+++ b/Libraries/LibPlatform/ObjectClient.cpp
@@ -24,6 +24,8 @@
     if (!fields.areValid())
         return std::nullopt;
     object.value = boost::json::serialize(*content);
+    if (fields.has("status"))
+        object.status = boost::json::serialize(*fields.required("status"));
     return object;
 }
 
@@ -158,6 +160,17 @@
     co_return version;
 }
 
+Core::Awaitable<std::optional<Core::StoreRevision>> ObjectClient::updateStatus(ObjectKey key, std::string status, Core::StoreRevision expectedVersion, Core::MonotonicTime deadline, Core::Error& error)
+{
+    if (status.size() > maximumValueBytes)
+        co_return failTooLarge(status, error);
+    HTTP::Request request { "PUT", objectPath(key) + "/status", { { "Content-Type", "application/json" } }, R"({"resourceVersion":)" + std::to_string(expectedVersion.number) + R"(,"status":)" + status + "}" };
+    auto const version = co_await write(std::move(request), deadline, error);
+    if (!version && error.kind == ErrorKind::NotFound)
+        error.kind = ErrorKind::StoreConflict;
+    co_return version;
+}
+
 Core::Awaitable<bool> ObjectClient::remove(ObjectKey key, Core::StoreRevision expectedVersion, Core::MonotonicTime deadline, Core::Error& error)
 {
     HTTP::Request request { "DELETE", objectPath(key) + "?resourceVersion=" + std::to_string(expectedVersion.number), {}, {} };
--- a/Libraries/LibPlatform/ObjectClient.h
+++ b/Libraries/LibPlatform/ObjectClient.h
@@ -17,6 +17,7 @@
     [[nodiscard]] Core::Awaitable<std::optional<ObjectList>> list(std::string kind, Core::MonotonicTime deadline, Core::Error&) override;
     [[nodiscard]] Core::Awaitable<std::optional<Core::StoreRevision>> create(ObjectKey, std::string value, Core::MonotonicTime deadline, Core::Error&) override;
     [[nodiscard]] Core::Awaitable<std::optional<Core::StoreRevision>> update(ObjectKey, std::string value, Core::StoreRevision expectedVersion, Core::MonotonicTime deadline, Core::Error&) override;
+    [[nodiscard]] Core::Awaitable<std::optional<Core::StoreRevision>> updateStatus(ObjectKey, std::string status, Core::StoreRevision expectedVersion, Core::MonotonicTime deadline, Core::Error&) override;
     [[nodiscard]] Core::Awaitable<bool> remove(ObjectKey, Core::StoreRevision expectedVersion, Core::MonotonicTime deadline, Core::Error&) override;
 
     /// A watch that the platform is asked to end shortly before the deadline. If its end does not arrive in time, the call fails
--- a/Libraries/LibPlatform/ObjectStore.h
+++ b/Libraries/LibPlatform/ObjectStore.h
@@ -21,12 +21,14 @@
     auto operator<=>(ObjectKey const&) const = default;
 };
 
-/// One version of an object. The value is JSON text.
+/// One version of an object. The value and the status are JSON texts.
 struct StoredObject {
     ObjectKey key;
     /// Increases with each change of any object; the same version of a key always has the same value.
     Core::StoreRevision resourceVersion;
     std::string value;
+    /// What the object's controller wrote about it with ObjectStore::updateStatus(); empty if there is none.
+    std::string status {};
 
     bool operator==(StoredObject const&) const = default;
 };
@@ -87,6 +89,9 @@
     /// belongs to another change now; StoreValueTooLarge if the value is over maximumValueBytes.
     [[nodiscard]] virtual Core::Awaitable<std::optional<Core::StoreRevision>> update(ObjectKey, std::string value, Core::StoreRevision expectedVersion, Core::MonotonicTime deadline, Core::Error&) = 0;
 
+    /// Replaces the status of an object if its version is still the expected one, and returns the new version. The value stays. Fails as update().
+    [[nodiscard]] virtual Core::Awaitable<std::optional<Core::StoreRevision>> updateStatus(ObjectKey, std::string status, Core::StoreRevision expectedVersion, Core::MonotonicTime deadline, Core::Error&) = 0;
+
     /// Removes an object if its version is still the expected one. StoreConflict if it changed, NotFound if it does not exist.
     [[nodiscard]] virtual Core::Awaitable<bool> remove(ObjectKey, Core::StoreRevision expectedVersion, Core::MonotonicTime deadline, Core::Error&) = 0;
 
--- a/Tests/EdgeService/StoreStandIn.cpp
+++ b/Tests/EdgeService/StoreStandIn.cpp
@@ -14,7 +14,7 @@
 static std::string objectJson(Platform::StoredObject const& object)
 {
     json::object const metadata { { "name", object.key.name }, { "revision", object.resourceVersion.number }, { "create-rev", 1 }, { "finalizers", json::array {} }, { "deleting", false } };
-    return R"({"metadata":)" + json::serialize(metadata) + R"(,"spec":)" + object.value + R"(,"status":null})";
+    return R"({"metadata":)" + json::serialize(metadata) + R"(,"spec":)" + object.value + R"(,"status":)" + (object.status.empty() ? "null" : object.status) + "}";
 }
 
 static HTTP::Response jsonResponse(unsigned status, std::string body)
@@ -47,6 +47,12 @@
     m_changed.notifyAll();
 }
 
+void StoreStandIn::putStatus(std::string const& kind, std::string const& name, std::string status)
+{
+    (void)m_objects.putStatus({ kind, name }, std::move(status));
+    m_changed.notifyAll();
+}
+
 void StoreStandIn::erase(std::string const& kind, std::string const& name)
 {
     m_objects.erase({ kind, name });
@@ -153,6 +159,10 @@
 {
     auto const body = json::parse(request.body.empty() ? "{}" : request.body);
     auto const* metadata = body.as_object().if_contains("metadata");
+    static constexpr std::string_view statusSuffix = "/status";
+    bool const isStatus = name.ends_with(statusSuffix);
+    if (isStatus)
+        name.erase(name.size() - statusSuffix.size());
     bool const creates = request.method == "POST";
     if (creates)
         name = metadata->at("name").as_string();
@@ -163,7 +173,10 @@
     auto const* revision = metadata ? metadata->as_object().if_contains("revision") : nullptr;
     if (exists && revision && revision->to_number<std::uint64_t>() != found->second.resourceVersion.number)
         return { 409, {}, "{}" };
-    put(kind, name, json::serialize(body.at("spec")));
+    if (isStatus)
+        putStatus(kind, name, json::serialize(body.at("status")));
+    else
+        put(kind, name, json::serialize(body.at("spec")));
     return jsonResponse(200, objectJson(m_objects.objects.at({ kind, name })));
 }
 
--- a/Tests/EdgeService/StoreStandIn.h
+++ b/Tests/EdgeService/StoreStandIn.h
@@ -16,6 +16,7 @@
 
     /// The value may be any text, also one that is not valid JSON.
     void put(std::string const& kind, std::string const& name, std::string value);
+    void putStatus(std::string const& kind, std::string const& name, std::string status);
     void erase(std::string const& kind, std::string const& name);
 
     /// The current objects and their history; a copy of them can be restored later.
--- a/Tests/LibConfiguration/Fixtures.h
+++ b/Tests/LibConfiguration/Fixtures.h
@@ -73,6 +73,7 @@
         co_return list;
     }
 
+    Core::Awaitable<std::optional<Core::StoreRevision>> updateStatus(Platform::ObjectKey, std::string, Core::StoreRevision, Core::MonotonicTime, Core::Error& error) override { co_return Core::fail(error, Core::ErrorKind::Internal, "not used"); }
     Core::Awaitable<bool> remove(Platform::ObjectKey, Core::StoreRevision, Core::MonotonicTime, Core::Error&) override { co_return false; }
     Core::Awaitable<std::optional<Platform::ObjectChanges>> waitForChanges(std::string, Core::StoreRevision, Core::MonotonicTime, Core::Error& error) override { co_return Core::fail(error, Core::ErrorKind::Internal, "not used"); }
 
--- a/Tests/LibMembership/Cluster.h
+++ b/Tests/LibMembership/Cluster.h
@@ -19,6 +19,7 @@
     Core::Awaitable<std::optional<Platform::StoredObject>> read(Platform::ObjectKey, Core::MonotonicTime, Core::Error& error) override { co_return fail(error); }
     Core::Awaitable<std::optional<Core::StoreRevision>> create(Platform::ObjectKey, std::string, Core::MonotonicTime, Core::Error& error) override { co_return fail(error); }
     Core::Awaitable<std::optional<Core::StoreRevision>> update(Platform::ObjectKey, std::string, Core::StoreRevision, Core::MonotonicTime, Core::Error& error) override { co_return fail(error); }
+    Core::Awaitable<std::optional<Core::StoreRevision>> updateStatus(Platform::ObjectKey, std::string, Core::StoreRevision, Core::MonotonicTime, Core::Error& error) override { co_return fail(error); }
     Core::Awaitable<bool> remove(Platform::ObjectKey, Core::StoreRevision, Core::MonotonicTime, Core::Error&) override { co_return false; }
 
     Core::Awaitable<std::optional<Platform::ObjectList>> list(std::string, Core::MonotonicTime, Core::Error& error) override
--- a/Tests/PlatformAdapter/StoreClientTest.cpp
+++ b/Tests/PlatformAdapter/StoreClientTest.cpp
@@ -38,6 +38,20 @@
     EXPECT_EQ(m_error.kind, ErrorKind::NotFound);
 }
 
+// Guards against a status that is written over that of a later order, or that changes the order itself.
+TEST_F(StoreClientTest, StatusIsWrittenConditionallyBesideTheValue)
+{
+    auto const created = m_loop.run(m_store.create(m_key, R"({"a":1})", m_loop.deadline(), m_error));
+    ASSERT_TRUE(created) << m_error.message;
+    auto const written = m_loop.run(m_store.updateStatus(m_key, R"({"state":"running"})", *created, m_loop.deadline(), m_error));
+    ASSERT_TRUE(written) << m_error.message;
+    EXPECT_EQ(m_loop.run(m_store.read(m_key, m_loop.deadline(), m_error)), (Platform::StoredObject { m_key, *written, R"({"a":1})", R"({"state":"running"})" }));
+    EXPECT_FALSE(m_loop.run(m_store.updateStatus(m_key, "{}", *created, m_loop.deadline(), m_error)));
+    EXPECT_EQ(m_error.kind, ErrorKind::StoreConflict);
+    EXPECT_FALSE(m_loop.run(m_store.updateStatus({ "leases", "other" }, "{}", *created, m_loop.deadline(), m_error)));
+    EXPECT_EQ(m_error.kind, ErrorKind::StoreConflict);
+}
+
 // Guards against ignoring servers on later pages of a list.
 TEST_F(StoreClientTest, ListsAllPages)
 {
--- a/Tests/Support/MemoryObjectStore.cpp
+++ b/Tests/Support/MemoryObjectStore.cpp
@@ -8,13 +8,21 @@
 
 Core::StoreRevision MemoryObjects::put(ObjectKey const& key, std::string value)
 {
-    objects[key] = { key, { era, ++version }, std::move(value) };
+    auto status = std::move(objects[key].status);
+    objects[key] = { key, { era, ++version }, std::move(value), std::move(status) };
     history.push_back({ Platform::ObjectEventKind::Put, objects[key] });
     for (auto* watcher : watchers)
         watcher->notifyAll();
     return { era, version };
 }
 
+Core::StoreRevision MemoryObjects::putStatus(ObjectKey const& key, std::string status)
+{
+    auto& object = objects.at(key);
+    object.status = std::move(status);
+    return put(key, object.value);
+}
+
 void MemoryObjects::erase(ObjectKey const& key)
 {
     auto object = objects[key];
@@ -214,6 +222,24 @@
     co_return *result;
 }
 
+Core::Awaitable<std::optional<Core::StoreRevision>> MemoryObjectStore::updateStatus(ObjectKey key, std::string status, Core::StoreRevision expectedVersion, Core::MonotonicTime deadline, Core::Error& error)
+{
+    auto result = std::make_shared<Core::StoreRevision>();
+    Effect effect = [objects = m_objects, key, status, expectedVersion, result](Core::Error& failure) {
+        auto const position = objects->objects.find(key);
+        if (position == objects->objects.end() || position->second.resourceVersion.number != expectedVersion.number)
+            return Core::fail(failure, ErrorKind::StoreConflict, key.name), false;
+        *result = objects->putStatus(key, status);
+        if (objects->era != expectedVersion.era)
+            return Core::fail(failure, ErrorKind::StoreConflict, key.name, RunState::Ran), false;
+        return true;
+    };
+    bool const succeeded = co_await callWithFaults(CallKind::Write, std::move(effect), deadline, error);
+    if (!succeeded)
+        co_return std::nullopt;
+    co_return *result;
+}
+
 Core::Awaitable<bool> MemoryObjectStore::remove(ObjectKey key, Core::StoreRevision expectedVersion, Core::MonotonicTime deadline, Core::Error& error)
 {
     Effect effect = [objects = m_objects, key, expectedVersion](Core::Error& failure) {
--- a/Tests/Support/MemoryObjectStore.h
+++ b/Tests/Support/MemoryObjectStore.h
@@ -19,7 +19,10 @@
     std::uint64_t oldestWatchVersion { 0 };
     std::set<Core::AsyncEvent*> watchers;
 
+    /// The status of the object stays.
     Core::StoreRevision put(Platform::ObjectKey const&, std::string value);
+    /// Precondition: the object exists.
+    Core::StoreRevision putStatus(Platform::ObjectKey const&, std::string status);
     void erase(Platform::ObjectKey const&);
     /// Returns to the state of a copy of this object, in a new era.
     void restore(MemoryObjects const& copy);
@@ -60,6 +63,7 @@
     Core::Awaitable<std::optional<Platform::ObjectList>> list(std::string kind, Core::MonotonicTime, Core::Error&) override;
     Core::Awaitable<std::optional<Core::StoreRevision>> create(Platform::ObjectKey, std::string value, Core::MonotonicTime, Core::Error&) override;
     Core::Awaitable<std::optional<Core::StoreRevision>> update(Platform::ObjectKey, std::string value, Core::StoreRevision expectedVersion, Core::MonotonicTime, Core::Error&) override;
+    Core::Awaitable<std::optional<Core::StoreRevision>> updateStatus(Platform::ObjectKey, std::string status, Core::StoreRevision, Core::MonotonicTime, Core::Error&) override;
     Core::Awaitable<bool> remove(Platform::ObjectKey, Core::StoreRevision expectedVersion, Core::MonotonicTime, Core::Error&) override;
     Core::Awaitable<std::optional<Platform::ObjectChanges>> waitForChanges(std::string kind, Core::StoreRevision afterVersion, Core::MonotonicTime, Core::Error&) override;
 
