--- a/Libraries/LibForward/NodeExchange.cpp
+++ b/Libraries/LibForward/NodeExchange.cpp
@@ -151,6 +151,19 @@
     return scope == ReportScope::Deployment || (report.scope == ReportScope::Node && report.dataCentre == table.own.dataCentre);
 }
 
+// Adds the evidence on the orders that this node knows. Its own is in the sums already.
+static void addEvidence(NodeReport& sums, PeerTable const& table, NodeReport const& report, bool containsOwn)
+{
+    for (auto& rollout : sums.rollouts) {
+        auto const isSame = [&](auto const& other) { return other.order.id == rollout.order.id; };
+        auto const found = std::find_if(report.rollouts.begin(), report.rollouts.end(), isSame);
+        if (found == report.rollouts.end())
+            continue;
+        auto const own = std::find_if(table.own.rollouts.begin(), table.own.rollouts.end(), isSame);
+        Rollout::mergeEvidence(rollout.evidence, containsOwn ? Rollout::evidenceSince(found->evidence, own->evidence) : found->evidence);
+    }
+}
+
 static void addContacts(NodeReport& sums, PeerTable const& table, Core::MonotonicTime now)
 {
     // Only nodes that were heard directly, or by an aggregating node: otherwise two nodes could keep a dead one alive for each other.
@@ -205,6 +218,7 @@
             continue;
         bool const containsOwn = report.scope == ReportScope::Deployment;
         sums.nodes += report.nodes - (containsOwn && report.nodes > 0 ? 1 : 0);
+        addEvidence(sums, table, report, containsOwn);
         // A silent node keeps its demand for a while, since it may still serve clients behind a partition.
         for (auto const& [team, demand] : report.demands) {
             auto const own = table.own.demands.find(team);
--- a/Libraries/LibForward/NodeReport.capnp
+++ b/Libraries/LibForward/NodeReport.capnp
@@ -75,6 +75,46 @@
     serversEra @7 :UInt64;
 }
 
+# Cumulative counts of the responses of one group of servers on one route.
+struct RolloutCounts {
+    isCandidate @0 :Bool;
+    route @1 :Text;
+    responses @2 :UInt32;
+    failures @3 :UInt32;
+    broken @4 :UInt32;
+    # A histogram; see Rollout::timeClassOf().
+    times @5 :List(UInt32);
+}
+
+# An order to move the traffic of a service to a version, its state, and the evidence of the nodes in the scope on the version.
+struct Rollout {
+    enum State {
+        running @0;
+        completing @1;
+        completed @2;
+        rolledBack @3;
+    }
+
+    service @0 :Text;
+    to @1 :Text;
+    periodMilliseconds @2 :UInt64;
+    state @3 :State;
+    startedAtUnixMilliseconds @4 :Int64;
+    revision @5 :UInt64;
+    era @6 :UInt64;
+    foundBad @7 :Bool;
+    reason @8 :Text;
+    rejectedVersions @9 :List(Text);
+    evidence @10 :List(RolloutCounts);
+}
+
+struct Rollouts {
+    orders @0 :List(Rollout);
+    # The store revision up to which the orders have been read by any node, and its era.
+    revision @1 :UInt64;
+    era @2 :UInt64;
+}
+
 struct NodeReport {
     enum Scope {
         node @0;
@@ -129,4 +169,6 @@
     suspectRequests @27 :List(SuspectPart);
     # How much longer each of quarantined is refused; empty in reports of earlier versions.
     quarantinedMilliseconds @28 :List(UInt32);
+    # Absent in deployments without rollouts. Also in brief reports.
+    rollouts @29 :Rollouts;
 }
--- a/Libraries/LibForward/NodeReport.capnp.h
+++ b/Libraries/LibForward/NodeReport.capnp.h
@@ -25,6 +25,17 @@
 CAPNP_DECLARE_SCHEMA(be04872d23276574);
 CAPNP_DECLARE_SCHEMA(93223d1dced62d94);
 CAPNP_DECLARE_SCHEMA(8ff60be171f65749);
+CAPNP_DECLARE_SCHEMA(e96cf88e28228d0f);
+CAPNP_DECLARE_SCHEMA(f48e660d9a921ccf);
+CAPNP_DECLARE_SCHEMA(e9039c59de84bd86);
+enum class State_e9039c59de84bd86: uint16_t {
+  RUNNING,
+  COMPLETING,
+  COMPLETED,
+  ROLLED_BACK,
+};
+CAPNP_DECLARE_ENUM(State, e9039c59de84bd86);
+CAPNP_DECLARE_SCHEMA(b51640510e0004ad);
 CAPNP_DECLARE_SCHEMA(ae287fdf6ab6901d);
 CAPNP_DECLARE_SCHEMA(ed7c76fa7fab3940);
 enum class Scope_ed7c76fa7fab3940: uint16_t {
@@ -175,6 +186,53 @@
   };
 };
 
+struct RolloutCounts {
+  RolloutCounts() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(e96cf88e28228d0f, 2, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Rollout {
+  Rollout() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+  typedef ::capnp::schemas::State_e9039c59de84bd86 State;
+
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(f48e660d9a921ccf, 5, 5)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Rollouts {
+  Rollouts() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(b51640510e0004ad, 2, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct NodeReport {
   NodeReport() = delete;
 
@@ -185,7 +243,7 @@
 
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ae287fdf6ab6901d, 7, 16)
+    CAPNP_DECLARE_STRUCT_HEADER(ae287fdf6ab6901d, 7, 17)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1018,9 +1076,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class NodeReport::Reader {
+class RolloutCounts::Reader {
 public:
-  typedef NodeReport Reads;
+  typedef RolloutCounts Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1035,79 +1093,144 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasNode() const;
-  inline  ::capnp::Text::Reader getNode() const;
+  inline bool getIsCandidate() const;
 
-  inline  ::uint64_t getIncarnation() const;
+  inline bool hasRoute() const;
+  inline  ::capnp::Text::Reader getRoute() const;
 
-  inline bool hasDataCentre() const;
-  inline  ::capnp::Text::Reader getDataCentre() const;
+  inline  ::uint32_t getResponses() const;
 
-  inline bool hasEndpoint() const;
-  inline  ::capnp::Text::Reader getEndpoint() const;
+  inline  ::uint32_t getFailures() const;
 
-  inline  ::int64_t getSentAtUnixMilliseconds() const;
+  inline  ::uint32_t getBroken() const;
 
-  inline  ::uint64_t getConfigurationVersion() const;
+  inline bool hasTimes() const;
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader getTimes() const;
 
-  inline  ::uint64_t getServersRevision() const;
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
 
-  inline bool hasLoads() const;
-  inline  ::capnp::List< ::Forward::wire::ServerLoad,  ::capnp::Kind::STRUCT>::Reader getLoads() const;
+class RolloutCounts::Builder {
+public:
+  typedef RolloutCounts Builds;
 
-  inline bool hasDemands() const;
-  inline  ::capnp::List< ::Forward::wire::TeamDemand,  ::capnp::Kind::STRUCT>::Reader getDemands() const;
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
 
-  inline bool hasUsage() const;
-  inline  ::capnp::List< ::Forward::wire::UsageWindow,  ::capnp::Kind::STRUCT>::Reader getUsage() const;
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
 
-  inline bool hasPeers() const;
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getPeers() const;
+  inline bool getIsCandidate();
+  inline void setIsCandidate(bool value);
 
-  inline bool hasQuarantined() const;
-  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getQuarantined() const;
+  inline bool hasRoute();
+  inline  ::capnp::Text::Builder getRoute();
+  inline void setRoute( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initRoute(unsigned int size);
+  inline void adoptRoute(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownRoute();
 
-  inline bool getLeaving() const;
+  inline  ::uint32_t getResponses();
+  inline void setResponses( ::uint32_t value);
 
-  inline bool getHoldsDuties() const;
+  inline  ::uint32_t getFailures();
+  inline void setFailures( ::uint32_t value);
 
-  inline bool getFollowsStore() const;
+  inline  ::uint32_t getBroken();
+  inline void setBroken( ::uint32_t value);
 
-  inline  ::uint32_t getIntervalMilliseconds() const;
+  inline bool hasTimes();
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder getTimes();
+  inline void setTimes( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setTimes(::kj::ArrayPtr<const  ::uint32_t> value);
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder initTimes(unsigned int size);
+  inline void adoptTimes(::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> disownTimes();
 
-  inline bool getBrief() const;
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
 
-  inline  ::Forward::wire::NodeReport::Scope getScope() const;
+#if !CAPNP_LITE
+class RolloutCounts::Pipeline {
+public:
+  typedef RolloutCounts Pipelines;
 
-  inline  ::uint32_t getNodes() const;
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
 
-  inline float getProcessorShare() const;
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
 
-  inline bool hasAggregator() const;
-  inline  ::capnp::Text::Reader getAggregator() const;
+class Rollout::Reader {
+public:
+  typedef Rollout Reads;
 
-  inline bool hasContacts() const;
-  inline  ::capnp::List< ::Forward::wire::NodeContact,  ::capnp::Kind::STRUCT>::Reader getContacts() const;
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-  inline bool hasSilentDataCentres() const;
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getSilentDataCentres() const;
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
-  inline bool hasLoadsByKey() const;
-  inline  ::capnp::List< ::Forward::wire::ServerLoadByKey,  ::capnp::Kind::STRUCT>::Reader getLoadsByKey() const;
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
 
-  inline bool hasSuspectParts() const;
-  inline  ::capnp::List< ::Forward::wire::SuspectPart,  ::capnp::Kind::STRUCT>::Reader getSuspectParts() const;
+  inline bool hasService() const;
+  inline  ::capnp::Text::Reader getService() const;
 
-  inline  ::uint64_t getServersEra() const;
+  inline bool hasTo() const;
+  inline  ::capnp::Text::Reader getTo() const;
 
-  inline bool hasLeavingServers() const;
-  inline  ::capnp::List< ::Forward::wire::LeavingServer,  ::capnp::Kind::STRUCT>::Reader getLeavingServers() const;
+  inline  ::uint64_t getPeriodMilliseconds() const;
 
-  inline bool hasSuspectRequests() const;
-  inline  ::capnp::List< ::Forward::wire::SuspectPart,  ::capnp::Kind::STRUCT>::Reader getSuspectRequests() const;
+  inline  ::Forward::wire::Rollout::State getState() const;
 
-  inline bool hasQuarantinedMilliseconds() const;
-  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader getQuarantinedMilliseconds() const;
+  inline  ::int64_t getStartedAtUnixMilliseconds() const;
+
+  inline  ::uint64_t getRevision() const;
+
+  inline  ::uint64_t getEra() const;
+
+  inline bool getFoundBad() const;
+
+  inline bool hasReason() const;
+  inline  ::capnp::Text::Reader getReason() const;
+
+  inline bool hasRejectedVersions() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getRejectedVersions() const;
+
+  inline bool hasEvidence() const;
+  inline  ::capnp::List< ::Forward::wire::RolloutCounts,  ::capnp::Kind::STRUCT>::Reader getEvidence() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1121,9 +1244,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class NodeReport::Builder {
+class Rollout::Builder {
 public:
-  typedef NodeReport Builds;
+  typedef Rollout Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1137,87 +1260,380 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasNode();
-  inline  ::capnp::Text::Builder getNode();
-  inline void setNode( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initNode(unsigned int size);
-  inline void adoptNode(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownNode();
-
-  inline  ::uint64_t getIncarnation();
-  inline void setIncarnation( ::uint64_t value);
+  inline bool hasService();
+  inline  ::capnp::Text::Builder getService();
+  inline void setService( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initService(unsigned int size);
+  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownService();
+
+  inline bool hasTo();
+  inline  ::capnp::Text::Builder getTo();
+  inline void setTo( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initTo(unsigned int size);
+  inline void adoptTo(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownTo();
+
+  inline  ::uint64_t getPeriodMilliseconds();
+  inline void setPeriodMilliseconds( ::uint64_t value);
+
+  inline  ::Forward::wire::Rollout::State getState();
+  inline void setState( ::Forward::wire::Rollout::State value);
+
+  inline  ::int64_t getStartedAtUnixMilliseconds();
+  inline void setStartedAtUnixMilliseconds( ::int64_t value);
+
+  inline  ::uint64_t getRevision();
+  inline void setRevision( ::uint64_t value);
+
+  inline  ::uint64_t getEra();
+  inline void setEra( ::uint64_t value);
+
+  inline bool getFoundBad();
+  inline void setFoundBad(bool value);
+
+  inline bool hasReason();
+  inline  ::capnp::Text::Builder getReason();
+  inline void setReason( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initReason(unsigned int size);
+  inline void adoptReason(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownReason();
+
+  inline bool hasRejectedVersions();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getRejectedVersions();
+  inline void setRejectedVersions( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setRejectedVersions(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initRejectedVersions(unsigned int size);
+  inline void adoptRejectedVersions(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownRejectedVersions();
+
+  inline bool hasEvidence();
+  inline  ::capnp::List< ::Forward::wire::RolloutCounts,  ::capnp::Kind::STRUCT>::Builder getEvidence();
+  inline void setEvidence( ::capnp::List< ::Forward::wire::RolloutCounts,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::Forward::wire::RolloutCounts,  ::capnp::Kind::STRUCT>::Builder initEvidence(unsigned int size);
+  inline void adoptEvidence(::capnp::Orphan< ::capnp::List< ::Forward::wire::RolloutCounts,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::Forward::wire::RolloutCounts,  ::capnp::Kind::STRUCT>> disownEvidence();
 
-  inline bool hasDataCentre();
-  inline  ::capnp::Text::Builder getDataCentre();
-  inline void setDataCentre( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initDataCentre(unsigned int size);
-  inline void adoptDataCentre(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownDataCentre();
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
 
-  inline bool hasEndpoint();
-  inline  ::capnp::Text::Builder getEndpoint();
-  inline void setEndpoint( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initEndpoint(unsigned int size);
-  inline void adoptEndpoint(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownEndpoint();
+#if !CAPNP_LITE
+class Rollout::Pipeline {
+public:
+  typedef Rollout Pipelines;
 
-  inline  ::int64_t getSentAtUnixMilliseconds();
-  inline void setSentAtUnixMilliseconds( ::int64_t value);
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
 
-  inline  ::uint64_t getConfigurationVersion();
-  inline void setConfigurationVersion( ::uint64_t value);
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getServersRevision();
-  inline void setServersRevision( ::uint64_t value);
+class Rollouts::Reader {
+public:
+  typedef Rollouts Reads;
 
-  inline bool hasLoads();
-  inline  ::capnp::List< ::Forward::wire::ServerLoad,  ::capnp::Kind::STRUCT>::Builder getLoads();
-  inline void setLoads( ::capnp::List< ::Forward::wire::ServerLoad,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::Forward::wire::ServerLoad,  ::capnp::Kind::STRUCT>::Builder initLoads(unsigned int size);
-  inline void adoptLoads(::capnp::Orphan< ::capnp::List< ::Forward::wire::ServerLoad,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::Forward::wire::ServerLoad,  ::capnp::Kind::STRUCT>> disownLoads();
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-  inline bool hasDemands();
-  inline  ::capnp::List< ::Forward::wire::TeamDemand,  ::capnp::Kind::STRUCT>::Builder getDemands();
-  inline void setDemands( ::capnp::List< ::Forward::wire::TeamDemand,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::Forward::wire::TeamDemand,  ::capnp::Kind::STRUCT>::Builder initDemands(unsigned int size);
-  inline void adoptDemands(::capnp::Orphan< ::capnp::List< ::Forward::wire::TeamDemand,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::Forward::wire::TeamDemand,  ::capnp::Kind::STRUCT>> disownDemands();
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
-  inline bool hasUsage();
-  inline  ::capnp::List< ::Forward::wire::UsageWindow,  ::capnp::Kind::STRUCT>::Builder getUsage();
-  inline void setUsage( ::capnp::List< ::Forward::wire::UsageWindow,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::Forward::wire::UsageWindow,  ::capnp::Kind::STRUCT>::Builder initUsage(unsigned int size);
-  inline void adoptUsage(::capnp::Orphan< ::capnp::List< ::Forward::wire::UsageWindow,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::Forward::wire::UsageWindow,  ::capnp::Kind::STRUCT>> disownUsage();
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
 
-  inline bool hasPeers();
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getPeers();
-  inline void setPeers( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
-  inline void setPeers(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initPeers(unsigned int size);
-  inline void adoptPeers(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownPeers();
+  inline bool hasOrders() const;
+  inline  ::capnp::List< ::Forward::wire::Rollout,  ::capnp::Kind::STRUCT>::Reader getOrders() const;
 
-  inline bool hasQuarantined();
-  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getQuarantined();
-  inline void setQuarantined( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
-  inline void setQuarantined(::kj::ArrayPtr<const  ::uint64_t> value);
-  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initQuarantined(unsigned int size);
-  inline void adoptQuarantined(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownQuarantined();
+  inline  ::uint64_t getRevision() const;
 
-  inline bool getLeaving();
-  inline void setLeaving(bool value);
+  inline  ::uint64_t getEra() const;
 
-  inline bool getHoldsDuties();
-  inline void setHoldsDuties(bool value);
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
 
-  inline bool getFollowsStore();
-  inline void setFollowsStore(bool value);
+class Rollouts::Builder {
+public:
+  typedef Rollouts Builds;
 
-  inline  ::uint32_t getIntervalMilliseconds();
-  inline void setIntervalMilliseconds( ::uint32_t value);
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasOrders();
+  inline  ::capnp::List< ::Forward::wire::Rollout,  ::capnp::Kind::STRUCT>::Builder getOrders();
+  inline void setOrders( ::capnp::List< ::Forward::wire::Rollout,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::Forward::wire::Rollout,  ::capnp::Kind::STRUCT>::Builder initOrders(unsigned int size);
+  inline void adoptOrders(::capnp::Orphan< ::capnp::List< ::Forward::wire::Rollout,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::Forward::wire::Rollout,  ::capnp::Kind::STRUCT>> disownOrders();
+
+  inline  ::uint64_t getRevision();
+  inline void setRevision( ::uint64_t value);
+
+  inline  ::uint64_t getEra();
+  inline void setEra( ::uint64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Rollouts::Pipeline {
+public:
+  typedef Rollouts Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class NodeReport::Reader {
+public:
+  typedef NodeReport Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasNode() const;
+  inline  ::capnp::Text::Reader getNode() const;
+
+  inline  ::uint64_t getIncarnation() const;
+
+  inline bool hasDataCentre() const;
+  inline  ::capnp::Text::Reader getDataCentre() const;
+
+  inline bool hasEndpoint() const;
+  inline  ::capnp::Text::Reader getEndpoint() const;
+
+  inline  ::int64_t getSentAtUnixMilliseconds() const;
+
+  inline  ::uint64_t getConfigurationVersion() const;
+
+  inline  ::uint64_t getServersRevision() const;
+
+  inline bool hasLoads() const;
+  inline  ::capnp::List< ::Forward::wire::ServerLoad,  ::capnp::Kind::STRUCT>::Reader getLoads() const;
+
+  inline bool hasDemands() const;
+  inline  ::capnp::List< ::Forward::wire::TeamDemand,  ::capnp::Kind::STRUCT>::Reader getDemands() const;
+
+  inline bool hasUsage() const;
+  inline  ::capnp::List< ::Forward::wire::UsageWindow,  ::capnp::Kind::STRUCT>::Reader getUsage() const;
+
+  inline bool hasPeers() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getPeers() const;
+
+  inline bool hasQuarantined() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getQuarantined() const;
+
+  inline bool getLeaving() const;
+
+  inline bool getHoldsDuties() const;
+
+  inline bool getFollowsStore() const;
+
+  inline  ::uint32_t getIntervalMilliseconds() const;
+
+  inline bool getBrief() const;
+
+  inline  ::Forward::wire::NodeReport::Scope getScope() const;
+
+  inline  ::uint32_t getNodes() const;
+
+  inline float getProcessorShare() const;
+
+  inline bool hasAggregator() const;
+  inline  ::capnp::Text::Reader getAggregator() const;
+
+  inline bool hasContacts() const;
+  inline  ::capnp::List< ::Forward::wire::NodeContact,  ::capnp::Kind::STRUCT>::Reader getContacts() const;
+
+  inline bool hasSilentDataCentres() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getSilentDataCentres() const;
+
+  inline bool hasLoadsByKey() const;
+  inline  ::capnp::List< ::Forward::wire::ServerLoadByKey,  ::capnp::Kind::STRUCT>::Reader getLoadsByKey() const;
+
+  inline bool hasSuspectParts() const;
+  inline  ::capnp::List< ::Forward::wire::SuspectPart,  ::capnp::Kind::STRUCT>::Reader getSuspectParts() const;
+
+  inline  ::uint64_t getServersEra() const;
+
+  inline bool hasLeavingServers() const;
+  inline  ::capnp::List< ::Forward::wire::LeavingServer,  ::capnp::Kind::STRUCT>::Reader getLeavingServers() const;
+
+  inline bool hasSuspectRequests() const;
+  inline  ::capnp::List< ::Forward::wire::SuspectPart,  ::capnp::Kind::STRUCT>::Reader getSuspectRequests() const;
+
+  inline bool hasQuarantinedMilliseconds() const;
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader getQuarantinedMilliseconds() const;
+
+  inline bool hasRollouts() const;
+  inline  ::Forward::wire::Rollouts::Reader getRollouts() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class NodeReport::Builder {
+public:
+  typedef NodeReport Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasNode();
+  inline  ::capnp::Text::Builder getNode();
+  inline void setNode( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initNode(unsigned int size);
+  inline void adoptNode(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownNode();
+
+  inline  ::uint64_t getIncarnation();
+  inline void setIncarnation( ::uint64_t value);
+
+  inline bool hasDataCentre();
+  inline  ::capnp::Text::Builder getDataCentre();
+  inline void setDataCentre( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initDataCentre(unsigned int size);
+  inline void adoptDataCentre(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownDataCentre();
+
+  inline bool hasEndpoint();
+  inline  ::capnp::Text::Builder getEndpoint();
+  inline void setEndpoint( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initEndpoint(unsigned int size);
+  inline void adoptEndpoint(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownEndpoint();
+
+  inline  ::int64_t getSentAtUnixMilliseconds();
+  inline void setSentAtUnixMilliseconds( ::int64_t value);
+
+  inline  ::uint64_t getConfigurationVersion();
+  inline void setConfigurationVersion( ::uint64_t value);
+
+  inline  ::uint64_t getServersRevision();
+  inline void setServersRevision( ::uint64_t value);
+
+  inline bool hasLoads();
+  inline  ::capnp::List< ::Forward::wire::ServerLoad,  ::capnp::Kind::STRUCT>::Builder getLoads();
+  inline void setLoads( ::capnp::List< ::Forward::wire::ServerLoad,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::Forward::wire::ServerLoad,  ::capnp::Kind::STRUCT>::Builder initLoads(unsigned int size);
+  inline void adoptLoads(::capnp::Orphan< ::capnp::List< ::Forward::wire::ServerLoad,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::Forward::wire::ServerLoad,  ::capnp::Kind::STRUCT>> disownLoads();
+
+  inline bool hasDemands();
+  inline  ::capnp::List< ::Forward::wire::TeamDemand,  ::capnp::Kind::STRUCT>::Builder getDemands();
+  inline void setDemands( ::capnp::List< ::Forward::wire::TeamDemand,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::Forward::wire::TeamDemand,  ::capnp::Kind::STRUCT>::Builder initDemands(unsigned int size);
+  inline void adoptDemands(::capnp::Orphan< ::capnp::List< ::Forward::wire::TeamDemand,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::Forward::wire::TeamDemand,  ::capnp::Kind::STRUCT>> disownDemands();
+
+  inline bool hasUsage();
+  inline  ::capnp::List< ::Forward::wire::UsageWindow,  ::capnp::Kind::STRUCT>::Builder getUsage();
+  inline void setUsage( ::capnp::List< ::Forward::wire::UsageWindow,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::Forward::wire::UsageWindow,  ::capnp::Kind::STRUCT>::Builder initUsage(unsigned int size);
+  inline void adoptUsage(::capnp::Orphan< ::capnp::List< ::Forward::wire::UsageWindow,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::Forward::wire::UsageWindow,  ::capnp::Kind::STRUCT>> disownUsage();
+
+  inline bool hasPeers();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getPeers();
+  inline void setPeers( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setPeers(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initPeers(unsigned int size);
+  inline void adoptPeers(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownPeers();
+
+  inline bool hasQuarantined();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getQuarantined();
+  inline void setQuarantined( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setQuarantined(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initQuarantined(unsigned int size);
+  inline void adoptQuarantined(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownQuarantined();
+
+  inline bool getLeaving();
+  inline void setLeaving(bool value);
+
+  inline bool getHoldsDuties();
+  inline void setHoldsDuties(bool value);
+
+  inline bool getFollowsStore();
+  inline void setFollowsStore(bool value);
+
+  inline  ::uint32_t getIntervalMilliseconds();
+  inline void setIntervalMilliseconds( ::uint32_t value);
 
   inline bool getBrief();
   inline void setBrief(bool value);
@@ -1292,6 +1708,13 @@
   inline void adoptQuarantinedMilliseconds(::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> disownQuarantinedMilliseconds();
 
+  inline bool hasRollouts();
+  inline  ::Forward::wire::Rollouts::Builder getRollouts();
+  inline void setRollouts( ::Forward::wire::Rollouts::Reader value);
+  inline  ::Forward::wire::Rollouts::Builder initRollouts();
+  inline void adoptRollouts(::capnp::Orphan< ::Forward::wire::Rollouts>&& value);
+  inline ::capnp::Orphan< ::Forward::wire::Rollouts> disownRollouts();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1310,6 +1733,7 @@
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::Forward::wire::Rollouts::Pipeline getRollouts();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1656,234 +2080,682 @@
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool SuspectPart::Builder::hasOtherCrashes() {
+inline bool SuspectPart::Builder::hasOtherCrashes() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::Forward::wire::PartCrash,  ::capnp::Kind::STRUCT>::Reader SuspectPart::Reader::getOtherCrashes() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Forward::wire::PartCrash,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::Forward::wire::PartCrash,  ::capnp::Kind::STRUCT>::Builder SuspectPart::Builder::getOtherCrashes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Forward::wire::PartCrash,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void SuspectPart::Builder::setOtherCrashes( ::capnp::List< ::Forward::wire::PartCrash,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Forward::wire::PartCrash,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::Forward::wire::PartCrash,  ::capnp::Kind::STRUCT>::Builder SuspectPart::Builder::initOtherCrashes(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Forward::wire::PartCrash,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void SuspectPart::Builder::adoptOtherCrashes(
+    ::capnp::Orphan< ::capnp::List< ::Forward::wire::PartCrash,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Forward::wire::PartCrash,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::Forward::wire::PartCrash,  ::capnp::Kind::STRUCT>> SuspectPart::Builder::disownOtherCrashes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Forward::wire::PartCrash,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t LeavingServer::Reader::getServer() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t LeavingServer::Builder::getServer() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void LeavingServer::Builder::setServer( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t LeavingServer::Reader::getIncarnation() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t LeavingServer::Builder::getIncarnation() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void LeavingServer::Builder::setIncarnation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool NodeContact::Reader::hasNode() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool NodeContact::Builder::hasNode() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader NodeContact::Reader::getNode() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder NodeContact::Builder::getNode() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void NodeContact::Builder::setNode( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder NodeContact::Builder::initNode(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void NodeContact::Builder::adoptNode(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> NodeContact::Builder::disownNode() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool NodeContact::Reader::hasDataCentre() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool NodeContact::Builder::hasDataCentre() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader NodeContact::Reader::getDataCentre() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder NodeContact::Builder::getDataCentre() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void NodeContact::Builder::setDataCentre( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder NodeContact::Builder::initDataCentre(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void NodeContact::Builder::adoptDataCentre(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> NodeContact::Builder::disownDataCentre() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool NodeContact::Reader::hasEndpoint() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool NodeContact::Builder::hasEndpoint() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader NodeContact::Reader::getEndpoint() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder NodeContact::Builder::getEndpoint() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void NodeContact::Builder::setEndpoint( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder NodeContact::Builder::initEndpoint(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void NodeContact::Builder::adoptEndpoint(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> NodeContact::Builder::disownEndpoint() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline float NodeContact::Reader::getProcessorShare() const {
+  return _reader.getDataField<float>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline float NodeContact::Builder::getProcessorShare() {
+  return _builder.getDataField<float>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void NodeContact::Builder::setProcessorShare(float value) {
+  _builder.setDataField<float>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t NodeContact::Reader::getConfigurationVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t NodeContact::Builder::getConfigurationVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void NodeContact::Builder::setConfigurationVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t NodeContact::Reader::getServersRevision() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t NodeContact::Builder::getServersRevision() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void NodeContact::Builder::setServersRevision( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool NodeContact::Reader::getWatchesStore() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
+}
+
+inline bool NodeContact::Builder::getWatchesStore() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
+}
+inline void NodeContact::Builder::setWatchesStore(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t NodeContact::Reader::getServersEra() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t NodeContact::Builder::getServersEra() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void NodeContact::Builder::setServersEra( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool RolloutCounts::Reader::getIsCandidate() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline bool RolloutCounts::Builder::getIsCandidate() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void RolloutCounts::Builder::setIsCandidate(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool RolloutCounts::Reader::hasRoute() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool RolloutCounts::Builder::hasRoute() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader RolloutCounts::Reader::getRoute() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder RolloutCounts::Builder::getRoute() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void RolloutCounts::Builder::setRoute( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder RolloutCounts::Builder::initRoute(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void RolloutCounts::Builder::adoptRoute(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> RolloutCounts::Builder::disownRoute() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t RolloutCounts::Reader::getResponses() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t RolloutCounts::Builder::getResponses() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void RolloutCounts::Builder::setResponses( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t RolloutCounts::Reader::getFailures() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t RolloutCounts::Builder::getFailures() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void RolloutCounts::Builder::setFailures( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t RolloutCounts::Reader::getBroken() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t RolloutCounts::Builder::getBroken() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void RolloutCounts::Builder::setBroken( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool RolloutCounts::Reader::hasTimes() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool RolloutCounts::Builder::hasTimes() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::Forward::wire::PartCrash,  ::capnp::Kind::STRUCT>::Reader SuspectPart::Reader::getOtherCrashes() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::Forward::wire::PartCrash,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader RolloutCounts::Reader::getTimes() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::Forward::wire::PartCrash,  ::capnp::Kind::STRUCT>::Builder SuspectPart::Builder::getOtherCrashes() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::Forward::wire::PartCrash,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder RolloutCounts::Builder::getTimes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void SuspectPart::Builder::setOtherCrashes( ::capnp::List< ::Forward::wire::PartCrash,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::Forward::wire::PartCrash,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+inline void RolloutCounts::Builder::setTimes( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::Forward::wire::PartCrash,  ::capnp::Kind::STRUCT>::Builder SuspectPart::Builder::initOtherCrashes(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::Forward::wire::PartCrash,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+inline void RolloutCounts::Builder::setTimes(::kj::ArrayPtr<const  ::uint32_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder RolloutCounts::Builder::initTimes(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void SuspectPart::Builder::adoptOtherCrashes(
-    ::capnp::Orphan< ::capnp::List< ::Forward::wire::PartCrash,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::Forward::wire::PartCrash,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+inline void RolloutCounts::Builder::adoptTimes(
+    ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::Forward::wire::PartCrash,  ::capnp::Kind::STRUCT>> SuspectPart::Builder::disownOtherCrashes() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::Forward::wire::PartCrash,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> RolloutCounts::Builder::disownTimes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t LeavingServer::Reader::getServer() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t LeavingServer::Builder::getServer() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void LeavingServer::Builder::setServer( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::uint64_t LeavingServer::Reader::getIncarnation() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t LeavingServer::Builder::getIncarnation() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-inline void LeavingServer::Builder::setIncarnation( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool NodeContact::Reader::hasNode() const {
+inline bool Rollout::Reader::hasService() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool NodeContact::Builder::hasNode() {
+inline bool Rollout::Builder::hasService() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader NodeContact::Reader::getNode() const {
+inline  ::capnp::Text::Reader Rollout::Reader::getService() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder NodeContact::Builder::getNode() {
+inline  ::capnp::Text::Builder Rollout::Builder::getService() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void NodeContact::Builder::setNode( ::capnp::Text::Reader value) {
+inline void Rollout::Builder::setService( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder NodeContact::Builder::initNode(unsigned int size) {
+inline  ::capnp::Text::Builder Rollout::Builder::initService(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void NodeContact::Builder::adoptNode(
+inline void Rollout::Builder::adoptService(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> NodeContact::Builder::disownNode() {
+inline ::capnp::Orphan< ::capnp::Text> Rollout::Builder::disownService() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool NodeContact::Reader::hasDataCentre() const {
+inline bool Rollout::Reader::hasTo() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool NodeContact::Builder::hasDataCentre() {
+inline bool Rollout::Builder::hasTo() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader NodeContact::Reader::getDataCentre() const {
+inline  ::capnp::Text::Reader Rollout::Reader::getTo() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder NodeContact::Builder::getDataCentre() {
+inline  ::capnp::Text::Builder Rollout::Builder::getTo() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void NodeContact::Builder::setDataCentre( ::capnp::Text::Reader value) {
+inline void Rollout::Builder::setTo( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder NodeContact::Builder::initDataCentre(unsigned int size) {
+inline  ::capnp::Text::Builder Rollout::Builder::initTo(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void NodeContact::Builder::adoptDataCentre(
+inline void Rollout::Builder::adoptTo(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> NodeContact::Builder::disownDataCentre() {
+inline ::capnp::Orphan< ::capnp::Text> Rollout::Builder::disownTo() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool NodeContact::Reader::hasEndpoint() const {
+inline  ::uint64_t Rollout::Reader::getPeriodMilliseconds() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Rollout::Builder::getPeriodMilliseconds() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Rollout::Builder::setPeriodMilliseconds( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::Forward::wire::Rollout::State Rollout::Reader::getState() const {
+  return _reader.getDataField< ::Forward::wire::Rollout::State>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::Forward::wire::Rollout::State Rollout::Builder::getState() {
+  return _builder.getDataField< ::Forward::wire::Rollout::State>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void Rollout::Builder::setState( ::Forward::wire::Rollout::State value) {
+  _builder.setDataField< ::Forward::wire::Rollout::State>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t Rollout::Reader::getStartedAtUnixMilliseconds() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t Rollout::Builder::getStartedAtUnixMilliseconds() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void Rollout::Builder::setStartedAtUnixMilliseconds( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Rollout::Reader::getRevision() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Rollout::Builder::getRevision() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void Rollout::Builder::setRevision( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Rollout::Reader::getEra() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Rollout::Builder::getEra() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void Rollout::Builder::setEra( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Rollout::Reader::getFoundBad() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<80>() * ::capnp::ELEMENTS);
+}
+
+inline bool Rollout::Builder::getFoundBad() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<80>() * ::capnp::ELEMENTS);
+}
+inline void Rollout::Builder::setFoundBad(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<80>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Rollout::Reader::hasReason() const {
   return !_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool NodeContact::Builder::hasEndpoint() {
+inline bool Rollout::Builder::hasReason() {
   return !_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader NodeContact::Reader::getEndpoint() const {
+inline  ::capnp::Text::Reader Rollout::Reader::getReason() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder NodeContact::Builder::getEndpoint() {
+inline  ::capnp::Text::Builder Rollout::Builder::getReason() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void NodeContact::Builder::setEndpoint( ::capnp::Text::Reader value) {
+inline void Rollout::Builder::setReason( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder NodeContact::Builder::initEndpoint(unsigned int size) {
+inline  ::capnp::Text::Builder Rollout::Builder::initReason(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void NodeContact::Builder::adoptEndpoint(
+inline void Rollout::Builder::adoptReason(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> NodeContact::Builder::disownEndpoint() {
+inline ::capnp::Orphan< ::capnp::Text> Rollout::Builder::disownReason() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline float NodeContact::Reader::getProcessorShare() const {
-  return _reader.getDataField<float>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool Rollout::Reader::hasRejectedVersions() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-
-inline float NodeContact::Builder::getProcessorShare() {
-  return _builder.getDataField<float>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool Rollout::Builder::hasRejectedVersions() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline void NodeContact::Builder::setProcessorShare(float value) {
-  _builder.setDataField<float>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader Rollout::Reader::getRejectedVersions() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-
-inline  ::uint64_t NodeContact::Reader::getConfigurationVersion() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Rollout::Builder::getRejectedVersions() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-
-inline  ::uint64_t NodeContact::Builder::getConfigurationVersion() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline void Rollout::Builder::setRejectedVersions( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
 }
-inline void NodeContact::Builder::setConfigurationVersion( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline void Rollout::Builder::setRejectedVersions(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Rollout::Builder::initRejectedVersions(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void Rollout::Builder::adoptRejectedVersions(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> Rollout::Builder::disownRejectedVersions() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t NodeContact::Reader::getServersRevision() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline bool Rollout::Reader::hasEvidence() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool Rollout::Builder::hasEvidence() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::Forward::wire::RolloutCounts,  ::capnp::Kind::STRUCT>::Reader Rollout::Reader::getEvidence() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Forward::wire::RolloutCounts,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::Forward::wire::RolloutCounts,  ::capnp::Kind::STRUCT>::Builder Rollout::Builder::getEvidence() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Forward::wire::RolloutCounts,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void Rollout::Builder::setEvidence( ::capnp::List< ::Forward::wire::RolloutCounts,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Forward::wire::RolloutCounts,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::Forward::wire::RolloutCounts,  ::capnp::Kind::STRUCT>::Builder Rollout::Builder::initEvidence(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Forward::wire::RolloutCounts,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+}
+inline void Rollout::Builder::adoptEvidence(
+    ::capnp::Orphan< ::capnp::List< ::Forward::wire::RolloutCounts,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Forward::wire::RolloutCounts,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::Forward::wire::RolloutCounts,  ::capnp::Kind::STRUCT>> Rollout::Builder::disownEvidence() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Forward::wire::RolloutCounts,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t NodeContact::Builder::getServersRevision() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline bool Rollouts::Reader::hasOrders() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline void NodeContact::Builder::setServersRevision( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline bool Rollouts::Builder::hasOrders() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::Forward::wire::Rollout,  ::capnp::Kind::STRUCT>::Reader Rollouts::Reader::getOrders() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Forward::wire::Rollout,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::Forward::wire::Rollout,  ::capnp::Kind::STRUCT>::Builder Rollouts::Builder::getOrders() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Forward::wire::Rollout,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Rollouts::Builder::setOrders( ::capnp::List< ::Forward::wire::Rollout,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Forward::wire::Rollout,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::Forward::wire::Rollout,  ::capnp::Kind::STRUCT>::Builder Rollouts::Builder::initOrders(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Forward::wire::Rollout,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Rollouts::Builder::adoptOrders(
+    ::capnp::Orphan< ::capnp::List< ::Forward::wire::Rollout,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Forward::wire::Rollout,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::Forward::wire::Rollout,  ::capnp::Kind::STRUCT>> Rollouts::Builder::disownOrders() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Forward::wire::Rollout,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool NodeContact::Reader::getWatchesStore() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
+inline  ::uint64_t Rollouts::Reader::getRevision() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline bool NodeContact::Builder::getWatchesStore() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
+inline  ::uint64_t Rollouts::Builder::getRevision() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void NodeContact::Builder::setWatchesStore(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<32>() * ::capnp::ELEMENTS, value);
+inline void Rollouts::Builder::setRevision( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t NodeContact::Reader::getServersEra() const {
+inline  ::uint64_t Rollouts::Reader::getEra() const {
   return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t NodeContact::Builder::getServersEra() {
+inline  ::uint64_t Rollouts::Builder::getEra() {
   return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void NodeContact::Builder::setServersEra( ::uint64_t value) {
+inline void Rollouts::Builder::setEra( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool NodeReport::Reader::hasNode() const {
@@ -2628,6 +3500,45 @@
       ::capnp::bounded<15>() * ::capnp::POINTERS));
 }
 
+inline bool NodeReport::Reader::hasRollouts() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<16>() * ::capnp::POINTERS).isNull();
+}
+inline bool NodeReport::Builder::hasRollouts() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<16>() * ::capnp::POINTERS).isNull();
+}
+inline  ::Forward::wire::Rollouts::Reader NodeReport::Reader::getRollouts() const {
+  return ::capnp::_::PointerHelpers< ::Forward::wire::Rollouts>::get(_reader.getPointerField(
+      ::capnp::bounded<16>() * ::capnp::POINTERS));
+}
+inline  ::Forward::wire::Rollouts::Builder NodeReport::Builder::getRollouts() {
+  return ::capnp::_::PointerHelpers< ::Forward::wire::Rollouts>::get(_builder.getPointerField(
+      ::capnp::bounded<16>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::Forward::wire::Rollouts::Pipeline NodeReport::Pipeline::getRollouts() {
+  return  ::Forward::wire::Rollouts::Pipeline(_typeless.getPointerField(16));
+}
+#endif  // !CAPNP_LITE
+inline void NodeReport::Builder::setRollouts( ::Forward::wire::Rollouts::Reader value) {
+  ::capnp::_::PointerHelpers< ::Forward::wire::Rollouts>::set(_builder.getPointerField(
+      ::capnp::bounded<16>() * ::capnp::POINTERS), value);
+}
+inline  ::Forward::wire::Rollouts::Builder NodeReport::Builder::initRollouts() {
+  return ::capnp::_::PointerHelpers< ::Forward::wire::Rollouts>::init(_builder.getPointerField(
+      ::capnp::bounded<16>() * ::capnp::POINTERS));
+}
+inline void NodeReport::Builder::adoptRollouts(
+    ::capnp::Orphan< ::Forward::wire::Rollouts>&& value) {
+  ::capnp::_::PointerHelpers< ::Forward::wire::Rollouts>::adopt(_builder.getPointerField(
+      ::capnp::bounded<16>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::Forward::wire::Rollouts> NodeReport::Builder::disownRollouts() {
+  return ::capnp::_::PointerHelpers< ::Forward::wire::Rollouts>::disown(_builder.getPointerField(
+      ::capnp::bounded<16>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 
--- a/Libraries/LibForward/NodeReport.cpp
+++ b/Libraries/LibForward/NodeReport.cpp
@@ -116,6 +116,65 @@
     }
 }
 
+static void encodeRollout(RolloutReport const& rollout, wire::Rollout::Builder item)
+{
+    auto const& order = rollout.order;
+    item.setService(order.id.service);
+    item.setTo(order.id.to);
+    item.setPeriodMilliseconds(static_cast<std::uint64_t>(order.id.period.count()));
+    item.setState(static_cast<wire::Rollout::State>(order.state));
+    item.setStartedAtUnixMilliseconds(order.startedAt);
+    item.setRevision(order.revision.number);
+    item.setEra(order.revision.era);
+    item.setFoundBad(order.isFoundBad);
+    item.setReason(order.reason);
+    auto rejected = item.initRejectedVersions(static_cast<unsigned>(order.rejectedVersions.size()));
+    for (unsigned i = 0; i < rejected.size(); ++i)
+        rejected.set(i, order.rejectedVersions[i]);
+    auto evidence = item.initEvidence(static_cast<unsigned>(rollout.evidence.size()));
+    unsigned index = 0;
+    for (auto const& [key, counts] : rollout.evidence) {
+        auto entry = evidence[index++];
+        entry.setIsCandidate(key.first == Rollout::Group::Candidate);
+        entry.setRoute(key.second);
+        entry.setResponses(counts.responses);
+        entry.setFailures(counts.failures);
+        entry.setBroken(counts.broken);
+        auto times = entry.initTimes(Rollout::timeClasses);
+        for (unsigned i = 0; i < times.size(); ++i)
+            times.set(i, counts.times[i]);
+    }
+}
+
+// Returns an empty optional for a state that this version does not know.
+static std::optional<RolloutReport> rolloutFrom(wire::Rollout::Reader item)
+{
+    // The longest period that an order may have is far below.
+    static constexpr std::uint64_t maximumPeriodMilliseconds = std::uint64_t(1) << 40;
+    if (item.getState() > wire::Rollout::State::ROLLED_BACK || item.getPeriodMilliseconds() > maximumPeriodMilliseconds)
+        return std::nullopt;
+    RolloutReport rollout;
+    auto& order = rollout.order;
+    order.id = { item.getService(), item.getTo(), std::chrono::milliseconds(item.getPeriodMilliseconds()) };
+    order.state = static_cast<Rollout::State>(item.getState());
+    order.startedAt = item.getStartedAtUnixMilliseconds();
+    order.revision = { item.getEra(), item.getRevision() };
+    order.isFoundBad = item.getFoundBad();
+    order.reason = item.getReason();
+    for (auto const version : item.getRejectedVersions())
+        order.rejectedVersions.emplace_back(version);
+    for (auto const entry : item.getEvidence()) {
+        auto& counts = rollout.evidence[{ entry.getIsCandidate() ? Rollout::Group::Candidate : Rollout::Group::Incumbent, std::string(entry.getRoute()) }];
+        counts.responses = entry.getResponses();
+        counts.failures = entry.getFailures();
+        counts.broken = entry.getBroken();
+        auto const times = entry.getTimes();
+        for (unsigned i = 0; i < std::min<unsigned>(times.size(), Rollout::timeClasses); ++i)
+            counts.times[i] = times[i];
+    }
+    return rollout;
+}
+
 std::string encodeReport(NodeReport const& report)
 {
     capnp::MallocMessageBuilder message;
@@ -169,6 +228,15 @@
         leaving[i].setServer(report.leavingServers[i].server);
         leaving[i].setIncarnation(report.leavingServers[i].incarnation);
     }
+    // An absent structure takes no bytes.
+    if (!report.rollouts.empty() || report.rolloutsRevision != Core::StoreRevision {}) {
+        auto rollouts = root.initRollouts();
+        rollouts.setRevision(report.rolloutsRevision.number);
+        rollouts.setEra(report.rolloutsRevision.era);
+        auto orders = rollouts.initOrders(static_cast<unsigned>(report.rollouts.size()));
+        for (unsigned i = 0; i < orders.size(); ++i)
+            encodeRollout(report.rollouts[i], orders[i]);
+    }
     root.setScope(static_cast<wire::NodeReport::Scope>(report.scope));
     root.setNodes(report.nodes);
     root.setProcessorShare(report.processorShare);
@@ -222,6 +290,11 @@
     report.suspectRequests = suspectsFrom(root.getSuspectRequests());
     for (auto const server : root.getLeavingServers())
         report.leavingServers.push_back({ server.getServer(), server.getIncarnation() });
+    for (auto const item : root.getRollouts().getOrders()) {
+        if (auto rollout = rolloutFrom(item))
+            report.rollouts.push_back(std::move(*rollout));
+    }
+    report.rolloutsRevision = { root.getRollouts().getEra(), root.getRollouts().getRevision() };
     // A newer sender may use a scope that this version does not know.
     if (root.getScope() > wire::NodeReport::Scope::DEPLOYMENT)
         return {};
@@ -241,9 +314,11 @@
 {
     static constexpr std::int64_t maximumUnixMilliseconds = std::int64_t(1) << 53;
     static constexpr std::uint32_t maximumNodes = 100'000;
+    auto const isTime = [](std::int64_t milliseconds) { return milliseconds >= -maximumUnixMilliseconds && milliseconds <= maximumUnixMilliseconds; };
     auto const isQuantity = [](float value) { return std::isfinite(value) && value >= 0; };
-    bool const isSenderInRange = report.sentAtUnixMilliseconds >= -maximumUnixMilliseconds && report.sentAtUnixMilliseconds <= maximumUnixMilliseconds && report.nodes <= maximumNodes && isQuantity(report.processorShare);
+    bool const isSenderInRange = isTime(report.sentAtUnixMilliseconds) && report.nodes <= maximumNodes && isQuantity(report.processorShare);
     return isSenderInRange
+        && std::all_of(report.rollouts.begin(), report.rollouts.end(), [&](auto const& rollout) { return isTime(rollout.order.startedAt); })
         && std::all_of(report.demands.begin(), report.demands.end(), [&](auto const& item) { return isQuantity(item.second.perSecond) && std::isfinite(item.second.admitted); })
         && std::all_of(report.contacts.begin(), report.contacts.end(), [&](auto const& contact) { return isQuantity(contact.processorShare); });
 }
--- a/Libraries/LibForward/NodeReport.h
+++ b/Libraries/LibForward/NodeReport.h
@@ -2,6 +2,7 @@
 
 #include <LibCore/StoreRevision.h>
 #include <LibForward/UsageTable.h>
+#include <LibRollout/RolloutTable.h>
 #include <chrono>
 #include <cstdint>
 #include <map>
@@ -78,6 +79,14 @@
     bool operator==(LeavingServer const&) const = default;
 };
 
+/// An order to move the traffic of a service to a version, with its state, and the evidence of the nodes in the scope on the version.
+struct RolloutReport {
+    Rollout::Order order;
+    Rollout::Evidence evidence;
+
+    bool operator==(RolloutReport const&) const = default;
+};
+
 /// The state that nodes send to each other a few times a second.
 struct NodeReport {
     /// The sender.
@@ -106,6 +115,10 @@
     std::vector<SuspectPartReport> suspectRequests;
     /// Servers whose entries do not say yet that they are leaving, known from their responses or from other nodes. Also in brief reports.
     std::vector<LeavingServer> leavingServers;
+    /// Also in brief reports, since a version that one node finds bad must get no request from any.
+    std::vector<RolloutReport> rollouts;
+    /// The store revision up to which the orders of rollouts have been read by any node.
+    Core::StoreRevision rolloutsRevision;
     bool isLeaving { false };
     /// Whether a node in the scope holds the lease for the duties that only one node performs at a time.
     bool holdsDuties { false };
--- a/Libraries/LibForward/PeerTable.h
+++ b/Libraries/LibForward/PeerTable.h
@@ -172,6 +172,10 @@
 /// Returns the requests in progress at a server over all other live nodes, by serverKey().
 [[nodiscard]] std::uint32_t peerLoad(PeerTable const&, std::uint32_t server, Core::MonotonicTime now);
 
+/// Returns the evidence on an order over all nodes: this node's, and that of the others as last reported. Silent nodes count as well, since the
+/// counts only grow.
+[[nodiscard]] Rollout::Evidence summedEvidence(PeerTable const&, Rollout::OrderId const&, Rollout::Evidence own);
+
 /// Returns the median offset of all live nodes' wall clocks from this node's, so that jumps of single clocks have no effect.
 [[nodiscard]] std::chrono::milliseconds medianClockOffset(PeerTable const&, Core::MonotonicTime now);
 
