Edge: Evaluate versions and follow rollout orders

The forwarder chose among all servers of a service alike, and nothing read the orders. The forwarder now chooses the version group for each attempt and records the response; each node sums the evidence at each tick and stops a bad version on its own; RolloutRunner reads the orders and writes their status on the holder of the duties.

A fallback of paused incumbents to the candidate was ruled out, since under load it would exceed the share.

Without a share in the settings nothing changes.

--- a/Libraries/LibRollout/RolloutTable.cpp
+++ b/Libraries/LibRollout/RolloutTable.cpp
@@ -42,7 +42,7 @@
         versions.erase(versions.begin());
 }
 
-static Order succeedOrder(Order const& before, Order next)
+Order succeedOrder(Order const& before, Order next)
 {
     for (auto const& version : before.rejectedVersions)
         addRejected(next.rejectedVersions, version);
@@ -70,10 +70,10 @@
         row.order.isFoundBad = order.isFoundBad || order.state == State::RolledBack;
         return true;
     }
-    // A restored store may lack a final state; the holder of the duties writes it again.
-    bool const losesFinalState = isFinal(before.state) && !isFinal(order.state);
+    // A restored store may lack a final state, and the store never has all states; the holder of the duties writes a final one again.
+    bool const losesState = order.state < before.state && !isFinal(order.state);
     bool const isNewer = std::pair(order.revision, order.state) > std::pair(before.revision, before.state);
-    if (isNewer && !losesFinalState) {
+    if (isNewer && !losesState) {
         auto rejected = before.rejectedVersions;
         row.order = order;
         for (auto const& version : rejected)
@@ -82,7 +82,8 @@
         row.order.revision = order.revision;
     }
     row.order.isFoundBad = before.isFoundBad || order.isFoundBad || row.order.state == State::RolledBack;
-    if (row.order.isFoundBad && row.order.reason.empty())
+    // The reason may be that of a good verdict before.
+    if (order.isFoundBad && (!before.isFoundBad || row.order.reason.empty()))
         row.order.reason = order.reason;
     if (isFinal(row.order.state)) {
         row.own.clear();
--- a/Libraries/LibRollout/RolloutTable.h
+++ b/Libraries/LibRollout/RolloutTable.h
@@ -88,6 +88,9 @@
     bool operator==(RolloutTable const&) const = default;
 };
 
+/// Returns an order as it is when it replaces another one of its service: the version of one that was not completed is rejected.
+[[nodiscard]] Order succeedOrder(Order const& before, Order next);
+
 /// Takes over the state of an order if it is newer than the known one of its service: by store revision, era first, then by progress. That the
 /// candidate was found bad is kept. Versions of orders that are replaced before they were completed become rejected. Returns whether
 /// the known state changed.
--- a/Libraries/LibRollout/StoredOrder.h
+++ b/Libraries/LibRollout/StoredOrder.h
@@ -3,6 +3,7 @@
 #include <LibCore/ErrorKind.h>
 #include <LibPlatform/ObjectStore.h>
 #include <LibRollout/RolloutTable.h>
+#include <LibRouting/ServerTable.h>
 #include <optional>
 #include <string>
 #include <vector>
@@ -46,17 +47,15 @@
     [[nodiscard]] virtual std::string encodeStatus(Order const&) const = 0;
 };
 
-/// What the reader of an order knows beside the table.
-struct OrderContext {
-    std::int64_t unixMilliseconds { 0 };
-    /// Whether all servers of the service run the version already, as far as they are not of rejected versions.
-    bool isServedAlready { false };
-};
-
 /// Returns the state of an order that was read from the store, for mergeState(). A missing status, or one of another order, means a new order,
 /// unless the known order is the same one: then the store was restored from a copy without it, or the status is not written yet. A
-/// version that a known order rejected stays so when a restored store brings back an earlier order. Thread safe.
-[[nodiscard]] Order adoptOrder(RolloutTable const&, StoredOrder const&, OrderContext const&);
+/// version that a known order rejected stays so when a restored store brings back an earlier order. An order whose version all servers run,
+/// but for those of rejected versions, is completed without an evaluation. Thread safe.
+[[nodiscard]] Order adoptOrder(RolloutTable const&, StoredOrder const&, Routing::ServerTable const&, std::int64_t unixMilliseconds);
+
+/// Whether an order takes effect. One with a fault does only if it names a version that registered after it, which then gets no request: an order
+/// with a wrong name must not stop the version that serves. Thread safe.
+[[nodiscard]] bool mayTakeEffect(RolloutTable const&, StoredOrder const&, std::string const& objectName);
 
 /// Whether the status in the store lacks what is known of an order. Thread safe.
 [[nodiscard]] bool needsStatusWrite(Order const& known, StoredOrder const&);
--- a/Libraries/LibRollout/Verdict.cpp
+++ b/Libraries/LibRollout/Verdict.cpp
@@ -201,7 +201,7 @@
     // From here on, half of the period need not be covered, for servers that started late.
     static constexpr double lateFrom = 0.85;
     // Leaves time for the write before the deadline.
-    static constexpr double endsAt = 0.92;
+    static constexpr double endsAt = 0.9;
     if (auto fault = findFault(observation); !fault.empty())
         return { Verdict::Bad, std::move(fault) };
     auto const fractionOf = [&](Core::Duration time) { return std::chrono::duration<double>(time) / std::chrono::duration<double>(observation.period); };
--- a/Services/Edge/DutyRunner.cpp
+++ b/Services/Edge/DutyRunner.cpp
@@ -19,7 +19,7 @@
 
 static Platform::ObjectKey const usageRecordKey { "usagereports", "recorded" };
 
-DutyRunner::DutyRunner(Core::Runtime& runtime, Platform::ObjectStore& store, Forward::DutyApi& dutyApi, EdgeTables& tables, EdgeSettings const& settings, Core::Random& random, Core::Metrics& metrics)
+DutyRunner::DutyRunner(Core::Runtime& runtime, Platform::ObjectStore& store, Forward::DutyApi* dutyApi, EdgeTables& tables, EdgeSettings const& settings, Core::Random& random, Core::Metrics& metrics)
     : m_runtime(runtime)
     , m_store(store)
     , m_dutyApi(dutyApi)
@@ -60,7 +60,7 @@
     while (!m_stopping) {
         co_await maintainLease();
         observeDemands();
-        if (currentCredentials()) {
+        if (m_dutyApi && currentCredentials()) {
             if (m_settings.reportsUsage)
                 co_await reportUsage();
             if (m_settings.ordersServers)
@@ -103,6 +103,13 @@
     return Forward::LeaseCredentials { m_settings.nodeId, *epoch };
 }
 
+std::optional<Core::MonotonicTime> DutyRunner::callDeadline(Core::Duration timeout)
+{
+    if (!currentCredentials())
+        return std::nullopt;
+    return m_lease.callDeadline(timeout);
+}
+
 Core::Awaitable<void> DutyRunner::maintainLease()
 {
     auto const now = m_runtime.now();
@@ -213,7 +220,7 @@
         if (!credentials)
             co_return;
         auto const decided = m_usageLedger.decided.at(window);
-        bool const isAccepted = co_await m_dutyApi.reportUsage(*credentials, window, decided, m_lease.callDeadline(callTimeout), error);
+        bool const isAccepted = co_await m_dutyApi->reportUsage(*credentials, window, decided, m_lease.callDeadline(callTimeout), error);
         Core::logEvent(isAccepted ? Core::LogLevel::Info : Core::LogLevel::Warning, "usage_reported", { { "window", std::int64_t(window) }, { "teams", std::uint64_t(decided.size()) }, { "epoch", std::uint64_t(credentials->token) }, { "accepted", isAccepted ? "yes" : "no" }, { "reason", isAccepted ? std::string() : error.message } });
         if (!isAccepted)
             co_return;
@@ -255,7 +262,7 @@
             if (!credentials)
                 co_return;
             Core::Error error;
-            bool const isAccepted = co_await m_dutyApi.orderServers(*credentials, order, m_lease.callDeadline(callTimeout), error);
+            bool const isAccepted = co_await m_dutyApi->orderServers(*credentials, order, m_lease.callDeadline(callTimeout), error);
             Forward::recordOrder(m_orderTable, order, isAccepted, m_runtime.now());
             Core::logEvent(Core::LogLevel::Info, "servers_ordered", { { "service", order.service }, { "data_centre", order.dataCentre }, { "reclaimable", order.reclaimable ? "yes" : "no" }, { "desired", order.desired }, { "accepted", isAccepted ? "yes" : "no" }, { "reason", isAccepted ? std::string() : error.message } });
         }
--- a/Services/Edge/DutyRunner.h
+++ b/Services/Edge/DutyRunner.h
@@ -15,8 +15,8 @@
 /// runtime's thread only.
 class DutyRunner {
 public:
-    /// Precondition: all references outlive the runner, which outlives its tasks.
-    DutyRunner(Core::Runtime&, Platform::ObjectStore&, Forward::DutyApi&, EdgeTables&, EdgeSettings const&, Core::Random&, Core::Metrics&);
+    /// Without an API, it only holds the lease. Precondition: all references outlive the runner, which outlives its tasks.
+    DutyRunner(Core::Runtime&, Platform::ObjectStore&, Forward::DutyApi*, EdgeTables&, EdgeSettings const&, Core::Random&, Core::Metrics&);
 
     void start();
 
@@ -24,6 +24,9 @@
     /// call that takes longer keeps the lease from being released.
     [[nodiscard]] Core::Awaitable<void> stop();
 
+    /// Returns the deadline of a call that only the holder may make now; an empty optional if this node is not the holder or will soon not be.
+    [[nodiscard]] std::optional<Core::MonotonicTime> callDeadline(Core::Duration timeout);
+
     [[nodiscard]] bool holdsDuties() const { return m_lease.epoch().has_value(); }
 
 private:
@@ -40,7 +43,7 @@
 
     Core::Runtime& m_runtime;
     Platform::ObjectStore& m_store;
-    Forward::DutyApi& m_dutyApi;
+    Forward::DutyApi* m_dutyApi;
     EdgeTables& m_tables;
     EdgeSettings const& m_settings;
     Core::Random& m_random;
--- a/Services/Edge/EdgeCommand.cpp
+++ b/Services/Edge/EdgeCommand.cpp
@@ -8,6 +8,7 @@
 #include <gflags/gflags_declare.h>
 #include <platform/DutyClient.h>
 #include <platform/HeaderCodec.h>
+#include <platform/RolloutCodec.h>
 #include <platform/StoreClient.h>
 #include <platform/StoreCodec.h>
 #include <platform/WireNames.h>
@@ -110,11 +111,12 @@
     HTTP::Client platformClient(runtime, HTTP::ClientLimits { .connectTimeout = storeConnectTimeout, .idleTimeout = 5s, .unacknowledgedTimeout = 2s });
     PlatformAdapter::HeaderCodec const requestCodec;
     PlatformAdapter::StoreCodec const objectCodec;
+    PlatformAdapter::RolloutCodec const rolloutCodec;
     PlatformAdapter::StoreClient store(runtime, platformClient, settings.platform);
     std::optional<PlatformAdapter::DutyClient> dutyClient;
     if (settings.cloud && (settings.reportsUsage || settings.ordersServers))
         dutyClient.emplace(platformClient, *settings.cloud);
-    EdgeService service(runtime, settings, { requestCodec, objectCodec, store, dutyClient ? &*dutyClient : nullptr, std::string(PlatformAdapter::readyPath) });
+    EdgeService service(runtime, settings, { requestCodec, objectCodec, store, dutyClient ? &*dutyClient : nullptr, std::string(PlatformAdapter::readyPath), &rolloutCodec });
     SettingsWatcher watcher(runtime, service, argc, argv);
     boost::asio::signal_set signals(context, SIGTERM, SIGINT, SIGHUP);
     Core::Error error;
--- a/Services/Edge/EdgeService.cpp
+++ b/Services/Edge/EdgeService.cpp
@@ -1,5 +1,6 @@
 #include <Edge/EdgeService.h>
 
+#include <Edge/RolloutState.h>
 #include <LibCore/Log.h>
 #include <algorithm>
 #include <unistd.h>
@@ -60,8 +61,13 @@
 {
     m_tables.quotas.initialQuota = m_settings.isFirstStart ? Forward::InitialQuota::Full : Forward::InitialQuota::Empty;
     m_tables.quotas.startedAt = runtime.now();
-    if (m_platform.dutyApi)
-        m_dutyRunner = std::make_unique<DutyRunner>(runtime, m_platform.store, *m_platform.dutyApi, m_tables, m_settings, m_random, m_metrics);
+    if (!m_platform.rolloutCodec)
+        m_settings.rolloutShare = 0;
+    bool const hasRollouts = m_settings.rolloutShare > 0;
+    if (m_platform.dutyApi || hasRollouts)
+        m_dutyRunner = std::make_unique<DutyRunner>(runtime, m_platform.store, m_platform.dutyApi, m_tables, m_settings, m_random, m_metrics);
+    if (hasRollouts)
+        m_rolloutRunner = std::make_unique<RolloutRunner>(RolloutRunner::Dependencies { runtime, m_platform.store, *m_platform.rolloutCodec, m_tables, m_settings, *m_dutyRunner, m_random, m_metrics });
 }
 
 EdgeService::~EdgeService() = default;
@@ -87,6 +93,10 @@
     m_storeWatcher.start();
     if (m_dutyRunner)
         m_dutyRunner->start();
+    if (m_rolloutRunner) {
+        m_rolloutRunner->onChange([this] { m_peerExchange.broadcastReport(); });
+        m_rolloutRunner->start();
+    }
     m_runtime.spawn(runTicks());
     Core::logEvent(Core::LogLevel::Info, "started", { { "data_centre", m_settings.dataCentre }, { "clients", m_settings.clientListen.toString() }, { "incarnation", std::uint64_t(m_incarnation) } });
     return true;
@@ -102,6 +112,9 @@
     settings.peerHttpListen = m_settings.peerHttpListen;
     settings.metricsListen = m_settings.metricsListen;
     settings.nodeId = m_settings.nodeId;
+    // What a node must know before it may evaluate a version is only read from its start on.
+    if (!m_rolloutRunner)
+        settings.rolloutShare = 0;
     m_settings = std::move(settings);
 }
 
@@ -140,8 +153,15 @@
     (void)co_await writer.send(std::move(response));
 }
 
-Core::Awaitable<void> EdgeService::handleMetricsRequest(HTTP::Request const&, HTTP::ResponseWriter& writer)
+Core::Awaitable<void> EdgeService::handleMetricsRequest(HTTP::Request const& request, HTTP::ResponseWriter& writer)
 {
+    if (request.path() == rolloutsPath) {
+        HTTP::Response response;
+        response.headers.add("Content-Type", "application/json");
+        response.body = describeRollouts(m_tables, m_runtime.now());
+        (void)co_await writer.send(std::move(response));
+        co_return;
+    }
     auto const traffic = m_backendClient.traffic();
     m_metrics.gauge("hyssopstep_requests_in_progress").set(static_cast<double>(m_forwarder.requestsInProgress()));
     m_metrics.gauge("hyssopstep_server_requests").set(static_cast<double>(traffic.requests));
@@ -215,6 +235,8 @@
     report.watchesStore = m_storeWatcher.isWatchingStore();
     report.interval = Forward::spreadInterval(m_tables.peers);
     report.processorShare = static_cast<float>(m_settings.processorShare);
+    if (m_rolloutRunner)
+        reportRollouts(m_tables, report);
     report.holdsDuties = m_dutyRunner && m_dutyRunner->holdsDuties();
     return report;
 }
@@ -224,6 +246,8 @@
     auto const now = m_runtime.now();
     m_peerExchange.tick();
     m_storeWatcher.tick();
+    if (m_rolloutRunner)
+        m_rolloutRunner->tick();
     std::map<std::string, bool> suspected;
     for (auto& row : m_tables.servers.rows) {
         row.peerOutstanding = Forward::peerLoad(m_tables.peers, Forward::serverKey(row.id), now);
@@ -287,6 +311,8 @@
 {
     m_clientServer.closeAfterResponses();
     m_peerExchange.broadcastReport();
+    if (m_rolloutRunner)
+        co_await m_rolloutRunner->stop();
     if (m_dutyRunner)
         co_await m_dutyRunner->stop();
     co_await m_runtime.sleepUntil(schedule.intakeEnd);
--- a/Services/Edge/EdgeService.h
+++ b/Services/Edge/EdgeService.h
@@ -5,6 +5,7 @@
 #include <Edge/EdgeTables.h>
 #include <Edge/PeerExchange.h>
 #include <Edge/RequestForwarder.h>
+#include <Edge/RolloutRunner.h>
 #include <Edge/StoreWatcher.h>
 #include <memory>
 
@@ -19,6 +20,8 @@
     Forward::DutyApi* dutyApi { nullptr };
     /// The path of the platform's readiness check.
     std::string readyPath;
+    /// Null if the platform has no rollouts.
+    Rollout::Codec const* rolloutCodec { nullptr };
 };
 
 /// The edge process on an entry host. Creates and connects all components, and updates the tables on each tick. Used from the
@@ -66,6 +69,8 @@
     StoreWatcher m_storeWatcher;
     PeerExchange m_peerExchange;
     std::unique_ptr<DutyRunner> m_dutyRunner;
+    /// Null if this deployment has no rollouts.
+    std::unique_ptr<RolloutRunner> m_rolloutRunner;
     HTTP::Server m_clientServer;
     HTTP::Server m_readyServer;
     HTTP::Server m_peerServer;
--- a/Services/Edge/EdgeTables.h
+++ b/Services/Edge/EdgeTables.h
@@ -9,6 +9,7 @@
 #include <LibLimits/CrashSuspectTable.h>
 #include <LibLimits/QuarantineTable.h>
 #include <LibLimits/RetryBudget.h>
+#include <LibRollout/RolloutTable.h>
 #include <LibRouting/Placement.h>
 #include <LibRouting/ServerTable.h>
 #include <map>
@@ -49,6 +50,7 @@
     Forward::QuotaTable quotas;
     Forward::UsageTable usage;
     Forward::PeerTable peers;
+    Rollout::RolloutTable rollouts;
     /// By service name.
     std::map<std::string, Limits::RetryBudget> retryBudgets;
     /// Fingerprints of the requests in progress by server id; identifies the suspects when a server crashes.
--- a/Services/Edge/OutcomeRecorder.cpp
+++ b/Services/Edge/OutcomeRecorder.cpp
@@ -24,6 +24,8 @@
     context.attemptTrace += (context.attemptTrace.empty() ? "" : ",") + attempt.placement.serverId + ":" + std::string(Forward::outcomeName(outcome));
     auto* row = Routing::findServer(m_dependencies.tables.servers, attempt.placement.serverId);
     bool const cancelledLocally = context.cancellation.isCancelled() || context.clientDisconnected;
+    if (m_dependencies.settings.rolloutShare > 0)
+        recordRollout(context, attempt, outcome);
     if (outcome == AttemptOutcome::ResponseReceived) {
         Limits::recordFinished(m_dependencies.tables.quarantine, context.fingerprint);
         recordSound(context);
@@ -39,6 +41,37 @@
     }
 }
 
+void OutcomeRecorder::recordRollout(RequestContext const& context, Attempt const& attempt, AttemptOutcome outcome)
+{
+    auto& tables = m_dependencies.tables;
+    auto const order = tables.rollouts.rows.find(context.service);
+    if (order == tables.rollouts.rows.end() || Rollout::isFinal(order->second.order.state))
+        return;
+    std::string const group = attempt.version == order->second.order.id.to ? "candidate" : "incumbent";
+    m_dependencies.metrics.counter("hyssopstep_rollout_requests_total", { { "group", group } }).add();
+    // Servers of all versions refuse requests under load.
+    if (outcome == AttemptOutcome::NotSent || outcome == AttemptOutcome::NotExecuted)
+        return;
+    auto const now = m_dependencies.runtime.now();
+    auto const firstEventAt = context.firstEventAt.value_or(now);
+    auto const time = (firstEventAt >= attempt.sentAt ? firstEventAt : now) - attempt.sentAt;
+    auto kind = Rollout::ResponseKind::Sound;
+    if (outcome == AttemptOutcome::ServerError)
+        kind = Rollout::ResponseKind::Failure;
+    else if (outcome != AttemptOutcome::ResponseReceived)
+        kind = Rollout::ResponseKind::Broken;
+    // What a client that went away would have got is only known if it had waited for long.
+    static constexpr Core::Duration longWait = 1s;
+    if (context.clientDisconnected && kind == Rollout::ResponseKind::Broken) {
+        if (!context.firstEventAt && time < longWait)
+            return;
+        kind = Rollout::ResponseKind::Sound;
+    }
+    if (kind != Rollout::ResponseKind::Sound)
+        m_dependencies.metrics.counter("hyssopstep_rollout_failures_total", { { "group", group } }).add();
+    Rollout::recordResponse(tables.rollouts, context.service, attempt.version, context.route->name, kind, time);
+}
+
 void OutcomeRecorder::recordWhoAnswered(Attempt const& attempt)
 {
     auto const& placement = attempt.placement;
--- a/Services/Edge/OutcomeRecorder.h
+++ b/Services/Edge/OutcomeRecorder.h
@@ -30,6 +30,8 @@
     void recordSound(RequestContext const&);
 
 private:
+    /// Counts the response in the evidence on a version under evaluation.
+    void recordRollout(RequestContext const&, Attempt const&, Forward::AttemptOutcome);
     void recordSuspects(RequestContext const&, std::string const& serverId, Core::MonotonicTime crashedAt);
 
     ForwarderDependencies const& m_dependencies;
--- a/Services/Edge/PeerExchange.cpp
+++ b/Services/Edge/PeerExchange.cpp
@@ -1,5 +1,6 @@
 #include <Edge/PeerExchange.h>
 
+#include <Edge/RolloutState.h>
 #include <LibCore/Log.h>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -91,6 +92,8 @@
     logRefusedParts(mergeSuspects(m_tables.crashSuspects, report->suspectParts, now), report->node);
     logRefusedRequests(mergeSuspects(m_tables.requestSuspects, report->suspectRequests, now), report->node);
     mergeLeavingServers(*report);
+    if (m_settings.rolloutShare > 0)
+        mergeRollouts(m_tables, *report);
     for (auto const& [team, amount] : Forward::newAdmissions(m_tables.peers, *report))
         Forward::chargeQuota(m_tables.quotas, team, amount);
     bool const isNew = report->scope == Forward::ReportScope::Node && !m_tables.peers.rows.contains(report->node);
--- a/Services/Edge/RequestContext.h
+++ b/Services/Edge/RequestContext.h
@@ -54,6 +54,8 @@
     }
 
     Routing::Placement placement;
+    /// The version of the server.
+    std::string version;
     Core::MonotonicTime sentAt;
     OutstandingScope outstanding;
     std::unique_ptr<HTTP::ResponseStream> stream;
--- a/Services/Edge/RequestForwarder.cpp
+++ b/Services/Edge/RequestForwarder.cpp
@@ -4,6 +4,7 @@
 #include <Edge/RetryAfter.h>
 #include <LibForward/RetryShare.h>
 #include <LibHTTP/Problem.h>
+#include <LibRollout/VersionGroup.h>
 #include <algorithm>
 #include <boost/beast/core/string.hpp>
 
@@ -159,8 +160,20 @@
 std::optional<Routing::Placement> RequestForwarder::place(RequestContext const& context, Core::Error& error)
 {
     auto const& tables = m_dependencies.tables;
-    Routing::PlacementRequest const request { context.service, m_dependencies.settings.dataCentre, context.sharedPrefixHash, context.sharedTokens, context.triedServers, context.attributes.tokens ? Routing::WorkKind::Generation : Routing::WorkKind::Call };
-    return Routing::placeRequest(tables.servers, request, tables.placementCosts, m_dependencies.random, m_dependencies.runtime.now(), error);
+    Routing::PlacementRequest request { context.service, m_dependencies.settings.dataCentre, context.sharedPrefixHash, context.sharedTokens, context.triedServers, context.attributes.tokens ? Routing::WorkKind::Generation : Routing::WorkKind::Call };
+    auto const now = m_dependencies.runtime.now();
+    if (auto const share = m_dependencies.settings.rolloutShare; share > 0) {
+        auto choice = Rollout::chooseVersionGroup(tables.rollouts, tables.servers, context.service, share, m_dependencies.random.unit(), now);
+        request.filter = std::move(choice.filter);
+        if (choice.group == Rollout::Group::Candidate) {
+            if (auto placement = Routing::placeRequest(tables.servers, request, tables.placementCosts, m_dependencies.random, now, error))
+                return placement;
+            // All of the candidate's servers that are in use were tried or are paused.
+            static constexpr double incumbentValue = 1;
+            request.filter = Rollout::chooseVersionGroup(tables.rollouts, tables.servers, context.service, share, incumbentValue, now).filter;
+        }
+    }
+    return Routing::placeRequest(tables.servers, request, tables.placementCosts, m_dependencies.random, now, error);
 }
 
 Core::Awaitable<AttemptOutcome> RequestForwarder::attempt(RequestContext& context, Core::Error& error)
@@ -176,6 +189,8 @@
     context.cacheSource = placement->cacheSource;
     auto attempt = std::make_unique<Attempt>(tables, std::move(*placement), context.fingerprint, m_dependencies.runtime.now());
     context.placedAt = attempt->sentAt;
+    if (auto const* row = Routing::findServer(std::as_const(tables.servers), attempt->placement.serverId))
+        attempt->version = row->version;
 
     Forward::ForwardAttributes attributes;
     attributes.timeLeft = toMilliseconds(context.deadline - attempt->sentAt);
--- a/Tests/EdgeService/DutyRunnerTest.cpp
+++ b/Tests/EdgeService/DutyRunnerTest.cpp
@@ -51,7 +51,7 @@
     auto const unixTime = std::chrono::duration_cast<std::chrono::milliseconds>(runtime.wallNow().time_since_epoch());
     auto const currentWindow = Forward::usageWindow(unixTime.count(), settings.usageWindow.count());
     Forward::mergeCounts(tables.usage, "n2", 1, { { currentWindow - 2, { { "team", 1 } } } });
-    Edge::DutyRunner runner(runtime, store, api, tables, settings, random, metrics);
+    Edge::DutyRunner runner(runtime, store, &api, tables, settings, random, metrics);
     runner.start();
     auto const holder = [&] {
         Core::Error error;
--- a/Tests/EdgeService/EdgeServiceFixture.h
+++ b/Tests/EdgeService/EdgeServiceFixture.h
@@ -10,6 +10,7 @@
 #include <boost/asio/write.hpp>
 #include <gtest/gtest.h>
 #include <platform/HeaderCodec.h>
+#include <platform/RolloutCodec.h>
 #include <platform/StoreClient.h>
 #include <platform/StoreCodec.h>
 
@@ -67,7 +68,7 @@
 
     void startService() { m_service = makeService("n1", m_peerListen); }
 
-    std::unique_ptr<Edge::EdgeService> makeService(std::string const& nodeId, Core::Endpoint const& peerListen, std::vector<std::string> const& seedAddresses = {})
+    std::unique_ptr<Edge::EdgeService> makeService(std::string const& nodeId, Core::Endpoint const& peerListen, std::vector<std::string> const& seedAddresses = {}, Platform::ObjectStore* store = nullptr)
     {
         Edge::EdgeSettings settings;
         settings.nodeId = nodeId;
@@ -79,7 +80,9 @@
         settings.gracePeriod = 3s;
         settings.retrySlack = m_retrySlack;
         settings.isFirstStart = m_isFirstStart;
-        auto service = std::make_unique<Edge::EdgeService>(m_loop.runtime(), settings, Edge::PlatformInterfaces { requestCodec(), m_objectCodec, m_storeConnection->store, nullptr, "/ready" });
+        settings.rolloutShare = m_rolloutShare;
+        settings.leaseDuration = m_leaseDuration;
+        auto service = std::make_unique<Edge::EdgeService>(m_loop.runtime(), settings, Edge::PlatformInterfaces { requestCodec(), m_objectCodec, store ? *store : m_storeConnection->store, nullptr, "/ready", &m_rolloutCodec });
         Core::Error error;
         EXPECT_TRUE(service->start(error)) << error.message;
         return service;
@@ -196,6 +199,9 @@
     std::optional<StoreConnection> m_storeConnection;
     PlatformAdapter::HeaderCodec const m_requestCodec {};
     PlatformAdapter::StoreCodec const m_objectCodec {};
+    PlatformAdapter::RolloutCodec const m_rolloutCodec {};
+    double m_rolloutShare { 0 };
+    std::chrono::milliseconds m_leaseDuration { 3000 };
     double m_retrySlack { 100 };
     /// Whether no earlier process of the node can have spent its retry budget.
     bool m_isFirstStart { true };
--- a/Tests/LibRollout/VerdictTest.cpp
+++ b/Tests/LibRollout/VerdictTest.cpp
@@ -162,9 +162,9 @@
 
 TEST(VerdictTest, VersionWithoutAnyResponseIsNotProven)
 {
-    Observation observation { .total = {}, .recent = {}, .earlier = {}, .period = 12s, .elapsed = 11s };
+    Observation observation { .total = {}, .recent = {}, .earlier = {}, .period = 12s, .elapsed = 10700ms };
     EXPECT_EQ(decideVerdict(observation).verdict, Verdict::Undecided);
-    observation.elapsed = 11500ms;
+    observation.elapsed = 10900ms;
     EXPECT_EQ(decideVerdict(observation).verdict, Verdict::NotProven);
 }
 
--- a/Tests/LibRollout/VersionGroupTest.cpp
+++ b/Tests/LibRollout/VersionGroupTest.cpp
@@ -146,7 +146,7 @@
 {
     RolloutTable table;
     StoredOrder stored { .id = orderId("v3"), .revision = { 1, 30 }, .status = StoredStatus { .id = orderId("v2"), .state = State::RolledBack, .startedAt = 5, .reason = {}, .rejectedVersions = {} }, .fault = {} };
-    auto const adopted = adoptOrder(table, stored, { .unixMilliseconds = 1000 });
+    auto const adopted = adoptOrder(table, stored, {}, 1000);
     EXPECT_EQ(adopted.state, State::Running);
     EXPECT_EQ(adopted.startedAt, 1000);
     EXPECT_EQ(adopted.rejectedVersions, std::vector<std::string> { "v2" });
@@ -159,15 +159,37 @@
     RolloutTable table;
     mergeState(table, order(State::RolledBack, { 1, 20 }));
     StoredOrder const stored { .id = orderId(), .revision = { 2, 10 }, .status = std::nullopt, .fault = {} };
-    auto const adopted = adoptOrder(table, stored, {});
+    auto const adopted = adoptOrder(table, stored, {}, 0);
     EXPECT_EQ(adopted.state, State::RolledBack);
     EXPECT_TRUE(needsStatusWrite(adopted, stored));
     mergeState(table, order(State::Running, { 2, 15 }, "v3"));
-    EXPECT_TRUE(isRejected(adoptOrder(table, { .id = orderId(), .revision = { 3, 10 }, .status = std::nullopt, .fault = {} }, {})));
+    EXPECT_TRUE(isRejected(adoptOrder(table, { .id = orderId(), .revision = { 3, 10 }, .status = std::nullopt, .fault = {} }, {}, 0)));
+}
+
+// Guards against an outage by an order with a mistake that names the version which serves.
+TEST(StoredOrderTest, OrderWithAFaultStopsOnlyAVersionThatIsNew)
+{
+    RolloutTable table;
+    observeVersions(table, twoVersions());
+    StoredOrder stored { .id = orderId("v2"), .revision = { 1, 10 }, .status = std::nullopt, .fault = "no period" };
+    EXPECT_TRUE(mayTakeEffect(table, stored, "app"));
+    EXPECT_FALSE(mayTakeEffect(table, stored, "other"));
+    EXPECT_TRUE(isRejected(adoptOrder(table, stored, twoVersions(), 0)));
+    stored.id.to = "v1";
+    EXPECT_FALSE(mayTakeEffect(table, stored, "app"));
 }
 
 TEST(StoredOrderTest, OrderForWhatAllServersRunIsCompletedAtOnce)
 {
     StoredOrder const stored { .id = orderId(), .revision = { 1, 10 }, .status = std::nullopt, .fault = {} };
-    EXPECT_EQ(adoptOrder({}, stored, { .unixMilliseconds = 1, .isServedAlready = true }).state, State::Completing);
+    Routing::ServerTable servers;
+    servers.rows.push_back(server("s1", "v2", 5));
+    EXPECT_EQ(adoptOrder({}, stored, servers, 1).state, State::Completing);
+    servers.rows.push_back(server("s2", "v1", 5));
+    EXPECT_EQ(adoptOrder({}, stored, servers, 1).state, State::Running);
+    // An order back to the version before, while the other one is under evaluation.
+    RolloutTable table;
+    mergeState(table, order(State::Running, { 1, 9 }));
+    StoredOrder const back { .id = orderId("v1"), .revision = { 1, 10 }, .status = std::nullopt, .fault = {} };
+    EXPECT_EQ(adoptOrder(table, back, servers, 1).state, State::Completing);
 }
