--- a/Tests/EdgeService/RolloutTest.cpp
+++ b/Tests/EdgeService/RolloutTest.cpp
@@ -193,6 +193,8 @@
     sendUntil([] { return true; }, 500ms);
     EXPECT_EQ(requestsAtSecondVersion(), before);
     EXPECT_EQ(m_refused, 0);
+    auto const description = exchangeWith(m_nodes[0]->settings().metricsListen, request("/rollouts"));
+    EXPECT_NE(description.find(R"("state":"rolled_back")"), std::string::npos) << description;
 }
 
 // Guards against a bad version that goes on serving because its state cannot be written.
--- a/Utilities/Hyssopstep/StatusCommands.cpp
+++ b/Utilities/Hyssopstep/StatusCommands.cpp
@@ -1,3 +1,4 @@
+#include <Edge/RolloutState.h>
 #include <Hyssopstep/Command.h>
 #include <Hyssopstep/OperatorCall.h>
 #include <Hyssopstep/OperatorCommands.h>
@@ -32,6 +33,14 @@
     return settings ? callAndPrint(*settings, "GET", "/operator/status", RetryPolicy::Always) : exitCode;
 }
 
+int runRolloutsCommand(int argc, char** argv)
+{
+    Core::CommandDescription const description { "rollouts [FLAG...]", "Shows the rollout orders that a node of the edge service knows, with their state and the evidence. --operator names the node's metrics address.", withConnectionFlags({}) };
+    int exitCode = Failure;
+    auto const settings = readOperatorSettings(description, Connection::Required, argc, argv, exitCode);
+    return settings ? callAndPrint(*settings, "GET", std::string(Edge::rolloutsPath), RetryPolicy::Always) : exitCode;
+}
+
 int runDrainCommand(int argc, char** argv)
 {
     Core::CommandDescription const description { "drain [FLAG...]", "Starts the graceful shutdown of the one node that --operator names.", withConnectionFlags({}) };
--- a/Utilities/Hyssopstep/main.cpp
+++ b/Utilities/Hyssopstep/main.cpp
@@ -15,6 +15,7 @@
     Hyssopstep::Command { "diff", "show how a directory differs from the desired state in force", Hyssopstep::runDiffCommand },
     Hyssopstep::Command { "validate", "check the desired state in a directory", Hyssopstep::runValidateCommand },
     Hyssopstep::Command { "status", "show the state of the deployment", Hyssopstep::runStatusCommand },
+    Hyssopstep::Command { "rollouts", "show the versions that an edge node evaluates", Hyssopstep::runRolloutsCommand },
     Hyssopstep::Command { "drain", "start the graceful shutdown of a node", Hyssopstep::runDrainCommand },
     Hyssopstep::Command { "audit", "show the changes of the desired state", Hyssopstep::runAuditCommand },
     Hyssopstep::Command { "explain", "show what a node recorded about a request", Hyssopstep::runExplainCommand },
