Edge: End orders whose reader does not go on

A holder that loses the store, but not the other nodes, reports that it holds the duties until its lease ends, and an order could pass its deadline meanwhile. The watching nodes now also act once an order is overdue: a finding or a good verdict on which nobody has acted, or the last sixth of the period. The drain of the incumbents ends in time for the write, candidate servers that cannot be reached are left out of the concentrated ones, and brief reports no longer have orders that are final.

A shorter lease was ruled out: it would add writes to the store all the time. Loopback test: with the holder cut off from the store, a bad version is rolled back within the period of 4 s.

--- a/Libraries/LibForward/NodeReport.cpp
+++ b/Libraries/LibForward/NodeReport.cpp
@@ -28,6 +28,11 @@
     brief.peers.clear();
     brief.quarantined.clear();
     brief.contacts.clear();
+    // What no longer changes.
+    std::erase_if(brief.rollouts, [&](auto const& rollout) {
+        bool const isKnown = std::find(before.rollouts.begin(), before.rollouts.end(), rollout) != before.rollouts.end();
+        return isKnown && Rollout::isFinal(rollout.order.state);
+    });
     if (report.scope != ReportScope::Node)
         return brief;
     std::erase_if(brief.demands, [&](auto const& item) {
--- a/Libraries/LibRollout/RolloutTable.h
+++ b/Libraries/LibRollout/RolloutTable.h
@@ -75,6 +75,8 @@
         std::vector<Snapshot> snapshots;
         /// When the first response of the candidate was known.
         std::optional<Core::MonotonicTime> observedSince;
+        /// When the state, or that the candidate was found bad, last changed at this node.
+        Core::MonotonicTime changedAt {};
 
         bool operator==(Row const&) const = default;
     };
--- a/Libraries/LibRollout/Verdict.cpp
+++ b/Libraries/LibRollout/Verdict.cpp
@@ -199,7 +199,7 @@
     // Half of the period and reports that take some seconds. The requests at the incumbents end before the order is completed.
     static constexpr double goodFrom = 0.66;
     // From here on, half of the period need not be covered, for servers that started late.
-    static constexpr double lateFrom = 0.85;
+    static constexpr double lateFrom = 0.8;
     // Leaves time for the write before the deadline.
     static constexpr double endsAt = 0.9;
     if (auto fault = findFault(observation); !fault.empty())
@@ -208,7 +208,7 @@
     double const elapsed = fractionOf(observation.elapsed);
     double const observed = fractionOf(observation.observed);
     auto const responses = countResponses(observation.total, Group::Candidate);
-    bool const isCovered = observed >= 0.5 || (elapsed >= lateFrom && observed >= 0.2);
+    bool const isCovered = observed >= 0.5 || (elapsed >= lateFrom && observed >= 0.25);
     if (elapsed >= goodFrom && isCovered && responses >= sufficientResponses(elapsed) && !isSuspicious(observation))
         return { Verdict::Good, std::to_string(responses) + " sound responses" };
     if (elapsed >= endsAt)
@@ -216,4 +216,23 @@
     return {};
 }
 
+bool isOverdue(Order const& order, Core::Duration elapsed, Core::Duration unchanged)
+{
+    auto const period = std::chrono::duration_cast<Core::Duration>(order.id.period);
+    if (isFinal(order.state))
+        return false;
+    if (isRejected(order))
+        return unchanged >= period / 12;
+    if (order.state == State::Completing)
+        return unchanged >= period / 4;
+    return elapsed >= period * 5 / 6;
+}
+
+Core::Duration drainTime(std::chrono::milliseconds period, Core::Duration elapsed)
+{
+    static constexpr Core::Duration maximum = std::chrono::seconds(15);
+    auto const whole = std::chrono::duration_cast<Core::Duration>(period);
+    return elapsed >= whole * 9 / 10 ? Core::Duration(0) : std::min<Core::Duration>(whole / 6, maximum);
+}
+
 }
--- a/Libraries/LibRollout/VersionGroup.cpp
+++ b/Libraries/LibRollout/VersionGroup.cpp
@@ -111,6 +111,10 @@
         if (row.service == service && row.version == version && isLive(row, now))
             ranked.emplace_back(XXH3_64bits(row.id.data(), row.id.size()), &row);
     }
+    // Otherwise the only one chosen could be one that cannot be reached.
+    auto const isBackingOff = [&](auto const& item) { return item.second->backoffUntil > now; };
+    if (!std::all_of(ranked.begin(), ranked.end(), isBackingOff))
+        std::erase_if(ranked, isBackingOff);
     // All nodes choose the same ones.
     std::sort(ranked.begin(), ranked.end());
     auto const count = static_cast<std::size_t>(std::ceil(static_cast<double>(incumbents) * probability / (1 - probability)));
--- a/Services/Edge/PeerExchange.cpp
+++ b/Services/Edge/PeerExchange.cpp
@@ -93,7 +93,7 @@
     logRefusedRequests(mergeSuspects(m_tables.requestSuspects, report->suspectRequests, now), report->node);
     mergeLeavingServers(*report);
     if (m_settings.rolloutShare > 0)
-        mergeRollouts(m_tables, *report);
+        mergeRollouts(m_tables, *report, now);
     for (auto const& [team, amount] : Forward::newAdmissions(m_tables.peers, *report))
         Forward::chargeQuota(m_tables.quotas, team, amount);
     bool const isNew = report->scope == Forward::ReportScope::Node && !m_tables.peers.rows.contains(report->node);
--- a/Services/Edge/RolloutRunner.cpp
+++ b/Services/Edge/RolloutRunner.cpp
@@ -15,6 +15,8 @@
 static constexpr Core::Duration callTimeout = 800ms;
 // Short, since a period may be of some seconds.
 static constexpr Core::Duration decisionInterval = 100ms;
+// Several nodes may act in place of the holder, and calls are billed.
+static constexpr Core::Duration standbyRetryDelay = 1s;
 // After a write that failed.
 static constexpr Core::Duration writeRetryInterval = 500ms;
 
@@ -73,15 +75,26 @@
     if (auto const deadline = m_dependencies.duties.callDeadline(callTimeout))
         return deadline;
     bool const isVacant = m_vacantSince && now - *m_vacantSince >= vacancyTime;
-    if (!isVacant || tables.isDraining() || m_dependencies.duties.holdsDuties() || !Forward::shouldWatchStore(tables.peers, settings.nodeId, settings.dataCentre, now))
+    if ((!isVacant && !isAnyOverdue()) || tables.isDraining() || m_dependencies.duties.holdsDuties() || !Forward::shouldWatchStore(tables.peers, settings.nodeId, settings.dataCentre, now))
         return std::nullopt;
     return now + callTimeout;
 }
 
+Core::Duration RolloutRunner::elapsedSinceOrder(Rollout::Order const& order) const
+{
+    return std::chrono::milliseconds(std::max<std::int64_t>(medianUnixMilliseconds() - order.startedAt, 0));
+}
+
+bool RolloutRunner::isAnyOverdue() const
+{
+    auto const now = m_dependencies.runtime.now();
+    auto const& rows = m_dependencies.tables.rollouts.rows;
+    return std::any_of(rows.begin(), rows.end(), [&](auto const& item) { return Rollout::isOverdue(item.second.order, elapsedSinceOrder(item.second.order), now - item.second.changedAt); });
+}
+
 Rollout::Judgement RolloutRunner::judge(Rollout::RolloutTable::Row const& row) const
 {
-    auto const elapsed = std::chrono::milliseconds(std::max<std::int64_t>(medianUnixMilliseconds() - row.order.startedAt, 0));
-    return Rollout::decideVerdict(Rollout::observe(row, elapsed, m_dependencies.runtime.now()));
+    return Rollout::decideVerdict(Rollout::observe(row, elapsedSinceOrder(row.order), m_dependencies.runtime.now()));
 }
 
 void RolloutRunner::tick()
@@ -111,7 +124,7 @@
 
 void RolloutRunner::apply(Rollout::Order const& order, std::string_view source)
 {
-    if (applyOrder(m_dependencies.tables, order, source))
+    if (applyOrder(m_dependencies.tables, order, source, m_dependencies.runtime.now()))
         notifyChange();
 }
 
@@ -179,7 +192,8 @@
             if (!isListed) {
                 if (m_failures++ == 0)
                     Core::logEvent(Core::LogLevel::Warning, "dependency_lost", { { "dependency", "store" }, { "kind", m_dependencies.codec.kind() }, { "reason", error.message } });
-                co_await runtime.sleepFor(maximumStoreRetryDelay);
+                bool const isHolder = m_dependencies.duties.holdsDuties();
+                co_await runtime.sleepFor(isHolder ? maximumStoreRetryDelay : standbyRetryDelay);
                 continue;
             }
             m_failures = 0;
@@ -221,9 +235,7 @@
 {
     // All nodes know that the order is completing after the first one, and most requests have ended after the second.
     static constexpr int periodFractionToInform = 20;
-    static constexpr int periodFractionToDrain = 6;
     static constexpr Core::Duration maximumInformTime = 1s;
-    static constexpr Core::Duration maximumDrainTime = 15s;
     auto const since = m_completingSince.find(order.id.service);
     auto const elapsed = since == m_completingSince.end() ? Core::Duration(0) : m_dependencies.runtime.now() - since->second;
     bool hasIncumbents = false;
@@ -234,7 +246,7 @@
         hasIncumbents = true;
         inProgress += Routing::requestsInProgress(row);
     }
-    if (!hasIncumbents || elapsed >= std::min<Core::Duration>(order.id.period / periodFractionToDrain, maximumDrainTime))
+    if (!hasIncumbents || elapsed >= Rollout::drainTime(order.id.period, elapsedSinceOrder(order)))
         return true;
     return inProgress == 0 && elapsed >= std::min<Core::Duration>(order.id.period / periodFractionToInform, maximumInformTime);
 }
--- a/Services/Edge/RolloutRunner.h
+++ b/Services/Edge/RolloutRunner.h
@@ -8,9 +8,9 @@
 
 namespace Edge {
 
-/// Evaluates versions under evaluation, at each node, and on the holder of the duties reads the orders from the store and writes their status. While
-/// no node reports that it holds the duties, the nodes that watch the store do this in its place: the next holder may follow only after the lease
-/// has expired, which is late for an order of some seconds. This is safe because each write of a status is conditional on the version of the
+/// Evaluates versions, at each node, and on the holder of the duties reads the orders from the store and writes their status. While no node reports that
+/// it holds the duties, or if an order is overdue, the nodes that watch the store do this in its place: the next holder may follow only after the
+/// lease has expired, which is late for an order of some seconds. This is safe because each write of a status is conditional on the version of the
 /// order that was read. Used from the runtime's thread only.
 class RolloutRunner {
 public:
@@ -48,6 +48,8 @@
     /// Returns the deadline of a call, or an empty optional if this node must not act.
     [[nodiscard]] std::optional<Core::MonotonicTime> actionDeadline();
     void updateVacancy();
+    [[nodiscard]] Core::Duration elapsedSinceOrder(Rollout::Order const&) const;
+    [[nodiscard]] bool isAnyOverdue() const;
     void readOrder(Platform::StoredObject const&);
     void refuseOrder(Platform::StoredObject const&, std::string const& reason);
     void apply(Rollout::Order const&, std::string_view source);
--- a/Services/Edge/RolloutState.cpp
+++ b/Services/Edge/RolloutState.cpp
@@ -9,16 +9,18 @@
 
 namespace json = boost::json;
 
-bool applyOrder(EdgeTables& tables, Rollout::Order const& order, std::string_view source)
+bool applyOrder(EdgeTables& tables, Rollout::Order const& order, std::string_view source, Core::MonotonicTime now)
 {
     auto const found = tables.rollouts.rows.find(order.id.service);
     auto const before = found == tables.rollouts.rows.end() ? std::optional<Rollout::Order>() : std::optional(found->second.order);
     if (!Rollout::mergeState(tables.rollouts, order))
         return false;
-    auto const& row = tables.rollouts.rows.at(order.id.service);
+    auto& row = tables.rollouts.rows.at(order.id.service);
     auto const& known = row.order;
     bool const isNew = !before || before->id != known.id;
     bool const isVerdict = !isNew && (before->state != known.state || before->isFoundBad != known.isFoundBad);
+    if (isNew || isVerdict)
+        row.changedAt = now;
     std::vector<Core::LogField> fields {
         { "service", known.id.service },
         { "to", known.id.to },
@@ -40,10 +42,10 @@
     return true;
 }
 
-void mergeRollouts(EdgeTables& tables, Forward::NodeReport const& report)
+void mergeRollouts(EdgeTables& tables, Forward::NodeReport const& report, Core::MonotonicTime now)
 {
     for (auto const& rollout : report.rollouts)
-        (void)applyOrder(tables, rollout.order, report.node);
+        (void)applyOrder(tables, rollout.order, report.node, now);
     tables.rollouts.ordersRevision = std::max(tables.rollouts.ordersRevision, report.rolloutsRevision);
 }
 
--- a/Services/Edge/RolloutState.h
+++ b/Services/Edge/RolloutState.h
@@ -11,10 +11,10 @@
 
 /// Merges the state of an order into the table and logs what changed. The source is "own", "store" or the node whose report had it. Returns whether it
 /// changed anything.
-bool applyOrder(EdgeTables&, Rollout::Order const&, std::string_view source);
+bool applyOrder(EdgeTables&, Rollout::Order const&, std::string_view source, Core::MonotonicTime now);
 
 /// Merges the orders of another node's report.
-void mergeRollouts(EdgeTables&, Forward::NodeReport const&);
+void mergeRollouts(EdgeTables&, Forward::NodeReport const&, Core::MonotonicTime now);
 
 /// Adds this node's orders and evidence to its report.
 void reportRollouts(EdgeTables const&, Forward::NodeReport&);
--- a/Tests/EdgeService/RolloutTest.cpp
+++ b/Tests/EdgeService/RolloutTest.cpp
@@ -230,6 +230,20 @@
     EXPECT_LT(m_loop.runtime().now() - orderedAt, 8s);
 }
 
+TEST_F(RolloutTest, AnotherNodeRollsBackForAHolderThatLosesTheStore)
+{
+    startNodes();
+    waitFor([&] { return m_nodes[0]->tables().peers.own.holdsDuties || m_nodes[1]->tables().peers.own.holdsDuties; });
+    order("4");
+    auto const orderedAt = m_loop.runtime().now();
+    startSecondVersion(failingScript());
+    sendUntil([&] { return requestsAtSecondVersion() >= 1; });
+    m_stores[holder()]->isReachable = false;
+    sendUntil([&] { return storedState() == "rolled_back"; });
+    EXPECT_LT(m_loop.runtime().now() - orderedAt, 4s);
+    expectWithinBound();
+}
+
 TEST_F(RolloutTest, VersionThatIsRolledBackStaysSoAfterARestoration)
 {
     startNodes();
@@ -252,7 +266,7 @@
     startSecondVersion(failingScript());
     sendUntil([&] { return storedState() == "rolled_back"; });
     auto const before = requestsAtSecondVersion();
-    // Has no state, as after a restart, and cannot read the store again.
+    // Has no state, as after a restart, and does not read the orders itself.
     m_nodes.push_back(makeService("node3", { "127.0.0.3", m_nodes[0]->settings().peerListen.port }, { "127.0.0.1", "127.0.0.2" }));
     waitFor([&] { return m_nodes.back()->tables().isUsable(); });
     sendUntil([] { return true; }, 1s);
--- a/Tests/LibForward/RolloutReportTest.cpp
+++ b/Tests/LibForward/RolloutReportTest.cpp
@@ -33,6 +33,15 @@
     EXPECT_EQ(decoded->rolloutsRevision, report.rolloutsRevision);
 }
 
+// Reports are sent a few times a second, also long after the last order.
+TEST(RolloutReportTest, BriefReportsHaveNoOrdersThatNoLongerChange)
+{
+    auto report = reportOf("n1", 3);
+    report.rollouts[0].order.state = Rollout::State::RolledBack;
+    EXPECT_TRUE(briefReport(report, report).rollouts.empty());
+    EXPECT_EQ(briefReport(report, reportOf("n1", 3)).rollouts, report.rollouts);
+}
+
 // Each node sends reports to up to 80 others a few times a second, in all deployments.
 TEST(RolloutReportTest, ReportsWithoutOrdersAreAsSmallAsBefore)
 {
--- a/Tests/LibRollout/VerdictTest.cpp
+++ b/Tests/LibRollout/VerdictTest.cpp
@@ -168,6 +168,22 @@
     EXPECT_EQ(decideVerdict(observation).verdict, Verdict::NotProven);
 }
 
+// Guards against an order that its reader does not end in time, although others could.
+TEST(VerdictTest, OrderIsOverdueIfItsReaderDoesNotGoOn)
+{
+    EXPECT_FALSE(isOverdue(order(), 9s, 9s));
+    EXPECT_TRUE(isOverdue(order(), 10s, 10s));
+    EXPECT_FALSE(isOverdue(order(State::Completing), 9s, 2s));
+    EXPECT_TRUE(isOverdue(order(State::Completing), 9s, 3s));
+    auto bad = order();
+    bad.isFoundBad = true;
+    EXPECT_FALSE(isOverdue(bad, 3s, 500ms));
+    EXPECT_TRUE(isOverdue(bad, 3s, 1s));
+    EXPECT_FALSE(isOverdue(order(State::RolledBack), 20s, 20s));
+    EXPECT_EQ(drainTime(12s, 11s), Core::Duration(0));
+    EXPECT_EQ(drainTime(12s, 8s), 2s);
+}
+
 // Guards against a rollback of good versions of services with a request every few seconds.
 TEST(VerdictTest, FewSoundResponsesAreEnoughLateInThePeriod)
 {
