--- a/Libraries/LibRouting/Placement.h
+++ b/Libraries/LibRouting/Placement.h
@@ -20,6 +20,18 @@
     Call,
 };
 
+/// The servers of a service that a request may be placed at: all by default.
+struct ServerFilter {
+    std::vector<std::string> excludedVersions;
+    /// Ids; if there are any, only these servers.
+    std::vector<std::string> servers;
+
+    bool operator==(ServerFilter const&) const = default;
+};
+
+/// Whether a filter permits a server. Thread safe.
+[[nodiscard]] bool isPermitted(ServerFilter const&, ServerRow const&);
+
 /// The properties of a request that placement depends on.
 struct PlacementRequest {
     std::string service;
@@ -34,6 +46,8 @@
     std::vector<PrefixDepth> prefixes {};
     /// Tokens of the prompt after the shared prefix.
     std::uint32_t ownTokens { 0 };
+    /// The version group of a rollout.
+    ServerFilter filter {};
 
     bool operator==(PlacementRequest const&) const = default;
 };
--- a/Services/Edge/EdgeCommand.cpp
+++ b/Services/Edge/EdgeCommand.cpp
@@ -9,6 +9,7 @@
 #include <malloc.h>
 #include <platform/DutyClient.h>
 #include <platform/HeaderCodec.h>
+#include <platform/RolloutCodec.h>
 #include <platform/StoreClient.h>
 #include <platform/StoreCodec.h>
 #include <platform/WireNames.h>
@@ -122,11 +123,12 @@
     HTTP::Client platformClient(runtime, HTTP::ClientLimits { .connectTimeout = storeConnectTimeout, .idleTimeout = 5s, .unacknowledgedTimeout = 2s });
     PlatformAdapter::HeaderCodec const requestCodec;
     PlatformAdapter::StoreCodec const objectCodec;
+    PlatformAdapter::RolloutCodec const rolloutCodec;
     PlatformAdapter::StoreClient store(runtime, platformClient, settings.platform);
     std::optional<PlatformAdapter::DutyClient> dutyClient;
     if (settings.cloud && (settings.reportsUsage || settings.ordersServers))
         dutyClient.emplace(platformClient, *settings.cloud);
-    EdgeService service(runtime, settings, { requestCodec, objectCodec, store, dutyClient ? &*dutyClient : nullptr, std::string(PlatformAdapter::readyPath) });
+    EdgeService service(runtime, settings, { requestCodec, objectCodec, store, dutyClient ? &*dutyClient : nullptr, std::string(PlatformAdapter::readyPath), &rolloutCodec });
     SettingsWatcher watcher(runtime, service, argc, argv);
     boost::asio::signal_set signals(context, SIGTERM, SIGINT, SIGHUP);
     Core::Error error;
--- a/Services/Edge/EdgeService.cpp
+++ b/Services/Edge/EdgeService.cpp
@@ -2,6 +2,7 @@
 
 #include <Edge/AdaptivePlacement.h>
 #include <Edge/PlacementExplanation.h>
+#include <Edge/RolloutState.h>
 #include <LibCore/Log.h>
 #include <LibHTTP/Problem.h>
 #include <algorithm>
@@ -87,8 +88,13 @@
         ++m_refusedClients[std::string(reason)];
         m_metrics.counter("hyssopstep_clients_refused_total", { { "reason", std::string(reason) } }).add();
     });
-    if (m_platform.dutyApi)
-        m_dutyRunner = std::make_unique<DutyRunner>(runtime, m_platform.store, *m_platform.dutyApi, m_tables, m_settings, m_random, m_metrics);
+    if (!m_platform.rolloutCodec)
+        m_settings.rolloutShare = 0;
+    bool const hasRollouts = m_settings.rolloutShare > 0;
+    if (m_platform.dutyApi || hasRollouts)
+        m_dutyRunner = std::make_unique<DutyRunner>(runtime, m_platform.store, m_platform.dutyApi, m_tables, m_settings, m_random, m_metrics);
+    if (hasRollouts)
+        m_rolloutRunner = std::make_unique<RolloutRunner>(RolloutRunner::Dependencies { runtime, m_platform.store, *m_platform.rolloutCodec, m_tables, m_settings, *m_dutyRunner, m_random, m_metrics });
 }
 
 EdgeService::~EdgeService()
@@ -118,6 +124,10 @@
     m_storeWatcher.start();
     if (m_dutyRunner)
         m_dutyRunner->start();
+    if (m_rolloutRunner) {
+        m_rolloutRunner->onChange([this] { m_peerExchange.broadcastReport(); });
+        m_rolloutRunner->start();
+    }
     m_runtime.spawn(runTicks());
     Core::logEvent(Core::LogLevel::Info, "started", { { "data_centre", m_settings.dataCentre }, { "clients", m_settings.clientListen.toString() }, { "incarnation", std::uint64_t(m_incarnation) } });
     return true;
@@ -133,6 +143,9 @@
     settings.peerHttpListen = m_settings.peerHttpListen;
     settings.metricsListen = m_settings.metricsListen;
     settings.nodeId = m_settings.nodeId;
+    // What a node must know before it may evaluate a version is only read from its start on.
+    if (!m_rolloutRunner)
+        settings.rolloutShare = 0;
     m_settings = std::move(settings);
     m_clientMemory->setLimits(clientMemoryLimits(m_settings));
 }
@@ -187,6 +200,13 @@
         (void)co_await writer.send(std::move(response));
         co_return;
     }
+    if (request.path() == rolloutsPath) {
+        HTTP::Response response;
+        response.headers.add("Content-Type", "application/json");
+        response.body = describeRollouts(m_tables, m_runtime.now());
+        (void)co_await writer.send(std::move(response));
+        co_return;
+    }
     auto const traffic = m_backendClient.traffic();
     m_metrics.gauge("hyssopstep_requests_in_progress").set(static_cast<double>(m_forwarder.requestsInProgress()));
     m_metrics.gauge("hyssopstep_client_bytes_held").set(static_cast<double>(m_clientMemory->use().bytes));
@@ -261,6 +281,8 @@
     report.watchesStore = m_storeWatcher.isWatchingStore();
     report.interval = Forward::spreadInterval(m_tables.peers);
     report.processorShare = static_cast<float>(m_settings.processorShare);
+    if (m_rolloutRunner)
+        reportRollouts(m_tables, report);
     report.holdsDuties = m_dutyRunner && m_dutyRunner->holdsDuties();
     return report;
 }
@@ -307,6 +329,8 @@
     returnFreedMemory();
     m_peerExchange.tick();
     m_storeWatcher.tick();
+    if (m_rolloutRunner)
+        m_rolloutRunner->tick();
     std::map<std::string, bool> suspected;
     for (auto& row : m_tables.servers.rows) {
         row.peerOutstanding = Forward::peerLoad(m_tables.peers, Forward::serverKey(row.id), now);
@@ -370,6 +394,8 @@
 {
     m_clientServer.closeAfterResponses();
     m_peerExchange.broadcastReport();
+    if (m_rolloutRunner)
+        co_await m_rolloutRunner->stop();
     if (m_dutyRunner)
         co_await m_dutyRunner->stop();
     co_await m_runtime.sleepUntil(schedule.intakeEnd);
--- a/Services/Edge/EdgeService.h
+++ b/Services/Edge/EdgeService.h
@@ -5,6 +5,7 @@
 #include <Edge/EdgeTables.h>
 #include <Edge/PeerExchange.h>
 #include <Edge/RequestForwarder.h>
+#include <Edge/RolloutRunner.h>
 #include <Edge/StoreWatcher.h>
 #include <LibHTTP/MemoryBudget.h>
 #include <map>
@@ -21,6 +22,8 @@
     Forward::DutyApi* dutyApi { nullptr };
     /// The path of the platform's readiness check.
     std::string readyPath;
+    /// Null if the platform has no rollouts.
+    Rollout::Codec const* rolloutCodec { nullptr };
 };
 
 /// The edge process on an entry host. Creates and connects all components, and updates the tables on each tick. Used from the
@@ -77,6 +80,8 @@
     Core::MonotonicTime m_refusedClientsLoggedAt {};
     /// Of m_clientMemory, when freed memory was last returned to the system.
     std::uint64_t m_returnedAtReleasedBytes { 0 };
+    /// Null if this deployment has no rollouts.
+    std::unique_ptr<RolloutRunner> m_rolloutRunner;
     HTTP::Server m_clientServer;
     HTTP::Server m_readyServer;
     HTTP::Server m_peerServer;
--- a/Services/Edge/RequestForwarder.cpp
+++ b/Services/Edge/RequestForwarder.cpp
@@ -5,6 +5,7 @@
 #include <Edge/RetryAfter.h>
 #include <LibForward/RetryShare.h>
 #include <LibHTTP/Problem.h>
+#include <LibRollout/VersionGroup.h>
 #include <algorithm>
 #include <boost/beast/core/string.hpp>
 
@@ -162,7 +163,20 @@
     auto const& tables = m_dependencies.tables;
     Routing::PlacementRequest request { context.service, m_dependencies.settings.dataCentre, context.sharedPrefixHash, context.sharedTokens, context.triedServers, context.attributes.tokens ? Routing::WorkKind::Generation : Routing::WorkKind::Call };
     auto const adaptive = prepareAdaptivePlacement(tables, context, request);
-    return Routing::placeRequest(tables.servers, request, tables.placementCosts, m_dependencies.random, m_dependencies.runtime.now(), error, adaptive ? &*adaptive : nullptr);
+    auto const* const inputs = adaptive ? &*adaptive : nullptr;
+    auto const now = m_dependencies.runtime.now();
+    if (auto const share = m_dependencies.settings.rolloutShare; share > 0) {
+        auto choice = Rollout::chooseVersionGroup(tables.rollouts, tables.servers, context.service, share, m_dependencies.random.unit(), now);
+        request.filter = std::move(choice.filter);
+        if (choice.group == Rollout::Group::Candidate) {
+            if (auto placement = Routing::placeRequest(tables.servers, request, tables.placementCosts, m_dependencies.random, now, error, inputs))
+                return placement;
+            // All of the candidate's servers that are in use were tried or are paused.
+            static constexpr double incumbentValue = 1;
+            request.filter = Rollout::chooseVersionGroup(tables.rollouts, tables.servers, context.service, share, incumbentValue, now).filter;
+        }
+    }
+    return Routing::placeRequest(tables.servers, request, tables.placementCosts, m_dependencies.random, now, error, inputs);
 }
 
 Core::Awaitable<AttemptOutcome> RequestForwarder::attempt(RequestContext& context, Core::Error& error)
@@ -180,6 +194,8 @@
     recordAdaptivePlacement(tables, context, m_dependencies.runtime.now());
     auto attempt = std::make_unique<Attempt>(tables, std::move(*placement), context.fingerprint, m_dependencies.runtime.now());
     context.placedAt = attempt->sentAt;
+    if (auto const* row = Routing::findServer(std::as_const(tables.servers), attempt->placement.serverId))
+        attempt->version = row->version;
 
     Forward::ForwardAttributes attributes;
     attributes.timeLeft = toMilliseconds(context.deadline - attempt->sentAt);
