LibAdmission: Let requests wait for room, and start from no usual load

Cause: a request that finds all servers full was sent on to queue at one of them. A node that started in an overload took its load for the usual one and refused nothing.

Change: Admission::WaitingQueue holds such requests for at most an eighth of their objective, by urgency and fairly between teams; a request leaves it with its client. The usual load rises from zero. Retry-After also uses the time that the objective leaves.

--- a/Libraries/LibAdmission/AdmissionDecision.cpp
+++ b/Libraries/LibAdmission/AdmissionDecision.cpp
@@ -73,14 +73,14 @@
     return request.timeLeftSeconds < usualShare * route.usualTimeLeftSeconds;
 }
 
-std::chrono::milliseconds chooseRetryAfter(double delaySeconds, double timeLeftSeconds, Parameters const& parameters, Core::Random& random)
+std::chrono::milliseconds chooseRetryAfter(double delaySeconds, RequestProfile const& request, Parameters const& parameters, Core::Random& random)
 {
     // Short times would bring most clients back before anything has changed.
     static constexpr double shortestShare = 0.3;
     double const minimum = std::chrono::duration<double>(parameters.minimumRetryAfter).count();
     double const maximum = std::chrono::duration<double>(parameters.maximumRetryAfter).count();
-    double const most = std::clamp(timeLeftSeconds * parameters.retryShareOfTimeLeft, minimum, maximum);
-    double const range = std::clamp(delaySeconds * parameters.retryShareOfDelay, minimum, most);
+    double const most = std::clamp(request.timeLeftSeconds * parameters.retryShareOfTimeLeft, minimum, maximum);
+    double const range = std::clamp(std::max(delaySeconds * parameters.retryShareOfDelay, (request.objectiveSeconds - delaySeconds) * parameters.retryShareOfSlack), minimum, most);
     double const seconds = std::clamp(range * (shortestShare + (1 - shortestShare) * random.unit()), minimum, most);
     return std::chrono::milliseconds(static_cast<std::int64_t>(seconds * 1000));
 }
@@ -111,8 +111,8 @@
                                                                                                                                                : Reason::Overload;
     }
     if (decision.verdict == Verdict::Refuse) {
-        decision.retryAfter = chooseRetryAfter(decision.delaySeconds, request.timeLeftSeconds, parameters, random);
-    } else if (!load.hasRoom) {
+        decision.retryAfter = chooseRetryAfter(decision.delaySeconds, request, parameters, random);
+    } else if (load.freeSlots == 0) {
         decision.verdict = Verdict::Wait;
         decision.reason = Reason::NoRoom;
     }
--- a/Libraries/LibAdmission/AdmissionDecision.h
+++ b/Libraries/LibAdmission/AdmissionDecision.h
@@ -62,6 +62,6 @@
 
 /// Returns when a refused client may return: a random time of up to the part of the predicted delay in which capacity is expected,
 /// within the bounds of the parameters. The load that it addresses are clients that return in step and cause a second peak.
-[[nodiscard]] std::chrono::milliseconds chooseRetryAfter(double delaySeconds, double timeLeftSeconds, Parameters const&, Core::Random&);
+[[nodiscard]] std::chrono::milliseconds chooseRetryAfter(double delaySeconds, RequestProfile const&, Parameters const&, Core::Random&);
 
 }
--- a/Libraries/LibAdmission/DelayPrediction.cpp
+++ b/Libraries/LibAdmission/DelayPrediction.cpp
@@ -62,11 +62,14 @@
         std::nth_element(serviceTimes.begin(), middle, serviceTimes.end());
         medianServiceTime = *middle;
     }
-    ServerLoad load { .usableServers = usable.size(), .hasRoom = usable.empty() };
+    ServerLoad load { .usableServers = usable.size(), .freeSlots = usable.empty() ? SIZE_MAX : 0 };
     std::vector<double> requests;
     for (auto const* row : usable) {
         auto const inProgress = Routing::requestsInProgress(*row);
-        load.hasRoom = load.hasRoom || row->slots == 0 || inProgress < row->slots;
+        if (row->slots == 0)
+            load.freeSlots = SIZE_MAX;
+        else if (load.freeSlots != SIZE_MAX)
+            load.freeSlots += row->slots - std::min(inProgress, row->slots);
         requests.push_back(inProgress * slownessOf(*row, medianServiceTime, now));
     }
     auto const half = (requests.size() + 1) / 2;
@@ -168,7 +171,7 @@
 {
     // Placement differs by this much between servers that are hardly loaded.
     static constexpr double smallestLoad = 1;
-    double const ratio = load.requestsPerServer / std::max(state.usualLoad.value_or(0), smallestLoad);
+    double const ratio = load.requestsPerServer / std::max(state.usualLoad, smallestLoad);
     return std::clamp((ratio - parameters.loadRatioFrom) / (parameters.loadRatioFull - parameters.loadRatioFrom), 0.0, 1.0);
 }
 
@@ -186,13 +189,9 @@
         double const pressure = pressureAt(state, route.priority, load, parameters, now);
         route.sustainedLevel = std::clamp(route.sustainedLevel + elapsed * parameters.growthRate * (pressure - parameters.targetPressure) * (pressure > parameters.targetPressure ? loadGate(state, load, parameters) : 1), 0.0, 1.0);
     }
-    if (!state.usualLoad) {
-        state.usualLoad = load.requestsPerServer;
+    if (load.requestsPerServer > state.usualLoad && pressureAt(state, UINT32_MAX, load, parameters, now) > calmPressure)
         return;
-    }
-    if (load.requestsPerServer > *state.usualLoad && pressureAt(state, UINT32_MAX, load, parameters, now) > calmPressure)
-        return;
-    *state.usualLoad += (1 - std::exp(-elapsed / parameters.usualLoadMemory)) * (load.requestsPerServer - *state.usualLoad);
+    state.usualLoad += (1 - std::exp(-elapsed / parameters.usualLoadMemory)) * (load.requestsPerServer - state.usualLoad);
 }
 
 // The median time that the requests of the last seconds have waited so far, if most of them still wait.
@@ -219,8 +218,7 @@
 static double expectedExcess(ServiceState const& state, ServerLoad const& load, Parameters const& parameters, Core::MonotonicTime now)
 {
     double const measured = meanOf(state.excess, 0, parameters.calmWeight, parameters.delayMemory, now);
-    double const usualLoad = state.usualLoad.value_or(load.requestsPerServer);
-    double const loadAtSend = meanOf(state.loadAtSend, usualLoad, parameters.calmWeight, parameters.delayMemory, now);
+    double const loadAtSend = meanOf(state.loadAtSend, load.requestsPerServer, parameters.calmWeight, parameters.delayMemory, now);
     double const trend = parameters.trendShare * std::min(state.calmSeconds, parameters.maximumTrendPerRequest) * (load.requestsPerServer - loadAtSend);
     // More than twice the measured delay is not believed before it is measured, since further requests may be past their first event.
     double const most = std::max(measured + state.calmSeconds, parameters.minimumTrendLimit);
--- a/Libraries/LibAdmission/DelayPrediction.h
+++ b/Libraries/LibAdmission/DelayPrediction.h
@@ -66,7 +66,8 @@
     DecayingMean loadAtSend;
     /// A low quantile of the delays on all routes, by which each further request at a server delays the next.
     double calmSeconds { 0 };
-    std::optional<double> usualLoad;
+    /// Rises from zero, so that a node that starts in an overload does not take it for the usual load.
+    double usualLoad { 0 };
     Core::MonotonicTime updatedAt;
     /// The last requests sent, in order.
     std::deque<SentRequest> recent;
@@ -80,8 +81,8 @@
     std::size_t usableServers { 0 };
     /// Mean requests in progress at the less loaded half of the servers, which placement prefers. A request counts more at a server that is slow.
     double requestsPerServer { 0 };
-    /// Whether a server has a free slot.
-    bool hasRoom { true };
+    /// Free slots of all servers; the maximum value if a server's number of slots is unknown.
+    std::size_t freeSlots { SIZE_MAX };
 
     bool operator==(ServerLoad const&) const = default;
 };
--- a/Libraries/LibAdmission/Parameters.h
+++ b/Libraries/LibAdmission/Parameters.h
@@ -77,8 +77,10 @@
     Core::Duration maximumRetryAfter { std::chrono::milliseconds(2000) };
     /// A refused client that returns later has too little time left.
     double retryShareOfTimeLeft { 1.0 / 3 };
-    /// A refused request returns when about this part of the predicted delay has passed.
+    /// A refused request returns within about this part of the predicted delay, or within this part of the time that its objective leaves beyond
+    /// that delay, if that is longer: a client that returns later gets its response late even if it is then admitted.
     double retryShareOfDelay { 0.2 };
+    double retryShareOfSlack { 0.6 };
 
     bool operator==(Parameters const&) const = default;
 };
--- a/Services/Edge/EdgeTables.h
+++ b/Services/Edge/EdgeTables.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibAdmission/AdmissionDecision.h>
+#include <LibAdmission/WaitingQueue.h>
 #include <LibForward/DrainPolicy.h>
 #include <LibForward/PeerTable.h>
 #include <LibForward/RouteTable.h>
@@ -25,6 +26,7 @@
 struct EdgeTables {
     explicit EdgeTables(Core::Runtime& runtime)
         : becameUsable(runtime)
+        , waitingChanged(runtime)
     {
     }
 
@@ -54,6 +56,10 @@
     std::map<std::string, Limits::RetryBudget> retryBudgets;
     /// By service name; only services with admission control.
     std::map<std::string, Admission::ServiceState> admission;
+    /// The requests that wait for room, by service name.
+    std::map<std::string, Admission::WaitingQueue> waiting;
+    /// Notified when requests in `waiting` may be sent, or when a client disconnects.
+    Core::AsyncEvent waitingChanged;
     Admission::FairShareTable teamShares;
     Admission::Parameters admissionParameters;
     /// Fingerprints of the requests in progress by server id; identifies the suspects when a server crashes.
--- a/Services/Edge/OverloadControl.cpp
+++ b/Services/Edge/OverloadControl.cpp
@@ -71,10 +71,50 @@
     Admission::recordFirstEvent(tables.admission[context.service], *context.admissionTicket, profileOf(context), delay, context.loadAtSend, tables.admissionParameters, now);
 }
 
-void recordEnd(EdgeTables& tables, RequestContext const& context)
+// Lets as many requests that wait for a service's servers go as these have room for, and those that have waited long enough.
+static void releaseWaiting(EdgeTables& tables, std::string const& service, Core::MonotonicTime now)
 {
+    auto const found = tables.waiting.find(service);
+    if (found == tables.waiting.end() || found->second.requests.empty())
+        return;
+    auto& queue = found->second;
+    auto const load = Admission::measureLoad(tables.servers, service, now);
+    bool isChanged = Admission::expire(queue, now) > 0;
+    // Those that were released before will take their slots next.
+    while (queue.released.size() < load.freeSlots && Admission::next(queue))
+        isChanged = true;
+    if (isChanged)
+        tables.waitingChanged.notifyAll();
+}
+
+Core::Awaitable<void> waitForRoom(ForwarderDependencies const& dependencies, RequestContext const& context)
+{
+    if (!context.admission || context.admission->verdict != Admission::Verdict::Wait)
+        co_return;
+    auto& tables = dependencies.tables;
+    auto const request = profileOf(context);
+    auto const longest = std::chrono::duration_cast<Core::Duration>(tables.admissionParameters.maximumWaitShare * context.route->targetLatency);
+    auto const sendBy = std::min(context.arrivedAt + longest, context.deadline);
+    auto& queue = tables.waiting[context.service];
+    auto const id = Admission::enqueue(queue, request.priority, context.team ? context.team->name : std::string(), sendBy, tables.admissionParameters.maximumQueueLength);
+    if (!id)
+        co_return;
+    while (!context.clientDisconnected) {
+        releaseWaiting(tables, context.service, dependencies.runtime.now());
+        if (Admission::takeReleased(queue, *id))
+            co_return;
+        (void)co_await tables.waitingChanged.waitUntil(sendBy);
+    }
+    Admission::cancel(queue, *id);
+}
+
+void recordEnd(EdgeTables& tables, RequestContext const& context, Core::MonotonicTime now)
+{
+    if (!context.admission)
+        return;
     if (context.admissionTicket)
         Admission::recordEnd(tables.admission[context.service], *context.admissionTicket);
+    releaseWaiting(tables, context.service, now);
 }
 
 void updateAdmission(EdgeTables& tables, EdgeSettings const& settings, Core::Metrics& metrics, Core::MonotonicTime now)
@@ -85,6 +125,8 @@
         if (!isAdmissionControlled(settings, *tables.routes, service))
             continue;
         auto const load = Admission::measureLoad(tables.servers, service, now);
+        releaseWaiting(tables, service, now);
+        metrics.gauge("hyssopstep_queue_length", { { "service", service } }).set(static_cast<double>(tables.waiting[service].requests.size()));
         Admission::updatePressure(state, load, tables.admissionParameters, now);
         metrics.gauge("hyssopstep_admission_pressure", { { "service", service } }).set(Admission::pressureAt(state, UINT32_MAX, load, tables.admissionParameters, now));
     }
--- a/Services/Edge/RequestForwarder.cpp
+++ b/Services/Edge/RequestForwarder.cpp
@@ -23,8 +23,9 @@
         , m_context(context)
     {
         m_forwarder.m_active.insert(&m_context);
-        m_context.writer.onPeerClosed([&context] {
+        m_context.writer.onPeerClosed([&forwarder, &context] {
             context.clientDisconnected = true;
+            forwarder.m_dependencies.tables.waitingChanged.notifyAll();
             context.cancellation.cancel();
         });
     }
@@ -33,7 +34,7 @@
     {
         m_context.writer.onPeerClosed({});
         m_forwarder.m_active.erase(&m_context);
-        recordEnd(m_forwarder.m_dependencies.tables, m_context);
+        recordEnd(m_forwarder.m_dependencies.tables, m_context, m_forwarder.m_dependencies.runtime.now());
         m_forwarder.m_responses.release(m_context);
     }
 
@@ -80,6 +81,7 @@
             if (context.streamStarted)
                 context.writer.abort();
         });
+        co_await waitForRoom(m_dependencies, context);
         co_await run(context);
     }
     logRequest(m_dependencies, context);
--- a/Tests/EdgeService/AdmissionControlTest.cpp
+++ b/Tests/EdgeService/AdmissionControlTest.cpp
@@ -11,24 +11,40 @@
         for (int i = 0; i < 2; ++i) {
             addServer([](auto const& request) {
                 auto const id = attemptIdOf(request);
-                return Reply { .bytes = streamHead(id) + chunk(event(1)), .delay = 900ms, .trailingBytes = chunk(event(2)) + "0\r\n\r\n", .trailingDelay = 4s };
+                return Reply { .bytes = streamHead(id) + chunk(event(1)), .delay = 900ms, .trailingBytes = chunk(event(2)) + "0\r\n\r\n", .trailingDelay = 5s };
             });
         }
         start();
-        m_store.put("config", "main", R"({"version":2,"routes":[
-{"name":"urgent","host":"h.example","path-prefix":"/urgent/","kind":"streaming","timeout-ms":9000,"target-latency-ms":5000,"priority":0,"service":"app"},
-{"name":"other","host":"h.example","path-prefix":"/other/","kind":"streaming","timeout-ms":9000,"target-latency-ms":500,"priority":2,"service":"app"}],
-"services":[{"name":"app"}],"tenants":[{"name":"team","api-keys":["k1"]}]})");
-        waitFor([&] { return m_service->tables().routes->version == 2; });
+        putRoutes();
         for (int i = 0; i < 16; ++i)
-            m_loop.runtime().spawn(sendInBackground(i % 2 ? "/urgent/" : "/other/", "first" + std::to_string(i)));
+            m_loop.runtime().spawn(sendInBackground(i % 2 ? "/urgent/" : "/other/", "first" + std::to_string(i), 6s));
         waitFor([&] {
             auto const found = m_service->tables().admission.find("app");
             return found == m_service->tables().admission.end() ? countRequests() == 16 && m_loop.runtime().now() > m_startedAt + 2s : found->second.samples == 16;
         });
     }
 
-    Core::Awaitable<void> sendInBackground(std::string path, std::string id) { (void)co_await exchangeTask(request(path + id, id), 5s); }
+    void putRoutes()
+    {
+        m_store.put("config", "main", R"({"version":2,"routes":[
+{"name":"urgent","host":"h.example","path-prefix":"/urgent/","kind":"streaming","timeout-ms":9000,"target-latency-ms":5000,"priority":0,"service":"app"},
+{"name":"other","host":"h.example","path-prefix":"/other/","kind":"streaming","timeout-ms":9000,"target-latency-ms":500,"priority":2,"service":"app"}],
+"services":[{"name":"app"}],"tenants":[{"name":"team","api-keys":["k1"]}]})");
+        waitFor([&] { return m_service->tables().routes->version == 2; });
+    }
+
+    // The handlers of requests in progress must not outlive the service.
+    void TearDown() override
+    {
+        waitFor([&] { return m_inBackground == 0 && std::all_of(m_service->tables().servers.rows.begin(), m_service->tables().servers.rows.end(), [](auto const& row) { return row.outstanding == 0; }); });
+    }
+
+    Core::Awaitable<void> sendInBackground(std::string path, std::string id, Core::Duration idleTimeout = 1500ms)
+    {
+        ++m_inBackground;
+        (void)co_await exchangeTask(request(path + id, id), idleTimeout);
+        --m_inBackground;
+    }
 
     // Sends several, since a less urgent request is refused with some probability only.
     std::vector<std::string> send(std::string const& path, int count)
@@ -43,7 +59,7 @@
 
     Core::Awaitable<void> receive(std::string path, std::string id, std::string& response, int& received)
     {
-        response = co_await exchangeTask(request(path + id, id), 1500ms);
+        response = co_await exchangeTask(request(path + id, id), 2500ms);
         ++received;
     }
 
@@ -56,6 +72,7 @@
         });
     }
 
+    int m_inBackground { 0 };
     Core::MonotonicTime m_startedAt { m_loop.runtime().now() };
 };
 
@@ -88,3 +105,32 @@
     EXPECT_EQ(countRequests(), 32u);
     EXPECT_TRUE(m_service->tables().admission.empty());
 }
+
+// Guards against requests that wait although a server has room again, and requests that are sent after their client has left.
+TEST_F(AdmissionControlTest, RequestWaitsForRoomAndLeavesWithItsClient)
+{
+    m_admissionControl = Edge::FeatureMode::On;
+    addServer([](auto const& request) {
+        bool const isHeld = request.find("/hold") != std::string::npos;
+        return Reply { .bytes = streamHead(attemptIdOf(request)) + chunk(event(1)), .trailingBytes = "0\r\n\r\n", .trailingDelay = isHeld ? 400ms : 1ms };
+    });
+    start();
+    putRoutes();
+    // The node learns the delays first.
+    EXPECT_EQ(send("/urgent/", 10).size(), 10u);
+    // As many as the server has slots.
+    for (int i = 0; i < 6; ++i)
+        m_loop.runtime().spawn(sendInBackground("/urgent/hold", std::to_string(i)));
+    waitFor([&] { return m_servers[0]->requests.size() == 16; });
+    auto const sentAt = m_loop.runtime().now();
+    m_loop.runtime().spawn(sendInBackground("/urgent/", "gone", 100ms));
+    m_loop.runtime().spawn(sendInBackground("/urgent/", "next"));
+    auto const& queues = m_service->tables().waiting;
+    waitFor([&] { return queues.contains("app") && queues.at("app").requests.size() == 2; });
+    waitFor([&] { return queues.at("app").requests.size() == 1; });
+    waitFor([&] { return hasReachedAServer("next"); });
+    // At the latest it would have been sent after an eighth of the objective.
+    EXPECT_LT(m_loop.runtime().now() - sentAt, 600ms);
+    EXPECT_TRUE(queues.at("app").requests.empty());
+    EXPECT_FALSE(hasReachedAServer("gone"));
+}
--- a/Tests/LibAdmission/OverloadModel.h
+++ b/Tests/LibAdmission/OverloadModel.h
@@ -35,6 +35,17 @@
 
     int left { 0 };
 
+    Outcome& operator+=(Outcome const& other)
+    {
+        offered += other.offered;
+        onTime += other.onTime;
+        late += other.late;
+        left += other.left;
+        refused += other.refused;
+        refusedOnce += other.refusedOnce;
+        return *this;
+    }
+
     [[nodiscard]] double onTimeShare() const { return offered ? double(onTime) / offered : 1; }
     [[nodiscard]] double refusedShare() const { return offered ? double(refused) / offered : 0; }
 };
@@ -63,7 +74,8 @@
     Outcome total;
     /// Tokens that idle servers could have read while requests arrived.
     double idleTokens { 0 };
-    /// Arrivals from clients that came back, by tenths of a second.
+    /// Refusals, and arrivals of clients that come back after one, by tenths of a second.
+    std::map<int, int> refusals;
     std::map<int, int> returns;
 
     void run(double seconds)
@@ -105,6 +117,21 @@
         }
     }
 
+    /// Adds the results of another run.
+    OverloadModel& operator+=(OverloadModel const& other)
+    {
+        for (auto const& [kind, outcome] : other.byKind)
+            byKind[kind] += outcome;
+        for (auto const& [team, outcome] : other.byTeam)
+            byTeam[team] += outcome;
+        total += other.total;
+        for (auto const& [tenth, count] : other.refusals)
+            refusals[tenth] += count;
+        for (auto const& [tenth, count] : other.returns)
+            returns[tenth] += count;
+        return *this;
+    }
+
 private:
     static constexpr double stepSeconds = 0.005;
     static constexpr double drainSeconds = 15;
@@ -179,6 +206,7 @@
         if (isControlled && decision.verdict == Admission::Verdict::Refuse) {
             double const retryAfter = std::chrono::duration<double>(decision.retryAfter).count();
             bool const returns = !request.hasReturned && retryAfter <= profile.timeLeftSeconds / 3;
+            ++refusals[int(seconds() * 10)];
             if (!request.hasReturned)
                 count(request, &Outcome::refusedOnce);
             if (!returns)
--- a/Tests/LibAdmission/OverloadTest.cpp
+++ b/Tests/LibAdmission/OverloadTest.cpp
@@ -9,15 +9,21 @@
     return { { "review", 0, 1.5, 12, 3720, 13300, 11 * factor }, { "check", 1, 2.5, 6, 2890, 6300, 8 * factor }, { "question", 2, 3, 15, 1110, 350, 13 * factor } };
 }
 
+// The sum of several runs.
 static OverloadModel runModel(bool isControlled, std::function<void(OverloadModel&)> const& configure)
 {
-    OverloadModel model;
-    model.isControlled = isControlled;
-    model.kinds = threeKinds(1);
-    model.countFrom = 10;
-    configure(model);
-    model.run(22);
-    return model;
+    OverloadModel sum;
+    for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+        OverloadModel model;
+        model.isControlled = isControlled;
+        model.arrivals = Core::Random(seed);
+        model.kinds = threeKinds(1);
+        model.countFrom = 10;
+        configure(model);
+        model.run(22);
+        sum += model;
+    }
+    return sum;
 }
 
 // Guards against refusals while all requests can be on time, also of a node that sees few of them.
@@ -52,7 +58,7 @@
 TEST(OverloadTest, TeamThatFloodsGivesWayFirst)
 {
     auto const configure = [](auto& model) {
-        model.kinds = threeKinds(1.3);
+        model.kinds = threeKinds(1.4);
         model.rateFactor = [](std::size_t team, double time) { return team == 3 && time >= 10 ? 8 : 1; };
     };
     auto before = runModel(false, configure);
@@ -71,7 +77,7 @@
     EXPECT_GT(after.byTeam[3].onTimeShare(), 0.2);
 }
 
-// Guards against refusals that cost more than they save when only part of the servers is slow.
+// Guards against refusals that cost more urgent requests than they save when only part of the servers is slow.
 TEST(OverloadTest, SlowServersCauseNoMoreLateRequestsThanBefore)
 {
     auto const configure = [](auto& model) {
@@ -83,3 +89,18 @@
     EXPECT_GT(after.byKind["review"].onTimeShare(), before.byKind["review"].onTimeShare());
     EXPECT_LT(after.total.late + after.total.left, before.total.late + before.total.left);
 }
+
+// Guards against clients that come back in step after a burst, and so cause a second one.
+TEST(OverloadTest, RefusedClientsCauseNoSecondPeak)
+{
+    auto const configure = [](auto& model) {
+        model.rateFactor = [](std::size_t, double time) { return time >= 10 && time < 11.5 ? 6 : 1; };
+    };
+    auto before = runModel(false, configure);
+    auto after = runModel(true, configure);
+    auto const largest = [](std::map<int, int> const& counts) { return std::max_element(counts.begin(), counts.end(), [](auto const& left, auto const& right) { return left.second < right.second; })->second; };
+    EXPECT_GT(after.total.refusedOnce, 50);
+    EXPECT_LT(largest(after.returns), largest(after.refusals));
+    EXPECT_LT(after.total.late + after.total.left, 0.8 * (before.total.late + before.total.left));
+    EXPECT_GT(after.byKind["review"].onTimeShare(), before.byKind["review"].onTimeShare());
+}
