--- a/Libraries/LibForward/TeamQuota.cpp
+++ b/Libraries/LibForward/TeamQuota.cpp
@@ -20,6 +20,9 @@
     return static_cast<double>(tokens ? tokens->promptTokens + tokens->maximumOutputTokens : team.defaultRequestTokens);
 }
 
+// With this weight, the decaying sum of the costs converges to their rate.
+static double const arrivalWeight = std::log(2.0) / demandHalfLifeSeconds;
+
 static double decayedDemand(QuotaTable::Row const& row, Core::MonotonicTime now)
 {
     return row.demand * std::exp2(-std::chrono::duration<double>(now - row.demandUpdatedAt).count() / demandHalfLifeSeconds);
@@ -31,6 +34,16 @@
     return found == table.rows.end() ? 0 : decayedDemand(found->second, now);
 }
 
+void recordQuotaDemand(QuotaTable& table, std::string_view team, double cost, Core::MonotonicTime now)
+{
+    auto const found = table.rows.find(team);
+    // A team without an admitted request has no row yet.
+    if (found == table.rows.end())
+        return;
+    found->second.demand = decayedDemand(found->second, now) + cost * arrivalWeight;
+    found->second.demandUpdatedAt = now;
+}
+
 double admissionShare(QuotaTable const& table, PeerTable const& peers, std::size_t servers, std::string const& team, Core::MonotonicTime now)
 {
     // Upper end of the range in deployments.
@@ -122,7 +135,6 @@
     static constexpr double reservedFraction = 0.5;
     // After an excess, the nodes' figures differ by what each has heard, and one that has too high a figure must not begin the next excess.
     static constexpr double reservedFractionWhileRepaying = 0.9;
-    static double const arrivalWeight = std::log(2.0) / demandHalfLifeSeconds;
     auto& row = rowOf(table, team, tolerance);
     // No window has room for it, and its costs would displace the team's other requests for long.
     double const unitsPerWindow = team.ratePerSecond * static_cast<double>(tolerance.window.count());
--- a/Services/Edge/EdgeService.cpp
+++ b/Services/Edge/EdgeService.cpp
@@ -1,6 +1,7 @@
 #include <Edge/EdgeService.h>
 
 #include <Edge/AdaptivePlacement.h>
+#include <Edge/OverloadControl.h>
 #include <Edge/PlacementExplanation.h>
 #include <Edge/RolloutState.h>
 #include <LibCore/Log.h>
@@ -344,6 +345,7 @@
     m_tables.placementCosts.unreportedRequests = unreportedRequestsPerPeer * static_cast<double>(Forward::countLivePeers(m_tables.peers, now));
     Routing::updateStragglerStates(m_tables.servers, now);
     updateAdaptiveServices(m_tables, m_settings, now);
+    updateAdmission(m_tables, m_settings, m_metrics, now);
     Limits::expire(m_tables.quarantine, now);
     logRefusedParts(Limits::expire(m_tables.crashSuspects, now), "own");
     logRefusedRequests(Limits::expire(m_tables.requestSuspects, now), "own");
--- a/Services/Edge/EdgeTables.h
+++ b/Services/Edge/EdgeTables.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <LibAdmission/AdmissionDecision.h>
+#include <LibAdmission/WaitingQueue.h>
 #include <LibForward/DrainPolicy.h>
 #include <LibForward/PeerTable.h>
 #include <LibForward/RouteTable.h>
@@ -32,6 +34,7 @@
 struct EdgeTables {
     explicit EdgeTables(Core::Runtime& runtime)
         : becameUsable(runtime)
+        , waitingChanged(runtime)
     {
     }
 
@@ -63,6 +66,14 @@
     Rollout::RolloutTable rollouts;
     /// By service name.
     std::map<std::string, Limits::RetryBudget> retryBudgets;
+    /// By service name; only services with admission control.
+    std::map<std::string, Admission::ServiceState> admission;
+    /// The requests that wait for room, by service name.
+    std::map<std::string, Admission::WaitingQueue> waiting;
+    /// Notified when requests in `waiting` may be sent, or when a client disconnects.
+    Core::AsyncEvent waitingChanged;
+    Admission::FairShareTable teamShares;
+    Admission::Parameters admissionParameters;
     /// Fingerprints of the requests in progress by server id; identifies the suspects when a server crashes.
     std::multimap<std::string, Limits::RequestFingerprint> runningByServer;
     /// Set once a planned stop has begun.
--- a/Services/Edge/RequestForwarder.cpp
+++ b/Services/Edge/RequestForwarder.cpp
@@ -1,6 +1,7 @@
 #include <Edge/RequestForwarder.h>
 
 #include <Edge/AdaptivePlacement.h>
+#include <Edge/OverloadControl.h>
 #include <Edge/RequestLog.h>
 #include <Edge/RetryAfter.h>
 #include <LibForward/RetryShare.h>
@@ -24,8 +25,9 @@
         , m_context(context)
     {
         m_forwarder.m_active.insert(&m_context);
-        m_context.writer.onPeerClosed([&context] {
+        m_context.writer.onPeerClosed([&forwarder, &context] {
             context.clientDisconnected = true;
+            forwarder.m_dependencies.tables.waitingChanged.notifyAll();
             context.cancellation.cancel();
         });
     }
@@ -34,6 +36,7 @@
     {
         m_context.writer.onPeerClosed({});
         m_forwarder.m_active.erase(&m_context);
+        recordEnd(m_forwarder.m_dependencies.tables, m_context, m_forwarder.m_dependencies.runtime.now());
         m_forwarder.m_responses.release(m_context);
     }
 
@@ -80,6 +83,7 @@
             if (context.streamStarted)
                 context.writer.abort();
         });
+        co_await waitForRoom(m_dependencies, context);
         co_await run(context);
     }
     logRequest(m_dependencies, context);
@@ -196,6 +200,7 @@
     context.placedAt = attempt->sentAt;
     if (auto const* row = Routing::findServer(std::as_const(tables.servers), attempt->placement.serverId))
         attempt->version = row->version;
+    recordSent(tables, context, attempt->sentAt);
 
     Forward::ForwardAttributes attributes;
     attributes.timeLeft = toMilliseconds(context.deadline - attempt->sentAt);
--- a/Services/Edge/ResponseForwarder.cpp
+++ b/Services/Edge/ResponseForwarder.cpp
@@ -1,5 +1,7 @@
 #include <Edge/ResponseForwarder.h>
 
+#include <Edge/OverloadControl.h>
+
 namespace Edge {
 
 using Core::ErrorKind;
@@ -107,6 +109,7 @@
             if (!context.firstEventAt) {
                 context.firstEventAt = m_dependencies.runtime.now();
                 m_recorder.recordFirstEvent(context, attempt);
+                recordFirstEvent(m_dependencies.tables, context, attempt, *context.firstEventAt);
             }
         }
         if (!context.streamStarted && (!events.empty() || isEnd)) {
