LibHTTP: Move the client's connections to their own files

ReachabilityWatch and the connection move to ClientConnection, without a change of behaviour; the connection is named after the file.

--- a/Libraries/LibHTTP/Client.cpp
+++ b/Libraries/LibHTTP/Client.cpp
@@ -2,11 +2,10 @@
 
 #include <LibCore/Log.h>
 #include <LibHTTP/BeastConversion.h>
-#include <LibHTTP/SendWatch.h>
+#include <LibHTTP/ClientConnection.h>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
@@ -31,138 +30,7 @@
 
 namespace {
 
-// Closes the connection if its peer cannot be reached while it has a request to send. The system's own timeout does so as well, but also if
-// the peer reads nothing for that time; it is off while the peer's receive window is closed.
-class ReachabilityWatch {
-public:
-    ReachabilityWatch(Core::Runtime& runtime, tcp::socket& socket, std::chrono::milliseconds bound)
-        : m_runtime(runtime)
-        , m_socket(socket)
-        , m_bound(bound)
-    {
-    }
-
-    ~ReachabilityWatch() { stop(); }
-    ReachabilityWatch(ReachabilityWatch const&) = delete;
-    ReachabilityWatch& operator=(ReachabilityWatch const&) = delete;
-
-    // Called before the first byte of a request is written. Ends by itself.
-    void start()
-    {
-        stop();
-        m_watch = { .startedAt = m_runtime.now() };
-        // Before the system's timeout passes, with time for a late check.
-        m_timer = m_runtime.callAt(m_watch.startedAt + m_bound / 2, [this] { check(); });
-    }
-
-    void endWriting() { m_watch.isWriting = false; }
-
-    // Hands the connection back to the system, also for what it still sends after the connection was closed.
-    void stop()
-    {
-        m_timer.cancel();
-        if (std::exchange(m_isSystemTimeoutOff, false) && m_socket.is_open())
-            changeSystemTimeout(m_bound);
-    }
-
-    [[nodiscard]] bool isUnreachable() const { return m_isUnreachable; }
-
-private:
-    static constexpr auto checkInterval = std::chrono::milliseconds(100);
-    // Shorter than the bound, so that a link that is cut between two probes is noticed in time.
-    static constexpr auto probeInterval = std::chrono::seconds(1);
-
-    void check()
-    {
-        auto const counters = readSendCounters(m_socket.native_handle());
-        if (!counters) {
-            Core::logEvent(Core::LogLevel::Warning, "connection_counters_unreadable", { { "reason", std::generic_category().message(errno) } });
-            stop();
-            return;
-        }
-        auto const now = m_runtime.now();
-        switch (updateSendWatch(m_watch, *counters, m_bound, now)) {
-        case SendState::Complete:
-            stop();
-            return;
-        case SendState::Unreachable:
-            closeUnreachable();
-            return;
-        case SendState::WindowClosed:
-            if (!m_isSystemTimeoutOff && changeSystemTimeout(std::chrono::milliseconds::zero())) {
-                m_isSystemTimeoutOff = true;
-                (void)limitProbeInterval(m_socket.native_handle(), probeInterval);
-            }
-            break;
-        case SendState::InFlight:
-            break;
-        }
-        m_timer = m_runtime.callAt(std::min(now + checkInterval, m_watch.unreachableAt.value_or(now + checkInterval)), [this] { check(); });
-    }
-
-    // Drops what has not been sent, as the system's timeout does: the peer must not receive it once the link is back.
-    void closeUnreachable()
-    {
-        m_isUnreachable = true;
-        boost::system::error_code ignored;
-        m_socket.set_option(asio::socket_base::linger(true, 0), ignored);
-        m_socket.close(ignored);
-    }
-
-    bool changeSystemTimeout(std::chrono::milliseconds timeout)
-    {
-        if (setSystemTimeout(m_socket.native_handle(), timeout))
-            return true;
-        Core::logEvent(Core::LogLevel::Warning, "connection_timeout_unchanged", { { "reason", std::generic_category().message(errno) } });
-        return false;
-    }
-
-    Core::Runtime& m_runtime;
-    tcp::socket& m_socket;
-    std::chrono::milliseconds m_bound;
-    SendWatch m_watch;
-    Core::Timer m_timer;
-    bool m_isSystemTimeoutOff { false };
-    bool m_isUnreachable { false };
-};
-
-struct Connection {
-    Connection(asio::io_context& context, std::size_t maximumBufferedBytes)
-        : socket(context)
-        , buffer(maximumBufferedBytes)
-    {
-    }
-
-    void close()
-    {
-        if (watch)
-            watch->stop();
-        boost::system::error_code ignored;
-        socket.close(ignored);
-    }
-
-    // The reason why an operation failed, given its own error.
-    [[nodiscard]] boost::system::error_code failureReason(boost::system::error_code errorCode) const
-    {
-        return errorCode && watch && watch->isUnreachable() ? make_error_code(asio::error::timed_out) : errorCode;
-    }
-
-    void cancelRead()
-    {
-        boost::system::error_code ignored;
-        socket.cancel(ignored);
-    }
-
-    tcp::socket socket;
-    /// Null if the system's timeout, if any, decides alone.
-    std::unique_ptr<ReachabilityWatch> watch;
-    beast::flat_buffer buffer;
-    Core::MonotonicTime idleSince;
-    /// From the Keep-Alive header of the last response; zero if there was none.
-    Core::Duration keepAliveTimeout {};
-};
-
-using ConnectionPointer = std::unique_ptr<Connection>;
+using ConnectionPointer = std::unique_ptr<ClientConnection>;
 using BodyParser = beast::http::response_parser<beast::http::buffer_body>;
 
 // Bytes that are read at a time.
@@ -182,7 +50,7 @@
 // Closes the connection on cancellation during one step of an exchange.
 class AbortScope {
 public:
-    AbortScope(Cancellation* cancellation, Connection& connection)
+    AbortScope(Cancellation* cancellation, ClientConnection& connection)
         : m_cancellation(cancellation)
     {
         if (!m_cancellation)
@@ -265,7 +133,7 @@
     }
 
     // A connection that received bytes or an end of file while idle is not reused, because they belong to no request.
-    bool isReusable(Connection& connection, ConnectionUse use)
+    bool isReusable(ClientConnection& connection, ConnectionUse use)
     {
         // The peer may already be closing the connection; covers a round trip and scheduling delays.
         static constexpr auto closeMargin = std::chrono::milliseconds(300);
@@ -285,7 +153,7 @@
         return errorCode == asio::error::would_block;
     }
 
-    void detectUnreachablePeer(Connection& connection)
+    void detectUnreachablePeer(ClientConnection& connection)
     {
         auto const descriptor = connection.socket.native_handle();
         if (!setSystemTimeout(descriptor, m_limits.unacknowledgedTimeout))
@@ -305,7 +173,7 @@
             if (auto connection = takeIdle(endpoint, use))
                 co_return AcquiredConnection { std::move(connection), ConnectionOrigin::Idle };
         }
-        auto connection = std::make_unique<Connection>(m_runtime.context(), m_limits.maximumHeaderBytes + readBufferSize);
+        auto connection = std::make_unique<ClientConnection>(m_runtime.context(), m_limits.maximumHeaderBytes + readBufferSize);
         boost::system::error_code addressError;
         tcp::endpoint const remote { asio::ip::make_address(endpoint.address, addressError), endpoint.port };
         if (addressError) {
@@ -455,7 +323,7 @@
     return parser.chunked() || parser.content_length() || parser.is_done();
 }
 
-static Core::Awaitable<HeaderOutcome> readResponseHeaders(Connection& connection, bool isHeadRequest, ClientLimits const& limits, ClientTraffic& traffic)
+static Core::Awaitable<HeaderOutcome> readResponseHeaders(ClientConnection& connection, bool isHeadRequest, ClientLimits const& limits, ClientTraffic& traffic)
 {
     HeaderOutcome outcome;
     auto parser = std::make_unique<BodyParser>();
@@ -472,7 +340,7 @@
 }
 
 // Reads and discards the body of a response to another request.
-static Core::Awaitable<boost::system::error_code> discardBody(Connection& connection, BodyParser& parser)
+static Core::Awaitable<boost::system::error_code> discardBody(ClientConnection& connection, BodyParser& parser)
 {
     if (!hasDelimitedBody(parser))
         co_return make_error_code(beast::http::error::partial_message);
@@ -487,7 +355,7 @@
     co_return boost::system::error_code {};
 }
 
-static Core::Awaitable<HeaderOutcome> exchangeHeaders(Connection& connection, beast::http::request<beast::http::string_body>& message, ResponsePredicate const& matchesRequest, ClientLimits const& limits, ClientTraffic& traffic)
+static Core::Awaitable<HeaderOutcome> exchangeHeaders(ClientConnection& connection, beast::http::request<beast::http::string_body>& message, ResponsePredicate const& matchesRequest, ClientLimits const& limits, ClientTraffic& traffic)
 {
     if (connection.watch)
         connection.watch->start();
