LibHTTP: Refuse parts of bodies and invalid statuses of faulty servers

A server that answers a long upload early, with a 200 without a length, sends part of the body and resets the connection while the upload is written: the failed write took the error of the socket, the read after it saw a regular end, and the client got the part as a whole response. A response without a length is now refused if the write of its request failed; one with a length or in chunks is passed on if it is complete, as before.

Statuses of 000 and 099 passed for interim responses, and the request waited for a final one. They are refused at once. 00, 0200 and 99999 were refused before.

RawServer's resets were regular ends where the client had sent nothing more: the destructor of a socket turns lingering off. It closes the socket itself now. It can reply to the head of a request, with a small receive buffer and the segments of a network, since the send buffer takes the whole upload with those of the loopback device.

--- a/Libraries/LibHTTP/Client.cpp
+++ b/Libraries/LibHTTP/Client.cpp
@@ -315,7 +315,8 @@
 
 }
 
-// RFC 9110, section 15.2: interim responses precede the final one.
+// RFC 9110, section 15: a status has three digits, the first of which is at least 1. Section 15.2: interim responses precede the final one.
+static constexpr unsigned firstStatus = 100;
 static constexpr unsigned firstFinalStatus = 200;
 
 static bool hasDelimitedBody(BodyParser const& parser)
@@ -375,7 +376,15 @@
             outcome.errorCode = writeError;
         if (outcome.errorCode)
             co_return outcome;
-        bool const isInterim = outcome.parser->get().result_int() < firstFinalStatus;
+        auto const status = outcome.parser->get().result_int();
+        if (status < firstStatus)
+            outcome.errorCode = make_error_code(beast::http::error::bad_status);
+        // The failed write has taken the error of the connection, so that a reset would pass for the end of a body without a length.
+        else if (writeError && status >= firstFinalStatus && !hasDelimitedBody(*outcome.parser))
+            outcome.errorCode = writeError;
+        if (outcome.errorCode)
+            co_return outcome;
+        bool const isInterim = status < firstFinalStatus;
         if (!isInterim && (!matchesRequest || matchesRequest(headersFromFields(outcome.parser->get()))))
             co_return outcome;
         if (isInterim)
--- a/Tests/EdgeService/RawServer.cpp
+++ b/Tests/EdgeService/RawServer.cpp
@@ -4,6 +4,7 @@
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
+#include <netinet/tcp.h>
 
 namespace StandIns {
 
@@ -50,6 +51,37 @@
     return at == std::string::npos ? 0 : std::stoul(headers.substr(at + 16));
 }
 
+// The destructor of a socket turns lingering off again, so that the end would be a regular one.
+static void reset(tcp::socket& socket)
+{
+    socket.set_option(tcp::socket::linger(true, 0));
+    socket.close();
+}
+
+void RawServer::replyEarly(Script script)
+{
+    static constexpr int smallBuffer = 4096;
+    // The client's system sizes its send buffer by the segments; with those of the loopback device it takes some megabytes.
+    using MaximumSegment = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_MAXSEG>;
+    static constexpr int segmentOfANetwork = 1400;
+    m_earlyScript = std::move(script);
+    m_acceptor.set_option(tcp::acceptor::receive_buffer_size(smallBuffer));
+    m_acceptor.set_option(MaximumSegment(segmentOfANetwork));
+}
+
+Core::Awaitable<void> RawServer::serveEarly(tcp::socket& socket, std::string buffer, std::size_t headLength)
+{
+    requests.push_back(buffer.substr(0, headLength));
+    auto const reply = m_earlyScript(requests.back());
+    (void)co_await asio::async_write(socket, asio::buffer(reply.bytes), useTuple);
+    auto const length = headLength + contentLength(requests.back());
+    if (reply.ending == Reply::Ending::ResetAfterRequest)
+        (void)co_await asio::async_read(socket, asio::dynamic_buffer(buffer), asio::transfer_exactly(length - buffer.size()), useTuple);
+    if (reply.trailingDelay > Core::Duration {})
+        co_await m_runtime.sleepFor(reply.trailingDelay);
+    reset(socket);
+}
+
 Core::Awaitable<void> RawServer::serve(tcp::socket socket)
 {
     std::string buffer;
@@ -57,6 +89,10 @@
         auto [headError, headLength] = co_await asio::async_read_until(socket, asio::dynamic_buffer(buffer), "\r\n\r\n", useTuple);
         if (headError)
             co_return;
+        if (m_earlyScript) {
+            co_await serveEarly(socket, std::move(buffer), headLength);
+            co_return;
+        }
         auto const length = headLength + contentLength(buffer.substr(0, headLength));
         if (buffer.size() < length) {
             auto [bodyError, bodyLength] = co_await asio::async_read(socket, asio::dynamic_buffer(buffer), asio::transfer_exactly(length - buffer.size()), useTuple);
@@ -94,7 +130,7 @@
         if (reply.ending == Reply::Ending::Crash)
             m_runtime.spawn(restart());
         if (reply.ending == Reply::Ending::Reset || reply.ending == Reply::Ending::Crash) {
-            socket.set_option(tcp::socket::linger(true, 0));
+            reset(socket);
             co_return;
         }
         if (reply.ending == Reply::Ending::Close)
--- a/Tests/EdgeService/RawServer.h
+++ b/Tests/EdgeService/RawServer.h
@@ -28,6 +28,8 @@
             Reset,
             /// Resets the connection and refuses new ones for a short time.
             Crash,
+            /// Only for early replies: resets the connection once the whole request has been received.
+            ResetAfterRequest,
         };
         Ending ending { Ending::KeepOpen };
     };
@@ -35,6 +37,10 @@
 
     RawServer(Core::Runtime&, Script);
 
+    /// From now on the server replies to the head of a request, without reading its body. Its receive buffer and segments are small, so that
+    /// a long body is still being written then. The reply's ending follows after `trailingDelay`.
+    void replyEarly(Script);
+
     [[nodiscard]] Core::Endpoint const& endpoint() const { return m_endpoint; }
 
     /// The received requests, headers and body.
@@ -49,8 +55,11 @@
     [[nodiscard]] Core::Awaitable<void> restart();
     [[nodiscard]] Core::Awaitable<void> serve(boost::asio::ip::tcp::socket);
 
+    [[nodiscard]] Core::Awaitable<void> serveEarly(boost::asio::ip::tcp::socket&, std::string buffer, std::size_t headLength);
+
     Core::Runtime& m_runtime;
     Script m_script;
+    Script m_earlyScript;
     boost::asio::ip::tcp::acceptor m_acceptor;
     Core::Endpoint m_endpoint;
 };
