LibRouting: Count a missing prefix as prefilled again

Counting a copy of a prefix at the time that it takes made requests leave the servers that hold their prefixes, and the sources of the copies often held nothing.

--- a/Libraries/LibForward/RouteTable.h
+++ b/Libraries/LibForward/RouteTable.h
@@ -55,9 +55,6 @@
 struct EngineCapacity {
     std::uint32_t slots { 1 };
     std::uint64_t cacheTokens { 0 };
-    /// Size of a token in the cache, and the rate at which engines copy it to each other; 0 if the configuration does not give it.
-    double cacheBytesPerToken { 0 };
-    double copyMegabitsPerSecond { 0 };
 
     bool operator==(EngineCapacity const&) const = default;
 };
--- a/Libraries/LibRouting/AdaptiveCost.cpp
+++ b/Libraries/LibRouting/AdaptiveCost.cpp
@@ -35,21 +35,6 @@
     return request.sharedTokens * std::pow(heldFractionByRank, homeRank - homes + 1);
 }
 
-// The time in which a server gets the part of the shared prefix that it does not hold: by a copy from the server whose cache ranks first, or by
-// prefilling it, if it is that server or no copy is made.
-static double secondsForMissingPrefix(AdaptiveInputs const& inputs, AdaptiveTerms const& terms, PlacementRequest const& request, PlacementCosts const& costs, double missingTokens, std::uint32_t homeRank)
-{
-    auto const prefillSeconds = missingTokens * terms.secondsPerToken;
-    if (homeRank == 0 || request.sharedTokens < costs.minimumCopiedTokens || inputs.conditions.copySecondsPerToken <= 0)
-        return prefillSeconds;
-    // Copies from a server run one after the other, and are billed.
-    static constexpr double copySetupSeconds = 0.03;
-    // The source may have evicted the prefix, or never have read it.
-    static constexpr double copiedFraction = 0.85;
-    auto const copySeconds = copySetupSeconds + missingTokens * inputs.conditions.copySecondsPerToken;
-    return std::min(prefillSeconds, copiedFraction * copySeconds + (1 - copiedFraction) * prefillSeconds);
-}
-
 // The number of requests that a server has room for, in its slots and in its memory.
 static double placesOf(AdaptiveInputs const& inputs, AdaptiveTerms const& terms, ServerRow const& row)
 {
@@ -86,8 +71,7 @@
     if (row.stragglerState == StragglerState::Straggler)
         estimate.slowness = std::max(estimate.slowness, stragglerSlowness);
     estimate.aheadSeconds = (unreadTokensAt(terms, load) * terms.secondsPerToken + load * costs.perEngineRequest) * estimate.slowness;
-    auto const missingTokens = static_cast<double>(estimate.readTokens) - request.ownTokens;
-    estimate.readSeconds = (request.ownTokens * terms.secondsPerToken + secondsForMissingPrefix(inputs, terms, request, costs, missingTokens, homeRank)) * estimate.slowness;
+    estimate.readSeconds = estimate.readTokens * terms.secondsPerToken * estimate.slowness;
     auto const places = placesOf(inputs, terms, row);
     if (load + 1 > places) {
         auto const secondsPerPlace = terms.speed->ends > 0 ? terms.speed->meanSeconds / places : costs.perWaitingEngineRequest;
--- a/Libraries/LibRouting/PrefixResidency.h
+++ b/Libraries/LibRouting/PrefixResidency.h
@@ -27,8 +27,6 @@
     /// Nodes that place at the servers, and servers of the service.
     std::size_t nodes { 1 };
     std::size_t servers { 1 };
-    /// Time in which a server copies a token of a prefix from another server's cache; 0 if unknown.
-    double copySecondsPerToken { 0 };
 
     bool operator==(CacheConditions const&) const = default;
 };
--- a/Services/Edge/AdaptivePlacement.cpp
+++ b/Services/Edge/AdaptivePlacement.cpp
@@ -13,15 +13,6 @@
     return settings.adaptivePlacement == FeatureMode::On || Forward::toleratesQueueing(*tables.routes, service.name);
 }
 
-static double copySecondsPerToken(Forward::EngineCapacity const& engine)
-{
-    static constexpr double bitsPerByte = 8;
-    static constexpr double bitsPerMegabit = 1e6;
-    if (engine.copyMegabitsPerSecond <= 0)
-        return 0;
-    return engine.cacheBytesPerToken * bitsPerByte / (engine.copyMegabitsPerSecond * bitsPerMegabit);
-}
-
 void updateAdaptiveServices(EdgeTables& tables, EdgeSettings const& settings, Core::MonotonicTime now)
 {
     std::set<std::string> used;
@@ -35,7 +26,6 @@
             .cacheTokens = service.engine->cacheTokens,
             .nodes = std::max<std::size_t>(Forward::countNodes(tables.peers), 1),
             .servers = static_cast<std::size_t>(std::count_if(tables.servers.rows.begin(), tables.servers.rows.end(), isLive)),
-            .copySecondsPerToken = copySecondsPerToken(*service.engine),
         };
         Routing::expire(adaptive.residency, adaptive.conditions, now);
     }
