--- a/Services/Edge/EdgeSettings.cpp
+++ b/Services/Edge/EdgeSettings.cpp
@@ -31,7 +31,7 @@
 DEFINE_double(retry_slack, 10, "retries per window in addition to the ratio, across all nodes");
 DEFINE_double(quota_window_s, 8, "seconds over which a team's limit is measured");
 DEFINE_double(quota_slack, 0, "units by which a team may exceed its limit in a window");
-DEFINE_string(adaptive_placement, "auto", "placement by measured engine speeds and cached prefixes: auto, on or off");
+DEFINE_string(adaptive_placement, "off", "placement by measured engine speeds and cached prefixes: auto, on or off");
 DEFINE_string(admission_control, "auto", "waiting and refusals under overload: auto, on or off");
 DEFINE_double(rollout_share, 0, "fraction of a service's requests that a version under evaluation may get; 0 without rollouts");
 DEFINE_double(rollout_slack, 0, "requests that a bad version may get beyond that fraction");
--- a/Services/Edge/EdgeSettings.h
+++ b/Services/Edge/EdgeSettings.h
@@ -50,7 +50,7 @@
     std::chrono::seconds quotaWindow { 8 };
     double quotaSlack { 0 };
     /// Placement by measured engine speeds and cached prefixes; Auto means where Forward::toleratesQueueing().
-    FeatureMode adaptivePlacement { FeatureMode::Auto };
+    FeatureMode adaptivePlacement { FeatureMode::Off };
     /// Waiting and refusals under overload; Auto means where Forward::toleratesQueueing().
     FeatureMode admissionControl { FeatureMode::Auto };
     /// Fraction of a service's requests that a version under evaluation may get; 0 if this deployment has no rollouts.
