Tests: Share the faulty behaviours of the verdict tests

The tests of single faults repeated the same behaviour. They now share one function; bounds and faults are the same, and the test under load and the one on one route are one test over both behaviours.

--- a/Tests/LibRollout/RolloutFixture.h
+++ b/Tests/LibRollout/RolloutFixture.h
@@ -63,7 +63,6 @@
 
     std::size_t requests { 0 };
     std::size_t candidateRequests { 0 };
-    std::size_t badResponses { 0 };
     std::optional<double> badAt;
     std::optional<double> goodAt;
     Judgement last {};
@@ -97,7 +96,6 @@
             auto const response = behaviour(choice.group, route, second, random.unit());
             ++requests;
             candidateRequests += choice.group == Group::Candidate ? 1 : 0;
-            badResponses += choice.group == Group::Candidate && (response.kind != ResponseKind::Sound || response.time > 150ms) ? 1 : 0;
             recordResponse(table, "app", choice.group == Group::Candidate ? "v2" : "v1", route, response.kind, response.time);
         }
         std::vector<Evidence> evidence;
--- a/Tests/LibRollout/VerdictTest.cpp
+++ b/Tests/LibRollout/VerdictTest.cpp
@@ -60,11 +60,18 @@
     EXPECT_EQ(simulation.run(), Verdict::Good) << simulation.last.reason;
 }
 
+// A part of the candidate's responses on a route, or on all, is of that kind in the given seconds.
+static Simulation::Behaviour faulty(
+    ResponseKind kind, double part, std::function<bool(std::string const&, double)> const& applies = [](auto const&, double) { return true; })
+{
+    return [=](Group group, std::string const& route, double second, double random) {
+        return group == Group::Candidate && random < part && applies(route, second) ? Response { kind, 50ms } : ordinary(random);
+    };
+}
+
 TEST(VerdictTest, VersionThatIsBadFromTheStartIsFoundWithinSeconds)
 {
-    auto simulation = simulate([](Group group, std::string const&, double, double random) {
-        return group == Group::Candidate && random < 0.3 ? Response { ResponseKind::Failure, 50ms } : ordinary(random);
-    });
+    auto simulation = simulate(faulty(ResponseKind::Failure, 0.3));
     EXPECT_EQ(simulation.run(), Verdict::Bad);
     expectBounded(simulation);
     EXPECT_LE(*simulation.badAt, 5);
@@ -72,31 +79,21 @@
 
 TEST(VerdictTest, VersionThatBecomesBadIsFoundBeforeItIsCompleted)
 {
-    auto simulation = simulate([](Group group, std::string const&, double second, double random) {
-        return group == Group::Candidate && second >= 6 && random < 0.4 ? Response { ResponseKind::Failure, 50ms } : ordinary(random);
-    });
+    auto simulation = simulate(faulty(ResponseKind::Failure, 0.4, [](auto const&, double second) { return second >= 6; }));
     EXPECT_EQ(simulation.run(), Verdict::Bad);
     expectBounded(simulation);
     EXPECT_FALSE(simulation.goodAt);
 }
 
-TEST(VerdictTest, VersionThatIsBadUnderLoadIsFound)
-{
-    auto simulation = simulate([](Group group, std::string const&, double second, double random) {
-        bool const isLoaded = static_cast<int>(second) % 4 >= 2;
-        return group == Group::Candidate && isLoaded && random < 0.5 ? Response { ResponseKind::Failure, 50ms } : ordinary(random);
-    });
-    EXPECT_EQ(simulation.run(), Verdict::Bad);
-    expectBounded(simulation);
-}
-
-TEST(VerdictTest, VersionThatIsBadOnOneRouteIsFound)
+TEST(VerdictTest, VersionThatIsBadUnderLoadOrOnOneRouteIsFound)
 {
-    auto simulation = simulate([](Group group, std::string const& route, double, double random) {
-        return group == Group::Candidate && route == "advice" && random < 0.3 ? Response { ResponseKind::Failure, 50ms } : ordinary(random);
-    });
-    EXPECT_EQ(simulation.run(), Verdict::Bad);
-    expectBounded(simulation);
+    auto const underLoad = faulty(ResponseKind::Failure, 0.5, [](auto const&, double second) { return static_cast<int>(second) % 4 >= 2; });
+    auto const onOneRoute = faulty(ResponseKind::Failure, 0.3, [](auto const& route, double) { return route == "advice"; });
+    for (auto const& behaviour : { underLoad, onOneRoute }) {
+        auto simulation = simulate(behaviour);
+        EXPECT_EQ(simulation.run(), Verdict::Bad);
+        expectBounded(simulation);
+    }
 }
 
 TEST(VerdictTest, VersionThatIsSlowInsteadOfFailingIsFound)
@@ -124,9 +121,7 @@
 
 TEST(VerdictTest, VersionThatKeepsBreakingResponsesIsFound)
 {
-    auto simulation = simulate([](Group group, std::string const&, double, double random) {
-        return group == Group::Candidate && random < 0.3 ? Response { ResponseKind::Broken, 50ms } : ordinary(random);
-    });
+    auto simulation = simulate(faulty(ResponseKind::Broken, 0.3));
     EXPECT_EQ(simulation.run(), Verdict::Bad);
     expectBounded(simulation);
     EXPECT_LE(*simulation.badAt, 6);
@@ -135,14 +130,11 @@
 // Guards against decisions on a small part of the evidence: with many nodes, none sees enough of a rare fault alone, but all together do.
 TEST(VerdictTest, SumOfTheNodesShowsWhatASingleNodeDoesNot)
 {
-    auto const behaviour = [](Group group, std::string const&, double, double random) {
-        return group == Group::Candidate && random < 0.15 ? Response { ResponseKind::Failure, 50ms } : ordinary(random);
-    };
-    auto alone = simulate(behaviour);
+    auto alone = simulate(faulty(ResponseKind::Failure, 0.15));
     alone.nodes = 90;
     alone.sums = false;
     EXPECT_NE(alone.run(), Verdict::Bad);
-    auto together = simulate(behaviour);
+    auto together = simulate(faulty(ResponseKind::Failure, 0.15));
     together.nodes = 90;
     EXPECT_EQ(together.run(), Verdict::Bad);
     expectBounded(together);
@@ -151,9 +143,7 @@
 // The baseline, the behaviour without rollouts: a share of the traffic in proportion to the servers, and nobody who rolls back.
 TEST(VerdictTest, WithoutRolloutsABadVersionExceedsTheBound)
 {
-    auto simulation = simulate([](Group group, std::string const&, double, double random) {
-        return group == Group::Candidate && random < 0.3 ? Response { ResponseKind::Failure, 50ms } : ordinary(random);
-    });
+    auto simulation = simulate(faulty(ResponseKind::Failure, 0.3));
     simulation.actsOnVerdict = false;
     simulation.share = 0.5 / 0.8;
     (void)simulation.run();
