LibHTTP: Bound idle connections by age and in total

Idle connections of the client were only closed when another request to the same endpoint found them too old, so that those to endpoints that are no longer used stayed open.

--- a/Libraries/LibHTTP/Client.cpp
+++ b/Libraries/LibHTTP/Client.cpp
@@ -3,6 +3,7 @@
 #include <LibCore/Log.h>
 #include <LibHTTP/BeastConversion.h>
 #include <LibHTTP/ClientConnection.h>
+#include <algorithm>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -16,6 +17,7 @@
 #include <deque>
 #include <map>
 #include <system_error>
+#include <utility>
 #include <vector>
 
 namespace HTTP {
@@ -108,6 +110,17 @@
             return;
         connection->idleSince = m_runtime.now();
         idle.push_back(std::move(connection));
+        if (idleConnections() > m_limits.idleConnections)
+            closeLongestIdle();
+        scheduleSweep();
+    }
+
+    [[nodiscard]] std::size_t idleConnections() const
+    {
+        std::size_t count = 0;
+        for (auto const& [endpoint, connections] : m_idle)
+            count += connections.size();
+        return count;
     }
 
     void closeIdleConnections(Core::Endpoint const& endpoint) { m_idle.erase(endpoint); }
@@ -117,6 +130,33 @@
     Core::Awaitable<ConnectionAttempt> connect(Core::Endpoint endpoint, Core::MonotonicTime deadline);
 
 private:
+    // The connections to an endpoint become idle in the order in which they are kept.
+    void closeLongestIdle()
+    {
+        auto const isOlder = [](auto const& a, auto const& b) { return !a.second.empty() && (b.second.empty() || a.second.front()->idleSince < b.second.front()->idleSince); };
+        auto const oldest = std::min_element(m_idle.begin(), m_idle.end(), isOlder);
+        oldest->second.pop_front();
+    }
+
+    // Closes the connections that will not be used again, also those to endpoints that are no longer used at all.
+    void scheduleSweep()
+    {
+        if (std::exchange(m_isSweepScheduled, true))
+            return;
+        m_sweepTimer = m_runtime.callAt(m_runtime.now() + m_limits.idleTimeout / 2, [this] { sweep(); });
+    }
+
+    void sweep()
+    {
+        m_isSweepScheduled = false;
+        auto const now = m_runtime.now();
+        for (auto& [endpoint, connections] : m_idle)
+            std::erase_if(connections, [&](auto const& connection) { return now - connection->idleSince > m_limits.idleTimeout; });
+        std::erase_if(m_idle, [](auto const& item) { return item.second.empty(); });
+        if (!m_idle.empty())
+            scheduleSweep();
+    }
+
     ConnectionPointer takeIdle(Core::Endpoint const& endpoint, ConnectionUse use)
     {
         auto const found = m_idle.find(endpoint);
@@ -212,6 +252,8 @@
     /// Shared with the streams, which may outlive the client.
     std::shared_ptr<ClientTraffic> m_traffic { std::make_shared<ClientTraffic>() };
     std::map<Core::Endpoint, std::deque<ConnectionPointer>> m_idle;
+    Core::Timer m_sweepTimer;
+    bool m_isSweepScheduled { false };
 };
 
 namespace {
@@ -492,6 +534,11 @@
 
 Client::~Client() = default;
 
+std::size_t Client::idleConnections() const
+{
+    return m_implementation->idleConnections();
+}
+
 ClientTraffic Client::traffic() const
 {
     return m_implementation->traffic();
--- a/Libraries/LibHTTP/Client.h
+++ b/Libraries/LibHTTP/Client.h
@@ -18,6 +18,8 @@
     std::size_t maximumBodyBytes { 16 * 1024 * 1024 };
     Core::Duration connectTimeout { std::chrono::seconds(1) };
     std::size_t idleConnectionsPerEndpoint { 64 };
+    /// Over all endpoints; the connection that is idle for the longest time is closed first.
+    std::size_t idleConnections { 512 };
     /// Maximum idle time of a pooled connection; a shorter Keep-Alive timeout of the peer takes precedence.
     Core::Duration idleTimeout { std::chrono::seconds(20) };
     /// A connection whose sent data stays unacknowledged for this time is closed; zero keeps the system's default. A peer that reads nothing, but
@@ -146,6 +148,9 @@
     /// Closes the idle connections to an endpoint, for example one that was removed.
     void closeIdleConnections(Core::Endpoint const&);
 
+    /// The number of idle connections, over all endpoints.
+    [[nodiscard]] std::size_t idleConnections() const;
+
     /// The traffic of this client since its creation.
     [[nodiscard]] ClientTraffic traffic() const;
 
--- a/Tests/LibHTTP/ClientServerTest.cpp
+++ b/Tests/LibHTTP/ClientServerTest.cpp
@@ -468,3 +468,42 @@
         EXPECT_EQ(errorCode, boost::asio::error::eof) << errorCode.message();
     }
 }
+
+// Guards against idle connections to endpoints that are no longer used, which stayed open.
+TEST_F(ClientServerTest, IdleConnectionsToAnUnusedEndpointAreClosed)
+{
+    startServer(echo);
+    run([](Core::MonotonicTime deadline, Core::Endpoint endpoint, HTTP::Client& client) -> Awaitable<void> {
+        EXPECT_EQ(co_await client.connect(endpoint, deadline), HTTP::ConnectionAttempt::Accepted);
+    }(deadline(), m_endpoint, m_client));
+    EXPECT_EQ(m_client.idleConnections(), 1u);
+    m_runtime.pause();
+    for (auto const& [time, expected] : { std::pair<Core::Duration, std::size_t> { 19s, 1 }, { 12s, 0 } }) {
+        m_runtime.advance(time);
+        m_context.restart();
+        m_context.poll();
+        EXPECT_EQ(m_client.idleConnections(), expected);
+    }
+}
+
+// Guards against idle connections to many endpoints that use up the descriptors of the process.
+TEST_F(ClientServerTest, IdleConnectionsToAllEndpointsAreBoundedTogether)
+{
+    HTTP::Client client(m_runtime, { .idleConnections = 2 });
+    std::vector<std::unique_ptr<HTTP::Server>> servers;
+    for (int i = 0; i < 4; ++i) {
+        startServer(echo);
+        servers.push_back(std::move(m_server));
+        run([](Core::MonotonicTime deadline, Core::Endpoint endpoint, HTTP::Client& client) -> Awaitable<void> {
+            EXPECT_EQ(co_await client.connect(endpoint, deadline), HTTP::ConnectionAttempt::Accepted);
+        }(deadline(), m_endpoint, client));
+        EXPECT_EQ(client.idleConnections(), std::min<std::size_t>(i + 1, 2));
+    }
+    // The latest one is kept.
+    run([](Core::MonotonicTime deadline, Core::Endpoint endpoint, HTTP::Client& client, Core::Error& error) -> Awaitable<void> {
+        HTTP::Request request { "POST", "/", {}, "body" };
+        auto const response = co_await client.send(endpoint, request, HTTP::ConnectionUse::Pooled, deadline, error);
+        EXPECT_TRUE(response) << error.message;
+    }(deadline(), m_endpoint, client, m_error));
+    EXPECT_EQ(client.traffic().newConnections, 4u);
+}
