--- a/Tests/EdgeService/EdgeServiceFixture.h
+++ b/Tests/EdgeService/EdgeServiceFixture.h
@@ -81,6 +81,7 @@
         settings.retrySlack = m_retrySlack;
         settings.isFirstStart = m_isFirstStart;
         settings.admissionControl = m_admissionControl;
+        settings.adaptivePlacement = m_adaptivePlacement;
         settings.rolloutShare = m_rolloutShare;
         settings.leaseDuration = m_leaseDuration;
         auto service = std::make_unique<Edge::EdgeService>(m_loop.runtime(), settings, Edge::PlatformInterfaces { requestCodec(), m_objectCodec, store ? *store : m_storeConnection->store, nullptr, "/ready", &m_rolloutCodec });
@@ -207,6 +208,7 @@
     /// Whether no earlier process of the node can have spent its retry budget.
     bool m_isFirstStart { true };
     Edge::FeatureMode m_admissionControl { Edge::FeatureMode::Auto };
+    Edge::FeatureMode m_adaptivePlacement { Edge::FeatureMode::Auto };
     Core::Endpoint m_peerListen { "127.0.0.1", 0 };
     int m_prompts { 0 };
     std::vector<std::unique_ptr<RawServer>> m_servers;
