--- a/Libraries/LibForward/PeerTable.cpp
+++ b/Libraries/LibForward/PeerTable.cpp
@@ -276,7 +276,7 @@
     return covering;
 }
 
-static bool containsOwn(PeerTable::Row const& row)
+bool containsOwn(PeerTable::Row const& row)
 {
     return row.report.scope == ReportScope::Deployment;
 }
@@ -573,26 +573,6 @@
     return load;
 }
 
-static Rollout::Evidence const* evidenceIn(NodeReport const& report, Rollout::OrderId const& order)
-{
-    auto const found = std::find_if(report.rollouts.begin(), report.rollouts.end(), [&](auto const& rollout) { return rollout.order.id == order; });
-    return found == report.rollouts.end() ? nullptr : &found->evidence;
-}
-
-Rollout::Evidence summedEvidence(PeerTable const& table, Rollout::OrderId const& order, Rollout::Evidence own)
-{
-    auto sum = std::move(own);
-    auto const* reportedOwn = evidenceIn(table.own, order);
-    for (auto const* row : coveringRows(table)) {
-        auto const* evidence = evidenceIn(row->report, order);
-        if (evidence && containsOwn(*row) && reportedOwn)
-            Rollout::mergeEvidence(sum, Rollout::evidenceSince(*evidence, *reportedOwn));
-        else if (evidence)
-            Rollout::mergeEvidence(sum, *evidence);
-    }
-    return sum;
-}
-
 std::chrono::milliseconds medianClockOffset(PeerTable const& table, Core::MonotonicTime now)
 {
     std::vector<std::chrono::milliseconds> clockOffsets { 0ms };
--- a/Libraries/LibForward/PeerTable.h
+++ b/Libraries/LibForward/PeerTable.h
@@ -83,6 +83,9 @@
 /// node. The pointers are valid until the table changes.
 [[nodiscard]] std::vector<PeerTable::Row const*> coveringRows(PeerTable const&);
 
+/// Returns whether a row contains this node itself. Thread safe.
+[[nodiscard]] bool containsOwn(PeerTable::Row const&);
+
 /// The same without the sums of the deployment that another node computed: what this node sums itself.
 [[nodiscard]] std::vector<PeerTable::Row const*> directlyCoveringRows(PeerTable const&);
 
