--- a/Services/Edge/EdgeSettings.cpp
+++ b/Services/Edge/EdgeSettings.cpp
@@ -34,8 +34,6 @@
 DEFINE_string(adaptive_placement, "off", "placement by measured engine speeds and cached prefixes: auto, on or off");
 DEFINE_string(admission_control, "auto", "waiting and refusals under overload: auto, on or off");
 DEFINE_double(rollout_share, 0, "fraction of a service's requests that a version under evaluation may get; 0 without rollouts");
-DEFINE_double(rollout_slack, 0, "requests that a bad version may get beyond that fraction");
-DEFINE_double(rollback_ms, 5000, "milliseconds after its fiftieth bad response from which a bad version must get no new request");
 DEFINE_double(memory_mb, 260, "memory of the host in MB, from which the limits on what is held for clients follow");
 
 namespace Edge {
@@ -73,8 +71,6 @@
             { "adaptive_placement", "auto, on or off", "" },
             { "admission_control", "auto, on or off", "" },
             { "rollout_share", "0 to 1", "" },
-            { "rollout_slack", "", "" },
-            { "rollback_ms", "ms, 0 to 600000", "" },
             { "memory_mb", "MB, 16 to 1048576", "" },
             { "log_level", "", "" },
         },
@@ -158,7 +154,6 @@
     auto const admissionControl = featureMode("admission_control", FLAGS_admission_control, checker);
     if (!(FLAGS_rollout_share >= 0 && FLAGS_rollout_share <= 1))
         checker.addError("rollout_share", std::to_string(FLAGS_rollout_share), "a fraction from 0 to 1");
-    checker.checkRange("rollback_ms", static_cast<std::int64_t>(FLAGS_rollback_ms), 0, 600000, "ms");
     checker.checkRange("memory_mb", static_cast<std::int64_t>(FLAGS_memory_mb), 16, 1048576, "MB");
     errors.insert(errors.end(), checker.errors().begin(), checker.errors().end());
 
@@ -196,8 +191,6 @@
     settings.adaptivePlacement = adaptivePlacement;
     settings.admissionControl = admissionControl;
     settings.rolloutShare = FLAGS_rollout_share;
-    settings.rolloutSlack = FLAGS_rollout_slack;
-    settings.rollbackTimeout = std::chrono::milliseconds(static_cast<std::int64_t>(FLAGS_rollback_ms));
     settings.memoryMegabytes = static_cast<std::uint32_t>(FLAGS_memory_mb);
     return settings;
 }
--- a/Services/Edge/EdgeSettings.h
+++ b/Services/Edge/EdgeSettings.h
@@ -55,10 +55,6 @@
     FeatureMode admissionControl { FeatureMode::Auto };
     /// Fraction of a service's requests that a version under evaluation may get; 0 if this deployment has no rollouts.
     double rolloutShare { 0 };
-    /// Requests that a bad version may get beyond that fraction.
-    double rolloutSlack { 0 };
-    /// Time after its fiftieth bad response from which a bad version must get no new request.
-    std::chrono::milliseconds rollbackTimeout { 5000 };
     /// Memory of the host in MB, from which the limits on what is held for clients follow.
     std::uint32_t memoryMegabytes { 260 };
 
