--- a/review/stand-ins-2/harness.py
+++ b/review/stand-ins-2/harness.py
@@ -4,6 +4,7 @@
 """
 import asyncio
 import json
+import logging
 import os
 import random
 import re
@@ -408,6 +409,7 @@
 def main(folder, case):
     """Runs a case. The exit code is 1 if the rule was broken, 0 if it held, 2 if the case could not run."""
     trouble = os.environ.get("TROUBLE", "1") != "0"
+    logging.getLogger("asyncio").setLevel(logging.CRITICAL)  # Connections that are still open at the end.
     record = Record(os.path.join(folder, "record.txt"))
     nodes = []
     with tempfile.TemporaryDirectory() as directory:
@@ -430,4 +432,5 @@
                 if os.environ.get("KEEP_LOG"):
                     os.system(f"cp {node.log} {os.environ['KEEP_LOG']}/")
             record.close()
-    sys.exit(code)
+    sys.stdout.flush()
+    os._exit(code)  # Connections of the stand-ins may still be open; nothing is left to do for them.
